--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: setup test lint demo prove prove-naive bench clean
+
+setup: $(VENV)/.ready
+
+$(VENV)/.ready: pyproject.toml constraints.txt
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install -q --disable-pip-version-check -c constraints.txt -e '.[test]'
+	touch $@
+
+test: setup
+	$(BIN)/python tools/run_tests.py
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+demo: setup
+	$(BIN)/python -m standins.demo
+
+prove: setup
+	$(BIN)/python -m proofs.run
+
+prove-naive: setup
+	$(BIN)/python -m proofs.run --naive
+
+bench: setup
+	$(BIN)/python -m bench.run
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/almondtide/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters that connect the ports to sockets, HTTP and websockets."""
--- /dev/null
+++ b/almondtide/adapters/caller.py
@@ -0,0 +1,161 @@
+"""HTTP API for callers."""
+
+import itertools
+
+from ..coordinator import QueryRequest
+from ..errors import AlmondtideError, BadRequestError, ResultCode, http_status
+from ..executions import ReviseRequest
+from .http import json_response
+
+__all__ = ["CallerAPI"]
+
+MAX_REQUEST_ID_LENGTH = 128
+MAX_DEADLINE_MS = 120_000
+
+
+class CallerAPI:
+    """Routes requests of callers to the coordinator and the executions."""
+
+    __slots__ = (
+        "_coordinator",
+        "_entries",
+        "_executions",
+        "_health",
+        "_ids",
+        "_instance",
+        "_log",
+        "_metrics",
+        "clock",
+        "running",
+    )
+
+    def __init__(
+        self, instance, coordinator, executions, entries, health, clock, log, metrics
+    ):
+        self._instance = instance
+        self._coordinator = coordinator
+        self._executions = executions
+        self._entries = entries
+        self._health = health
+        self.clock = clock
+        self._log = log
+        self._metrics = metrics
+        self._ids = itertools.count(1)
+        self.running = 0
+
+    async def handle(self, request):
+        """Return the response to one request."""
+        self.running += 1
+        try:
+            return await self._route(request)
+        finally:
+            self.running -= 1
+
+    async def _route(self, request):
+        parts = request.path.strip("/").split("/")
+        if request.path == "/v1/entries":
+            _require_method(request, "GET")
+            return json_response(200, self._entries(), _result_headers(ResultCode.OK))
+        if request.path == "/v1/health":
+            _require_method(request, "GET")
+            status, body = self._health()
+            return json_response(status, body)
+        if len(parts) == 4 and parts[:2] == ["v1", "workloads"]:
+            if parts[3] == "query":
+                _require_method(request, "POST")
+                return await self._query(request, parts[2])
+            if parts[3] == "revise":
+                _require_method(request, "POST")
+                return await self._revise(request, parts[2])
+        raise BadRequestError(f"no resource {request.path}", ResultCode.NOT_FOUND)
+
+    def _request_id(self, request):
+        given = request.headers.get("almondtide-request-id")
+        if given is None:
+            return f"{self._instance}-{next(self._ids)}"
+        if not given.isprintable() or not 0 < len(given) <= MAX_REQUEST_ID_LENGTH:
+            raise BadRequestError("invalid almondtide-request-id")
+        return given
+
+    async def _query(self, request, workload):
+        started = self.clock.monotonic()
+        request_id = self._request_id(request)
+        code = ResultCode.INTERNAL
+        try:
+            req = QueryRequest(
+                request_id, workload, request.json(), _deadline_ms(request)
+            )
+            answer = await self._coordinator.query(req)
+            code = answer.code
+            headers = _result_headers(code, request_id, answer.retry_after_ms)
+            return json_response(http_status(code), answer.to_dict(), headers)
+        except AlmondtideError as exc:
+            code = exc.code
+            request.headers["almondtide-request-id"] = request_id
+            raise
+        finally:
+            elapsed = self.clock.monotonic() - started
+            self._metrics.queries.inc({"workload": workload, "code": str(int(code))})
+            self._metrics.query_seconds.observe({"workload": workload}, elapsed)
+            self._log.debug(
+                "query_ended",
+                request_id=request_id,
+                workload=workload,
+                code=int(code),
+                elapsed_ms=round(elapsed * 1000, 2),
+            )
+
+    async def _revise(self, request, workload):
+        request_id = self._request_id(request)
+        execution_id = request.headers.get("almondtide-execution-id")
+        code = ResultCode.INTERNAL
+        try:
+            req = ReviseRequest(
+                request_id,
+                workload,
+                execution_id,
+                request.json(),
+                _deadline_ms(request),
+            )
+            outcome = await self._executions.revise(req)
+            code = outcome.code
+            headers = _result_headers(code, request_id, outcome.retry_after_ms)
+            body = outcome.to_dict(request_id, execution_id)
+            return json_response(http_status(code), body, headers)
+        except AlmondtideError as exc:
+            code = exc.code
+            request.headers["almondtide-request-id"] = request_id
+            raise
+        finally:
+            self._metrics.revisions.inc({"workload": workload, "code": str(int(code))})
+
+
+def _require_method(request, method):
+    if request.method != method:
+        raise BadRequestError(
+            f"{request.path} takes {method}", ResultCode.METHOD_NOT_ALLOWED
+        )
+
+
+def _deadline_ms(request):
+    text = request.headers.get("almondtide-deadline-ms")
+    if text is None:
+        return None
+    try:
+        value = float(text)
+    except ValueError:
+        raise BadRequestError("invalid almondtide-deadline-ms") from None
+    if not 0 <= value <= MAX_DEADLINE_MS:
+        raise BadRequestError(
+            f"almondtide-deadline-ms must be within 0 and {MAX_DEADLINE_MS}"
+        )
+    return value
+
+
+def _result_headers(code, request_id=None, retry_after_ms=None):
+    headers = {"almondtide-result-code": str(int(code))}
+    if request_id is not None:
+        headers["almondtide-request-id"] = request_id
+    if retry_after_ms is not None:
+        headers["almondtide-retry-after-ms"] = str(int(retry_after_ms))
+    return headers
--- /dev/null
+++ b/almondtide/adapters/http.py
@@ -0,0 +1,377 @@
+"""HTTP/1.1 by h11 over curio sockets: server loop and client connection."""
+
+import socket as stdlib_socket
+
+import curio
+import h11
+import orjson
+
+from ..errors import (
+    AlmondtideError,
+    BadRequestError,
+    ResultCode,
+    UpstreamError,
+    http_status,
+)
+from .listener import connect
+
+__all__ = [
+    "HTTPClient",
+    "HTTPRequest",
+    "HTTPResponse",
+    "error_response",
+    "json_response",
+    "serve_http",
+]
+
+RECEIVE_BYTES = 65536
+DEFAULT_MAX_HEADER_BYTES = 16 * 1024
+DEFAULT_MAX_BODY_BYTES = 256 * 1024
+DEFAULT_MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+DEFAULT_IDLE_TIMEOUT_S = 75.0
+HEADER_TIMEOUT_S = 10.0
+
+
+class HTTPRequest:
+    """A complete request. Header names are lower-case strings."""
+
+    __slots__ = ("body", "headers", "method", "path", "query")
+
+    def __init__(self, method, target, headers, body):
+        self.method = method
+        self.path, _, self.query = target.partition("?")
+        self.headers = headers
+        self.body = body
+
+    def json(self):
+        """Return the decoded body; raises ``BadRequestError``."""
+        try:
+            return orjson.loads(self.body)
+        except orjson.JSONDecodeError as exc:
+            raise BadRequestError(f"the body is not valid JSON: {exc}") from exc
+
+
+class HTTPResponse:
+    """A complete response. Header names are lower-case strings."""
+
+    __slots__ = ("body", "headers", "status")
+
+    def __init__(self, status, body=b"", headers=None):
+        self.status = status
+        self.body = body
+        self.headers = headers or {}
+
+    def json(self):
+        """Return the decoded body; raises ValueError."""
+        return orjson.loads(self.body)
+
+
+def json_response(status, value, headers=None):
+    """Return a response with ``value`` as its JSON body."""
+    merged = {"content-type": "application/json"}
+    merged.update(headers or {})
+    return HTTPResponse(status, orjson.dumps(value), merged)
+
+
+def error_response(exc, request_id=""):
+    """Return the JSON response for an ``AlmondtideError``."""
+    headers = {"almondtide-result-code": str(int(exc.code))}
+    if request_id:
+        headers["almondtide-request-id"] = request_id
+    if exc.retry_after_ms is not None:
+        headers["almondtide-retry-after-ms"] = str(int(exc.retry_after_ms))
+    body = {
+        "request_id": request_id,
+        "code": int(exc.code),
+        "name": ResultCode(exc.code).name,
+        "message": exc.message,
+        "not_run": exc.not_run,
+        "retry_after_ms": exc.retry_after_ms,
+    }
+    return json_response(http_status(exc.code), body, headers)
+
+
+def _decode_headers(pairs):
+    return {name.decode("latin-1"): value.decode("latin-1") for name, value in pairs}
+
+
+class _ServerConnection:
+    __slots__ = ("conn", "handler", "max_body", "sock")
+
+    def __init__(self, sock, handler, max_body, max_header):
+        self.sock = sock
+        self.handler = handler
+        self.max_body = max_body
+        self.conn = h11.Connection(h11.SERVER, max_incomplete_event_size=max_header)
+
+    async def _next_event(self):
+        while True:
+            event = self.conn.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            if self.conn.they_are_waiting_for_100_continue:
+                go_ahead = h11.InformationalResponse(status_code=100, headers=[])
+                await self.sock.sendall(self.conn.send(go_ahead))
+            self.conn.receive_data(await self.sock.recv(RECEIVE_BYTES))
+
+    async def read_request(self):
+        """Return the next request, or None when the peer has closed."""
+        event = await self._next_event()
+        if not isinstance(event, h11.Request):
+            return None
+        async with curio.timeout_after(HEADER_TIMEOUT_S):
+            body = await self._read_body()
+        return HTTPRequest(
+            event.method.decode("latin-1"),
+            event.target.decode("latin-1"),
+            _decode_headers(event.headers),
+            body,
+        )
+
+    async def _read_body(self):
+        chunks = []
+        size = 0
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.EndOfMessage):
+                return b"".join(chunks)
+            if not isinstance(event, h11.Data):
+                raise BadRequestError("the request ended before its body")
+            size += len(event.data)
+            if size > self.max_body:
+                raise BadRequestError(
+                    f"the body is over {self.max_body} bytes", ResultCode.BODY_TOO_LARGE
+                )
+            chunks.append(bytes(event.data))
+
+    async def send(self, response, close=False):
+        headers = [(name, value) for name, value in response.headers.items()]
+        headers.append(("content-length", str(len(response.body))))
+        if close:
+            headers.append(("connection", "close"))
+        parts = [
+            self.conn.send(h11.Response(status_code=response.status, headers=headers)),
+            self.conn.send(h11.Data(data=response.body)),
+            self.conn.send(h11.EndOfMessage()),
+        ]
+        await self.sock.sendall(b"".join(parts))
+
+    async def run_handler(self, request):
+        """Run the handler; cancel it and return None when the caller goes away."""
+        task = await curio.spawn(self.handler, request, daemon=True)
+        watcher = await curio.spawn(_cancel_on_close, self.sock, task, daemon=True)
+        try:
+            return await task.join()
+        except curio.TaskError as exc:
+            if isinstance(exc.__cause__, curio.TaskCancelled):
+                return None
+            raise exc.__cause__ from exc
+        except curio.CancelledError:
+            await task.cancel()
+            raise
+        finally:
+            await watcher.cancel()
+
+
+async def _cancel_on_close(sock, task):
+    """Cancel ``task`` when the other side closes the connection."""
+    try:
+        data = await sock.recv(1, stdlib_socket.MSG_PEEK)
+    except OSError:
+        data = b""
+    if not data:
+        await task.cancel(blocking=False)
+
+
+async def _refuse(connection, exc, status=None):
+    if connection.conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+        return
+    response = error_response(exc)
+    if status is not None:
+        response.status = status
+    try:
+        await connection.send(response, close=True)
+    except (OSError, h11.LocalProtocolError):
+        pass
+
+
+def _remote_protocol_error(exc):
+    if exc.error_status_hint == 431:
+        return BadRequestError(
+            "the headers are too large", ResultCode.HEADERS_TOO_LARGE
+        )
+    return BadRequestError(f"malformed HTTP: {exc}")
+
+
+async def serve_http(
+    sock,
+    handler,
+    *,
+    log,
+    max_body=DEFAULT_MAX_BODY_BYTES,
+    max_header=DEFAULT_MAX_HEADER_BYTES,
+    idle_timeout_s=DEFAULT_IDLE_TIMEOUT_S,
+):
+    """Serve requests on one connection until it closes.
+
+    ``handler`` is an async function from ``HTTPRequest`` to ``HTTPResponse``. An
+    ``AlmondtideError`` that it raises becomes a coded response; any other
+    exception becomes code 900 and a log line, and the connection is closed.
+    """
+    connection = _ServerConnection(sock, handler, max_body, max_header)
+    while True:
+        try:
+            async with curio.timeout_after(idle_timeout_s):
+                request = await connection.read_request()
+            if request is None:
+                return
+            try:
+                response = await connection.run_handler(request)
+            except AlmondtideError as exc:
+                response = error_response(
+                    exc, request.headers.get("almondtide-request-id", "")
+                )
+            if response is None:
+                return
+            await connection.send(response)
+            if connection.conn.our_state is not h11.DONE:
+                return
+            if connection.conn.their_state is not h11.DONE:
+                return
+            connection.conn.start_next_cycle()
+        except curio.TaskTimeout:
+            return
+        except h11.RemoteProtocolError as exc:
+            log.warning("http_malformed", reason=str(exc))
+            await _refuse(connection, _remote_protocol_error(exc))
+            return
+        except BadRequestError as exc:
+            log.warning("http_refused", code=int(exc.code), reason=exc.message)
+            await _refuse(connection, exc)
+            return
+        except OSError:
+            return
+        except curio.CancelledError:
+            raise
+        except Exception as exc:
+            log.error("http_handler_failed", error=repr(exc))
+            await _refuse(connection, AlmondtideError("internal error"))
+            return
+
+
+class HTTPClient:
+    """One HTTP/1.1 connection on which requests follow each other.
+
+    A connection whose exchange failed or was abandoned is closed and never
+    reused, so a late response cannot be taken for the answer to a later request.
+    """
+
+    __slots__ = ("_conn", "_eof", "_host", "_max_response", "_sock", "usable")
+
+    def __init__(self, sock, host, max_response=DEFAULT_MAX_RESPONSE_BYTES):
+        self._sock = sock
+        self._host = host
+        self._max_response = max_response
+        self._conn = h11.Connection(h11.CLIENT)
+        self._eof = False
+        self.usable = True
+
+    @classmethod
+    async def open(cls, address, timeout_s=2.0, **options):
+        """Connect to ``(host, port)``; raises OSError or curio.TaskTimeout."""
+        sock = await connect(address, timeout_s)
+        return cls(sock, f"{address[0]}:{address[1]}", **options)
+
+    def is_stale(self):
+        """Return whether the server has closed the idle connection."""
+        try:
+            data = self._sock._socket.recv(1, stdlib_socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError:
+            return True
+        # Data on an idle connection belongs to no request.
+        return data is not None
+
+    async def request(self, method, path, headers=None, body=b"", before_write=None):
+        """Send a request and return its complete ``HTTPResponse``.
+
+        ``before_write`` is called right before the first byte is written and may
+        raise to stop the request. Raises ``UpstreamError`` with UPSTREAM_LOST
+        when the connection breaks, with BAD_RESPONSE when the response is not
+        valid HTTP or too large.
+        """
+        if not self.usable:
+            raise UpstreamError("the connection is closed", ResultCode.UPSTREAM_LOST)
+        wire = self._encode(method, path, headers or {}, body)
+        self.usable = False
+        if before_write is not None:
+            before_write()
+        try:
+            await self._sock.sendall(wire)
+            response = await self._read_response()
+        except OSError as exc:
+            raise UpstreamError(
+                f"connection lost: {exc}", ResultCode.UPSTREAM_LOST
+            ) from exc
+        except h11.RemoteProtocolError as exc:
+            code = ResultCode.UPSTREAM_LOST if self._eof else ResultCode.BAD_RESPONSE
+            raise UpstreamError(f"invalid response: {exc}", code) from exc
+        if (self._conn.our_state, self._conn.their_state) == (h11.DONE, h11.DONE):
+            self._conn.start_next_cycle()
+            self.usable = True
+        return response
+
+    def _encode(self, method, path, headers, body):
+        pairs = [("host", self._host), ("content-length", str(len(body)))]
+        pairs.extend(headers.items())
+        parts = [
+            self._conn.send(h11.Request(method=method, target=path, headers=pairs))
+        ]
+        if body:
+            parts.append(self._conn.send(h11.Data(data=body)))
+        parts.append(self._conn.send(h11.EndOfMessage()))
+        return b"".join(parts)
+
+    async def _next_event(self):
+        while True:
+            event = self._conn.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            data = await self._sock.recv(RECEIVE_BYTES)
+            self._eof = not data
+            self._conn.receive_data(data)
+
+    async def _read_response(self):
+        event = await self._next_event()
+        while isinstance(event, h11.InformationalResponse):
+            event = await self._next_event()
+        if not isinstance(event, h11.Response):
+            raise UpstreamError(
+                "connection closed before a response", ResultCode.UPSTREAM_LOST
+            )
+        chunks = []
+        size = 0
+        while True:
+            part = await self._next_event()
+            if isinstance(part, h11.EndOfMessage):
+                break
+            if not isinstance(part, h11.Data):
+                raise UpstreamError(
+                    "connection closed within a response", ResultCode.UPSTREAM_LOST
+                )
+            size += len(part.data)
+            if size > self._max_response:
+                raise UpstreamError(
+                    f"the response is over {self._max_response} bytes",
+                    ResultCode.BAD_RESPONSE,
+                )
+            chunks.append(bytes(part.data))
+        return HTTPResponse(
+            event.status_code, b"".join(chunks), _decode_headers(event.headers)
+        )
+
+    async def close(self):
+        """Close the connection."""
+        self.usable = False
+        await self._sock.close()
--- /dev/null
+++ b/almondtide/adapters/listener.py
@@ -0,0 +1,103 @@
+"""Accept loop of a TCP server with one task for each connection."""
+
+import socket as stdlib_socket
+
+import curio
+from curio import socket
+
+__all__ = ["Listener", "connect", "parse_address"]
+
+BACKLOG = 512
+
+
+def parse_address(text):
+    """Return ``(host, port)`` of ``"host:port"``; raises ValueError."""
+    host, separator, port = text.rpartition(":")
+    if not separator or not host or not port.isdigit() or int(port) > 65535:
+        raise ValueError(f"{text!r} is not of the form host:port")
+    return host, int(port)
+
+
+async def connect(address, timeout_s):
+    """Open a TCP connection to ``(host, port)`` with Nagle's delay off.
+
+    Raises ``OSError`` or ``curio.TaskTimeout``.
+    """
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(stdlib_socket.IPPROTO_TCP, stdlib_socket.TCP_NODELAY, 1)
+        async with curio.timeout_after(timeout_s):
+            await sock.connect(address)
+    except BaseException:
+        await sock.close()
+        raise
+    return sock
+
+
+class Listener:
+    """Listens on one address and runs ``handler(sock, address)`` per connection."""
+
+    __slots__ = ("_connections", "_handler", "_sock", "_task", "address")
+
+    def __init__(self, address, handler):
+        self.address = address
+        self._handler = handler
+        self._connections = set()
+        self._sock = None
+        self._task = None
+
+    async def start(self):
+        """Bind, listen and accept; raises OSError when the address is taken."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind(self.address)
+            sock.listen(BACKLOG)
+        except OSError:
+            await sock.close()
+            raise
+        self._sock = sock
+        self.address = sock.getsockname()
+        self._task = await curio.spawn(self._accept_loop, daemon=True)
+
+    @property
+    def connections(self):
+        """Number of open connections."""
+        return len(self._connections)
+
+    async def _accept_loop(self):
+        while True:
+            try:
+                client, peer = await self._sock.accept()
+            except OSError:
+                # Out of file descriptors or an aborted connection; keep serving.
+                await curio.sleep(0.05)
+                continue
+            client.setsockopt(stdlib_socket.IPPROTO_TCP, stdlib_socket.TCP_NODELAY, 1)
+            task = await curio.spawn(self._serve, client, peer, daemon=True)
+            self._connections.add(task)
+
+    async def _serve(self, client, peer):
+        task = await curio.current_task()
+        try:
+            async with client:
+                await self._handler(client, peer)
+        except OSError:
+            pass
+        finally:
+            self._connections.discard(task)
+
+    async def stop(self):
+        """Stop accepting; connections that are open go on."""
+        if self._task is not None:
+            await self._task.cancel()
+            self._task = None
+        if self._sock is not None:
+            await self._sock.close()
+            self._sock = None
+
+    async def close(self):
+        """Stop accepting and cancel all connections."""
+        await self.stop()
+        for task in list(self._connections):
+            await task.cancel()
--- /dev/null
+++ b/almondtide/adapters/peer.py
@@ -0,0 +1,497 @@
+"""Peer links over websockets: calls, replies, coalesced frames, liveness."""
+
+import itertools
+
+import curio
+
+from ..errors import AlmondtideError, PeerError, ResultCode
+from ..messages import (
+    ErrorReply,
+    Hello,
+    Ping,
+    Pong,
+    decode_frame,
+    encode_frame,
+)
+from ..ports import BasePeers, unreachable
+from .websocket import accept_websocket, open_websocket
+
+__all__ = ["PeerCall", "PeerNetwork"]
+
+PING_AFTER_S = 0.1
+SUSPECT_AFTER_S = 0.25
+MONITOR_INTERVAL_S = 0.05
+# Messages coalesced into one frame; keeps frames far below the size limit.
+MAX_BATCH = 64
+IDLE_LINK_S = 60.0
+
+
+class PeerCall:
+    """A request whose replies arrive in an inbox shared by several calls."""
+
+    __slots__ = ("_link", "inbox", "instance", "seq")
+
+    def __init__(self, link, instance, seq, inbox):
+        self._link = link
+        self.instance = instance
+        self.seq = seq
+        self.inbox = inbox
+
+    def close(self):
+        """Forget the call; replies that arrive later are dropped."""
+        if self._link is not None:
+            self._link.calls.pop(self.seq, None)
+
+
+class _Outbox:
+    """Messages that wait for the writer task of a connection."""
+
+    __slots__ = ("_clock", "_messages", "_ready", "_websocket", "closed")
+
+    def __init__(self, websocket, clock):
+        self._websocket = websocket
+        self._clock = clock
+        self._messages = []
+        self._ready = curio.Event()
+        self.closed = False
+
+    async def put(self, message):
+        if self.closed:
+            raise PeerError("the peer link is closed", not_run=True)
+        self._messages.append(message)
+        await self._ready.set()
+
+    async def run(self):
+        """Write everything that is ready as one frame, until cancelled."""
+        while True:
+            await self._ready.wait()
+            self._ready.clear()
+            while self._messages:
+                batch = self._messages[:MAX_BATCH]
+                del self._messages[:MAX_BATCH]
+                await self._websocket.send(self._encode(batch))
+
+    def _encode(self, batch):
+        try:
+            return encode_frame(self._clock.now(), batch)
+        except AlmondtideError as exc:
+            # One message is too large; its receiver gets the error instead.
+            errors = [
+                ErrorReply(message.seq, code=int(exc.code), message=exc.message)
+                for message in batch
+            ]
+            return encode_frame(self._clock.now(), errors)
+
+
+class _OutboundLink:
+    """The connection on which this daemon sends requests to one peer."""
+
+    __slots__ = (
+        "_network",
+        "_outbox",
+        "_sequence",
+        "_tasks",
+        "_websocket",
+        "address",
+        "calls",
+        "instance",
+        "last_heard",
+        "last_used",
+        "open",
+        "suspect",
+        "waiting_since",
+    )
+
+    def __init__(self, network, instance, address):
+        self._network = network
+        self.instance = instance
+        self.address = address
+        self._sequence = itertools.count(1)
+        self.calls = {}
+        self._tasks = []
+        self._websocket = None
+        self._outbox = None
+        self.open = False
+        self.suspect = False
+        self.last_heard = 0.0
+        self.last_used = 0.0
+        self.waiting_since = None
+
+    async def start(self):
+        network = self._network
+        self._websocket = await open_websocket(self.address)
+        self._outbox = _Outbox(self._websocket, network.hlc)
+        self.last_heard = self.last_used = network.clock.monotonic()
+        self.open = True
+        hello = Hello(instance=network.instance, incarnation=network.incarnation)
+        await self._outbox.put(hello)
+        for loop in (self._write, self._read, self._monitor):
+            self._tasks.append(await curio.spawn(loop, daemon=True))
+
+    async def post(self, message, instance, inbox):
+        """Queue a request and return its ``PeerCall``."""
+        seq = next(self._sequence)
+        message.seq = seq
+        call = PeerCall(self, instance, seq, inbox)
+        self.calls[seq] = call
+        await self._put(message)
+        return call
+
+    async def post_one_way(self, message):
+        await self._put(message)
+
+    async def _put(self, message):
+        now = self._network.clock.monotonic()
+        self.last_used = now
+        if self.waiting_since is None:
+            self.waiting_since = now
+        await self._outbox.put(message)
+
+    async def _write(self):
+        try:
+            await self._outbox.run()
+        except PeerError as exc:
+            await self._lost(exc)
+
+    async def _read(self):
+        reason = PeerError(f"{self.instance} closed the link")
+        try:
+            while True:
+                frame = await self._websocket.receive()
+                if frame is None:
+                    break
+                timestamp, batch = decode_frame(frame)
+                self._network.hlc.observe(timestamp)
+                await self._heard()
+                for message in batch:
+                    await self._deliver(message)
+        except PeerError as exc:
+            reason = exc
+        await self._lost(reason)
+
+    async def _heard(self):
+        self.last_heard = self._network.clock.monotonic()
+        self.waiting_since = None
+        if self.suspect:
+            self.suspect = False
+            await self._network.peer_recovered(self.instance)
+
+    async def _deliver(self, message):
+        if isinstance(message, Pong):
+            await self._network.peer_seen(self.instance, message.incarnation)
+            return
+        call = self.calls.get(message.seq)
+        if call is not None:
+            await call.inbox.put((call, message))
+
+    async def _monitor(self):
+        """Ping a silent peer while replies are outstanding; then suspect it."""
+        pinged = False
+        while True:
+            await curio.sleep(MONITOR_INTERVAL_S if self.calls else PING_AFTER_S)
+            now = self._network.clock.monotonic()
+            if not self.calls:
+                pinged = False
+                self.waiting_since = None
+                if now - self.last_used > IDLE_LINK_S:
+                    await self._lost(PeerError("idle link closed"))
+                continue
+            if self.waiting_since is None:
+                self.waiting_since = now
+                pinged = False
+                continue
+            silence = now - self.waiting_since
+            if silence >= SUSPECT_AFTER_S and pinged and not self.suspect:
+                await self._suspect(silence)
+            elif silence >= PING_AFTER_S and not pinged:
+                pinged = True
+                await self._outbox.put(Ping())
+
+    async def _suspect(self, silence):
+        self.suspect = True
+        error = PeerError(
+            f"{self.instance} is silent for {silence:.3f} s", ResultCode.PEER_SUSPECT
+        )
+        await self._network.peer_suspected(self.instance)
+        await self._fail_calls(error)
+
+    async def _fail_calls(self, error):
+        calls, self.calls = self.calls, {}
+        for call in calls.values():
+            await call.inbox.put((call, error))
+
+    async def _lost(self, error):
+        if not self.open:
+            return
+        self.open = False
+        self._outbox.closed = True
+        await self._network.link_closed(self, error)
+        await self._fail_calls(error)
+        await self.close()
+
+    async def close(self):
+        self.open = False
+        current = await curio.current_task()
+        tasks, self._tasks = self._tasks, []
+        for task in tasks:
+            if task is not current:
+                await task.cancel(blocking=False)
+        if self._websocket is not None:
+            await self._websocket.close()
+
+
+class _LocalCall:
+    __slots__ = ("closed", "inbox", "instance", "seq")
+
+    def __init__(self, instance, inbox):
+        self.instance = instance
+        self.inbox = inbox
+        self.seq = 0
+        self.closed = False
+
+    def close(self):
+        self.closed = True
+
+    async def reply(self, message):
+        if not self.closed:
+            await self.inbox.put((self, message))
+
+
+class PeerNetwork(BasePeers):
+    """All links of one daemon; links are opened on first use.
+
+    Requests travel on the connection that the sender opened and replies return
+    on it. A message to the daemon itself is handed to the handler directly.
+    ``resolve(instance)`` returns the peer address of a member or None.
+    ``observer`` is told about peers that are seen, suspected or lost.
+    """
+
+    __slots__ = (
+        "_dialing",
+        "_handlers",
+        "_links",
+        "clock",
+        "hlc",
+        "incarnation",
+        "instance",
+        "log",
+        "observer",
+        "resolve",
+    )
+
+    def __init__(self, instance, incarnation, clock, hlc, log):
+        self.instance = instance
+        self.incarnation = incarnation
+        self.clock = clock
+        self.hlc = hlc
+        self.log = log
+        self.resolve = lambda instance: None
+        self.observer = None
+        self._handlers = {}
+        self._links = {}
+        self._dialing = {}
+        self.register(Ping, self._answer_ping)
+
+    def register(self, message_class, handler):
+        """Serve requests: ``await handler(sender, message, reply)``."""
+        self._handlers[message_class] = handler
+
+    @property
+    def links(self):
+        """Number of open outbound links."""
+        return len(self._links)
+
+    async def call(self, instance, message, inbox):
+        """Send a request; replies go to ``inbox`` as (call, reply)."""
+        if instance == self.instance:
+            call = _LocalCall(instance, inbox)
+            await self._dispatch(instance, message, call.reply)
+            return call
+        link = await self._link(instance)
+        if link.suspect:
+            raise PeerError(
+                f"{instance} is suspected", ResultCode.PEER_SUSPECT, not_run=True
+            )
+        return await link.post(message, instance, inbox)
+
+    async def request(self, instance, message, timeout_s):
+        """Send a request and return its single reply; raises ``PeerError``."""
+        inbox = curio.Queue()
+        call = None
+        try:
+            async with curio.timeout_after(timeout_s):
+                call = await self.call(instance, message, inbox)
+                _, reply = await inbox.get()
+        except curio.TaskTimeout as exc:
+            raise PeerError(f"no reply of {instance} in {timeout_s} s") from exc
+        finally:
+            if call is not None:
+                call.close()
+        if isinstance(reply, PeerError):
+            raise reply
+        return reply
+
+    async def send(self, instance, message):
+        """Send a one-way message; raises ``PeerError`` when unreachable."""
+        if instance == self.instance:
+            await self._dispatch(instance, message, _ignore)
+            return
+        link = await self._link(instance)
+        await link.post_one_way(message)
+
+    async def send_if_open(self, instance, message):
+        """Send a one-way message on an open link; do nothing without one."""
+        if instance == self.instance:
+            await self._dispatch(instance, message, _ignore)
+            return
+        link = self._links.get(instance)
+        if link is not None and link.open:
+            try:
+                await link.post_one_way(message)
+            except PeerError:
+                pass
+
+    async def _link(self, instance):
+        link = self._links.get(instance)
+        if link is not None and link.open:
+            return link
+        address = self.resolve(instance)
+        if address is None:
+            raise unreachable(instance)
+        return await self._dial(instance, address)
+
+    async def _dial(self, instance, address):
+        """Open a link once, however many tasks ask for it at the same time."""
+        lock = self._dialing.setdefault(instance, curio.Lock())
+        async with lock:
+            link = self._links.get(instance)
+            if link is not None and link.open:
+                return link
+            link = _OutboundLink(self, instance, address)
+            try:
+                await link.start()
+            except PeerError as exc:
+                await link.close()
+                await self._notify("peer_lost", instance)
+                exc.not_run = True
+                raise
+            self._links[instance] = link
+        self.log.debug("peer_link_opened", peer=instance)
+        return link
+
+    async def link_closed(self, link, error):
+        """Forget a closed link and tell the observer."""
+        if self._links.get(link.instance) is link:
+            del self._links[link.instance]
+        self.log.debug("peer_link_closed", peer=link.instance, reason=error.message)
+        if error.message != "idle link closed":
+            await self._notify("peer_lost", link.instance)
+
+    async def peer_suspected(self, instance):
+        """Tell the observer that a peer is silent."""
+        self.log.info("peer_suspected", peer=instance)
+        await self._notify("peer_suspected", instance)
+
+    async def peer_recovered(self, instance):
+        """Tell the observer that a suspected peer answers again."""
+        self.log.info("peer_recovered", peer=instance)
+        await self._notify("peer_recovered", instance)
+
+    async def peer_seen(self, instance, incarnation):
+        """Tell the observer which incarnation of a peer answers."""
+        await self._notify("peer_seen", instance, incarnation)
+
+    async def _notify(self, event, *args):
+        if self.observer is not None:
+            await getattr(self.observer, event)(*args)
+
+    async def _answer_ping(self, sender, message, reply):
+        await reply(Pong(message.seq, incarnation=self.incarnation))
+
+    async def _dispatch(self, sender, message, reply):
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            if isinstance(message, ErrorReply):
+                await reply(message)
+                return
+            error = ErrorReply(
+                message.seq,
+                code=int(ResultCode.PEER_PROTOCOL),
+                message=f"no handler for {message.TYPE}",
+                not_run=True,
+            )
+            await reply(error)
+            return
+        try:
+            await handler(sender, message, reply)
+        except AlmondtideError as exc:
+            await reply(
+                ErrorReply(
+                    message.seq,
+                    code=int(exc.code),
+                    message=exc.message,
+                    not_run=exc.not_run,
+                    retry_after_ms=exc.retry_after_ms,
+                )
+            )
+
+    async def serve(self, sock, address):
+        """Serve one inbound connection; one task per connection."""
+        try:
+            websocket = await accept_websocket(sock)
+        except PeerError as exc:
+            self.log.warning("peer_handshake_failed", reason=exc.message)
+            return
+        outbox = _Outbox(websocket, self.hlc)
+        writer = await curio.spawn(self._write_replies, outbox, daemon=True)
+        sender = None
+        try:
+            while True:
+                frame = await websocket.receive()
+                if frame is None:
+                    return
+                timestamp, batch = decode_frame(frame)
+                self.hlc.observe(timestamp)
+                for message in batch:
+                    if isinstance(message, Hello):
+                        sender = message.instance
+                        await self.peer_seen(sender, message.incarnation)
+                        continue
+                    await self._serve_message(sender, message, outbox)
+        except PeerError as exc:
+            self.log.warning(
+                "peer_protocol_error", peer=sender or address[0], reason=exc.message
+            )
+        finally:
+            outbox.closed = True
+            await writer.cancel()
+            await websocket.close()
+
+    async def _serve_message(self, sender, message, outbox):
+        seq = message.seq
+
+        async def reply(answer):
+            answer.seq = seq
+            try:
+                await outbox.put(answer)
+            except PeerError:
+                # The sender is gone; it cannot use the answer.
+                pass
+
+        await self._dispatch(sender, message, reply)
+
+    async def _write_replies(self, outbox):
+        try:
+            await outbox.run()
+        except PeerError:
+            outbox.closed = True
+
+    async def close(self):
+        """Close all outbound links."""
+        for link in list(self._links.values()):
+            await link.close()
+        self._links.clear()
+
+
+async def _ignore(message):
+    """Drop a reply to a one-way message."""
--- /dev/null
+++ b/almondtide/adapters/upstream.py
@@ -0,0 +1,143 @@
+"""Upstream servers over HTTP/1.1."""
+
+import curio
+import orjson
+
+from ..errors import ResultCode, UpstreamError
+from ..ports import BaseUpstreamConnection, BaseUpstreams, UpstreamReply
+from .http import HTTPClient
+
+__all__ = ["HTTPUpstreams"]
+
+STATUS_TIMEOUT_S = 1.0
+
+_REFUSALS = {
+    "shed": ResultCode.UPSTREAM_SHED,
+    "draining": ResultCode.UPSTREAM_DRAINING,
+    "snapshot_unavailable": ResultCode.SNAPSHOT_UNAVAILABLE,
+    "deadline_exceeded": ResultCode.DEADLINE_EXCEEDED,
+    "cancelled": ResultCode.CANCELLED,
+    "bad_request": ResultCode.BAD_REQUEST,
+}
+
+
+def _numbers(text):
+    if text is None:
+        return None
+    return [int(part) for part in text.split(",") if part.strip().isdigit()]
+
+
+def _reply(response):
+    """Turn an HTTP response into an ``UpstreamReply``."""
+    try:
+        body = response.json() if response.body else None
+    except ValueError as exc:
+        raise UpstreamError(
+            "the response is not valid JSON", ResultCode.BAD_RESPONSE
+        ) from exc
+    headers = response.headers
+    code = ResultCode.OK
+    not_run = False
+    if response.status != 200:
+        refusal = body if isinstance(body, dict) else {}
+        code = _REFUSALS.get(refusal.get("code"), ResultCode.UPSTREAM_ERROR)
+        not_run = refusal.get("not_run") is True
+    return UpstreamReply(
+        code,
+        body,
+        not_run,
+        headers.get("x-upstream-state") == "draining",
+        _numbers(headers.get("x-index-versions")),
+        _numbers(headers.get("x-epochs")),
+    )
+
+
+class HTTPUpstreamConnection(BaseUpstreamConnection):
+    """One HTTP connection to a server."""
+
+    __slots__ = ("_client",)
+
+    def __init__(self, client):
+        self._client = client
+
+    @property
+    def usable(self):
+        """Whether another exchange may use the connection."""
+        return self._client.usable
+
+    def is_stale(self):
+        """Return whether the server closed the idle connection."""
+        return self._client.is_stale()
+
+    async def search(self, request_id, remaining_s, sub):
+        """Run the idempotent ``sub``; the reply must repeat ``request_id``."""
+        body = orjson.dumps(
+            {
+                "workload": sub.workload,
+                "query": sub.body,
+                "index_version": sub.version,
+                "epoch": sub.epoch,
+                "ranges": sub.ranges,
+            }
+        )
+        headers = {
+            "content-type": "application/json",
+            "x-request-id": request_id,
+            "x-deadline-ms": str(max(0, int(remaining_s * 1000))),
+        }
+        response = await self._client.request("POST", "/v1/search", headers, body)
+        reply = _reply(response)
+        if reply.code == ResultCode.OK:
+            self._check_identity(reply.body, request_id)
+        return reply
+
+    def _check_identity(self, body, request_id):
+        if not isinstance(body, dict) or body.get("request_id") != request_id:
+            self._client.usable = False
+            raise UpstreamError(
+                "the response belongs to another request", ResultCode.BAD_RESPONSE
+            )
+
+    async def revise(self, remaining_s, sub, before_write):
+        """Run the non-idempotent ``sub`` at most once on this connection."""
+        headers = {
+            "content-type": "application/json",
+            "x-execution-id": sub.execution_id,
+            "x-deadline-ms": str(max(0, int(remaining_s * 1000))),
+        }
+        body = orjson.dumps({"workload": sub.workload, "revision": sub.body})
+        response = await self._client.request(
+            "POST", "/v1/revise", headers, body, before_write
+        )
+        return _reply(response)
+
+    async def cancel(self, request_id):
+        """Ask the server to stop the exchange with ``request_id``."""
+        await self._client.request("DELETE", f"/v1/requests/{request_id}")
+
+    async def status(self):
+        """Return state, versions and epochs as the server states them."""
+        async with curio.timeout_after(STATUS_TIMEOUT_S):
+            return _reply(await self._client.request("GET", "/v1/status"))
+
+    async def close(self):
+        """Close the connection."""
+        await self._client.close()
+
+
+class HTTPUpstreams(BaseUpstreams):
+    """Opens HTTP connections to servers."""
+
+    __slots__ = ()
+
+    async def connect(self, address, timeout_s):
+        """Connect to ``(host, port)``; raises ``UpstreamError``."""
+        try:
+            client = await HTTPClient.open(address, timeout_s)
+        except (OSError, curio.TaskTimeout) as exc:
+            raise UpstreamError(
+                f"cannot connect to {address[0]}:{address[1]}",
+                ResultCode.UPSTREAM_UNREACHABLE,
+                not_run=True,
+            ) from exc
+        return HTTPUpstreamConnection(client)
--- /dev/null
+++ b/almondtide/adapters/websocket.py
@@ -0,0 +1,171 @@
+"""Websocket connections: the websockets library's sans-I/O layer over curio."""
+
+import curio
+from websockets.client import ClientProtocol
+from websockets.exceptions import InvalidHandshake, ProtocolError
+from websockets.frames import Opcode
+from websockets.http11 import Request, Response
+from websockets.protocol import State
+from websockets.server import ServerProtocol
+from websockets.uri import parse_uri
+
+from ..errors import PeerError, ResultCode
+from ..messages import MAX_FRAME_BYTES
+from .listener import connect
+
+__all__ = ["WebSocket", "accept_websocket", "open_websocket"]
+
+RECEIVE_BYTES = 65536
+HANDSHAKE_TIMEOUT_S = 2.0
+
+
+class WebSocket:
+    """An open websocket that carries binary messages.
+
+    One task may receive while another sends. ``receive`` returns None once the
+    other side has closed.
+    """
+
+    __slots__ = ("_fragments", "_lock", "_messages", "_protocol", "_sock", "sent_bytes")
+
+    def __init__(self, sock, protocol):
+        self._sock = sock
+        self._protocol = protocol
+        self._messages = []
+        self._fragments = []
+        self._lock = curio.Lock()
+        self.sent_bytes = 0
+
+    async def send(self, payload):
+        """Send one binary message; raises ``PeerError`` when the link is lost."""
+        async with self._lock:
+            if self._protocol.state is not State.OPEN:
+                raise PeerError("the websocket is closed")
+            self._protocol.send_binary(payload)
+            await self._flush()
+
+    async def _flush(self):
+        for data in self._protocol.data_to_send():
+            try:
+                if data:
+                    self.sent_bytes += len(data)
+                    await self._sock.sendall(data)
+            except OSError as exc:
+                raise PeerError(f"connection lost: {exc}") from exc
+
+    async def receive(self):
+        """Return the next binary message as bytes, or None after the close."""
+        while not self._messages:
+            try:
+                data = await self._sock.recv(RECEIVE_BYTES)
+            except OSError:
+                return None
+            if not data:
+                return None
+            self._protocol.receive_data(data)
+            self._collect()
+            if self._protocol.parser_exc is not None:
+                raise PeerError(
+                    f"websocket protocol error: {self._protocol.parser_exc}",
+                    ResultCode.PEER_PROTOCOL,
+                )
+            if self._protocol.state is not State.OPEN and not self._messages:
+                return None
+        return self._messages.pop(0)
+
+    def _collect(self):
+        for event in self._protocol.events_received():
+            if not hasattr(event, "opcode"):
+                continue
+            if event.opcode in (Opcode.BINARY, Opcode.CONT):
+                self._fragments.append(event.data)
+                if event.fin:
+                    self._messages.append(b"".join(self._fragments))
+                    self._fragments = []
+
+    async def close(self):
+        """Send a close frame where possible and close the socket."""
+        try:
+            if self._protocol.state is State.OPEN:
+                self._protocol.send_close(1001)
+                async with curio.ignore_after(0.2):
+                    await self._flush()
+        except PeerError:
+            pass
+        await self._sock.close()
+
+
+async def open_websocket(address, timeout_s=HANDSHAKE_TIMEOUT_S, path="/peer"):
+    """Connect to a peer and finish the handshake; raises ``PeerError``."""
+    try:
+        async with curio.timeout_after(timeout_s):
+            sock = await connect(address, timeout_s)
+            try:
+                return await _client_handshake(sock, address, path)
+            except BaseException:
+                await sock.close()
+                raise
+    except OSError as exc:
+        raise PeerError(f"cannot connect to {address[0]}:{address[1]}: {exc}") from exc
+    except curio.TaskTimeout as exc:
+        raise PeerError(f"connect to {address[0]}:{address[1]} timed out") from exc
+
+
+async def _client_handshake(sock, address, path):
+    uri = parse_uri(f"ws://{address[0]}:{address[1]}{path}")
+    protocol = ClientProtocol(uri, max_size=MAX_FRAME_BYTES)
+    protocol.send_request(protocol.connect())
+    for data in protocol.data_to_send():
+        await sock.sendall(data)
+    websocket = WebSocket(sock, protocol)
+    while protocol.state is State.CONNECTING:
+        data = await sock.recv(RECEIVE_BYTES)
+        if not data:
+            raise PeerError("connection closed during the handshake")
+        protocol.receive_data(data)
+        if protocol.handshake_exc is not None:
+            raise PeerError(
+                f"handshake failed: {protocol.handshake_exc}", ResultCode.PEER_PROTOCOL
+            )
+        for event in protocol.events_received():
+            if isinstance(event, Response) and protocol.state is not State.OPEN:
+                raise PeerError("handshake refused", ResultCode.PEER_PROTOCOL)
+    websocket._collect()
+    return websocket
+
+
+async def accept_websocket(sock, timeout_s=HANDSHAKE_TIMEOUT_S):
+    """Finish the server side of the handshake; raises ``PeerError``."""
+    protocol = ServerProtocol(max_size=MAX_FRAME_BYTES)
+    try:
+        async with curio.timeout_after(timeout_s):
+            return await _server_handshake(sock, protocol)
+    except curio.TaskTimeout as exc:
+        raise PeerError("handshake timed out") from exc
+    except OSError as exc:
+        raise PeerError(f"connection lost: {exc}") from exc
+    except (InvalidHandshake, ProtocolError, ValueError) as exc:
+        raise PeerError(f"handshake failed: {exc}", ResultCode.PEER_PROTOCOL) from exc
+
+
+async def _server_handshake(sock, protocol):
+    websocket = WebSocket(sock, protocol)
+    while protocol.state is State.CONNECTING:
+        data = await sock.recv(RECEIVE_BYTES)
+        if not data:
+            raise PeerError("connection closed during the handshake")
+        protocol.receive_data(data)
+        if protocol.handshake_exc is not None:
+            raise PeerError(
+                f"handshake failed: {protocol.handshake_exc}", ResultCode.PEER_PROTOCOL
+            )
+        for event in protocol.events_received():
+            if isinstance(event, Request):
+                protocol.send_response(protocol.accept(event))
+        for out in protocol.data_to_send():
+            if out:
+                await sock.sendall(out)
+        if protocol.state is State.CLOSED:
+            raise PeerError("handshake refused", ResultCode.PEER_PROTOCOL)
+    websocket._collect()
+    return websocket
--- /dev/null
+++ b/almondtide/clock.py
@@ -0,0 +1,118 @@
+"""Clocks: monotonic and wall time, hybrid logical time, pause detection."""
+
+import time
+
+__all__ = [
+    "BaseClock",
+    "HybridLogicalClock",
+    "MemoryClock",
+    "PauseDetector",
+    "SystemClock",
+]
+
+PAUSE_THRESHOLD_S = 0.5
+
+
+class BaseClock:
+    """Source of time. Deadlines are seconds on ``monotonic()``."""
+
+    __slots__ = ()
+
+    def monotonic(self):
+        """Return seconds on a clock that never goes back."""
+        raise NotImplementedError
+
+    def wall(self):
+        """Return seconds since the Unix epoch."""
+        raise NotImplementedError
+
+
+class SystemClock(BaseClock):
+    """The clocks of the operating system."""
+
+    __slots__ = ()
+
+    def monotonic(self):
+        """Return seconds on the system's monotonic clock."""
+        return time.monotonic()
+
+    def wall(self):
+        """Return seconds since the Unix epoch."""
+        return time.time()
+
+
+class MemoryClock(BaseClock):
+    """A clock that moves only when a test advances it."""
+
+    __slots__ = ("now",)
+
+    def __init__(self, now=1000.0):
+        self.now = now
+
+    def advance(self, seconds):
+        """Move the clock forward by ``seconds``."""
+        self.now += seconds
+
+    def monotonic(self):
+        """Return the current test time in seconds."""
+        return self.now
+
+    def wall(self):
+        """Return the current test time in seconds."""
+        return self.now
+
+
+class HybridLogicalClock:
+    """Timestamps that respect causality between processes.
+
+    A timestamp is the pair (milliseconds of wall time, counter). ``observe``
+    takes the timestamp of a received message, so that every later local
+    timestamp sorts after it even when the wall clocks disagree.
+    """
+
+    __slots__ = ("_clock", "_counter", "_millis")
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._millis = 0
+        self._counter = 0
+
+    def now(self):
+        """Return a new timestamp, greater than all earlier ones."""
+        wall = int(self._clock.wall() * 1000)
+        if wall > self._millis:
+            self._millis = wall
+            self._counter = 0
+        else:
+            self._counter += 1
+        return (self._millis, self._counter)
+
+    def observe(self, timestamp):
+        """Merge the ``timestamp`` of a message from another process."""
+        millis, counter = timestamp
+        if (millis, counter) > (self._millis, self._counter):
+            self._millis = millis
+            self._counter = counter
+
+
+class PauseDetector:
+    """Finds gaps in a periodic tick, which mean that the process was paused."""
+
+    __slots__ = ("_clock", "_last", "interval", "threshold")
+
+    def __init__(self, clock, interval, threshold=PAUSE_THRESHOLD_S):
+        self._clock = clock
+        self.interval = interval
+        self.threshold = threshold
+        self._last = clock.monotonic()
+
+    def tick(self):
+        """Return the length of the pause since the last tick in seconds, or 0.0.
+
+        Call it every ``interval`` seconds. A lateness below ``threshold``
+        counts as ordinary scheduling delay.
+        """
+        now = self._clock.monotonic()
+        late = now - self._last - self.interval
+        self._last = now
+        return late if late > self.threshold else 0.0
--- /dev/null
+++ b/almondtide/configuration.py
@@ -0,0 +1,460 @@
+"""Published configuration: model, validator, defaults and exceptions."""
+
+from .errors import ConfigurationError
+from .registry import Registry
+from .shards import KEY_SPACE, KeyRange, Shard, ShardMap
+
+__all__ = ["SETTINGS", "Configuration", "Setting", "Workload", "parse_configuration"]
+
+SETTINGS = Registry("configuration setting")
+
+FLEET = "fleet"
+WORKLOAD = "workload"
+SERVICE = "service"
+
+MAX_SHARD_MAPS = 3
+MIN_REASON_LENGTH = 8
+
+
+class Setting:
+    """Type, bounds and default of one setting of the configuration.
+
+    ``scope`` tells what an exception may name: the workload or the service.
+    Fleet settings have no exceptions.
+    """
+
+    __slots__ = ("choices", "default", "help", "high", "kind", "low", "name", "scope")
+
+    def __init__(
+        self, name, scope, kind, default, low=None, high=None, choices=None, help=""
+    ):
+        self.name = name
+        self.scope = scope
+        self.kind = kind
+        self.default = default
+        self.low = low
+        self.high = high
+        self.choices = choices
+        self.help = help
+        SETTINGS.register(name)(self)
+
+    def problem(self, value):
+        """Return what is wrong with ``value``, or None."""
+        allowed = (int, float) if self.kind is float else self.kind
+        if isinstance(value, bool) and self.kind is not bool:
+            return f"{value!r} is not of type {self.kind.__name__}"
+        if not isinstance(value, allowed):
+            return f"{value!r} is not of type {self.kind.__name__}"
+        if self.low is not None and not value >= self.low:
+            return f"{value!r} is below the minimum {self.low}"
+        if self.high is not None and not value <= self.high:
+            return f"{value!r} is above the maximum {self.high}"
+        if self.choices is not None and value not in self.choices:
+            return f"{value!r} is not one of {', '.join(sorted(self.choices))}"
+        return None
+
+
+Setting(
+    "entries_max_age_ms",
+    FLEET,
+    int,
+    3000,
+    100,
+    60_000,
+    help="How long a caller may use an answer of the entries call, in ms.",
+)
+Setting(
+    "quarantine_s",
+    FLEET,
+    float,
+    60.0,
+    1,
+    3600,
+    help="How long a crashing request is refused, in s.",
+)
+Setting(
+    "quarantine_servers",
+    FLEET,
+    int,
+    2,
+    1,
+    10,
+    help="Lost servers after which a request is quarantined.",
+)
+Setting(
+    "outcome_retention_s",
+    FLEET,
+    float,
+    600.0,
+    1,
+    7200,
+    help="How long a home remembers the outcome of an execution, in s.",
+)
+Setting(
+    "deadline_ms",
+    WORKLOAD,
+    int,
+    390,
+    1,
+    120_000,
+    help="Deadline of a request that states none, in ms.",
+)
+Setting(
+    "soft_deadline_ms",
+    WORKLOAD,
+    int,
+    250,
+    1,
+    120_000,
+    help="When a tail-first workload answers with what is there, in ms.",
+)
+Setting(
+    "coverage_policy",
+    WORKLOAD,
+    str,
+    "coverage_first",
+    choices=("coverage_first", "tail_first"),
+    help="What an answer waits for.",
+)
+Setting(
+    "merge",
+    WORKLOAD,
+    str,
+    "rows",
+    choices=("rows", "count", "statistics"),
+    help="How sub-answers become one answer.",
+)
+Setting(
+    "weight",
+    WORKLOAD,
+    float,
+    1.0,
+    0.01,
+    1000,
+    help="Share of a service that several workloads use.",
+)
+Setting(
+    "slots",
+    SERVICE,
+    int,
+    3,
+    1,
+    1000,
+    help="Concurrent requests per server.",
+)
+Setting(
+    "connections",
+    SERVICE,
+    int,
+    65,
+    2,
+    100_000,
+    help="Connections that a server accepts over all instances.",
+)
+Setting(
+    "queue_limit",
+    SERVICE,
+    int,
+    1000,
+    1,
+    1_000_000,
+    help="Sub-requests that wait at the owner at most.",
+)
+Setting(
+    "hedge_policy",
+    SERVICE,
+    str,
+    "quantile",
+    choices=("quantile", "off"),
+    help="When a second attempt is made.",
+)
+Setting(
+    "hedge_quantile",
+    SERVICE,
+    float,
+    0.95,
+    0.5,
+    0.9999,
+    help="Latency quantile after which an attempt is hedged.",
+)
+Setting(
+    "hedge_budget",
+    SERVICE,
+    float,
+    0.05,
+    0,
+    1,
+    help="Hedges as a share of sub-requests.",
+)
+Setting(
+    "retry_budget",
+    SERVICE,
+    float,
+    0.1,
+    0,
+    1,
+    help="Retries as a share of sub-requests.",
+)
+
+
+class Workload:
+    """A searchable index of one team: its shard maps by epoch."""
+
+    __slots__ = ("name", "shard_maps")
+
+    def __init__(self, name, shard_maps):
+        self.name = name
+        self.shard_maps = shard_maps
+
+    def services(self):
+        """Return the services of all epochs, each once."""
+        names = {}
+        for shard_map in self.shard_maps.values():
+            names.update(dict.fromkeys(shard_map.services()))
+        return list(names)
+
+
+class Configuration:
+    """A validated configuration with the exceptions applied.
+
+    >>> cfg = parse_configuration(document, revision=7)
+    >>> cfg.service_setting("advisory-3", "hedge_budget")
+    0.05
+    """
+
+    __slots__ = ("_defaults", "_overrides", "exceptions", "revision", "workloads")
+
+    def __init__(self, revision, defaults, exceptions, workloads):
+        self.revision = revision
+        self._defaults = defaults
+        self.exceptions = exceptions
+        self.workloads = workloads
+        self._overrides = {
+            (item["scope"], item["target"], item["setting"]): item["value"]
+            for item in exceptions
+        }
+
+    def fleet_setting(self, name):
+        """Return the fleet-wide value of ``name``."""
+        return self._defaults[name]
+
+    def workload_setting(self, workload, name):
+        """Return the value of ``name`` for ``workload``."""
+        return self._overrides.get((WORKLOAD, workload, name), self._defaults[name])
+
+    def service_setting(self, service, name):
+        """Return the value of ``name`` for ``service``."""
+        return self._overrides.get((SERVICE, service, name), self._defaults[name])
+
+    def services(self):
+        """Return all services of all workloads, each once."""
+        names = {}
+        for workload in self.workloads.values():
+            names.update(dict.fromkeys(workload.services()))
+        return list(names)
+
+
+class _Reader:
+    """Collects problems, each with the path of the bad value."""
+
+    __slots__ = ("problems",)
+
+    def __init__(self):
+        self.problems = []
+
+    def add(self, path, problem):
+        self.problems.append(f"{path}: {problem}")
+
+    def typed(self, container, key, kind, path, default=None):
+        value = container.get(key, default)
+        if not isinstance(value, kind) or isinstance(value, bool):
+            self.add(f"{path}.{key}", f"must be of type {kind.__name__}")
+            return None
+        return value
+
+    def unknown(self, container, known, path):
+        for key in container:
+            if key not in known:
+                self.add(f"{path}.{key}", "unknown field")
+
+
+def _read_defaults(reader, body):
+    values = {name: SETTINGS.get(name).default for name in SETTINGS.names()}
+    given = reader.typed(body, "defaults", dict, "$", {})
+    for name, value in (given or {}).items():
+        path = f"$.defaults.{name}"
+        if name not in SETTINGS:
+            reader.add(path, "unknown setting")
+            continue
+        problem = SETTINGS.get(name).problem(value)
+        if problem:
+            reader.add(path, problem)
+        else:
+            values[name] = value
+    return values
+
+
+def _read_shard(reader, item, path):
+    if not isinstance(item, dict):
+        reader.add(path, "must be an object")
+        return None
+    reader.unknown(item, ("name", "low", "high", "service"), path)
+    name = reader.typed(item, "name", str, path)
+    low = reader.typed(item, "low", int, path)
+    high = reader.typed(item, "high", int, path)
+    service = reader.typed(item, "service", str, path)
+    if None in (name, low, high, service):
+        return None
+    if not 0 <= low < high <= KEY_SPACE:
+        reader.add(path, f"range [{low}, {high}) is not within [0, {KEY_SPACE})")
+        return None
+    return Shard(name, KeyRange(low, high), service)
+
+
+def _read_shard_map(reader, item, path):
+    if not isinstance(item, dict):
+        reader.add(path, "must be an object")
+        return None
+    reader.unknown(item, ("epoch", "shards"), path)
+    epoch = reader.typed(item, "epoch", int, path)
+    shards = reader.typed(item, "shards", list, path)
+    if epoch is None or shards is None:
+        return None
+    known = len(reader.problems)
+    parsed = [
+        _read_shard(reader, shard, f"{path}.shards[{index}]")
+        for index, shard in enumerate(shards)
+    ]
+    if len(reader.problems) > known:
+        return None
+    names = [shard.name for shard in parsed]
+    if len(set(names)) != len(names):
+        reader.add(f"{path}.shards", "shard names are not unique")
+        return None
+    try:
+        return ShardMap(epoch, parsed)
+    except ConfigurationError as exc:
+        for problem in exc.problems:
+            reader.add(f"{path}.shards", problem)
+        return None
+
+
+def _read_workload(reader, name, item):
+    path = f"$.workloads.{name}"
+    if not isinstance(item, dict):
+        reader.add(path, "must be an object")
+        return None
+    reader.unknown(item, ("shard_maps",), path)
+    maps = reader.typed(item, "shard_maps", list, path)
+    if maps is None:
+        return None
+    if not 1 <= len(maps) <= MAX_SHARD_MAPS:
+        reader.add(f"{path}.shard_maps", f"must hold 1 to {MAX_SHARD_MAPS} maps")
+    parsed = {}
+    for index, entry in enumerate(maps):
+        map_path = f"{path}.shard_maps[{index}]"
+        shard_map = _read_shard_map(reader, entry, map_path)
+        if shard_map is None:
+            continue
+        if shard_map.epoch in parsed:
+            reader.add(f"{map_path}.epoch", f"epoch {shard_map.epoch} appears twice")
+        parsed[shard_map.epoch] = shard_map
+    return Workload(name, parsed)
+
+
+def _exception_target(reader, item, path):
+    named = [scope for scope in (WORKLOAD, SERVICE) if scope in item]
+    if len(named) != 1:
+        reader.add(path, "must name exactly one workload or service")
+        return None, None
+    target = reader.typed(item, named[0], str, path)
+    return named[0], target
+
+
+def _read_exception(reader, item, path, known_targets):
+    if not isinstance(item, dict):
+        reader.add(path, "must be an object")
+        return None
+    reader.unknown(item, (WORKLOAD, SERVICE, "setting", "value", "reason"), path)
+    scope, target = _exception_target(reader, item, path)
+    name = reader.typed(item, "setting", str, path)
+    reason = reader.typed(item, "reason", str, path, "")
+    if reason is not None and len(reason.strip()) < MIN_REASON_LENGTH:
+        reader.add(
+            f"{path}.reason", f"must be text of at least {MIN_REASON_LENGTH} characters"
+        )
+    if scope is None or target is None or name is None:
+        return None
+    if target not in known_targets[scope]:
+        reader.add(f"{path}.{scope}", f"{target!r} is not in the configuration")
+    if name not in SETTINGS:
+        reader.add(f"{path}.setting", f"unknown setting {name!r}")
+        return None
+    setting = SETTINGS.get(name)
+    if setting.scope != scope:
+        reader.add(f"{path}.setting", f"{name} is a setting of a {setting.scope}")
+    problem = setting.problem(item.get("value"))
+    if problem:
+        reader.add(f"{path}.value", problem)
+    return {
+        "scope": scope,
+        "target": target,
+        "setting": name,
+        "value": item.get("value"),
+        "reason": reason,
+    }
+
+
+def _read_exceptions(reader, body, workloads):
+    targets = {WORKLOAD: set(workloads), SERVICE: set()}
+    for workload in workloads.values():
+        targets[SERVICE].update(workload.services())
+    exceptions = []
+    seen = set()
+    items = reader.typed(body, "exceptions", list, "$", [])
+    for index, item in enumerate(items or []):
+        path = f"$.exceptions[{index}]"
+        exception = _read_exception(reader, item, path, targets)
+        if exception is None:
+            continue
+        key = (exception["scope"], exception["target"], exception["setting"])
+        if key in seen:
+            reader.add(path, "a second exception for the same setting")
+        seen.add(key)
+        exceptions.append(exception)
+    return exceptions
+
+
+def _check_deadlines(reader, cfg):
+    for name in cfg.workloads:
+        soft = cfg.workload_setting(name, "soft_deadline_ms")
+        hard = cfg.workload_setting(name, "deadline_ms")
+        if soft > hard:
+            reader.add(
+                f"$.workloads.{name}",
+                f"soft_deadline_ms {soft} is above deadline_ms {hard}",
+            )
+
+
+def parse_configuration(body, revision=0):
+    """Validate ``body``, the decoded JSON document, and return a Configuration.
+
+    Raises ``ConfigurationError`` whose ``problems`` name every bad value by its
+    path, for example ``$.defaults.hedge_budget: 2 is above the maximum 1``.
+    """
+    reader = _Reader()
+    if not isinstance(body, dict):
+        raise ConfigurationError(["$: must be an object"])
+    reader.unknown(body, ("defaults", "exceptions", "workloads"), "$")
+    defaults = _read_defaults(reader, body)
+    workloads = {}
+    for name, item in (reader.typed(body, "workloads", dict, "$") or {}).items():
+        workload = _read_workload(reader, name, item)
+        if workload is not None:
+            workloads[name] = workload
+    exceptions = _read_exceptions(reader, body, workloads)
+    cfg = Configuration(revision, defaults, exceptions, workloads)
+    _check_deadlines(reader, cfg)
+    if reader.problems:
+        raise ConfigurationError(reader.problems)
+    return cfg
--- /dev/null
+++ b/almondtide/coordinator.py
@@ -0,0 +1,581 @@
+"""One query from its arrival to its answer."""
+
+import itertools
+
+import curio
+
+from .admission import Estimate, LoadTable, admit
+from .budgets import RetryBudget
+from .errors import (
+    BadRequestError,
+    PeerError,
+    RefusedError,
+    ResultCode,
+)
+from .merging import Coverage, merges
+from .messages import (
+    CancelQuery,
+    ErrorReply,
+    QuarantineNotice,
+    ServiceStatus,
+    ServiceStatusRequest,
+    SubAnswer,
+    SubQueryBatch,
+)
+from .planning import SnapshotCatalog
+from .quarantine import fingerprint
+from .registry import Registry
+from .subrequests import SubResult
+
+__all__ = ["Answer", "Coordinator", "QueryRequest", "coverage_policies"]
+
+MAX_REPLANS = 2
+REROUTE_BURST = 200.0
+REROUTE_RATIO = 0.2
+STATUS_TIMEOUT_S = 0.3
+MAX_TARGETS = 3
+
+coverage_policies = Registry("coverage policy")
+
+
+@coverage_policies.register("coverage_first")
+def wait_for_coverage(cfg, workload, hard_s):
+    """Wait to the hard deadline; returns the wait in seconds."""
+    return hard_s
+
+
+@coverage_policies.register("tail_first")
+def wait_for_tail(cfg, workload, hard_s):
+    """Answer at the soft deadline with what is there."""
+    return min(hard_s, cfg.workload_setting(workload, "soft_deadline_ms") / 1000.0)
+
+
+class QueryRequest:
+    """A caller's query. ``deadline_ms`` is None for the workload's default."""
+
+    __slots__ = ("body", "deadline_ms", "request_id", "workload")
+
+    def __init__(self, request_id, workload, body, deadline_ms=None):
+        self.request_id = request_id
+        self.workload = workload
+        self.body = body
+        self.deadline_ms = deadline_ms
+
+
+class Answer:
+    """The answer to a query.
+
+    ``covered`` holds shard names, ``missing`` pairs of shard name and result
+    code. ``sends`` counts the exchanges with upstreams.
+    """
+
+    __slots__ = (
+        "code",
+        "covered",
+        "epoch",
+        "missing",
+        "not_run",
+        "request_id",
+        "result",
+        "retry_after_ms",
+        "sends",
+        "version",
+    )
+
+    def __init__(self, request_id, code):
+        self.request_id = request_id
+        self.code = code
+        self.not_run = False
+        self.retry_after_ms = None
+        self.version = 0
+        self.epoch = 0
+        self.covered = []
+        self.missing = []
+        self.result = None
+        self.sends = 0
+
+    def to_dict(self):
+        """Return the JSON body of the response."""
+        return {
+            "request_id": self.request_id,
+            "code": int(self.code),
+            "name": self.code.name,
+            "not_run": self.not_run,
+            "retry_after_ms": self.retry_after_ms,
+            "snapshot": {"version": self.version, "epoch": self.epoch},
+            "coverage": {
+                "covered": self.covered,
+                "missing": [
+                    {"shard": name, "code": int(code), "name": code.name}
+                    for name, code in self.missing
+                ],
+            },
+            "result": self.result,
+            "sends": self.sends,
+        }
+
+
+class _Run:
+    """State of one query under way."""
+
+    __slots__ = (
+        "calls",
+        "deadline",
+        "inbox",
+        "lost",
+        "mark",
+        "pending",
+        "plan",
+        "query_id",
+        "replans",
+        "req",
+        "results",
+        "sends",
+        "targets",
+        "uncertain",
+        "workload",
+    )
+
+    def __init__(self, req, query_id, workload, deadline, mark):
+        self.req = req
+        self.query_id = query_id
+        self.workload = workload
+        self.deadline = deadline
+        self.mark = mark
+        self.plan = None
+        self.inbox = curio.Queue()
+        self.calls = {}
+        # service -> the call that must answer it
+        self.pending = {}
+        self.results = {}
+        # service -> daemons that were already asked
+        self.targets = {}
+        # service -> servers lost under the request
+        self.lost = {}
+        # Whether a server may have run a part whose result is not known.
+        self.uncertain = False
+        self.replans = 0
+        self.sends = 0
+
+
+class Coordinator:
+    """Plans queries, sends them to the owners and merges the answers."""
+
+    __slots__ = (
+        "_catalog",
+        "_cfg",
+        "_clock",
+        "_ids",
+        "_instance",
+        "_loads",
+        "_log",
+        "_membership",
+        "_metrics",
+        "_peers",
+        "_quarantine",
+        "_reroutes",
+        "running",
+    )
+
+    def __init__(
+        self, instance, cfg, membership, peers, quarantine, clock, log, metrics
+    ):
+        self._instance = instance
+        self._cfg = cfg
+        self._membership = membership
+        self._peers = peers
+        self._quarantine = quarantine
+        self._clock = clock
+        self._log = log
+        self._metrics = metrics
+        self._catalog = SnapshotCatalog()
+        self._loads = LoadTable(clock)
+        self._reroutes = RetryBudget(REROUTE_RATIO, REROUTE_BURST)
+        self._ids = itertools.count(1)
+        self.running = 0
+
+    async def query(self, req):
+        """Return the ``Answer`` to ``req``.
+
+        Raises ``BadRequestError`` or ``RefusedError`` when nothing was sent to
+        any upstream.
+        """
+        run = self._admit(req)
+        self.running += 1
+        try:
+            await self._learn_snapshots(run)
+            self._refuse_overload(run)
+            run.plan = self._catalog.choose(run.workload)
+            await self._send_all(run)
+            await self._collect(run)
+            return self._answer(run)
+        finally:
+            self.running -= 1
+            await self._abandon(run)
+
+    # Before anything is sent
+
+    def _admit(self, req):
+        cfg = self._cfg()
+        workload = cfg.workloads.get(req.workload)
+        if workload is None:
+            raise BadRequestError(
+                f"unknown workload {req.workload!r}", ResultCode.UNKNOWN_WORKLOAD
+            )
+        deadline_ms = req.deadline_ms
+        if deadline_ms is None:
+            deadline_ms = cfg.workload_setting(req.workload, "deadline_ms")
+        if deadline_ms <= 0:
+            raise BadRequestError(
+                "the deadline has passed", ResultCode.DEADLINE_EXCEEDED
+            )
+        mark = fingerprint(req.workload, "query", req.body)
+        self.refuse_quarantined(mark)
+        deadline = self._clock.monotonic() + deadline_ms / 1000.0
+        query_id = f"{self._instance}.{next(self._ids)}"
+        return _Run(req, query_id, workload, deadline, mark)
+
+    def refuse_quarantined(self, mark):
+        """Raise ``RefusedError`` when the request is in quarantine."""
+        left_s = self._quarantine.remaining_s(mark)
+        if left_s > 0:
+            raise RefusedError(
+                "the request crashed upstreams and is in quarantine",
+                ResultCode.QUARANTINED,
+                retry_after_ms=int(left_s * 1000),
+            )
+
+    def _refuse_overload(self, run):
+        remaining_s = run.deadline - self._clock.monotonic()
+        wait_s = max(self._loads.wait_s(name) for name in run.workload.services())
+        retry_after_ms = admit(Estimate(wait_s, 0.0), remaining_s)
+        if retry_after_ms is not None:
+            raise RefusedError(
+                "the services cannot answer in time", retry_after_ms=retry_after_ms
+            )
+
+    async def _learn_snapshots(self, run):
+        """Ask the owners of services that have made no statement so far."""
+        unknown = self._catalog.unknown(run.workload.services())
+        if not unknown:
+            return
+        asked = {}
+        for service in unknown:
+            ranked = self._membership.view().ranked(service)
+            asked.setdefault(ranked[0] if ranked else self._instance, []).append(
+                service
+            )
+        async with curio.TaskGroup() as group:
+            for instance, services in asked.items():
+                await group.spawn(self._ask_status, instance, services)
+
+    async def _ask_status(self, instance, services):
+        request = ServiceStatusRequest(services=services)
+        try:
+            reply = await self._peers.request(instance, request, STATUS_TIMEOUT_S)
+        except PeerError as exc:
+            self._log.info("service_status_failed", peer=instance, reason=exc.message)
+            return
+        if isinstance(reply, ServiceStatus):
+            for service, versions, epochs, wait_ms in reply.services:
+                self._catalog.update(service, versions, epochs)
+                self._loads.report(service, wait_ms / 1000.0)
+
+    # Sending
+
+    async def _send_all(self, run):
+        services = run.plan.shard_map.services()
+        self._reroutes.earn()
+        await self._send(run, services)
+
+    async def _send(self, run, services, suspect=False):
+        """Send the services' sub-requests to the best daemons, batched."""
+        batches = {}
+        for service in services:
+            target = self._target(run, service)
+            if target is None:
+                run.pending.pop(service, None)
+                run.results[service] = SubResult(
+                    service, ResultCode.PEER_LOST, not_run=not run.targets.get(service)
+                )
+                continue
+            batches.setdefault(target, []).append(service)
+        for target, names in batches.items():
+            await self._send_batch(run, target, names, suspect)
+
+    def _target(self, run, service):
+        """Return the first ranked daemon that was not asked, or None."""
+        asked = run.targets.setdefault(service, [])
+        if len(asked) >= MAX_TARGETS:
+            return None
+        for instance in self._membership.view().ranked(service):
+            if instance not in asked:
+                asked.append(instance)
+                return instance
+        if self._instance not in asked:
+            asked.append(self._instance)
+            return self._instance
+        return None
+
+    async def _send_batch(self, run, target, services, suspect):
+        plan = run.plan
+        avoid = sorted({name for lost in run.lost.values() for name in lost})
+        batch = SubQueryBatch(
+            query_id=run.query_id,
+            workload=run.workload.name,
+            version=plan.version,
+            epoch=plan.epoch,
+            remaining_ms=self._remaining_s(run) * 1000.0,
+            items=[[service, plan.ranges(service)] for service in services],
+            body=run.req.body,
+            fingerprint=run.mark,
+            suspect=suspect,
+            avoid=avoid if suspect else [],
+        )
+        try:
+            call = await self._peers.call(target, batch, run.inbox)
+        except PeerError as exc:
+            self._log.info("peer_call_failed", peer=target, reason=exc.message)
+            await self._send(run, services, suspect)
+            return
+        run.calls[id(call)] = call
+        for service in services:
+            run.pending[service] = call
+
+    def _remaining_s(self, run):
+        return run.deadline - self._clock.monotonic()
+
+    # Collecting
+
+    async def _collect(self, run):
+        cfg = self._cfg()
+        name = run.workload.name
+        policy = coverage_policies.get(cfg.workload_setting(name, "coverage_policy"))
+        limit_s = policy(cfg, name, self._remaining_s(run))
+        async with curio.ignore_after(max(0.0, limit_s)):
+            while run.pending or self._has_held_back(run):
+                await self._release_held_back(run)
+                if not run.pending:
+                    break
+                call, reply = await run.inbox.get()
+                await self._take(run, call, reply)
+
+    async def _take(self, run, call, reply):
+        if isinstance(reply, SubAnswer):
+            await self._take_answer(run, call, reply)
+            return
+        services = [name for name, owner in run.pending.items() if owner is call]
+        if isinstance(reply, ErrorReply):
+            self._log.info("peer_refused", peer=call.instance, reason=reply.message)
+        elif not isinstance(reply, PeerError):
+            return
+        for service in services:
+            del run.pending[service]
+        if not reply.not_run:
+            run.uncertain = True
+        await self._reroute(run, services, ResultCode.PEER_LOST)
+
+    async def _take_answer(self, run, call, reply):
+        service = reply.service
+        self._catalog.update(service, reply.versions, reply.epochs)
+        self._loads.report(service, reply.wait_ms / 1000.0)
+        if run.pending.get(service) is not call:
+            return
+        del run.pending[service]
+        run.sends += reply.attempts
+        result = SubResult(
+            service,
+            reply.code,
+            not_run=reply.not_run,
+            version=reply.version,
+            epoch=reply.epoch,
+            ranges=reply.ranges,
+            payload=reply.payload,
+            server=reply.server,
+            attempts=reply.attempts,
+            retry_after_ms=reply.retry_after_ms,
+        )
+        await self._take_result(run, result)
+
+    async def _take_result(self, run, result):
+        plan = run.plan
+        if result.ok and (result.version, result.epoch) == (plan.version, plan.epoch):
+            run.results[result.service] = result
+            if result.service in run.lost:
+                self._quarantine.clear(run.mark)
+        elif result.code == ResultCode.UPSTREAM_LOST:
+            await self._note_loss(run, result)
+        elif result.code in (
+            ResultCode.SNAPSHOT_UNAVAILABLE,
+            ResultCode.SNAPSHOT_MISMATCH,
+        ):
+            await self._replan(run, result)
+        elif result.code == ResultCode.DRAINING:
+            await self._reroute(run, [result.service], result.code)
+        else:
+            run.results[result.service] = result
+
+    async def _reroute(self, run, services, code):
+        """Send services again to the next daemon in rank, within the budget."""
+        again = []
+        for service in services:
+            if self._remaining_s(run) > 0 and self._reroutes.spend():
+                again.append(service)
+            else:
+                run.results[service] = SubResult(service, code)
+        if again:
+            self._metrics.reroutes.add({}, len(again))
+            await self._send(run, again)
+
+    async def _replan(self, run, result):
+        """Choose another snapshot and ask all services again."""
+        if run.replans >= MAX_REPLANS:
+            run.results[result.service] = result
+            return
+        try:
+            plan = self._catalog.choose(run.workload)
+        except RefusedError:
+            run.results[result.service] = result
+            return
+        if (plan.version, plan.epoch) == (run.plan.version, run.plan.epoch):
+            run.results[result.service] = result
+            return
+        run.replans += 1
+        # Work that is abandoned here may have run under the earlier snapshot.
+        run.uncertain = True
+        self._log.info(
+            "query_replanned",
+            request_id=run.req.request_id,
+            version=plan.version,
+            epoch=plan.epoch,
+        )
+        await self._abandon(run)
+        run.plan = plan
+        run.inbox = curio.Queue()
+        run.calls = {}
+        run.pending = {}
+        run.results = {}
+        run.targets = {}
+        run.query_id = f"{self._instance}.{next(self._ids)}"
+        await self._send(run, plan.shard_map.services())
+
+    # Lost servers
+
+    def _has_held_back(self, run):
+        return any(service not in run.results for service in run.lost)
+
+    async def _note_loss(self, run, result):
+        """Hold the sub-request back after a server was lost under it."""
+        run.uncertain = True
+        servers = run.lost.setdefault(result.service, [])
+        isolated = bool(servers)
+        servers.append(result.server)
+        convicted = self._quarantine.record_loss(run.mark, result.server, isolated)
+        await curio.spawn(self.tell_peers, run.mark, daemon=True)
+        if convicted or self._quarantine.remaining_s(run.mark) > 0:
+            self._log.warning(
+                "request_quarantined",
+                request_id=run.req.request_id,
+                fingerprint=run.mark,
+                servers=",".join(
+                    sorted({s for lost in run.lost.values() for s in lost})
+                ),
+            )
+            for service in run.lost:
+                run.results.setdefault(
+                    service, SubResult(service, ResultCode.QUARANTINED)
+                )
+
+    async def tell_peers(self, mark):
+        """Tell all daemons about servers that were lost under a request."""
+        notice = QuarantineNotice(
+            fingerprint=mark,
+            remaining_ms=self._quarantine.remaining_s(mark) * 1000.0,
+            servers=self._quarantine.evidence(mark),
+        )
+        for member in self._membership.view().live_entries():
+            if member.instance == self._instance:
+                continue
+            try:
+                await self._peers.send(member.instance, notice)
+            except PeerError as exc:
+                self._log.debug("notice_failed", peer=member.instance, reason=str(exc))
+
+    async def _release_held_back(self, run):
+        """Retry one lost sub-request alone; the others follow its success."""
+        waiting = [
+            name
+            for name in run.lost
+            if name not in run.results and name not in run.pending
+        ]
+        if not waiting or self._quarantine.remaining_s(run.mark) > 0:
+            return
+        probing = any(name in run.pending for name in run.lost)
+        if probing:
+            return
+        proven = any(name in run.results for name in run.lost)
+        chosen = waiting if proven else waiting[:1]
+        for name in chosen:
+            # The owner is not at fault; ask it again.
+            run.targets[name] = []
+        await self._send(run, chosen, suspect=True)
+
+    # The end
+
+    async def _abandon(self, run):
+        """Close the calls and cancel work that is still under way."""
+        waiting = {id(call) for call in run.pending.values()}
+        for key, call in run.calls.items():
+            call.close()
+            if key not in waiting:
+                continue
+            await self._peers.send_if_open(
+                call.instance, CancelQuery(query_id=run.query_id)
+            )
+
+    def _answer(self, run):
+        for service in run.pending:
+            run.results[service] = SubResult(service, ResultCode.DEADLINE_EXCEEDED)
+        coverage = Coverage(run.plan.shard_map, run.results)
+        usable = coverage.whole_services()
+        answer = Answer(run.req.request_id, ResultCode.OK)
+        answer.version = run.plan.version
+        answer.epoch = run.plan.epoch
+        answer.covered = coverage.covered
+        answer.sends = run.sends
+        answer.missing = [
+            (name, self._missing_code(result)) for name, result in coverage.missing
+        ]
+        if coverage.complete:
+            answer.result = self._merge(run, usable)
+            return answer
+        if answer.covered:
+            answer.code = ResultCode.PARTIAL
+            answer.result = self._merge(run, usable)
+            return answer
+        self._fill_failure(answer, run)
+        return answer
+
+    @staticmethod
+    def _missing_code(result):
+        if result is None:
+            return ResultCode.DEADLINE_EXCEEDED
+        return ResultCode.SNAPSHOT_MISMATCH if result.ok else result.code
+
+    def _fill_failure(self, answer, run):
+        """Set code, "not run" and retry time when no shard is covered."""
+        failed = list(run.results.values())
+        answer.code = failed[0].code if failed else ResultCode.DEADLINE_EXCEEDED
+        for result in failed:
+            if result.code == ResultCode.QUARANTINED:
+                answer.code = result.code
+        answer.not_run = (
+            not run.uncertain and bool(failed) and all(item.not_run for item in failed)
+        )
+        delays = [item.retry_after_ms for item in failed if item.retry_after_ms]
+        answer.retry_after_ms = max(delays) if delays else None
+
+    def _merge(self, run, services):
+        name = self._cfg().workload_setting(run.workload.name, "merge")
+        ordered = [run.results[service].payload for service in services]
+        return merges.get(name)(ordered)
--- /dev/null
+++ b/almondtide/daemon.py
@@ -0,0 +1,427 @@
+"""The daemon: wiring of all parts and its command line."""
+
+import os
+import secrets
+import signal
+import socket as stdlib_socket
+import sys
+
+import curio
+import defopt
+from absl import logging
+
+from .adapters.admin import AdminAPI
+from .adapters.caller import CallerAPI
+from .adapters.http import serve_http
+from .adapters.listener import Listener
+from .adapters.peer import PeerNetwork
+from .adapters.platform import HTTPPlatform
+from .adapters.upstream import HTTPUpstreams
+from .clock import PauseDetector, SystemClock
+from .configuration import parse_configuration
+from .coordinator import Coordinator
+from .dissemination import Dissemination
+from .draining import Drain
+from .errors import AlmondtideError, RefusedError, ResultCode, SettingsError
+from .events import EventRing
+from .executions import Executions
+from .logs import Log
+from .membership import Membership, parse_instances
+from .messages import Leaving, QuarantineNotice
+from .metrics import Metrics
+from .owners import Owners
+from .quarantine import Quarantine
+from .settings import load_settings
+
+__all__ = ["Daemon", "main"]
+
+CONFIGURATION = "configuration"
+INSTANCES = "instances"
+TICK_S = 0.2
+TICKS_PER_SECOND = 5
+
+
+class Daemon:
+    """One daemon process; ``run`` serves until the shutdown is over."""
+
+    __slots__ = (
+        "_admin",
+        "_caller",
+        "_cfg",
+        "_coordinator",
+        "_dissemination",
+        "_drain",
+        "_events",
+        "_executions",
+        "_listeners",
+        "_membership",
+        "_owners",
+        "_peers",
+        "_quarantine",
+        "clock",
+        "incarnation",
+        "log",
+        "metrics",
+        "settings",
+    )
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.clock = SystemClock()
+        self.incarnation = secrets.token_hex(6)
+        self.metrics = Metrics()
+        self._events = EventRing(self.clock, settings.event_capacity)
+        self.log = Log(
+            self._events, instance=settings.instance, incarnation=self.incarnation
+        )
+        self._cfg = None
+        self._drain = Drain(self.clock)
+        self._quarantine = Quarantine(self.clock)
+        self._membership = Membership(settings.instance, self.clock)
+        self._membership.on_change = self._view_changed
+        self._build_core()
+        self._build_interfaces()
+
+    def configuration(self):
+        """Return the configuration in force; raises while there is none."""
+        if self._cfg is None:
+            raise RefusedError(
+                "no configuration yet", ResultCode.NOT_READY, retry_after_ms=500
+            )
+        return self._cfg
+
+    def _build_core(self):
+        settings = self.settings
+        self._peers = PeerNetwork(
+            settings.instance,
+            self.incarnation,
+            self.clock,
+            self._events.clock,
+            self.log,
+        )
+        self._peers.resolve = self._membership.peer_address
+        self._peers.observer = self._membership
+        self._peers.register(Leaving, self._handle_leaving)
+        self._peers.register(QuarantineNotice, self._handle_notice)
+        self._owners = Owners(
+            settings.instance,
+            self.configuration,
+            self._membership,
+            self._peers,
+            HTTPUpstreams(),
+            self._quarantine,
+            self.clock,
+            self.log,
+            self.metrics,
+        )
+        self._coordinator = Coordinator(
+            settings.instance,
+            self.configuration,
+            self._membership,
+            self._peers,
+            self._quarantine,
+            self.clock,
+            self.log,
+            self.metrics,
+        )
+        self._executions = Executions(
+            settings.instance,
+            self.incarnation,
+            self.configuration,
+            self._membership,
+            self._peers,
+            self._quarantine,
+            self._coordinator.tell_peers,
+            self.clock,
+            self.log,
+            self.metrics,
+        )
+        self._dissemination = Dissemination(
+            HTTPPlatform(settings.platform),
+            [CONFIGURATION, INSTANCES],
+            self._accept_document,
+            self.log,
+        )
+
+    def _build_interfaces(self):
+        settings = self.settings
+        self._caller = CallerAPI(
+            settings.instance,
+            self._coordinator,
+            self._executions,
+            self._entries_report,
+            self._health_report,
+            self.clock,
+            self.log,
+            self.metrics,
+        )
+        reports = {
+            "status": self._status_report,
+            "members": self._members_report,
+            "owners": self._owners.describe,
+            "configuration": self._configuration_report,
+            "queues": self._queues_report,
+            "quarantine": self._quarantine_report,
+        }
+        self._admin = AdminAPI(
+            settings.instance,
+            settings.admin_token,
+            reports,
+            self._events,
+            self.metrics,
+            self._drain.requested.set,
+        )
+        self._listeners = [
+            Listener(settings.peer_address, self._peers.serve),
+            Listener(settings.admin_address, self._serve_admin),
+            Listener(settings.caller_address, self._serve_caller),
+        ]
+
+    async def _serve_caller(self, sock, address):
+        await serve_http(
+            sock,
+            self._caller.handle,
+            log=self.log,
+            max_body=self.settings.max_body_bytes,
+            max_header=self.settings.max_header_bytes,
+        )
+
+    async def _serve_admin(self, sock, address):
+        await serve_http(sock, self._admin.handle, log=self.log)
+
+    # Documents and view
+
+    async def _accept_document(self, document):
+        if document.name == CONFIGURATION:
+            cfg = parse_configuration(document.body, document.revision)
+            self._cfg = cfg
+            self._quarantine.duration_s = cfg.fleet_setting("quarantine_s")
+            self._quarantine.limit = cfg.fleet_setting("quarantine_servers")
+            self.metrics.configuration_revision.set({}, document.revision)
+            await self._view_changed()
+        else:
+            await self._membership.update_list(parse_instances(document.body))
+
+    async def _view_changed(self):
+        if self._cfg is not None:
+            await self._owners.refresh()
+
+    # Messages
+
+    async def _handle_leaving(self, sender, message, reply):
+        self.log.info("peer_leaving", peer=message.instance)
+        await self._membership.peer_leaving(message.instance, message.incarnation)
+
+    async def _handle_notice(self, sender, message, reply):
+        if message.remaining_ms > 0:
+            if self._quarantine.add(message.fingerprint, message.remaining_ms / 1000.0):
+                self.log.info("quarantine_learned", fingerprint=message.fingerprint)
+        else:
+            self._quarantine.merge_evidence(message.fingerprint, message.servers)
+
+    # Reports
+
+    def _entries_report(self):
+        cfg = self.configuration()
+        entries = []
+        for member in self._membership.view().live_entries():
+            if member.instance == self.settings.instance and self._drain.leaving:
+                continue
+            entries.append(
+                {
+                    "instance": member.instance,
+                    "address": f"{member.address[0]}:{member.address[1]}",
+                    "domain": member.domain,
+                }
+            )
+        return {
+            "max_age_ms": cfg.fleet_setting("entries_max_age_ms"),
+            "execution_prefix": self._executions.prefix(),
+            "entries": entries,
+        }
+
+    def _health_report(self):
+        ready = self._cfg is not None and not self._drain.leaving
+        body = {"ready": ready, "leaving": self._drain.leaving}
+        return (200 if ready else 503), body
+
+    def _status_report(self):
+        return {
+            "instance": self.settings.instance,
+            "incarnation": self.incarnation,
+            "domain": self.settings.domain,
+            "pid": os.getpid(),
+            "leaving": self._drain.leaving,
+            "running": self._caller.running,
+            "configuration_revision": self._cfg.revision if self._cfg else None,
+            "peer_links": self._peers.links,
+            "executions": self._executions.records,
+        }
+
+    def _members_report(self):
+        view = self._membership.view()
+        return [
+            {
+                "instance": member.instance,
+                "domain": member.domain,
+                "leaving": member.instance in view.leaving,
+                "gone": member.instance in view.gone,
+            }
+            for member in view.entries.values()
+        ]
+
+    def _configuration_report(self):
+        document = self._dissemination.current(CONFIGURATION)
+        if document is None:
+            return None
+        return {
+            "revision": document.revision,
+            "digest": document.digest,
+            "body": document.body,
+        }
+
+    def _queues_report(self):
+        return {item["service"]: item["queued"] for item in self._owners.describe()}
+
+    def _quarantine_report(self):
+        return {
+            "quarantined": [
+                {"fingerprint": mark, "remaining_s": round(left, 1)}
+                for mark, left in self._quarantine.entries()
+            ],
+            "suspects": self._quarantine.suspects(),
+        }
+
+    # Life
+
+    async def run(self):
+        """Serve until SIGTERM, SIGINT or the drain command, then shut down."""
+        for listener in self._listeners[:2]:
+            await listener.start()
+        await self._dissemination.start()
+        await self._listeners[2].start()
+        await curio.spawn(self._tick, daemon=True)
+        await curio.spawn(self._watch_signals, daemon=True)
+        self.log.info("daemon_started", domain=self.settings.domain)
+        await self._drain.requested.wait()
+        await self._shut_down()
+
+    async def _watch_signals(self):
+        """Request the shutdown on SIGTERM or SIGINT.
+
+        curio has no signal queue any more, so the interpreter writes the signal
+        number to a socket that this task reads.
+        """
+        reader, writer = stdlib_socket.socketpair()
+        reader.setblocking(False)
+        writer.setblocking(False)
+        signal.set_wakeup_fd(writer.fileno(), warn_on_full_buffer=False)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, _leave_to_wakeup_socket)
+        async with curio.io.Socket(reader) as sock:
+            await sock.recv(1)
+        await self._drain.requested.set()
+
+    async def _tick(self):
+        detector = PauseDetector(self.clock, TICK_S)
+        count = 0
+        while True:
+            await curio.sleep(TICK_S)
+            pause_s = detector.tick()
+            if pause_s > 0:
+                self.metrics.pauses.inc({})
+                self.log.warning("process_paused", seconds=round(pause_s, 3))
+            count += 1
+            if count % TICKS_PER_SECOND == 0:
+                await self._membership.expire()
+                await self._owners.release_idle()
+
+    async def _shut_down(self):
+        max_age_s = 0.0
+        if self._cfg is not None:
+            max_age_s = self._cfg.fleet_setting("entries_max_age_ms") / 1000.0
+        self._drain.begin(max_age_s)
+        self.log.info("drain_started", running=self._caller.running)
+        message = Leaving(instance=self.settings.instance, incarnation=self.incarnation)
+        for member in self._membership.view().live_entries():
+            if member.instance != self.settings.instance:
+                await curio.spawn(self._tell_leaving, member, message, daemon=True)
+        complete = await self._drain.wait(
+            lambda: self._caller.running, self.settings.drain_timeout_s
+        )
+        self.log.info("drain_ended", complete=complete, running=self._caller.running)
+        for listener in reversed(self._listeners):
+            await listener.close()
+        await self._peers.close()
+
+    async def _tell_leaving(self, member, message):
+        try:
+            await self._peers.send(member.instance, message)
+        except AlmondtideError as exc:
+            self.log.info("leaving_not_told", peer=member.instance, reason=exc.message)
+
+
+def _leave_to_wakeup_socket(number, frame):
+    """Do nothing; the wakeup socket carries the signal."""
+
+
+def serve(
+    *,
+    instance: str | None = None,
+    domain: str | None = None,
+    caller_address: str | None = None,
+    peer_address: str | None = None,
+    admin_address: str | None = None,
+    admin_token: str | None = None,
+    platform: str | None = None,
+    seeds: str | None = None,
+    max_body_bytes: str | None = None,
+    max_header_bytes: str | None = None,
+    max_connections: str | None = None,
+    drain_timeout_s: str | None = None,
+    event_capacity: str | None = None,
+    verbosity: str | None = None,
+):
+    """Run one almondtide daemon.
+
+    Every flag can be given as an environment variable, for example
+    ``ALMONDTIDE_DOMAIN`` for the domain.
+
+    :param instance: id of this instance in the platform's list
+    :param domain: failure domain of this instance
+    :param caller_address: host:port for callers
+    :param peer_address: host:port for other daemons
+    :param admin_address: host:port for operators
+    :param admin_token: bearer token of the admin API
+    :param platform: host:port of the configuration service
+    :param seeds: peer addresses to ask while the platform is down
+    :param max_body_bytes: largest request body
+    :param max_header_bytes: largest request head
+    :param max_connections: open caller connections
+    :param drain_timeout_s: longest graceful shutdown
+    :param event_capacity: events kept for the time line
+    :param verbosity: log level, 0 info, 1 debug
+    """
+    try:
+        settings = load_settings(locals())
+    except SettingsError as exc:
+        for problem in exc.problems:
+            print(f"almondtided: {problem}", file=sys.stderr)
+        return 2
+    logging.set_verbosity(settings.verbosity)
+    logging.use_absl_handler()
+    try:
+        curio.run(Daemon(settings).run)
+    except OSError as exc:
+        print(f"almondtided: {exc}", file=sys.stderr)
+        return 1
+    return 0
+
+
+def main(argv=None):
+    """Entry point of ``almondtided``."""
+    sys.exit(defopt.run(serve, argv=argv))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/almondtide/executions.py
@@ -0,0 +1,451 @@
+"""Non-idempotent requests: execution ids, their home, remembered outcomes."""
+
+import curio
+
+from .errors import (
+    AlmondtideError,
+    BadRequestError,
+    ExecutionError,
+    PeerError,
+    RefusedError,
+    ResultCode,
+)
+from .messages import ErrorReply, Execute, ExecuteResult, ForwardRevise
+from .quarantine import fingerprint
+
+__all__ = ["ExecutionId", "Executions", "Outcome", "ReviseRequest"]
+
+WINDOW_S = 60.0
+MAX_RECORDS = 100_000
+MAX_SUFFIX_LENGTH = 64
+SEPARATOR = "~"
+# Extra time for the reply of the home or the owner to travel back, in s.
+REPLY_MARGIN_S = 0.1
+
+
+class ExecutionId:
+    """Id of one non-idempotent request, bound to one incarnation of a daemon.
+
+    The text form is ``instance~incarnation~window~suffix``. ``window`` counts
+    minutes of the incarnation's life; ``suffix`` is chosen by the caller.
+
+    >>> ExecutionId.parse("lautoka-1~8c1f~0~order-17").suffix
+    'order-17'
+    """
+
+    __slots__ = ("incarnation", "instance", "suffix", "window")
+
+    def __init__(self, instance, incarnation, window, suffix):
+        self.instance = instance
+        self.incarnation = incarnation
+        self.window = window
+        self.suffix = suffix
+
+    def __str__(self):
+        parts = (self.instance, self.incarnation, str(self.window), self.suffix)
+        return SEPARATOR.join(parts)
+
+    @classmethod
+    def parse(cls, text):
+        """Return the parsed id; raises ``BadRequestError``."""
+        parts = (text or "").split(SEPARATOR)
+        if (
+            len(parts) != 4
+            or not all(parts)
+            or not parts[2].isdigit()
+            or len(parts[2]) > 9
+            or len(parts[3]) > MAX_SUFFIX_LENGTH
+            or not parts[3].isprintable()
+        ):
+            raise BadRequestError(
+                "the execution id must be a prefix from /v1/entries, '~' and a suffix "
+                f"of 1 to {MAX_SUFFIX_LENGTH} characters",
+                ResultCode.EXECUTION_ID_INVALID,
+            )
+        return cls(parts[0], parts[1], int(parts[2]), parts[3])
+
+
+class ReviseRequest:
+    """A caller's non-idempotent request."""
+
+    __slots__ = ("body", "deadline_ms", "execution_id", "request_id", "workload")
+
+    def __init__(self, request_id, workload, execution_id, body, deadline_ms=None):
+        self.request_id = request_id
+        self.workload = workload
+        self.execution_id = execution_id
+        self.body = body
+        self.deadline_ms = deadline_ms
+
+
+class Outcome:
+    """What became of an execution; ``not_run`` is True only when it never ran."""
+
+    __slots__ = ("code", "message", "not_run", "payload", "retry_after_ms", "server")
+
+    def __init__(
+        self,
+        code,
+        *,
+        not_run=False,
+        message="",
+        payload=None,
+        server="",
+        retry_after_ms=None,
+    ):
+        self.code = ResultCode(code)
+        self.not_run = not_run
+        self.message = message
+        self.payload = payload
+        self.server = server
+        self.retry_after_ms = retry_after_ms
+
+    @classmethod
+    def from_message(cls, reply):
+        """Build the outcome from an ``ExecuteResult`` or an ``ErrorReply``."""
+        if isinstance(reply, ErrorReply):
+            return cls(
+                reply.code,
+                not_run=reply.not_run,
+                message=reply.message,
+                retry_after_ms=reply.retry_after_ms,
+            )
+        return cls(
+            reply.code,
+            not_run=reply.not_run,
+            message=reply.message,
+            payload=reply.payload,
+            server=reply.server,
+            retry_after_ms=reply.retry_after_ms,
+        )
+
+    def to_message(self):
+        """Return the ``ExecuteResult`` for a peer."""
+        return ExecuteResult(
+            code=int(self.code),
+            not_run=self.not_run,
+            message=self.message,
+            payload=self.payload,
+            server=self.server,
+            retry_after_ms=self.retry_after_ms,
+        )
+
+    def to_dict(self, request_id, execution_id):
+        """Return the JSON body of the response to the caller."""
+        return {
+            "request_id": request_id,
+            "execution_id": execution_id,
+            "code": int(self.code),
+            "name": self.code.name,
+            "message": self.message,
+            "not_run": self.not_run,
+            "retry_after_ms": self.retry_after_ms,
+            "result": self.payload,
+        }
+
+
+class _Record:
+    """An execution at its home: under way, or ended with an outcome."""
+
+    __slots__ = ("digest", "done", "outcome", "window")
+
+    def __init__(self, window, digest):
+        self.window = window
+        self.digest = digest
+        self.done = curio.Event()
+        self.outcome = None
+
+
+class Executions:
+    """Runs each execution at most once.
+
+    Any daemon accepts a request and forwards it to the incarnation that its id
+    names. Only that incarnation dispatches it, and it sends it to at most one
+    owner unless the owner is known never to have received it. If the incarnation
+    is gone, the outcome is unknown and the request is not run again.
+    """
+
+    __slots__ = (
+        "_cfg",
+        "_clock",
+        "_log",
+        "_membership",
+        "_metrics",
+        "_peers",
+        "_quarantine",
+        "_records",
+        "_started",
+        "_tell_peers",
+        "incarnation",
+        "instance",
+    )
+
+    def __init__(
+        self,
+        instance,
+        incarnation,
+        cfg,
+        membership,
+        peers,
+        quarantine,
+        tell_peers,
+        clock,
+        log,
+        metrics,
+    ):
+        self.instance = instance
+        self.incarnation = incarnation
+        self._cfg = cfg
+        self._membership = membership
+        self._peers = peers
+        self._quarantine = quarantine
+        self._tell_peers = tell_peers
+        self._clock = clock
+        self._log = log
+        self._metrics = metrics
+        self._records = {}
+        self._started = clock.monotonic()
+        peers.register(ForwardRevise, self._handle_forward)
+
+    @property
+    def records(self):
+        """Number of executions that this home remembers."""
+        return len(self._records)
+
+    def window(self):
+        """Return the current window of this incarnation."""
+        return int((self._clock.monotonic() - self._started) / WINDOW_S)
+
+    def prefix(self):
+        """Return the execution id prefix that callers may use now."""
+        return SEPARATOR.join((self.instance, self.incarnation, str(self.window())))
+
+    # At the entry
+
+    async def revise(self, req):
+        """Return the ``Outcome`` of ``req``.
+
+        Raises ``BadRequestError`` or ``RefusedError`` when it was not run.
+        """
+        execution_id = ExecutionId.parse(req.execution_id)
+        workload = self._workload(req.workload)
+        deadline_ms = req.deadline_ms
+        if deadline_ms is None:
+            deadline_ms = self._cfg().workload_setting(req.workload, "deadline_ms")
+        if deadline_ms <= 0:
+            raise BadRequestError(
+                "the deadline has passed", ResultCode.DEADLINE_EXCEEDED
+            )
+        deadline = self._clock.monotonic() + deadline_ms / 1000.0
+        self._shard_of(workload, req.body)
+        home = (execution_id.instance, execution_id.incarnation)
+        if home == (self.instance, self.incarnation):
+            return await self._run_at_home(execution_id, req, deadline)
+        return await self._forward(execution_id, req, deadline)
+
+    def _workload(self, name):
+        workload = self._cfg().workloads.get(name)
+        if workload is None:
+            raise BadRequestError(
+                f"unknown workload {name!r}", ResultCode.UNKNOWN_WORKLOAD
+            )
+        return workload
+
+    @staticmethod
+    def _shard_of(workload, body):
+        key = body.get("key") if isinstance(body, dict) else None
+        if not isinstance(key, int) or isinstance(key, bool):
+            raise BadRequestError("the body must be an object with an integer 'key'")
+        shard_map = workload.shard_maps[max(workload.shard_maps)]
+        try:
+            return shard_map.find(key)
+        except KeyError:
+            raise BadRequestError(f"key {key} is outside the key space") from None
+
+    async def _forward(self, execution_id, req, deadline):
+        remaining_s = deadline - self._clock.monotonic()
+        message = ForwardRevise(
+            workload=req.workload,
+            execution_id=str(execution_id),
+            request_id=req.request_id,
+            remaining_ms=remaining_s * 1000.0,
+            body=req.body,
+        )
+        known = self._membership.incarnation(execution_id.instance)
+        if known is not None and known != execution_id.incarnation:
+            return self._unknown("the home of the execution id was restarted")
+        try:
+            reply = await self._peers.request(
+                execution_id.instance, message, remaining_s + REPLY_MARGIN_S
+            )
+        except PeerError as exc:
+            # An earlier try may have reached the home, so this is no "not run".
+            return self._unknown(f"the home cannot be reached: {exc.message}")
+        return Outcome.from_message(reply)
+
+    def _unknown(self, message):
+        self._metrics.unknown_outcomes.inc({})
+        return Outcome(ResultCode.OUTCOME_UNKNOWN, message=message)
+
+    # At the home
+
+    async def _handle_forward(self, sender, message, reply):
+        deadline = self._clock.monotonic() + message.remaining_ms / 1000.0
+        await curio.spawn(self._serve_forward, message, deadline, reply, daemon=True)
+
+    async def _serve_forward(self, message, deadline, reply):
+        try:
+            outcome = await self._run_forwarded(message, deadline)
+        except AlmondtideError as exc:
+            outcome = Outcome(
+                exc.code,
+                not_run=exc.not_run,
+                message=exc.message,
+                retry_after_ms=exc.retry_after_ms,
+            )
+        await reply(outcome.to_message())
+
+    async def _run_forwarded(self, message, deadline):
+        execution_id = ExecutionId.parse(message.execution_id)
+        if (execution_id.instance, execution_id.incarnation) != (
+            self.instance,
+            self.incarnation,
+        ):
+            return self._unknown("the home of the execution id was restarted")
+        req = ReviseRequest(
+            message.request_id, message.workload, message.execution_id, message.body
+        )
+        return await self._run_at_home(execution_id, req, deadline)
+
+    async def _run_at_home(self, execution_id, req, deadline):
+        digest = fingerprint(req.workload, "revise", req.body)
+        record = self._records.get(str(execution_id))
+        if record is not None:
+            return await self._await_record(record, digest, deadline)
+        self._check_window(execution_id)
+        self._check_quarantine(digest)
+        self._forget_expired()
+        if len(self._records) >= MAX_RECORDS:
+            raise RefusedError("too many executions are remembered")
+        record = _Record(execution_id.window, digest)
+        self._records[str(execution_id)] = record
+        # The execution goes on when the caller or the entry goes away, so that
+        # its outcome is remembered.
+        await curio.spawn(
+            self._execute, str(execution_id), record, req, deadline, daemon=True
+        )
+        return await self._await_record(record, digest, deadline)
+
+    async def _await_record(self, record, digest, deadline):
+        if record.digest != digest:
+            raise ExecutionError(
+                "the execution id was used for another request",
+                ResultCode.EXECUTION_CONFLICT,
+                not_run=True,
+            )
+        remaining_s = max(0.0, deadline - self._clock.monotonic())
+        async with curio.ignore_after(remaining_s):
+            await record.done.wait()
+        if record.outcome is None:
+            return self._unknown("the execution is still running")
+        return record.outcome
+
+    def _check_window(self, execution_id):
+        age_s = (self.window() - execution_id.window) * WINDOW_S
+        if age_s < 0:
+            raise BadRequestError(
+                "the execution id is from the future", ResultCode.EXECUTION_ID_INVALID
+            )
+        if age_s > self._cfg().fleet_setting("outcome_retention_s"):
+            # Its outcome may have been forgotten, so it may have run.
+            raise ExecutionError(
+                "the execution id is too old", ResultCode.EXECUTION_EXPIRED
+            )
+
+    def _check_quarantine(self, mark):
+        left_s = self._quarantine.remaining_s(mark)
+        if left_s > 0:
+            raise RefusedError(
+                "the request crashed upstreams and is in quarantine",
+                ResultCode.QUARANTINED,
+                retry_after_ms=int(left_s * 1000),
+            )
+
+    def _forget_expired(self):
+        """Drop outcomes whose ids are refused by their window anyway."""
+        retention_s = self._cfg().fleet_setting("outcome_retention_s")
+        oldest = self.window() - int(retention_s / WINDOW_S) - 1
+        while self._records:
+            key = next(iter(self._records))
+            record = self._records[key]
+            if record.window >= oldest or record.outcome is None:
+                return
+            del self._records[key]
+
+    async def _execute(self, key, record, req, deadline):
+        try:
+            outcome = await self._dispatch(key, record.digest, req, deadline)
+        except AlmondtideError as exc:
+            outcome = Outcome(exc.code, not_run=exc.not_run, message=exc.message)
+        except Exception as exc:
+            self._log.error("execution_failed", execution_id=key, error=repr(exc))
+            outcome = self._unknown("internal error")
+        record.outcome = outcome
+        if outcome.not_run:
+            # It never ran, so another try with the same id may run it.
+            self._records.pop(key, None)
+        await record.done.set()
+        self._log.info(
+            "execution_ended",
+            execution_id=key,
+            request_id=req.request_id,
+            code=int(outcome.code),
+            not_run=outcome.not_run,
+        )
+
+    async def _dispatch(self, key, mark, req, deadline):
+        shard = self._shard_of(self._workload(req.workload), req.body)
+        tried = 0
+        for target in self._membership.view().ranked(shard.service):
+            tried += 1
+            remaining_s = deadline - self._clock.monotonic()
+            if remaining_s <= 0:
+                raise RefusedError(
+                    "the deadline passed before dispatch", ResultCode.DEADLINE_EXCEEDED
+                )
+            message = Execute(
+                workload=req.workload,
+                service=shard.service,
+                execution_id=key,
+                remaining_ms=remaining_s * 1000.0,
+                fingerprint=mark,
+                suspect=self._quarantine.is_suspect(mark),
+                avoid=self._quarantine.evidence(mark),
+                body=req.body,
+            )
+            try:
+                reply = await self._peers.request(
+                    target, message, remaining_s + REPLY_MARGIN_S
+                )
+            except PeerError as exc:
+                if exc.not_run:
+                    continue
+                return self._unknown(f"the owner was lost: {exc.message}")
+            outcome = Outcome.from_message(reply)
+            if outcome.not_run and outcome.code == ResultCode.DRAINING:
+                continue
+            return await self._settle(outcome, message)
+        raise RefusedError(
+            f"none of {tried} instances could be reached", ResultCode.PEER_LOST
+        )
+
+    async def _settle(self, outcome, message):
+        """Turn the owner's result into the outcome for the caller."""
+        if outcome.code == ResultCode.UPSTREAM_LOST:
+            self._quarantine.record_loss(
+                message.fingerprint, outcome.server, message.suspect
+            )
+            await curio.spawn(self._tell_peers, message.fingerprint, daemon=True)
+        if outcome.code == ResultCode.OK or outcome.not_run:
+            return outcome
+        return self._unknown(f"{outcome.code.name}: the upstream may have run it")
--- /dev/null
+++ b/almondtide/owner.py
@@ -0,0 +1,639 @@
+"""The owner of a service: slots, queue, attempts, hedges, retries."""
+
+import heapq
+import itertools
+
+import curio
+
+from .admission import Estimate, admit
+from .budgets import RetryBudget, TokenBudget
+from .errors import ExecutionError, ResultCode
+from .hedging import LatencyWindow, hedge_policies
+from .servers import Server, Worker
+from .subrequests import SubResult
+from .workqueue import WorkQueue
+
+__all__ = ["ServiceOwner"]
+
+DEFAULT_SERVICE_TIME_S = 0.01
+SERVICE_TIME_MEMORY = 0.95
+STANDBY_SLOTS = 1
+FIRST_STATEMENT_S = 0.2
+FIRST_STATEMENT_POLL_S = 0.01
+
+_HEDGE = 0
+_EXPIRE = 1
+
+# Failures after which an idempotent request may run on another server.
+_RETRIABLE = frozenset(
+    {
+        ResultCode.UPSTREAM_SHED,
+        ResultCode.UPSTREAM_DRAINING,
+        ResultCode.UPSTREAM_UNREACHABLE,
+        ResultCode.UPSTREAM_ERROR,
+        ResultCode.BAD_RESPONSE,
+        ResultCode.SNAPSHOT_UNAVAILABLE,
+    }
+)
+# Refusals that say nothing about the health of the service and cost no budget.
+_FREE_RETRY = frozenset(
+    {
+        ResultCode.UPSTREAM_DRAINING,
+        ResultCode.UPSTREAM_UNREACHABLE,
+        ResultCode.SNAPSHOT_UNAVAILABLE,
+    }
+)
+
+
+class _Item:
+    """A sub-request from its arrival to its result."""
+
+    __slots__ = (
+        "arrived",
+        "deadline",
+        "deliver",
+        "done",
+        "hedged",
+        "ran",
+        "running",
+        "started",
+        "sub",
+        "tried",
+        "waiting",
+        "workload",
+    )
+
+    def __init__(self, sub, deliver, arrived):
+        self.sub = sub
+        self.deliver = deliver
+        self.arrived = arrived
+        self.workload = sub.workload
+        self.deadline = sub.deadline
+        self.done = False
+        self.hedged = False
+        self.waiting = False
+        # Exchanges that were started, and those that a server may have run.
+        self.started = 0
+        self.ran = 0
+        self.running = []
+        self.tried = set(sub.avoid)
+
+
+class _Attempt:
+    """One exchange with one server for an item."""
+
+    __slots__ = ("is_hedge", "item", "request_id", "server", "started")
+
+    def __init__(self, item, server, started, is_hedge):
+        self.item = item
+        self.server = server
+        self.started = started
+        self.is_hedge = is_hedge
+        item.started += 1
+        item.ran += 1
+        sub = item.sub
+        self.request_id = f"{sub.query_id}.{sub.service}.{item.started}"
+
+
+class ServiceOwner:
+    """Runs the sub-requests of one service on its servers.
+
+    Fresh work waits in a fair deadline-ordered queue. Hedges and retries wait in
+    front of it, because their request has waited longest; a hedge takes the next
+    slot that becomes free on a server that the request has not used.
+
+    ``submit`` hands the result to the async function ``deliver(SubResult)``
+    exactly once.
+    """
+
+    __slots__ = (
+        "_by_query",
+        "_cfg",
+        "_front",
+        "_idle",
+        "_log",
+        "_metrics",
+        "_order",
+        "_queue",
+        "_service_time_s",
+        "_timer_task",
+        "_timer_wake",
+        "_timers",
+        "_upstreams",
+        "active_since",
+        "clock",
+        "hedges",
+        "is_owner",
+        "last_used",
+        "latencies",
+        "retries",
+        "servers",
+        "service",
+    )
+
+    def __init__(self, service, cfg, upstreams, clock, log, metrics):
+        self.service = service
+        self._cfg = cfg
+        self._upstreams = upstreams
+        self.clock = clock
+        self._log = log
+        self._metrics = metrics
+        self.servers = {}
+        self.is_owner = False
+        self.last_used = clock.monotonic()
+        self.active_since = clock.monotonic()
+        self.latencies = LatencyWindow()
+        self.hedges = TokenBudget(self._setting("hedge_budget"))
+        self.retries = RetryBudget(self._setting("retry_budget"))
+        self._service_time_s = None
+        self._queue = WorkQueue(
+            lambda workload: self._cfg().workload_setting(workload, "weight")
+        )
+        self._front = []
+        self._idle = []
+        self._by_query = {}
+        self._order = itertools.count()
+        self._timers = []
+        self._timer_wake = curio.Event()
+        self._timer_task = None
+
+    def _setting(self, name):
+        return self._cfg().service_setting(self.service, name)
+
+    # Servers and connections
+
+    async def start(self):
+        """Start the timer of hedges and deadlines."""
+        self._timer_task = await curio.spawn(self._timer_loop, daemon=True)
+
+    async def update(self, members, is_owner):
+        """Take over the servers of the service and whether this daemon owns it.
+
+        ``members`` is a list of members with ``instance``, ``address``,
+        ``domain`` and ``leaving``.
+        """
+        self.is_owner = is_owner
+        self.hedges.ratio = self._setting("hedge_budget")
+        self.retries.ratio = self._setting("retry_budget")
+        listed = {member.instance: member for member in members}
+        for instance in [name for name in self.servers if name not in listed]:
+            await self.servers.pop(instance).stop()
+        for instance, member in listed.items():
+            server = self.servers.get(instance)
+            if server is not None and server.address != member.address:
+                await self.servers.pop(instance).stop()
+                server = None
+            if server is None:
+                server = Server(instance, member.address, member.domain)
+                self.servers[instance] = server
+            server.listed_leaving = member.leaving
+            await self._resize(server)
+        await self._dispatch()
+
+    async def _resize(self, server):
+        await server.start_control(self._upstreams, self)
+        share = self._setting("slots") if self.is_owner else STANDBY_SLOTS
+        active = [worker for worker in server.workers if not worker.retired]
+        for worker in active[share:]:
+            await worker.retire()
+        for _ in range(share - len(active)):
+            worker = Worker(server, self._upstreams)
+            server.workers.add(worker)
+            await worker.start(self)
+
+    async def stop(self):
+        """Close all connections and end the timer."""
+        for server in self.servers.values():
+            await server.stop()
+        self.servers.clear()
+        if self._timer_task is not None:
+            await self._timer_task.cancel()
+
+    async def worker_idle(self, worker):
+        """Take a connected worker that can run an attempt."""
+        self._idle.append(worker)
+        await self._dispatch()
+
+    def worker_gone(self, worker):
+        """Forget a worker whose task has ended."""
+        if worker in self._idle:
+            self._idle.remove(worker)
+
+    async def server_unreachable(self, server):
+        """Note that a connect failed."""
+        if server.reachable:
+            server.reachable = False
+            self._log.warning(
+                "upstream_unreachable", service=self.service, server=server.instance
+            )
+            await self._fail_if_unservable()
+
+    async def server_reachable(self, server):
+        """Note that a connect succeeded."""
+        if not server.reachable:
+            self._log.info(
+                "upstream_reachable", service=self.service, server=server.instance
+            )
+        server.connected()
+
+    async def server_changed(self, server):
+        """Use new statements of a server about itself."""
+        await self._dispatch()
+
+    async def _fail_if_unservable(self):
+        """Refuse waiting work at once when no server can be reached."""
+        if any(server.reachable for server in self.servers.values()):
+            return
+        for items in list(self._by_query.values()):
+            for item in list(items):
+                if not item.running:
+                    await self._finish(item, self._failure(item, ResultCode.NO_SERVER))
+
+    # Submission
+
+    async def submit(self, sub, deliver):
+        """Run ``sub``; ``deliver`` is called once with its ``SubResult``."""
+        now = self.clock.monotonic()
+        self.last_used = now
+        item = _Item(sub, deliver, now)
+        refusal = self._refusal(item, now)
+        if refusal is not None:
+            item.done = True
+            await deliver(refusal)
+            return
+        self._by_query.setdefault(sub.query_id, []).append(item)
+        self._enqueue(item)
+        await self._schedule(sub.deadline, _EXPIRE, item)
+        await self._dispatch()
+
+    def _refusal(self, item, now):
+        """Return the result of an item that must not start, or None."""
+        remaining_s = item.deadline - now
+        if remaining_s <= 0:
+            return self._failure(item, ResultCode.DEADLINE_EXCEEDED)
+        if not any(server.reachable for server in self.servers.values()):
+            return self._failure(item, ResultCode.NO_SERVER)
+        estimate = self.estimate(item.workload)
+        retry_after_ms = admit(estimate, remaining_s)
+        if retry_after_ms is None and len(self._queue) >= self._setting("queue_limit"):
+            retry_after_ms = int(estimate.wait_s * 1000) + 1
+        if retry_after_ms is None:
+            return None
+        self._metrics.refused.inc({"service": self.service})
+        return self._failure(item, ResultCode.OVERLOADED, retry_after_ms)
+
+    def _failure(self, item, code, retry_after_ms=None):
+        return SubResult(
+            self.service,
+            code,
+            not_run=item.ran == 0,
+            attempts=item.started,
+            retry_after_ms=retry_after_ms,
+        )
+
+    def _enqueue(self, item):
+        if item.sub.suspect or item.sub.avoid:
+            self._front.append((item, False))
+        else:
+            item.waiting = True
+            self._queue.push(item)
+
+    def estimate(self, workload):
+        """Return the ``Estimate`` for new work of ``workload``."""
+        service_s = self._service_time_s or DEFAULT_SERVICE_TIME_S
+        slots = self.usable_slots()
+        waiting, share = self._queue.backlog(workload)
+        waiting += len(self._front)
+        if slots == 0:
+            return Estimate(0.0, service_s)
+        busy = slots - len(self._idle)
+        wait_s = 0.0
+        if busy >= slots or waiting:
+            wait_s = (waiting + 1) * service_s / (slots * share)
+        typical_s = self.latencies.quantile(0.5) or service_s
+        return Estimate(wait_s, typical_s)
+
+    def usable_slots(self):
+        """Return the number of slots that take new work."""
+        now = self.clock.monotonic()
+        return sum(
+            len(server.workers)
+            for server in self.servers.values()
+            if server.reachable and not server.is_draining(now)
+        )
+
+    async def cancel_query(self, query_id):
+        """Drop the work of a query whose coordinator no longer waits."""
+        for item in list(self._by_query.get(query_id, ())):
+            if item.sub.idempotent:
+                await self._finish(item, self._failure(item, ResultCode.CANCELLED))
+
+    # Dispatch
+
+    async def _dispatch(self):
+        """Give waiting work to idle workers until nothing fits."""
+        while self._idle:
+            found = self._next_work()
+            if found is None:
+                return
+            item, worker, is_hedge = found
+            self._idle.remove(worker)
+            item.waiting = False
+            await self._start(item, worker, is_hedge)
+
+    def _next_work(self):
+        for index, (item, is_hedge) in enumerate(self._front):
+            if item.done:
+                continue
+            if is_hedge and self.hedges.tokens < 1.0:
+                continue
+            worker = self._pick_worker(item)
+            if worker is not None:
+                del self._front[index]
+                return item, worker, is_hedge
+        self._front = [entry for entry in self._front if not entry[0].done]
+        chosen = []
+
+        def accept(item):
+            worker = self._pick_worker(item)
+            if worker is not None:
+                chosen.append(worker)
+            return worker is not None
+
+        item = self._queue.pop(accept)
+        return (item, chosen[-1], False) if item is not None else None
+
+    def _pick_worker(self, item):
+        """Return the idle worker on the least loaded suitable server, or None."""
+        now = self.clock.monotonic()
+        best = None
+        for worker in self._idle:
+            server = worker.server
+            if worker.retired or server.instance in item.tried:
+                continue
+            if (
+                server.is_draining(now)
+                or self.servers.get(server.instance) is not server
+            ):
+                continue
+            if item.sub.idempotent and not server.serves(
+                item.sub.version, item.sub.epoch
+            ):
+                continue
+            if item.sub.suspect and server.runs_suspect():
+                continue
+            if best is None or len(server.in_flight) < len(best.server.in_flight):
+                best = worker
+        return best
+
+    async def _start(self, item, worker, is_hedge):
+        now = self.clock.monotonic()
+        server = worker.server
+        attempt = _Attempt(item, server, now, is_hedge)
+        item.tried.add(server.instance)
+        item.running.append(attempt)
+        server.in_flight.add(attempt)
+        worker.attempt = attempt
+        if is_hedge:
+            self.hedges.spend()
+            self._metrics.hedges.inc({"service": self.service})
+        elif item.started == 1:
+            self.hedges.earn()
+            self.retries.earn()
+            self._metrics.queue_seconds.observe({}, now - item.arrived)
+        self._metrics.sends.inc({"service": self.service})
+        await worker.wake.set()
+        if item.sub.idempotent and not item.hedged and not item.sub.suspect:
+            delay = hedge_policies.get(self._setting("hedge_policy"))(
+                self.latencies, self._cfg(), self.service
+            )
+            if delay is not None and now + delay < item.deadline:
+                await self._schedule(now + delay, _HEDGE, item)
+
+    def dispatch_check(self, attempt):
+        """Return the check that runs right before a non-idempotent write.
+
+        The process may have been paused between the dispatch and the write, so
+        the deadline and the item are looked at again.
+        """
+
+        def check():
+            item = attempt.item
+            if item.done or self.clock.monotonic() >= item.deadline:
+                raise ExecutionError(
+                    "the deadline passed before the write",
+                    ResultCode.DEADLINE_EXCEEDED,
+                    not_run=True,
+                )
+
+        return check
+
+    # Outcomes
+
+    async def attempt_answered(self, attempt, reply):
+        """Use a complete response of a server."""
+        item = attempt.item
+        elapsed = self._end(attempt)
+        if item.done:
+            return
+        if reply.code == ResultCode.OK:
+            self.retries.record(False)
+            self.latencies.add(elapsed)
+            await self._finish(item, self._success(attempt, reply))
+            return
+        self.retries.record(reply.code == ResultCode.UPSTREAM_ERROR)
+        await self._retry_or_finish(attempt, reply.code, reply.not_run)
+
+    def _success(self, attempt, reply):
+        sub = attempt.item.sub
+        result = SubResult(
+            self.service,
+            ResultCode.OK,
+            payload=reply.body,
+            server=attempt.server.instance,
+            attempts=attempt.item.started,
+        )
+        if not sub.idempotent:
+            return result
+        result.version = reply.body.get("index_version")
+        result.epoch = reply.body.get("epoch")
+        result.ranges = reply.body.get("ranges")
+        result.payload = reply.body.get("rows")
+        stated = (result.version, result.epoch, result.ranges)
+        if stated != (sub.version, sub.epoch, sub.ranges):
+            result.code = ResultCode.SNAPSHOT_MISMATCH
+            result.payload = None
+        return result
+
+    async def attempt_skipped(self, attempt):
+        """Forget an attempt whose request ended before anything was sent."""
+        self._end(attempt)
+
+    async def attempt_failed(self, attempt, exc):
+        """Use an exchange that ended without a response."""
+        item = attempt.item
+        self._end(attempt)
+        self.retries.record(True)
+        if exc.code == ResultCode.UPSTREAM_LOST:
+            self._log.warning(
+                "upstream_lost",
+                service=self.service,
+                server=attempt.server.instance,
+                request_id=attempt.request_id,
+            )
+        if item.done:
+            return
+        await self._retry_or_finish(attempt, exc.code, exc.not_run)
+
+    def _end(self, attempt):
+        elapsed = self.clock.monotonic() - attempt.started
+        if attempt in attempt.item.running:
+            attempt.item.running.remove(attempt)
+        previous = self._service_time_s
+        if previous is None:
+            self._service_time_s = elapsed
+        else:
+            self._service_time_s = (
+                SERVICE_TIME_MEMORY * previous + (1 - SERVICE_TIME_MEMORY) * elapsed
+            )
+        return elapsed
+
+    async def _retry_or_finish(self, attempt, code, not_run):
+        item = attempt.item
+        if not_run:
+            item.ran -= 1
+        if item.running:
+            # The other attempt is still running and may answer.
+            return
+        if self._may_retry(item, code, not_run):
+            self._front.append((item, False))
+            await self._dispatch()
+            return
+        result = self._failure(item, code)
+        result.server = attempt.server.instance
+        await self._finish(item, result)
+
+    def _may_retry(self, item, code, not_run):
+        if code not in _RETRIABLE or not (item.sub.idempotent or not_run):
+            return False
+        if not any(name not in item.tried for name in self._live_servers()):
+            return False
+        return code in _FREE_RETRY or self.retries.spend()
+
+    def _live_servers(self):
+        now = self.clock.monotonic()
+        return [
+            name
+            for name, server in self.servers.items()
+            if server.reachable and not server.is_draining(now)
+        ]
+
+    async def _finish(self, item, result):
+        item.done = True
+        if item.waiting:
+            item.waiting = False
+            self._queue.forget(item)
+        siblings = self._by_query.get(item.sub.query_id)
+        if siblings is not None:
+            siblings.remove(item)
+            if not siblings:
+                del self._by_query[item.sub.query_id]
+        for attempt in item.running:
+            if item.sub.idempotent:
+                await attempt.server.cancel(attempt.request_id)
+        await item.deliver(result)
+
+    # Timers
+
+    async def _schedule(self, when, kind, item):
+        earliest = not self._timers or when < self._timers[0][0]
+        heapq.heappush(self._timers, (when, next(self._order), kind, item))
+        if earliest:
+            await self._timer_wake.set()
+
+    async def _timer_loop(self):
+        while True:
+            now = self.clock.monotonic()
+            while self._timers and self._timers[0][0] <= now:
+                _, _, kind, item = heapq.heappop(self._timers)
+                if not item.done:
+                    await self._timer_fired(kind, item)
+            delay = self._timers[0][0] - now if self._timers else None
+            self._timer_wake.clear()
+            if delay is None:
+                await self._timer_wake.wait()
+            else:
+                async with curio.ignore_after(delay):
+                    await self._timer_wake.wait()
+
+    async def _timer_fired(self, kind, item):
+        if kind == _EXPIRE:
+            await self._finish(item, self._failure(item, ResultCode.DEADLINE_EXCEEDED))
+        elif item.running and not item.hedged:
+            item.hedged = True
+            self._front.insert(0, (item, True))
+            await self._dispatch()
+
+    # Statements about the service
+
+    def served(self):
+        """Return (versions, epochs) that the live servers hold in common.
+
+        Servers that have not stated theirs are left out. Where the live servers
+        have nothing in common, everything that any of them holds is returned.
+        """
+        live = [self.servers[name] for name in self._live_servers()]
+        return (
+            _common([server.versions for server in live]),
+            _common([server.epochs for server in live]),
+        )
+
+    async def wait_served(self):
+        """Return ``served()``, after the first statement of a server if need be.
+
+        A service that was just started has not heard from its servers yet; the
+        wait is bounded by ``FIRST_STATEMENT_S``.
+        """
+        steps = int(FIRST_STATEMENT_S / FIRST_STATEMENT_POLL_S)
+        for _ in range(steps):
+            versions, epochs = self.served()
+            if versions and epochs:
+                break
+            await curio.sleep(FIRST_STATEMENT_POLL_S)
+        return self.served()
+
+    def describe(self):
+        """Return the state of the service for the admin API."""
+        now = self.clock.monotonic()
+        quantile = self.latencies.quantile
+        return {
+            "service": self.service,
+            "is_owner": self.is_owner,
+            "queued": len(self._queue),
+            "front": len(self._front),
+            "idle_connections": len(self._idle),
+            "p50_ms": round((quantile(0.5) or 0.0) * 1000, 3),
+            "p95_ms": round((quantile(0.95) or 0.0) * 1000, 3),
+            "hedge_tokens": round(self.hedges.tokens, 2),
+            "retry_tokens": round(self.retries.tokens, 2),
+            "servers": [
+                {
+                    "instance": server.instance,
+                    "reachable": server.reachable,
+                    "draining": server.is_draining(now),
+                    "in_flight": len(server.in_flight),
+                    "connections": len(server.workers),
+                    "versions": sorted(server.versions or ()),
+                    "epochs": sorted(server.epochs or ()),
+                }
+                for server in self.servers.values()
+            ],
+        }
+
+
+def _common(sets):
+    known = [values for values in sets if values is not None]
+    if not known:
+        return []
+    shared = set.intersection(*known)
+    return sorted(shared or set.union(*known))
--- /dev/null
+++ b/almondtide/owners.py
@@ -0,0 +1,226 @@
+"""All services that this daemon runs, as their owner or as a standby."""
+
+import curio
+
+from .errors import PeerError, RefusedError, ResultCode
+from .messages import (
+    CancelQuery,
+    Execute,
+    ExecuteResult,
+    ServiceStatus,
+    ServiceStatusRequest,
+    SubAnswer,
+    SubQueryBatch,
+)
+from .owner import ServiceOwner
+from .subrequests import SubRequest
+
+__all__ = ["Owners"]
+
+# A service that is not owned and not used for this long gives up its connections.
+IDLE_SERVICE_S = 30.0
+
+
+class Owners:
+    """Creates service owners on demand and serves the messages of coordinators."""
+
+    __slots__ = (
+        "_cfg",
+        "_clock",
+        "_instance",
+        "_log",
+        "_membership",
+        "_metrics",
+        "_owners",
+        "_quarantine",
+        "_upstreams",
+    )
+
+    def __init__(
+        self,
+        instance,
+        cfg,
+        membership,
+        peers,
+        upstreams,
+        quarantine,
+        clock,
+        log,
+        metrics,
+    ):
+        self._instance = instance
+        self._cfg = cfg
+        self._membership = membership
+        self._upstreams = upstreams
+        self._quarantine = quarantine
+        self._clock = clock
+        self._log = log
+        self._metrics = metrics
+        self._owners = {}
+        peers.register(SubQueryBatch, self._handle_batch)
+        peers.register(CancelQuery, self._handle_cancel)
+        peers.register(Execute, self._handle_execute)
+        peers.register(ServiceStatusRequest, self._handle_status)
+
+    def _owns(self, service):
+        ranked = self._membership.view().ranked(service)
+        return bool(ranked) and ranked[0] == self._instance
+
+    async def get(self, service):
+        """Return the ``ServiceOwner`` of ``service``, started if need be."""
+        owner = self._owners.get(service)
+        if owner is None:
+            owner = ServiceOwner(
+                service,
+                self._cfg,
+                self._upstreams,
+                self._clock,
+                self._log,
+                self._metrics,
+            )
+            self._owners[service] = owner
+            await owner.start()
+            await self._update(owner)
+        return owner
+
+    async def _update(self, owner):
+        service = owner.service
+        members = self._membership.view().upstreams(service)
+        await owner.update(members, self._owns(service))
+
+    async def refresh(self):
+        """Follow a change of the view or of the configuration.
+
+        Owned services are started before their first request, so that their
+        connections are warm.
+        """
+        for service in self._cfg().services():
+            if self._owns(service):
+                await self.get(service)
+        for owner in list(self._owners.values()):
+            await self._update(owner)
+
+    async def release_idle(self):
+        """Stop services that are neither owned nor used."""
+        now = self._clock.monotonic()
+        for service, owner in list(self._owners.items()):
+            if not owner.is_owner and now - owner.last_used > IDLE_SERVICE_S:
+                del self._owners[service]
+                await owner.stop()
+
+    def describe(self):
+        """Return the state of all services for the admin API."""
+        return [owner.describe() for owner in self._owners.values()]
+
+    def _known(self, service):
+        return service in self._cfg().services()
+
+    async def _handle_batch(self, sender, message, reply):
+        deadline = self._clock.monotonic() + message.remaining_ms / 1000.0
+        for item in message.items:
+            service, ranges = _parse_item(item)
+            sub = SubRequest(
+                message.query_id,
+                message.workload,
+                service,
+                deadline,
+                body=message.body,
+                version=message.version,
+                epoch=message.epoch,
+                ranges=ranges,
+                mark=message.fingerprint,
+                suspect=message.suspect,
+                avoid=message.avoid,
+            )
+            await self._submit(sub, reply)
+
+    async def _submit(self, sub, reply):
+        if not self._known(sub.service) or self._quarantine.remaining_s(sub.mark) > 0:
+            known = self._known(sub.service)
+            code = ResultCode.QUARANTINED if known else ResultCode.NO_SERVER
+            await reply(
+                SubAnswer(service=sub.service, code=int(code), not_run=True, attempts=0)
+            )
+            return
+        owner = await self.get(sub.service)
+
+        async def deliver(result):
+            await reply(self._answer(owner, sub, result))
+
+        await owner.submit(sub, deliver)
+
+    def _answer(self, owner, sub, result):
+        versions, epochs = owner.served()
+        return SubAnswer(
+            service=result.service,
+            code=int(result.code),
+            not_run=result.not_run,
+            version=result.version,
+            epoch=result.epoch,
+            ranges=result.ranges,
+            payload=result.payload,
+            server=result.server,
+            attempts=result.attempts,
+            wait_ms=owner.estimate(sub.workload).wait_s * 1000.0,
+            versions=versions,
+            epochs=epochs,
+            retry_after_ms=result.retry_after_ms,
+        )
+
+    async def _handle_cancel(self, sender, message, reply):
+        for owner in list(self._owners.values()):
+            await owner.cancel_query(message.query_id)
+
+    async def _handle_execute(self, sender, message, reply):
+        if not self._known(message.service):
+            raise RefusedError("unknown service", ResultCode.NO_SERVER)
+        if self._quarantine.remaining_s(message.fingerprint) > 0:
+            raise RefusedError("the request is in quarantine", ResultCode.QUARANTINED)
+        owner = await self.get(message.service)
+        sub = SubRequest(
+            message.execution_id,
+            message.workload,
+            message.service,
+            self._clock.monotonic() + message.remaining_ms / 1000.0,
+            body=message.body,
+            mark=message.fingerprint,
+            suspect=message.suspect,
+            avoid=message.avoid,
+            execution_id=message.execution_id,
+        )
+
+        async def deliver(result):
+            await reply(
+                ExecuteResult(
+                    code=int(result.code),
+                    not_run=result.not_run,
+                    payload=result.payload,
+                    server=result.server,
+                    retry_after_ms=result.retry_after_ms,
+                )
+            )
+
+        await owner.submit(sub, deliver)
+
+    async def _handle_status(self, sender, message, reply):
+        # Waits for servers, so it must not hold up the peer's other messages.
+        await curio.spawn(self._serve_status, message, reply, daemon=True)
+
+    async def _serve_status(self, message, reply):
+        services = []
+        for service in message.services:
+            if isinstance(service, str) and self._known(service):
+                owner = await self.get(service)
+                versions, epochs = await owner.wait_served()
+                wait_ms = owner.estimate("").wait_s * 1000.0
+                services.append([service, versions, epochs, wait_ms])
+        await reply(ServiceStatus(services=services))
+
+
+def _parse_item(item):
+    """Return (service, ranges) of a batch item; raises ``PeerError``."""
+    if isinstance(item, list) and len(item) == 2:
+        service, ranges = item
+        if isinstance(service, str) and isinstance(ranges, list):
+            return service, ranges
+    raise PeerError("invalid batch item", ResultCode.PEER_PROTOCOL)
--- /dev/null
+++ b/almondtide/planning.py
@@ -0,0 +1,78 @@
+"""Choice of the snapshot and the plan of a query."""
+
+from .errors import RefusedError, ResultCode
+
+__all__ = ["Plan", "SnapshotCatalog"]
+
+SNAPSHOT_RETRY_MS = 100
+
+
+class Plan:
+    """The pinned snapshot and the key ranges that each service must answer."""
+
+    __slots__ = ("epoch", "shard_map", "version")
+
+    def __init__(self, version, epoch, shard_map):
+        self.version = version
+        self.epoch = epoch
+        self.shard_map = shard_map
+
+    def ranges(self, service):
+        """Return ``[[low, high], ...]`` of the service in key order."""
+        return [
+            shard.key_range.to_list() for shard in self.shard_map.by_service()[service]
+        ]
+
+
+class _Served:
+    __slots__ = ("epochs", "versions")
+
+    def __init__(self, versions, epochs):
+        self.versions = versions
+        self.epochs = epochs
+
+
+class SnapshotCatalog:
+    """What each service can serve, as its owner last stated it."""
+
+    __slots__ = ("_served",)
+
+    def __init__(self):
+        self._served = {}
+
+    def update(self, service, versions, epochs):
+        """Store the statement of an owner; an empty one changes nothing."""
+        if versions and epochs:
+            self._served[service] = _Served(frozenset(versions), frozenset(epochs))
+
+    def unknown(self, services):
+        """Return the services that have made no statement."""
+        return [service for service in services if service not in self._served]
+
+    def choose(self, workload):
+        """Return the ``Plan`` with the highest epoch and version.
+
+        Both must be served by all services of the shard map that have made a
+        statement. Raises ``RefusedError`` when there is no such pair.
+        """
+        for epoch in sorted(workload.shard_maps, reverse=True):
+            shard_map = workload.shard_maps[epoch]
+            version = self._common_version(shard_map.services(), epoch)
+            if version is not None:
+                return Plan(version, epoch, shard_map)
+        raise RefusedError(
+            f"the services of {workload.name} hold no snapshot in common",
+            ResultCode.SNAPSHOT_UNAVAILABLE,
+            retry_after_ms=SNAPSHOT_RETRY_MS,
+        )
+
+    def _common_version(self, services, epoch):
+        common = None
+        for service in services:
+            served = self._served.get(service)
+            if served is None:
+                continue
+            if epoch not in served.epochs:
+                return None
+            common = served.versions if common is None else common & served.versions
+        return max(common) if common else None
--- /dev/null
+++ b/almondtide/ports.py
@@ -0,0 +1,201 @@
+"""Ports: what the core needs from peers, upstreams and the platform."""
+
+import hashlib
+
+import orjson
+
+from .errors import PeerError, PlatformError, ResultCode
+
+__all__ = [
+    "BasePeers",
+    "BasePlatform",
+    "BaseUpstreamConnection",
+    "BaseUpstreams",
+    "Document",
+    "MemoryPlatform",
+    "UpstreamReply",
+    "document_digest",
+]
+
+
+def document_digest(body):
+    """Return the hex digest of ``body`` in canonical JSON."""
+    canonical = orjson.dumps(body, option=orjson.OPT_SORT_KEYS)
+    return hashlib.blake2b(canonical, digest_size=16).hexdigest()
+
+
+class Document:
+    """One revision of a document that the platform publishes."""
+
+    __slots__ = ("body", "digest", "name", "revision")
+
+    def __init__(self, name, revision, body, digest=None):
+        self.name = name
+        self.revision = revision
+        self.body = body
+        self.digest = digest or document_digest(body)
+
+
+class BasePlatform:
+    """Read-only access to the platform's documents.
+
+    Both calls raise ``PlatformError`` when the service cannot be read.
+    """
+
+    __slots__ = ()
+
+    async def read(self, name):
+        """Return the current ``Document``."""
+        raise NotImplementedError
+
+    async def watch(self, name, after, wait_s):
+        """Return a ``Document`` newer than revision ``after``.
+
+        Waits up to ``wait_s`` seconds and returns None when nothing is newer.
+        """
+        raise NotImplementedError
+
+    async def close(self):
+        """Release connections."""
+
+
+class MemoryPlatform(BasePlatform):
+    """A platform in memory for tests; ``available`` and ``documents`` are set."""
+
+    __slots__ = ("available", "calls", "documents")
+
+    def __init__(self):
+        self.documents = {}
+        self.available = True
+        self.calls = 0
+
+    def publish(self, name, revision, body):
+        """Make ``body`` the current document."""
+        self.documents[name] = Document(name, revision, body)
+
+    async def read(self, name):
+        """Return the current document or raise ``PlatformError``."""
+        self.calls += 1
+        if not self.available or name not in self.documents:
+            raise PlatformError(f"document {name} is not available")
+        return self.documents[name]
+
+    async def watch(self, name, after, wait_s):
+        """Return the document when it is newer than ``after``, without waiting."""
+        document = await self.read(name)
+        return document if document.revision > after else None
+
+
+class BasePeers:
+    """Messages to other daemons."""
+
+    __slots__ = ()
+
+    async def call(self, instance, message, inbox):
+        """Send a request; every reply goes to the queue ``inbox``.
+
+        Returns a call object with ``close()``. Entries of ``inbox`` are pairs
+        (call, reply), where the reply is a ``Message`` or a ``PeerError``.
+        """
+        raise NotImplementedError
+
+    async def request(self, instance, message, timeout_s):
+        """Send a request and return its single reply; raises ``PeerError``.
+
+        ``not_run`` of the error is True when the request was never sent.
+        """
+        raise NotImplementedError
+
+    async def send(self, instance, message):
+        """Send a one-way message; raises ``PeerError`` when unreachable."""
+        raise NotImplementedError
+
+    async def send_if_open(self, instance, message):
+        """Send a one-way message on an open link; do nothing without one."""
+        raise NotImplementedError
+
+    def register(self, message_class, handler):
+        """Serve requests: ``await handler(sender, message, reply)``."""
+        raise NotImplementedError
+
+
+class UpstreamReply:
+    """Answer of an upstream.
+
+    ``code`` is OK or the reason of the refusal; ``not_run`` repeats the
+    upstream's statement. ``versions`` and ``epochs`` are None when not stated.
+    """
+
+    __slots__ = (
+        "body",
+        "code",
+        "draining",
+        "epochs",
+        "not_run",
+        "versions",
+    )
+
+    def __init__(
+        self, code, body=None, not_run=False, draining=False, versions=None, epochs=None
+    ):
+        self.code = code
+        self.body = body
+        self.not_run = not_run
+        self.draining = draining
+        self.versions = versions
+        self.epochs = epochs
+
+
+class BaseUpstreamConnection:
+    """One connection to a server; one exchange at a time.
+
+    Exchanges raise ``UpstreamError`` when the connection is lost or times out.
+    """
+
+    __slots__ = ()
+
+    usable = True
+
+    def is_stale(self):
+        """Return whether the server closed the idle connection."""
+        return False
+
+    async def search(self, request_id, remaining_s, sub):
+        """Run the idempotent ``sub`` and return an ``UpstreamReply``."""
+        raise NotImplementedError
+
+    async def revise(self, remaining_s, sub, before_write):
+        """Run the non-idempotent ``sub`` and return an ``UpstreamReply``.
+
+        ``before_write`` is called right before the first byte is written and may
+        raise to stop the request.
+        """
+        raise NotImplementedError
+
+    async def cancel(self, request_id):
+        """Ask the server to stop an exchange on another connection."""
+        raise NotImplementedError
+
+    async def status(self):
+        """Return the server's own statement as an ``UpstreamReply``."""
+        raise NotImplementedError
+
+    async def close(self):
+        """Close the connection."""
+
+
+class BaseUpstreams:
+    """Opens connections to upstream servers."""
+
+    __slots__ = ()
+
+    async def connect(self, address, timeout_s):
+        """Return a ``BaseUpstreamConnection``; raises ``UpstreamError``."""
+        raise NotImplementedError
+
+
+def unreachable(instance):
+    """Return the error for a peer that is not in the view."""
+    return PeerError(
+        f"{instance} is not in the view", ResultCode.PEER_LOST, not_run=True
+    )
--- /dev/null
+++ b/almondtide/shards.py
@@ -0,0 +1,118 @@
+"""Key ranges and shard maps."""
+
+from .errors import ConfigurationError
+
+__all__ = ["KEY_SPACE", "KeyRange", "Shard", "ShardMap", "missing_ranges"]
+
+# Keys are hashed by the publisher of an index into [0, KEY_SPACE).
+KEY_SPACE = 65536
+
+
+class KeyRange:
+    """Half-open range of keys, ``low <= key < high``."""
+
+    __slots__ = ("high", "low")
+
+    def __init__(self, low, high):
+        self.low = low
+        self.high = high
+
+    def __eq__(self, other):
+        return isinstance(other, KeyRange) and self.to_list() == other.to_list()
+
+    def __hash__(self):
+        return hash((self.low, self.high))
+
+    def __lt__(self, other):
+        return self.to_list() < other.to_list()
+
+    def __contains__(self, key):
+        return self.low <= key < self.high
+
+    def __repr__(self):
+        return f"KeyRange({self.low}, {self.high})"
+
+    def to_list(self):
+        """Return ``[low, high]`` for messages."""
+        return [self.low, self.high]
+
+
+class Shard:
+    """One key range and the service that holds it."""
+
+    __slots__ = ("key_range", "name", "service")
+
+    def __init__(self, name, key_range, service):
+        self.name = name
+        self.key_range = key_range
+        self.service = service
+
+
+class ShardMap:
+    """All shards of a workload in one epoch.
+
+    The shards cover the whole key space without overlap; the constructor raises
+    ``ConfigurationError`` otherwise.
+    """
+
+    __slots__ = ("epoch", "shards")
+
+    def __init__(self, epoch, shards):
+        self.epoch = epoch
+        self.shards = sorted(shards, key=lambda shard: shard.key_range.low)
+        self._check()
+
+    def _check(self):
+        problems = []
+        expected = 0
+        for shard in self.shards:
+            low, high = shard.key_range.to_list()
+            if high <= low:
+                problems.append(f"shard {shard.name}: empty range [{low}, {high})")
+            elif low > expected:
+                problems.append(f"keys [{expected}, {low}) belong to no shard")
+            elif low < expected:
+                problems.append(f"shard {shard.name}: overlaps keys below {expected}")
+            expected = max(expected, high)
+        if expected != KEY_SPACE:
+            problems.append(f"the last shard ends at {expected}, not at {KEY_SPACE}")
+        if problems:
+            raise ConfigurationError(problems)
+
+    def services(self):
+        """Return the services of the map, each once, in key order."""
+        return list(dict.fromkeys(shard.service for shard in self.shards))
+
+    def by_service(self):
+        """Return a dict from service to its shards in key order."""
+        grouped = {}
+        for shard in self.shards:
+            grouped.setdefault(shard.service, []).append(shard)
+        return grouped
+
+    def find(self, key):
+        """Return the shard that holds ``key``."""
+        for shard in self.shards:
+            if key in shard.key_range:
+                return shard
+        raise KeyError(key)
+
+
+def missing_ranges(ranges, low=0, high=KEY_SPACE):
+    """Return the gaps and the overlaps of ``ranges`` within ``[low, high)``.
+
+    >>> missing_ranges([KeyRange(0, 5), KeyRange(4, 8)], 0, 10)
+    ([KeyRange(8, 10)], [KeyRange(4, 5)])
+    """
+    gaps = []
+    overlaps = []
+    expected = low
+    for key_range in sorted(ranges):
+        if key_range.low > expected:
+            gaps.append(KeyRange(expected, key_range.low))
+        elif key_range.low < expected:
+            overlaps.append(KeyRange(key_range.low, min(expected, key_range.high)))
+        expected = max(expected, key_range.high)
+    if expected < high:
+        gaps.append(KeyRange(expected, high))
+    return gaps, overlaps
--- /dev/null
+++ b/almondtide/subrequests.py
@@ -0,0 +1,117 @@
+"""Sub-requests of a query and their results."""
+
+from .errors import ResultCode
+
+__all__ = ["SubRequest", "SubResult"]
+
+
+class SubRequest:
+    """Work for one service.
+
+    ``deadline`` is in seconds on the monotonic clock of the process that holds
+    the object. ``ranges`` is a list of ``[low, high]``. ``mark`` is the
+    fingerprint of the caller's request. ``suspect`` asks for a server that runs
+    no other suspect, and ``avoid`` lists servers that were lost under the
+    request. ``execution_id`` is set for a non-idempotent request only.
+    """
+
+    __slots__ = (
+        "avoid",
+        "body",
+        "deadline",
+        "epoch",
+        "execution_id",
+        "mark",
+        "query_id",
+        "ranges",
+        "service",
+        "suspect",
+        "version",
+        "workload",
+    )
+
+    def __init__(
+        self,
+        query_id,
+        workload,
+        service,
+        deadline,
+        *,
+        body=None,
+        version=0,
+        epoch=0,
+        ranges=(),
+        mark="",
+        suspect=False,
+        avoid=(),
+        execution_id=None,
+    ):
+        self.query_id = query_id
+        self.workload = workload
+        self.service = service
+        self.deadline = deadline
+        self.body = body
+        self.version = version
+        self.epoch = epoch
+        self.ranges = list(ranges)
+        self.mark = mark
+        self.suspect = suspect
+        self.avoid = list(avoid)
+        self.execution_id = execution_id
+
+    @property
+    def idempotent(self):
+        """Whether the request may be sent to more than one server."""
+        return self.execution_id is None
+
+
+class SubResult:
+    """What became of a ``SubRequest``.
+
+    ``not_run`` is True only when no server has run the request. ``attempts``
+    counts the exchanges that were started. ``wait_s`` is the queueing time that
+    the service has now.
+    """
+
+    __slots__ = (
+        "attempts",
+        "code",
+        "epoch",
+        "not_run",
+        "payload",
+        "ranges",
+        "retry_after_ms",
+        "server",
+        "service",
+        "version",
+    )
+
+    def __init__(
+        self,
+        service,
+        code,
+        *,
+        not_run=False,
+        version=0,
+        epoch=0,
+        ranges=(),
+        payload=None,
+        server="",
+        attempts=0,
+        retry_after_ms=None,
+    ):
+        self.service = service
+        self.code = ResultCode(code)
+        self.not_run = not_run
+        self.version = version
+        self.epoch = epoch
+        self.ranges = list(ranges)
+        self.payload = payload
+        self.server = server
+        self.attempts = attempts
+        self.retry_after_ms = retry_after_ms
+
+    @property
+    def ok(self):
+        """Whether the payload holds the data of ``ranges``."""
+        return self.code == ResultCode.OK
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems around the tier, for tests, demo and benchmarks."""
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,374 @@
+"""Starts daemons and stand-ins as separate processes on loopback."""
+
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+__all__ = ["Fleet", "FleetSpec", "free_ports", "http_call"]
+
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 10.0
+ADMIN_TOKEN = "operator-token"
+
+
+def free_ports(count):
+    """Return ``count`` TCP ports that were free a moment ago."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for sock in sockets:
+            sock.bind(("127.0.0.1", 0))
+        return [sock.getsockname()[1] for sock in sockets]
+    finally:
+        for sock in sockets:
+            sock.close()
+
+
+def http_call(address, method, path, body=None, headers=None, timeout_s=5.0):
+    """Return (status, headers, decoded JSON) of one HTTP request."""
+    host, _, port = address.rpartition(":")
+    conn = http.client.HTTPConnection(host, int(port), timeout=timeout_s)
+    try:
+        payload = None if body is None else json.dumps(body)
+        conn.request(method, path, payload, headers or {})
+        response = conn.getresponse()
+        content = response.read()
+        decoded = json.loads(content) if content else None
+        return response.status, dict(response.getheaders()), decoded
+    finally:
+        conn.close()
+
+
+class FleetSpec:
+    """Shape of a fleet.
+
+    ``workloads`` maps a name to a dict with ``services``, ``servers``, ``slots``,
+    ``kind`` (data set) and optionally ``settings`` (workload settings).
+    ``upstream`` holds fields of ``UpstreamSpec`` that apply to all servers.
+    """
+
+    __slots__ = (
+        "daemons",
+        "defaults",
+        "domains",
+        "exceptions",
+        "link_peers",
+        "list_lag_s",
+        "upstream",
+        "workloads",
+    )
+
+    def __init__(
+        self,
+        daemons=5,
+        domains=("sala-norte", "sala-sur", "sala-barva"),
+        workloads=None,
+        defaults=None,
+        exceptions=None,
+        upstream=None,
+        list_lag_s=0.0,
+    ):
+        self.daemons = daemons
+        self.domains = list(domains)
+        self.workloads = workloads or {
+            "advisory": {"services": 10, "servers": 3, "slots": 3, "kind": "probes"}
+        }
+        self.defaults = defaults or {}
+        self.exceptions = exceptions or []
+        self.upstream = upstream or {}
+        self.list_lag_s = list_lag_s
+        self.link_peers = False
+
+
+class Fleet:
+    """A running fleet: one platform, upstream servers and daemons.
+
+    Use it as a context manager; leaving it ends every process it started.
+    """
+
+    def __init__(self, spec, directory):
+        self.spec = spec
+        self.directory = str(directory)
+        self.processes = {}
+        self.platform = None
+        self.daemons = {}
+        self.upstreams = {}
+        self.records = {}
+        self.document = None
+        self.listed = []
+
+    def __enter__(self):
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *details):
+        self.stop()
+
+    def start(self):
+        """Start everything and wait until all daemons are ready."""
+        self.start_platform()
+        self.start_upstreams()
+        self.document = self._configuration()
+        self.publish("configuration", self.document)
+        for number in range(self.spec.daemons):
+            self.add_daemon(f"entry-{number:02d}")
+        self.publish_instances()
+        for name in list(self.daemons):
+            self.wait_ready(name)
+
+    def stop(self):
+        """End all processes."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes.values():
+            process.wait()
+        self.processes.clear()
+
+    def spawn(self, name, argv, environ=None):
+        """Start a process whose output goes to a log file of its own."""
+        log_path = os.path.join(self.directory, f"{name}.log")
+        environment = {**os.environ, **(environ or {})}
+        with open(log_path, "ab") as log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, *argv], stdout=log, stderr=log, env=environment
+            )
+
+    # Platform
+
+    def start_platform(self):
+        """Start the platform stand-in and wait until it answers."""
+        (port,) = free_ports(1)
+        self.platform = f"127.0.0.1:{port}"
+        argv = ["-m", "standins.platform", "--port", str(port)]
+        argv += ["--list-lag-s", str(self.spec.list_lag_s)]
+        self.spawn("platform", argv)
+        self._wait_for(lambda: self.control_platform({}) is not None)
+
+    def control_platform(self, command):
+        """Send a command to the platform stand-in."""
+        return http_call(self.platform, "POST", "/control", command)[2]
+
+    def platform_state(self):
+        """Return the counters of the platform stand-in."""
+        return http_call(self.platform, "GET", "/control/state")[2]
+
+    def publish(self, name, body):
+        """Publish a document and return its revision."""
+        answer = self.control_platform({"publish": {"name": name, "body": body}})
+        return answer.get("revision")
+
+    def publish_instances(self):
+        """Publish the list of all daemons and upstreams that are listed."""
+        return self.publish("instances", {"instances": self.listed})
+
+    def set_listed_state(self, instance, state):
+        """Change ``state`` of an instance in the list, without publishing."""
+        for item in self.listed:
+            if item["id"] == instance:
+                item["state"] = state
+
+    # Upstreams
+
+    def services(self):
+        """Return (service, workload, shape) for all services."""
+        for workload, shape in self.spec.workloads.items():
+            for number in range(shape["services"]):
+                yield f"{workload}-{number}", workload, shape
+
+    def start_upstreams(self):
+        """Start one process for each server."""
+        for service, _, shape in self.services():
+            for number in range(shape["servers"]):
+                self.add_upstream(service, shape, number)
+        self._wait_for(
+            lambda: all(_answers(address) for address in self.upstreams.values())
+        )
+
+    def add_upstream(self, service, shape, number):
+        """Start one server and add it to the list."""
+        instance = f"{service}-s{number}"
+        (port,) = free_ports(1)
+        domain = self.spec.domains[number % len(self.spec.domains)]
+        record = os.path.join(self.directory, f"{instance}.record")
+        spec = {
+            "instance": instance,
+            "service": service,
+            "port": port,
+            "slots": shape.get("slots", 3),
+            "connections": shape.get("connections", 65),
+            "kind": shape.get("kind", "probes"),
+            "record_path": record,
+            **self.spec.upstream,
+            **shape.get("upstream", {}),
+        }
+        self.upstreams[instance] = f"127.0.0.1:{port}"
+        self.records[instance] = record
+        self.listed.append(
+            {
+                "id": instance,
+                "role": "upstream",
+                "address": f"127.0.0.1:{port}",
+                "domain": domain,
+                "service": service,
+                "state": "live",
+            }
+        )
+        self.spawn(instance, ["-m", "standins.upstream", "--specs", json.dumps([spec])])
+
+    def control_upstream(self, instance, command):
+        """Send a command to a server."""
+        return http_call(self.upstreams[instance], "POST", "/control", command)[2]
+
+    def read_records(self):
+        """Return what all servers ran, as a list of dicts."""
+        events = []
+        for path in self.records.values():
+            if os.path.exists(path):
+                with open(path, encoding="utf-8") as lines:
+                    events.extend(json.loads(line) for line in lines)
+        return events
+
+    # Daemons
+
+    def add_daemon(self, name):
+        """Start one daemon and add it to the list, without publishing."""
+        caller, peer, admin = free_ports(3)
+        number = len(self.daemons)
+        self.daemons[name] = {
+            "caller": f"127.0.0.1:{caller}",
+            "peer": f"127.0.0.1:{peer}",
+            "admin": f"127.0.0.1:{admin}",
+            "domain": self.spec.domains[number % len(self.spec.domains)],
+        }
+        self.listed.append(
+            {
+                "id": name,
+                "role": "entry",
+                "address": self.daemons[name]["caller"],
+                "peer": self.daemons[name]["peer"],
+                "admin": self.daemons[name]["admin"],
+                "domain": self.daemons[name]["domain"],
+                "state": "live",
+            }
+        )
+        self.start_daemon(name)
+
+    def start_daemon(self, name):
+        """Start the process of a daemon, also after it has ended."""
+        info = self.daemons[name]
+        seeds = [other["peer"] for key, other in self.daemons.items() if key != name]
+        environ = {
+            "ALMONDTIDE_INSTANCE": name,
+            "ALMONDTIDE_DOMAIN": info["domain"],
+            "ALMONDTIDE_CALLER_ADDRESS": info["caller"],
+            "ALMONDTIDE_PEER_ADDRESS": info["peer"],
+            "ALMONDTIDE_ADMIN_ADDRESS": info["admin"],
+            "ALMONDTIDE_ADMIN_TOKEN": ADMIN_TOKEN,
+            "ALMONDTIDE_PLATFORM": self.platform,
+            "ALMONDTIDE_SEEDS": ",".join(seeds[:3]),
+        }
+        self.spawn(name, ["-m", "almondtide.daemon"], environ)
+
+    def wait_ready(self, name):
+        """Wait until a daemon accepts queries."""
+        address = self.daemons[name]["caller"]
+
+        def ready():
+            return http_call(address, "GET", "/v1/health")[0] == 200
+
+        self._wait_for(ready)
+
+    def admin(self, name, report):
+        """Return a report of a daemon's admin API."""
+        headers = {"authorization": f"Bearer {ADMIN_TOKEN}"}
+        address = self.daemons[name]["admin"]
+        return http_call(address, "GET", f"/admin/v1/{report}", headers=headers)[2]
+
+    def signal(self, name, number):
+        """Send a signal to one process of the fleet."""
+        self.processes[name].send_signal(number)
+
+    def kill(self, name):
+        """End a process at once."""
+        self.signal(name, signal.SIGKILL)
+        self.processes[name].wait()
+
+    def terminate(self, name):
+        """Shut a daemon down gracefully and return its exit status."""
+        self.signal(name, signal.SIGTERM)
+        return self.processes[name].wait(timeout=60)
+
+    # Configuration
+
+    def _configuration(self):
+        workloads = {}
+        exceptions = list(self.spec.exceptions)
+        for workload, shape in self.spec.workloads.items():
+            services = [f"{workload}-{n}" for n in range(shape["services"])]
+            workloads[workload] = {"shard_maps": [shard_map(1, services)]}
+            for setting, value in shape.get("settings", {}).items():
+                exceptions.append(
+                    {
+                        "workload": workload,
+                        "setting": setting,
+                        "value": value,
+                        "reason": "shape of the test fleet",
+                    }
+                )
+            if shape.get("slots", 3) != self.spec.defaults.get("slots", 3):
+                for service in services:
+                    exceptions.append(
+                        {
+                            "service": service,
+                            "setting": "slots",
+                            "value": shape["slots"],
+                            "reason": "servers of another size",
+                        }
+                    )
+        return {
+            "defaults": self.spec.defaults,
+            "exceptions": exceptions,
+            "workloads": workloads,
+        }
+
+    def _wait_for(self, condition, timeout_s=START_TIMEOUT_S):
+        deadline = time.monotonic() + timeout_s
+        while True:
+            try:
+                if condition():
+                    return
+            except (OSError, http.client.HTTPException):
+                pass
+            if time.monotonic() > deadline:
+                raise TimeoutError("the fleet did not start; see its log files")
+            time.sleep(0.05)
+
+
+def shard_map(epoch, services, key_space=65536):
+    """Return a shard map that splits the key space evenly over ``services``."""
+    count = len(services)
+    bounds = [round(key_space * index / count) for index in range(count + 1)]
+    shards = [
+        {
+            "name": f"e{epoch}-{index}",
+            "low": bounds[index],
+            "high": bounds[index + 1],
+            "service": service,
+        }
+        for index, service in enumerate(services)
+    ]
+    return {"epoch": epoch, "shards": shards}
+
+
+def _answers(address):
+    return http_call(address, "GET", "/v1/status")[0] == 200
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package, one module for each module."""
