Take over a lost owner's services with all slots at once

Cause: a standby that was asked while its own view still held the dead owner used one slot per server until its view changed, and a suspected peer came back into the view after 2 s although it was still paused.

Change: a standby probes the daemons ranked before it; an unreachable peer is probed every 0.5 s until it answers; dials end after 0.5 s and are not repeated for 0.5 s; work that no server can take is refused at once.

Ruled out: passing on the sender's suspicion as truth, which would let one cut link remove a healthy owner from every view.

--- a/almondtide/adapters/peer.py
+++ b/almondtide/adapters/peer.py
@@ -23,6 +23,9 @@
 MONITOR_INTERVAL_S = 0.05
 # Messages coalesced into one frame; keeps frames far below the size limit.
 MAX_BATCH = 64
+# How long a peer that could not be dialled is refused without another dial.
+REDIAL_AFTER_S = 0.5
+PROBE_INTERVAL_S = 0.5
 IDLE_LINK_S = 60.0
 
 
@@ -94,6 +97,7 @@
         "_websocket",
         "address",
         "calls",
+        "idle",
         "instance",
         "last_heard",
         "last_used",
@@ -112,6 +116,7 @@
         self._websocket = None
         self._outbox = None
         self.open = False
+        self.idle = False
         self.suspect = False
         self.last_heard = 0.0
         self.last_used = 0.0
@@ -194,7 +199,8 @@
                 pinged = False
                 self.waiting_since = None
                 if now - self.last_used > IDLE_LINK_S:
-                    await self._lost(PeerError("idle link closed"))
+                    self.idle = True
+                    await self._lost(PeerError("the link was idle"))
                 continue
             if self.waiting_since is None:
                 self.waiting_since = now
@@ -267,9 +273,12 @@
     """
 
     __slots__ = (
+        "_checked",
         "_dialing",
         "_handlers",
         "_links",
+        "_probed",
+        "_refused_until",
         "clock",
         "hlc",
         "incarnation",
@@ -290,6 +299,9 @@
         self._handlers = {}
         self._links = {}
         self._dialing = {}
+        self._refused_until = {}
+        self._probed = set()
+        self._checked = set()
         self.register(Ping, self._answer_ping)
 
     def register(self, message_class, handler):
@@ -367,14 +379,19 @@
             link = self._links.get(instance)
             if link is not None and link.open:
                 return link
+            if self._refused_until.get(instance, 0.0) > self.clock.monotonic():
+                raise PeerError(f"{instance} could not be dialled", not_run=True)
             link = _OutboundLink(self, instance, address)
             try:
                 await link.start()
             except PeerError as exc:
                 await link.close()
-                await self._notify("peer_lost", instance)
+                until = self.clock.monotonic() + REDIAL_AFTER_S
+                self._refused_until[instance] = until
+                await self._unreachable("peer_lost", instance)
                 exc.not_run = True
                 raise
+            self._refused_until.pop(instance, None)
             self._links[instance] = link
         self.log.debug("peer_link_opened", peer=instance)
         return link
@@ -384,13 +401,69 @@
         if self._links.get(link.instance) is link:
             del self._links[link.instance]
         self.log.debug("peer_link_closed", peer=link.instance, reason=error.message)
-        if error.message != "idle link closed":
-            await self._notify("peer_lost", link.instance)
+        if not link.idle:
+            await self._unreachable("peer_lost", link.instance)
 
     async def peer_suspected(self, instance):
         """Tell the observer that a peer is silent."""
         self.log.info("peer_suspected", peer=instance)
-        await self._notify("peer_suspected", instance)
+        await self._unreachable("peer_suspected", instance)
+
+    async def _unreachable(self, event, instance):
+        """Tell the observer, and probe the peer until it answers again.
+
+        Without the probe, the peer would return to the view when the suspicion
+        expires, and requests would pay for finding out that it is still gone.
+        """
+        await self._notify(event, instance)
+        if instance not in self._probed:
+            self._probed.add(instance)
+            await curio.spawn(self._probe, instance, daemon=True)
+
+    async def check(self, instance):
+        """Start a probe of a peer that another daemon could not reach.
+
+        Returns at once. A peer that was heard a moment ago is not probed.
+        """
+        link = self._links.get(instance)
+        now = self.clock.monotonic()
+        if link is not None and now - link.last_heard < SUSPECT_AFTER_S:
+            return
+        if instance not in self._probed and instance not in self._checked:
+            self._checked.add(instance)
+            await curio.spawn(self._check, instance, daemon=True)
+
+    async def _check(self, instance):
+        try:
+            answers = await self._answers(instance)
+        finally:
+            self._checked.discard(instance)
+        if not answers:
+            await self._unreachable("peer_suspected", instance)
+
+    async def _probe(self, instance):
+        try:
+            while True:
+                await curio.sleep(PROBE_INTERVAL_S)
+                if self.resolve(instance) is None:
+                    return
+                if await self._answers(instance):
+                    await self.peer_recovered(instance)
+                    return
+                await self._notify("peer_suspected", instance)
+        finally:
+            self._probed.discard(instance)
+
+    async def _answers(self, instance):
+        """Return whether a peer answers a ping on its link or on a new one."""
+        try:
+            link = await self._link(instance)
+            heard = link.last_heard
+            await link.post_one_way(Ping())
+        except PeerError:
+            return False
+        await curio.sleep(SUSPECT_AFTER_S)
+        return link.open and link.last_heard > heard
 
     async def peer_recovered(self, instance):
         """Tell the observer that a suspected peer answers again."""
--- a/almondtide/adapters/websocket.py
+++ b/almondtide/adapters/websocket.py
@@ -16,7 +16,9 @@
 __all__ = ["WebSocket", "accept_websocket", "open_websocket"]
 
 RECEIVE_BYTES = 65536
-HANDSHAKE_TIMEOUT_S = 2.0
+# A query may wait for a dial, so it ends well before the usual deadline. Regions
+# are less than 200 ms apart.
+HANDSHAKE_TIMEOUT_S = 0.5
 
 
 class WebSocket:
--- a/almondtide/owner.py
+++ b/almondtide/owner.py
@@ -226,7 +226,7 @@
             self._log.warning(
                 "upstream_unreachable", service=self.service, server=server.instance
             )
-            await self._fail_if_unservable()
+            await self._refuse_unservable()
 
     async def server_reachable(self, server):
         """Note that a connect succeeded."""
@@ -238,16 +238,37 @@
 
     async def server_changed(self, server):
         """Use new statements of a server about itself."""
+        await self._refuse_unservable()
         await self._dispatch()
 
-    async def _fail_if_unservable(self):
-        """Refuse waiting work at once when no server can be reached."""
-        if any(server.reachable for server in self.servers.values()):
-            return
-        for items in list(self._by_query.values()):
-            for item in list(items):
-                if not item.running:
-                    await self._finish(item, self._failure(item, ResultCode.NO_SERVER))
+    def _unservable_code(self, item):
+        """Return why no server can take ``item`` now or later, or None."""
+        sub = item.sub
+        candidates = [
+            self.servers[name]
+            for name in self._live_servers()
+            if name not in item.tried
+        ]
+        if not candidates:
+            return ResultCode.NO_SERVER
+        if not sub.idempotent:
+            return None
+        if any(server.serves(sub.version, sub.epoch) for server in candidates):
+            return None
+        return ResultCode.SNAPSHOT_UNAVAILABLE
+
+    async def _refuse_unservable(self):
+        """Refuse at once the waiting work that no server can take any more."""
+        waiting = [
+            item
+            for items in self._by_query.values()
+            for item in items
+            if not item.running
+        ]
+        for item in waiting:
+            code = self._unservable_code(item)
+            if code is not None:
+                await self._finish(item, self._failure(item, code))
 
     # Submission
 
@@ -271,8 +292,9 @@
         remaining_s = item.deadline - now
         if remaining_s <= 0:
             return self._failure(item, ResultCode.DEADLINE_EXCEEDED)
-        if not any(server.reachable for server in self.servers.values()):
-            return self._failure(item, ResultCode.NO_SERVER)
+        unservable = self._unservable_code(item)
+        if unservable is not None:
+            return self._failure(item, unservable)
         estimate = self.estimate(item.workload)
         retry_after_ms = admit(estimate, remaining_s)
         if retry_after_ms is None and len(self._queue) >= self._setting("queue_limit"):
@@ -506,6 +528,8 @@
             # The other attempt is still running and may answer.
             return
         if self._may_retry(item, code, not_run):
+            # A hedge that still waits for the item would be a second retry.
+            self._front = [entry for entry in self._front if entry[0] is not item]
             self._front.append((item, False))
             await self._dispatch()
             return
--- a/almondtide/owners.py
+++ b/almondtide/owners.py
@@ -32,6 +32,7 @@
         "_membership",
         "_metrics",
         "_owners",
+        "_peers",
         "_quarantine",
         "_upstreams",
     )
@@ -51,6 +52,7 @@
         self._instance = instance
         self._cfg = cfg
         self._membership = membership
+        self._peers = peers
         self._upstreams = upstreams
         self._quarantine = quarantine
         self._clock = clock
@@ -143,12 +145,25 @@
             )
             return
         owner = await self.get(sub.service)
+        if not owner.is_owner:
+            await self._check_owner(sub.service)
 
         async def deliver(result):
             await reply(self._answer(owner, sub, result))
 
         await owner.submit(sub, deliver)
 
+    async def _check_owner(self, service):
+        """Probe the daemons that are ranked before this one.
+
+        The sender could not reach them, or its view differs. A standby uses one
+        slot for each server until its own view makes it the owner.
+        """
+        for instance in self._membership.view().ranked(service):
+            if instance == self._instance:
+                return
+            await self._peers.check(instance)
+
     def _answer(self, owner, sub, result):
         versions, epochs = owner.served()
         return SubAnswer(
--- a/almondtide/ports.py
+++ b/almondtide/ports.py
@@ -114,6 +114,10 @@
         """Send a one-way message on an open link; do nothing without one."""
         raise NotImplementedError
 
+    async def check(self, instance):
+        """Start a probe of a peer that another daemon could not reach."""
+        raise NotImplementedError
+
     def register(self, message_class, handler):
         """Serve requests: ``await handler(sender, message, reply)``."""
         raise NotImplementedError
--- a/almondtide/servers.py
+++ b/almondtide/servers.py
@@ -182,6 +182,9 @@
         if reply.epochs is not None:
             self.epochs = set(reply.epochs)
 
+    def _statement(self, now):
+        return self.is_draining(now), self.versions, self.epochs
+
     def next_backoff(self):
         """Return the pause before the next connect in seconds."""
         delay = self._backoff_s
@@ -234,8 +237,10 @@
                     async with curio.timeout_after(CONNECT_TIMEOUT_S):
                         await conn.cancel(self._cancels.popleft())
             else:
+                before = self._statement(owner.clock.monotonic())
                 self.observe(await conn.status(), owner.clock.monotonic())
-                await owner.server_changed(self)
+                if self._statement(owner.clock.monotonic()) != before:
+                    await owner.server_changed(self)
         except (UpstreamError, curio.TaskTimeout):
             self._cancels.clear()
             if conn is not None:
