--- /dev/null
+++ b/tests/test_budgets.py
@@ -0,0 +1,43 @@
+"""Tests of the hedge and retry budgets."""
+
+import testtools
+
+from almondtide.budgets import RetryBudget, TokenBudget
+
+
+class TokenBudgetTest(testtools.TestCase):
+    """Guards the bound on extra sends."""
+
+    def test_extra_attempts_stay_within_the_share(self):
+        budget = TokenBudget(0.05)
+        spent = 0
+        for _ in range(10_000):
+            budget.earn()
+            spent += budget.spend()
+        self.assertTrue(490 <= spent <= 502, spent)
+
+    def test_quiet_time_does_not_save_up_a_storm(self):
+        budget = TokenBudget(0.05, burst=10)
+        for _ in range(100_000):
+            budget.earn()
+        self.assertEqual(10, sum(budget.spend() for _ in range(1000)))
+
+    def test_zero_ratio_allows_nothing(self):
+        budget = TokenBudget(0.0)
+        budget.earn()
+        self.assertFalse(budget.spend())
+
+
+class RetryBudgetTest(testtools.TestCase):
+    """Guards against retries that multiply the load of a failing service."""
+
+    def test_budget_shrinks_as_errors_grow(self):
+        healthy, failing = RetryBudget(0.1), RetryBudget(0.1)
+        for budget, failed in ((healthy, False), (failing, True)):
+            while budget.spend():
+                pass
+            for _ in range(1000):
+                budget.record(failed)
+                budget.earn()
+        self.assertEqual(10.0, healthy.tokens)
+        self.assertTrue(failing.tokens < 3.0, failing.tokens)
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,70 @@
+"""Tests of suspects and quarantine."""
+
+import testtools
+
+from almondtide.clock import MemoryClock
+from almondtide.quarantine import Quarantine, fingerprint
+
+
+class QuarantineTest(testtools.TestCase):
+    """Guards against crashing requests that go on and innocent ones refused."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = MemoryClock()
+        self.quarantine = Quarantine(self.clock)
+
+    def test_second_server_lost_in_isolation_convicts(self):
+        self.assertFalse(self.quarantine.record_loss("m", "s0", isolated=False))
+        self.assertTrue(self.quarantine.is_suspect("m"))
+        self.assertTrue(self.quarantine.record_loss("m", "s1", isolated=True))
+        self.assertTrue(self.quarantine.remaining_s("m") > 59)
+
+    def test_lost_failure_domain_convicts_nobody(self):
+        for number in range(10):
+            for mark in ("a", "b", "c"):
+                lost = self.quarantine.record_loss(mark, f"s{number}", isolated=False)
+                self.assertFalse(lost)
+        self.assertEqual([], self.quarantine.entries())
+
+    def test_same_server_twice_is_one_piece_of_evidence(self):
+        self.quarantine.record_loss("m", "s0", isolated=False)
+        self.assertFalse(self.quarantine.record_loss("m", "s0", isolated=True))
+
+    def test_success_in_isolation_clears(self):
+        self.quarantine.record_loss("m", "s0", isolated=False)
+        self.quarantine.clear("m")
+        self.assertFalse(self.quarantine.is_suspect("m"))
+
+    def test_evidence_of_peers_adds_up(self):
+        self.quarantine.record_loss("m", "s0", isolated=False)
+        self.assertTrue(self.quarantine.merge_evidence("m", ["s1"]))
+
+    def test_quarantine_and_suspicion_end(self):
+        self.quarantine.add("m", 60.0)
+        self.quarantine.record_loss("n", "s0", isolated=False)
+        self.clock.advance(61)
+        self.assertEqual(0.0, self.quarantine.remaining_s("m"))
+        self.assertFalse(self.quarantine.is_suspect("n"))
+
+    def test_tracked_requests_are_bounded(self):
+        for number in range(5000):
+            self.quarantine.record_loss(f"m{number}", "s0", isolated=False)
+        self.assertTrue(len(self.quarantine.suspects()) <= 4097)
+
+
+class FingerprintTest(testtools.TestCase):
+    """Guards against a resent request that is not recognised."""
+
+    def test_key_order_does_not_matter(self):
+        first = fingerprint("w", "query", {"a": 1, "b": 2})
+        second = fingerprint("w", "query", {"b": 2, "a": 1})
+        self.assertEqual(first, second)
+
+    def test_kind_and_workload_matter(self):
+        marks = {
+            fingerprint(workload, kind, {})
+            for workload in ("w", "x")
+            for kind in ("query", "revise")
+        }
+        self.assertEqual(4, len(marks))
