Count all work before a daemon stops, and give no ids to a leaving home

Cause: the shutdown waited for the daemon's own callers only. Sub-requests of other coordinators and executions could be cut, a leaving daemon still gave out execution ids bound to itself, and its own view kept it as an owner.

Change: the drain counts callers, sub-requests and executions; a leaving daemon hands out the prefix of another daemon, closes connections after each response and leaves its own ranking.

--- a/almondtide/adapters/caller.py
+++ b/almondtide/adapters/caller.py
@@ -55,7 +55,8 @@
         parts = request.path.strip("/").split("/")
         if request.path == "/v1/entries":
             _require_method(request, "GET")
-            return json_response(200, self._entries(), _result_headers(ResultCode.OK))
+            report = await self._entries()
+            return json_response(200, report, _result_headers(ResultCode.OK))
         if request.path == "/v1/health":
             _require_method(request, "GET")
             status, body = self._health()
--- a/almondtide/adapters/http.py
+++ b/almondtide/adapters/http.py
@@ -211,12 +211,14 @@
     max_body=DEFAULT_MAX_BODY_BYTES,
     max_header=DEFAULT_MAX_HEADER_BYTES,
     idle_timeout_s=DEFAULT_IDLE_TIMEOUT_S,
+    closing=lambda: False,
 ):
     """Serve requests on one connection until it closes.
 
     ``handler`` is an async function from ``HTTPRequest`` to ``HTTPResponse``. An
     ``AlmondtideError`` that it raises becomes a coded response; any other
     exception becomes code 900 and a log line, and the connection is closed.
+    While ``closing()`` is true, each response ends its connection.
     """
     connection = _ServerConnection(sock, handler, max_body, max_header)
     while True:
@@ -233,7 +235,7 @@
                 )
             if response is None:
                 return
-            await connection.send(response)
+            await connection.send(response, close=closing())
             if connection.conn.our_state is not h11.DONE:
                 return
             if connection.conn.their_state is not h11.DONE:
--- a/almondtide/daemon.py
+++ b/almondtide/daemon.py
@@ -184,6 +184,7 @@
             log=self.log,
             max_body=self.settings.max_body_bytes,
             max_header=self.settings.max_header_bytes,
+            closing=lambda: self._drain.leaving,
         )
 
     async def _serve_admin(self, sock, address):
@@ -221,12 +222,10 @@
 
     # Reports
 
-    def _entries_report(self):
+    async def _entries_report(self):
         cfg = self.configuration()
         entries = []
         for member in self._membership.view().live_entries():
-            if member.instance == self.settings.instance and self._drain.leaving:
-                continue
             entries.append(
                 {
                     "instance": member.instance,
@@ -236,10 +235,19 @@
             )
         return {
             "max_age_ms": cfg.fleet_setting("entries_max_age_ms"),
-            "execution_prefix": self._executions.prefix(),
+            "execution_prefix": await self._execution_prefix(),
             "entries": entries,
         }
 
+    async def _execution_prefix(self):
+        if self._drain.leaving:
+            return await self._executions.foreign_prefix()
+        return self._executions.prefix()
+
+    def _running(self):
+        """Return the number of requests of callers and peers under way."""
+        return self._caller.running + self._owners.running() + self._executions.running
+
     def _health_report(self):
         ready = self._cfg is not None and not self._drain.leaving
         body = {"ready": ready, "leaving": self._drain.leaving}
@@ -341,15 +349,16 @@
         if self._cfg is not None:
             max_age_s = self._cfg.fleet_setting("entries_max_age_ms") / 1000.0
         self._drain.begin(max_age_s)
-        self.log.info("drain_started", running=self._caller.running)
+        self.log.info("drain_started", running=self._running())
         message = Leaving(instance=self.settings.instance, incarnation=self.incarnation)
         for member in self._membership.view().live_entries():
             if member.instance != self.settings.instance:
                 await curio.spawn(self._tell_leaving, member, message, daemon=True)
-        complete = await self._drain.wait(
-            lambda: self._caller.running, self.settings.drain_timeout_s
-        )
-        self.log.info("drain_ended", complete=complete, running=self._caller.running)
+        # This daemon's own view must drop it too, or it would go on using the
+        # slots of services that have another owner now.
+        await self._membership.peer_leaving(self.settings.instance, self.incarnation)
+        complete = await self._drain.wait(self._running, self.settings.drain_timeout_s)
+        self.log.info("drain_ended", complete=complete, running=self._running())
         for listener in reversed(self._listeners):
             await listener.close()
         await self._peers.close()
--- a/almondtide/draining.py
+++ b/almondtide/draining.py
@@ -5,6 +5,8 @@
 __all__ = ["Drain"]
 
 POLL_S = 0.05
+# Callers count the age of an address answer from its arrival, in s.
+TRANSIT_MARGIN_S = 0.5
 
 
 class Drain:
@@ -32,7 +34,7 @@
         """Begin the shutdown; answers given out until now live ``max_age_s``."""
         if self.started is None:
             self.started = self._clock.monotonic()
-            self._handed_out_until = self.started + max_age_s
+            self._handed_out_until = self.started + max_age_s + TRANSIT_MARGIN_S
 
     async def wait(self, running, timeout_s):
         """Wait until nothing can reach this daemon any more.
--- a/almondtide/executions.py
+++ b/almondtide/executions.py
@@ -10,7 +10,14 @@
     RefusedError,
     ResultCode,
 )
-from .messages import ErrorReply, Execute, ExecuteResult, ForwardRevise
+from .messages import (
+    ErrorReply,
+    Execute,
+    ExecuteResult,
+    ForwardRevise,
+    PrefixReply,
+    PrefixRequest,
+)
 from .quarantine import fingerprint
 
 __all__ = ["ExecutionId", "Executions", "Outcome", "ReviseRequest"]
@@ -21,6 +28,7 @@
 SEPARATOR = "~"
 # Extra time for the reply of the home or the owner to travel back, in s.
 REPLY_MARGIN_S = 0.1
+PREFIX_TIMEOUT_S = 0.5
 
 
 class ExecutionId:
@@ -178,6 +186,7 @@
         "_tell_peers",
         "incarnation",
         "instance",
+        "running",
     )
 
     def __init__(
@@ -205,7 +214,9 @@
         self._metrics = metrics
         self._records = {}
         self._started = clock.monotonic()
+        self.running = 0
         peers.register(ForwardRevise, self._handle_forward)
+        peers.register(PrefixRequest, self._handle_prefix)
 
     @property
     def records(self):
@@ -220,6 +231,28 @@
         """Return the execution id prefix that callers may use now."""
         return SEPARATOR.join((self.instance, self.incarnation, str(self.window())))
 
+    async def _handle_prefix(self, sender, message, reply):
+        await reply(PrefixReply(prefix=self.prefix()))
+
+    async def foreign_prefix(self):
+        """Return the prefix of another daemon, or None when none answers.
+
+        A daemon that is leaving gives no new ids to itself, because they would
+        have no home soon.
+        """
+        for member in self._membership.view().live_entries():
+            if member.instance == self.instance:
+                continue
+            try:
+                reply = await self._peers.request(
+                    member.instance, PrefixRequest(), PREFIX_TIMEOUT_S
+                )
+            except PeerError:
+                continue
+            if isinstance(reply, PrefixReply):
+                return reply.prefix
+        return None
+
     # At the entry
 
     async def revise(self, req):
@@ -383,6 +416,13 @@
             del self._records[key]
 
     async def _execute(self, key, record, req, deadline):
+        self.running += 1
+        try:
+            await self._execute_counted(key, record, req, deadline)
+        finally:
+            self.running -= 1
+
+    async def _execute_counted(self, key, record, req, deadline):
         try:
             outcome = await self._dispatch(key, record.digest, req, deadline)
         except AlmondtideError as exc:
--- a/almondtide/messages.py
+++ b/almondtide/messages.py
@@ -21,6 +21,8 @@
     "Message",
     "Ping",
     "Pong",
+    "PrefixReply",
+    "PrefixRequest",
     "QuarantineNotice",
     "ServiceStatus",
     "ServiceStatusRequest",
@@ -248,6 +250,21 @@
     FIELDS = {"services": (list, Message.REQUIRED)}
 
 
+@_message("prefix_request")
+class PrefixRequest(Message):
+    """Asks a daemon for an execution id prefix that callers may use."""
+
+    __slots__ = ()
+
+
+@_message("prefix_reply")
+class PrefixReply(Message):
+    """The current execution id prefix of the sender."""
+
+    __slots__ = ("prefix",)
+    FIELDS = {"prefix": (str, Message.REQUIRED)}
+
+
 @_message("forward_revise")
 class ForwardRevise(Message):
     """A non-idempotent request on its way from the entry to its home."""
--- a/almondtide/owner.py
+++ b/almondtide/owner.py
@@ -335,6 +335,10 @@
         typical_s = self.latencies.quantile(0.5) or service_s
         return Estimate(wait_s, typical_s)
 
+    def unfinished(self):
+        """Return the number of sub-requests that have no result yet."""
+        return sum(len(items) for items in self._by_query.values())
+
     def usable_slots(self):
         """Return the number of slots that take new work."""
         now = self.clock.monotonic()
--- a/almondtide/owners.py
+++ b/almondtide/owners.py
@@ -110,6 +110,10 @@
                 del self._owners[service]
                 await owner.stop()
 
+    def running(self):
+        """Return the number of sub-requests that have no result yet."""
+        return sum(owner.unfinished() for owner in self._owners.values())
+
     def describe(self):
         """Return the state of all services for the admin API."""
         return [owner.describe() for owner in self._owners.values()]
