--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,15 +1,24 @@
 """Small fakes for tests of single modules."""
 
+import curio
+
 from almondtide.configuration import parse_configuration
-from almondtide.errors import PeerError
-from almondtide.membership import ENTRY, Member, Membership
+from almondtide.errors import PeerError, ResultCode, UpstreamError
+from almondtide.membership import ENTRY, UPSTREAM, Member, Membership
 from almondtide.metrics import Metrics
-from almondtide.ports import BasePeers
+from almondtide.ports import (
+    BasePeers,
+    BaseUpstreamConnection,
+    BaseUpstreams,
+    UpstreamReply,
+)
 from tests.documents import make_document
 
 __all__ = [
     "Outage",
     "ScriptedPeers",
+    "ScriptedServer",
+    "ScriptedUpstreams",
     "make_configuration",
     "make_membership",
     "make_metrics",
@@ -53,6 +62,108 @@
         self.notices.append((instance, message))
 
 
+class ScriptedServer:
+    """Behaviour of one server and what it ran.
+
+    ``service_s`` is the time of an exchange in seconds, ``code`` its result.
+    ``lose`` breaks the connection during the exchange. ``hold`` keeps exchanges
+    open until the event is set.
+    """
+
+    def __init__(self, service_s=0.0, code=ResultCode.OK):
+        self.service_s = service_s
+        self.code = code
+        self.not_run = False
+        self.lose = False
+        self.reachable = True
+        self.draining = False
+        self.versions = [1]
+        self.epochs = [1]
+        self.answered_version = None
+        self.ran = []
+        self.cancelled = {}
+        self.most_at_once = 0
+        self.now_running = 0
+
+
+class _ScriptedConnection(BaseUpstreamConnection):
+    def __init__(self, server):
+        self.server = server
+        self.usable = True
+
+    def _statement(self, code, body=None, not_run=False):
+        server = self.server
+        return UpstreamReply(
+            code, body, not_run, server.draining, server.versions, server.epochs
+        )
+
+    async def _exchange(self, request_id):
+        server = self.server
+        if server.not_run:
+            return self._statement(server.code, not_run=True)
+        server.ran.append(request_id)
+        server.now_running += 1
+        server.most_at_once = max(server.most_at_once, server.now_running)
+        cancelled = server.cancelled.setdefault(request_id, curio.Event())
+        try:
+            async with curio.ignore_after(server.service_s):
+                await cancelled.wait()
+        finally:
+            server.now_running -= 1
+        if server.lose:
+            self.usable = False
+            raise UpstreamError("lost", ResultCode.UPSTREAM_LOST)
+        if cancelled.is_set():
+            return self._statement(ResultCode.CANCELLED)
+        return None
+
+    async def search(self, request_id, remaining_s, sub):
+        ended = await self._exchange(request_id)
+        if ended is not None:
+            return ended
+        body = {
+            "request_id": request_id,
+            "index_version": self.server.answered_version or sub.version,
+            "epoch": sub.epoch,
+            "ranges": sub.ranges,
+            "rows": [],
+        }
+        if self.server.code != ResultCode.OK:
+            return self._statement(self.server.code)
+        return self._statement(ResultCode.OK, body)
+
+    async def revise(self, remaining_s, sub, before_write):
+        before_write()
+        ended = await self._exchange(sub.execution_id)
+        return ended or self._statement(self.server.code, {})
+
+    async def cancel(self, request_id):
+        await self.server.cancelled.setdefault(request_id, curio.Event()).set()
+
+    async def status(self):
+        return self._statement(ResultCode.OK)
+
+
+class ScriptedUpstreams(BaseUpstreams):
+    """Servers of one service by port: port 0 is ``servers[0]`` and so on."""
+
+    def __init__(self, servers):
+        self.servers = servers
+
+    async def connect(self, address, timeout_s):
+        server = self.servers[address[1]]
+        if not server.reachable:
+            raise UpstreamError("refused", ResultCode.UPSTREAM_UNREACHABLE)
+        return _ScriptedConnection(server)
+
+    def members(self, service="advisory-0"):
+        """Return the members of the platform's list for the servers."""
+        return [
+            Member(f"s{n}", UPSTREAM, ("127.0.0.1", n), f"domain-{n}", service=service)
+            for n in range(len(self.servers))
+        ]
+
+
 def make_configuration(**options):
     """Return a callable that returns a configuration, as the modules expect."""
     cfg = parse_configuration(make_document(**options), revision=1)
--- /dev/null
+++ b/tests/test_owner.py
@@ -0,0 +1,325 @@
+"""Tests of the owner of a service."""
+
+import curio
+import testtools
+
+from almondtide.clock import SystemClock
+from almondtide.errors import ResultCode
+from almondtide.logs import Log
+from almondtide.owner import ServiceOwner
+from almondtide.subrequests import SubRequest
+from tests.fakes import (
+    ScriptedServer,
+    ScriptedUpstreams,
+    make_configuration,
+    make_metrics,
+)
+
+RANGES = [[0, 100]]
+
+
+class OwnerTestCase(testtools.TestCase):
+    """Runs scenarios with an owner of three scripted servers of one slot."""
+
+    defaults = {"slots": 1, "hedge_quantile": 0.9, "hedge_budget": 1.0}
+
+    def run_scenario(self, scenario, servers=3, **defaults):
+        async def main():
+            self.clock = SystemClock()
+            self.servers = [ScriptedServer(0.005) for _ in range(servers)]
+            upstreams = ScriptedUpstreams(self.servers)
+            self.owner = ServiceOwner(
+                "advisory-0",
+                make_configuration(defaults={**self.defaults, **defaults}),
+                upstreams,
+                self.clock,
+                Log(),
+                make_metrics(),
+            )
+            self.members = upstreams.members()
+            await self.owner.start()
+            await self.owner.update(self.members, True)
+            await curio.sleep(0.02)
+            try:
+                return await scenario()
+            finally:
+                await self.owner.stop()
+
+        return curio.run(main)
+
+    def sub(self, number=0, deadline_s=1.0, **values):
+        deadline = self.clock.monotonic() + deadline_s
+        values = {"version": 1, "epoch": 1, "ranges": RANGES, **values}
+        return SubRequest(f"q{number}", "advisory", "advisory-0", deadline, **values)
+
+    async def submit(self, sub):
+        """Submit and return the queue that receives the result."""
+        results = curio.Queue()
+        await self.owner.submit(sub, results.put)
+        return results
+
+    async def result(self, sub):
+        results = await self.submit(sub)
+        async with curio.timeout_after(3):
+            return await results.get()
+
+    def ran(self):
+        return [request for server in self.servers for request in server.ran]
+
+
+class DispatchTest(OwnerTestCase):
+    """Guards the slots of the servers and the delivery of one result each."""
+
+    def test_slots_are_never_exceeded(self):
+        async def scenario():
+            queues = [await self.submit(self.sub(n)) for n in range(30)]
+            return [(await queue.get()).code for queue in queues]
+
+        codes = self.run_scenario(scenario, slots=2)
+        self.assertEqual([ResultCode.OK] * 30, codes)
+        self.assertTrue(all(server.most_at_once <= 2 for server in self.servers))
+
+    def test_draining_server_gets_nothing(self):
+        async def scenario():
+            self.members[0].leaving = True
+            await self.owner.update(self.members, True)
+            return [(await self.result(self.sub(n))).code for n in range(6)]
+
+        self.assertEqual([ResultCode.OK] * 6, self.run_scenario(scenario))
+        self.assertEqual([], self.servers[0].ran)
+
+    def test_server_that_says_it_drains_gets_nothing_more(self):
+        async def scenario():
+            self.servers[0].draining = True
+            for number in range(12):
+                await self.result(self.sub(number))
+
+        self.run_scenario(scenario)
+        self.assertTrue(len(self.servers[0].ran) <= 1, self.servers[0].ran)
+
+    def test_server_without_the_snapshot_is_passed_over(self):
+        async def scenario():
+            for server in self.servers[:2]:
+                server.versions = [1, 2]
+            self.servers[2].versions = [1]
+            self.servers[2].service_s = 0.0
+            for number in range(3):
+                # Lets the owner hear the statements of all servers.
+                await self.result(self.sub(number))
+            await curio.sleep(1.1)
+            results = [await self.result(self.sub(10 + n, version=2)) for n in range(6)]
+            return {result.server for result in results}
+
+        self.assertEqual({"s0", "s1"}, self.run_scenario(scenario))
+
+    def test_standby_uses_one_slot_for_each_server(self):
+        async def scenario():
+            await self.owner.update(self.members, False)
+            await curio.sleep(0.05)
+            queues = [await self.submit(self.sub(n)) for n in range(12)]
+            return [(await queue.get()).code for queue in queues]
+
+        self.run_scenario(scenario, slots=3)
+        self.assertEqual(1, max(server.most_at_once for server in self.servers))
+
+
+class RefusalTest(OwnerTestCase):
+    """Guards "not run": refused work must never reach a server."""
+
+    def test_expired_work_is_refused(self):
+        async def scenario():
+            return await self.result(self.sub(deadline_s=-0.1))
+
+        result = self.run_scenario(scenario)
+        self.assertEqual(ResultCode.DEADLINE_EXCEEDED, result.code)
+        self.assertTrue(result.not_run)
+        self.assertEqual([], self.ran())
+
+    def test_no_reachable_server_is_refused_at_once(self):
+        async def scenario():
+            for server in self.servers:
+                server.reachable = False
+            for server in list(self.owner.servers.values()):
+                await self.owner.server_unreachable(server)
+            started = self.clock.monotonic()
+            result = await self.result(self.sub(deadline_s=2.0))
+            return result, self.clock.monotonic() - started
+
+        result, elapsed = self.run_scenario(scenario)
+        self.assertEqual(ResultCode.NO_SERVER, result.code)
+        self.assertTrue(result.not_run)
+        self.assertTrue(elapsed < 0.5, elapsed)
+
+    def test_waiting_work_that_expires_was_not_run(self):
+        async def scenario():
+            for server in self.servers:
+                server.service_s = 0.5
+            for number in range(3):
+                await self.submit(self.sub(number))
+            return await self.result(self.sub(9, deadline_s=0.05))
+
+        result = self.run_scenario(scenario)
+        self.assertTrue(result.not_run)
+        self.assertFalse(any(request.startswith("q9") for request in self.ran()))
+
+    def test_running_work_that_expires_is_not_called_not_run(self):
+        async def scenario():
+            for server in self.servers:
+                server.service_s = 0.5
+            return await self.result(self.sub(deadline_s=0.05))
+
+        result = self.run_scenario(scenario)
+        self.assertEqual(ResultCode.DEADLINE_EXCEEDED, result.code)
+        self.assertFalse(result.not_run)
+
+    def test_overload_is_refused_with_a_time_to_come_back(self):
+        async def scenario():
+            for server in self.servers:
+                server.service_s = 0.05
+            for number in range(6):
+                await self.result(self.sub(number))
+            queues = [
+                await self.submit(self.sub(n, deadline_s=0.2)) for n in range(100)
+            ]
+            return [await queue.get() for queue in queues]
+
+        results = self.run_scenario(scenario)
+        refused = [r for r in results if r.code == ResultCode.OVERLOADED]
+        self.assertTrue(len(refused) > 60, len(refused))
+        self.assertTrue(all(r.not_run and r.retry_after_ms > 0 for r in refused))
+
+
+class FailureTest(OwnerTestCase):
+    """Guards retries: safe ones happen, unsafe ones never do."""
+
+    def test_shed_is_retried_on_another_server(self):
+        async def scenario():
+            for server in self.servers[:2]:
+                server.code = ResultCode.UPSTREAM_SHED
+                server.not_run = True
+            return [await self.result(self.sub(n)) for n in range(3)]
+
+        results = self.run_scenario(scenario)
+        self.assertEqual({"s2"}, {result.server for result in results})
+
+    def test_lost_server_is_reported_and_not_retried_here(self):
+        async def scenario():
+            for server in self.servers:
+                server.lose = True
+            return await self.result(self.sub())
+
+        result = self.run_scenario(scenario)
+        self.assertEqual(ResultCode.UPSTREAM_LOST, result.code)
+        self.assertFalse(result.not_run)
+        self.assertEqual(1, len(self.ran()))
+
+    def test_execution_runs_once_when_the_server_is_lost(self):
+        async def scenario():
+            for server in self.servers:
+                server.lose = True
+            return await self.result(self.sub(execution_id="e~1~0~x"))
+
+        result = self.run_scenario(scenario)
+        self.assertFalse(result.not_run)
+        self.assertEqual(["e~1~0~x"], self.ran())
+
+    def test_execution_is_neither_hedged_nor_cancelled(self):
+        async def scenario():
+            for number in range(30):
+                await self.result(self.sub(number))
+            for server in self.servers:
+                server.ran.clear()
+                server.service_s = 0.2
+            return await self.result(self.sub(execution_id="e~1~0~x"))
+
+        result = self.run_scenario(scenario)
+        self.assertEqual(ResultCode.OK, result.code)
+        self.assertEqual(["e~1~0~x"], self.ran())
+
+    def test_execution_moves_on_only_after_a_not_run(self):
+        async def scenario():
+            for server in self.servers[:2]:
+                server.code = ResultCode.UPSTREAM_DRAINING
+                server.not_run = True
+            return await self.result(self.sub(execution_id="e~1~0~x"))
+
+        result = self.run_scenario(scenario)
+        self.assertEqual(ResultCode.OK, result.code)
+        self.assertEqual(["e~1~0~x"], self.ran())
+
+    def test_answer_of_another_version_is_no_result(self):
+        async def scenario():
+            for server in self.servers:
+                server.answered_version = 9
+            return await self.result(self.sub())
+
+        result = self.run_scenario(scenario)
+        self.assertEqual(ResultCode.SNAPSHOT_MISMATCH, result.code)
+        self.assertIsNone(result.payload)
+
+    def test_suspects_do_not_share_a_server(self):
+        async def scenario():
+            for server in self.servers:
+                server.service_s = 0.1
+            queues = [
+                await self.submit(self.sub(n, suspect=True, mark=f"m{n}"))
+                for n in range(6)
+            ]
+            return [(await queue.get()).code for queue in queues]
+
+        self.run_scenario(scenario, slots=3)
+        self.assertEqual(1, max(server.most_at_once for server in self.servers))
+
+
+class HedgeTest(OwnerTestCase):
+    """Guards the tail and the bound on extra sends."""
+
+    async def warm_up(self):
+        for number in range(40):
+            await self.result(self.sub(number))
+
+    def test_straggler_is_hedged_and_cancelled(self):
+        async def scenario():
+            await self.warm_up()
+            self.servers[0].service_s = 2.0
+            started = self.clock.monotonic()
+            for number in range(100, 103):
+                result = await self.result(self.sub(number))
+                self.assertEqual(ResultCode.OK, result.code)
+            await curio.sleep(0.1)
+            return self.clock.monotonic() - started, self.servers[0].now_running
+
+        elapsed, still_running = self.run_scenario(scenario)
+        self.assertTrue(elapsed < 1.0, elapsed)
+        self.assertEqual(0, still_running)
+
+    def test_hedge_waits_in_front_of_the_queue(self):
+        async def scenario():
+            await self.warm_up()
+            for server in self.servers:
+                server.ran.clear()
+            self.servers[0].service_s = 2.0
+            for server in self.servers[1:]:
+                server.service_s = 0.1
+            queues = [await self.submit(self.sub(200 + n)) for n in range(10)]
+            await curio.sleep(0.3)
+            slow = self.servers[0].ran[0].split(".")[0]
+            second = [server.ran[1].split(".")[0] for server in self.servers[1:]]
+            for queue in queues:
+                await queue.get()
+            return slow, second
+
+        slow, second = self.run_scenario(scenario)
+        self.assertIn(slow, second)
+
+    def test_budget_bounds_the_hedges(self):
+        async def scenario():
+            await self.warm_up()
+            for server in self.servers:
+                server.service_s = 0.03
+            for number in range(60):
+                await self.result(self.sub(300 + number))
+
+        self.run_scenario(scenario, hedge_budget=0.05)
+        # 100 sub-requests at 5 % and the token that a service starts with.
+        self.assertTrue(len(self.ran()) <= 106, len(self.ran()))
