--- a/almondtide/adapters/peer.py
+++ b/almondtide/adapters/peer.py
@@ -515,6 +515,10 @@
         except PeerError as exc:
             self.log.warning("peer_handshake_failed", reason=exc.message)
             return
+        await self.serve_websocket(websocket, address)
+
+    async def serve_websocket(self, websocket, address):
+        """Serve the messages of an inbound connection until it closes."""
         outbox = _Outbox(websocket, self.hlc)
         writer = await curio.spawn(self._write_replies, outbox, daemon=True)
         sender = None
--- /dev/null
+++ b/tests/adapters/test_peer.py
@@ -0,0 +1,227 @@
+"""Tests of peer links over loopback."""
+
+import cbor2
+import curio
+import testtools
+
+from almondtide.adapters.listener import Listener
+from almondtide.adapters.peer import PeerNetwork
+from almondtide.adapters.websocket import accept_websocket, open_websocket
+from almondtide.clock import HybridLogicalClock, SystemClock
+from almondtide.errors import PeerError, RefusedError, ResultCode
+from almondtide.logs import Log
+from almondtide.messages import (
+    CancelQuery,
+    ServiceStatus,
+    ServiceStatusRequest,
+    decode_frame,
+)
+
+LOOPBACK = ("127.0.0.1", 0)
+
+
+class Observer:
+    """Records what a network tells its membership."""
+
+    def __init__(self):
+        self.events = []
+
+    async def peer_seen(self, instance, incarnation):
+        self.events.append(("seen", instance, incarnation))
+
+    async def peer_suspected(self, instance):
+        self.events.append(("suspected", instance))
+
+    async def peer_recovered(self, instance):
+        self.events.append(("recovered", instance))
+
+    async def peer_lost(self, instance):
+        self.events.append(("lost", instance))
+
+    def names(self):
+        return [event[0] for event in self.events]
+
+
+def make_network(instance):
+    clock = SystemClock()
+    network = PeerNetwork(
+        instance, f"{instance}-life", clock, HybridLogicalClock(clock), Log()
+    )
+    network.observer = Observer()
+    return network
+
+
+class PeerNetworkTest(testtools.TestCase):
+    """Guards against replies that are lost, crossed or waited for in vain."""
+
+    def run_pair(self, scenario):
+        async def main():
+            self.client = make_network("a")
+            self.server = make_network("b")
+            self.listener = Listener(LOOPBACK, self.server.serve)
+            await self.listener.start()
+            self.address = self.listener.address
+            self.client.resolve = {"b": self.address}.get
+            try:
+                return await scenario()
+            finally:
+                await self.client.close()
+                await self.listener.close()
+
+        return curio.run(main)
+
+    def test_replies_reach_their_own_request(self):
+        async def answer_late(sender, message, reply):
+            async def later():
+                # Earlier requests are answered later.
+                await curio.sleep(0.05 - 0.005 * int(message.services[0]))
+                await reply(ServiceStatus(services=[[message.services[0]]]))
+
+            await curio.spawn(later, daemon=True)
+
+        async def scenario():
+            self.server.register(ServiceStatusRequest, answer_late)
+            async with curio.TaskGroup() as group:
+                for number in range(10):
+                    request = ServiceStatusRequest(services=[str(number)])
+                    await group.spawn(self.client.request, "b", request, 2.0)
+            return [reply.services[0][0] for reply in group.results]
+
+        replies = self.run_pair(scenario)
+        self.assertEqual([str(number) for number in range(10)], sorted(replies))
+        self.assertEqual(10, len(set(replies)))
+
+    def test_error_of_a_handler_is_a_coded_reply(self):
+        async def refuse(sender, message, reply):
+            raise RefusedError("busy", retry_after_ms=40)
+
+        async def scenario():
+            self.server.register(ServiceStatusRequest, refuse)
+            request = ServiceStatusRequest(services=[])
+            return await self.client.request("b", request, 2.0)
+
+        reply = self.run_pair(scenario)
+        self.assertEqual(int(ResultCode.OVERLOADED), reply.code)
+        self.assertTrue(reply.not_run)
+        self.assertEqual(40, reply.retry_after_ms)
+
+    def test_connection_loss_fails_open_calls_at_once(self):
+        async def never(sender, message, reply):
+            pass
+
+        async def scenario():
+            self.server.register(ServiceStatusRequest, never)
+            inbox = curio.Queue()
+            message = ServiceStatusRequest(services=[])
+            call = await self.client.call("b", message, inbox)
+            await self.listener.close()
+            async with curio.timeout_after(1.0):
+                failed, error = await inbox.get()
+            return call is failed, error
+
+        same, error = self.run_pair(scenario)
+        self.assertTrue(same)
+        self.assertFalse(error.not_run)
+
+    def test_peer_that_is_not_in_the_view_was_not_asked(self):
+        async def scenario():
+            message = ServiceStatusRequest(services=[])
+            return await self.client.request("x", message, 1.0)
+
+        exc = self.assertRaises(PeerError, self.run_pair, scenario)
+        self.assertTrue(exc.not_run)
+
+    def test_refused_dial_was_not_asked_and_is_not_repeated_at_once(self):
+        async def scenario():
+            await self.listener.close()
+            errors = []
+            for _ in range(3):
+                try:
+                    await self.client.send("b", CancelQuery(query_id="q"))
+                except PeerError as exc:
+                    errors.append(exc)
+            return errors
+
+        errors = self.run_pair(scenario)
+        self.assertTrue(all(exc.not_run for exc in errors))
+        self.assertIn("could not be dialled", errors[2].message)
+
+    def test_silent_peer_is_suspected_and_recovers(self):
+        """A paused process keeps its connections open and answers nothing."""
+
+        async def scenario():
+            paused = curio.Event()
+            resumed = curio.Event()
+            frames = []
+
+            async def serve(sock, address):
+                websocket = await accept_websocket(sock)
+                frames.append(await websocket.receive())
+                await paused.set()
+                await resumed.wait()
+                await self.server.serve_websocket(websocket, address)
+
+            await self.listener.close()
+            listener = Listener(LOOPBACK, serve)
+            await listener.start()
+            self.client.resolve = {"b": listener.address}.get
+            inbox = curio.Queue()
+            request = ServiceStatusRequest(services=[])
+            await self.client.call("b", request, inbox)
+            async with curio.timeout_after(1.5):
+                _, error = await inbox.get()
+            await resumed.set()
+            for _ in range(100):
+                if "recovered" in self.client.observer.names():
+                    break
+                await curio.sleep(0.05)
+            await listener.close()
+            return error
+
+        error = self.run_pair(scenario)
+        self.assertEqual(ResultCode.PEER_SUSPECT, error.code)
+        names = self.client.observer.names()
+        self.assertIn("suspected", names)
+        self.assertIn("recovered", names)
+
+    def test_message_to_itself_needs_no_connection(self):
+        async def answer(sender, message, reply):
+            await reply(ServiceStatus(services=[[sender]]))
+
+        async def scenario():
+            self.client.register(ServiceStatusRequest, answer)
+            request = ServiceStatusRequest(services=[])
+            reply = await self.client.request("a", request, 1.0)
+            return reply.services, self.client.links
+
+        self.assertEqual(([["a"]], 0), self.run_pair(scenario))
+
+    def test_bad_frames_end_the_connection_and_the_daemon_serves_on(self):
+        async def answer(sender, message, reply):
+            await reply(ServiceStatus(services=[]))
+
+        async def scenario():
+            self.server.register(ServiceStatusRequest, answer)
+            for payload in (b"\xff", cbor2.dumps({"a": 1}), cbor2.dumps([[1, 2], 5])):
+                websocket = await open_websocket(self.address)
+                await websocket.send(payload)
+                async with curio.timeout_after(1.0):
+                    self.assertIsNone(await websocket.receive())
+                await websocket.close()
+            request = ServiceStatusRequest(services=[])
+            return await self.client.request("b", request, 1.0)
+
+        self.assertIsInstance(self.run_pair(scenario), ServiceStatus)
+
+    def test_unknown_message_type_gets_an_error_reply(self):
+        async def scenario():
+            websocket = await open_websocket(self.address)
+            await websocket.send(cbor2.dumps([[1, 0], {"t": "future", "seq": 7}]))
+            async with curio.timeout_after(1.0):
+                _, batch = decode_frame(await websocket.receive())
+            await websocket.close()
+            return batch
+
+        (reply,) = self.run_pair(scenario)
+        self.assertEqual(7, reply.seq)
+        self.assertEqual(int(ResultCode.PEER_PROTOCOL), reply.code)
