Distribute documents among the daemons

Cause: every daemon watched the platform itself, so the platform's calls grew with the fleet, and a stale replica could take the configuration back after a restart.

Change: DocumentStore keeps the highest valid revision with a chain of merge patches; Dissemination exchanges digests with 3 peers each second, pushes news at once and watches the platform with the top two daemons of each failure domain; StartupGuard asks peers before a daemon is ready; PauseGuard refuses new work until documents were checked. Membership is keyed by (instance, incarnation).

Ruled out: peers drawn from the whole fleet each second (a new connection for nearly every message at 4,000 daemons); reads each second by daemons without peers (a waiting watch counts as one call).

--- a/almondtide/adapters/caller.py
+++ b/almondtide/adapters/caller.py
@@ -20,6 +20,7 @@
         "_coordinator",
         "_entries",
         "_executions",
+        "_gate",
         "_health",
         "_ids",
         "_instance",
@@ -30,13 +31,24 @@
     )
 
     def __init__(
-        self, instance, coordinator, executions, entries, health, clock, log, metrics
+        self,
+        instance,
+        coordinator,
+        executions,
+        entries,
+        health,
+        clock,
+        log,
+        metrics,
+        gate=lambda: None,
     ):
         self._instance = instance
         self._coordinator = coordinator
         self._executions = executions
         self._entries = entries
         self._health = health
+        # Raises ``RefusedError`` while this daemon must not take new work.
+        self._gate = gate
         self.clock = clock
         self._log = log
         self._metrics = metrics
@@ -55,6 +67,7 @@
         parts = request.path.strip("/").split("/")
         if request.path == "/v1/entries":
             _require_method(request, "GET")
+            self._gate()
             return json_response(200, self._entries(), _result_headers(ResultCode.OK))
         if request.path == "/v1/health":
             _require_method(request, "GET")
@@ -85,6 +98,7 @@
             req = QueryRequest(
                 request_id, workload, request.json(), _deadline_ms(request)
             )
+            self._gate()
             answer = await self._coordinator.query(req)
             code = answer.code
             headers = _result_headers(code, request_id, answer.retry_after_ms)
@@ -117,6 +131,7 @@
                 request.json(),
                 _deadline_ms(request),
             )
+            self._gate()
             outcome = await self._executions.revise(req)
             code = outcome.code
             headers = _result_headers(code, request_id, outcome.retry_after_ms)
--- a/almondtide/adapters/peer.py
+++ b/almondtide/adapters/peer.py
@@ -270,6 +270,7 @@
         "_dialing",
         "_handlers",
         "_links",
+        "admit",
         "clock",
         "hlc",
         "incarnation",
@@ -287,6 +288,8 @@
         self.log = log
         self.resolve = lambda instance: None
         self.observer = None
+        # Raises ``AlmondtideError`` for a message that is not served now.
+        self.admit = lambda sender, message: None
         self._handlers = {}
         self._links = {}
         self._dialing = {}
@@ -423,6 +426,7 @@
             await reply(error)
             return
         try:
+            self.admit(sender, message)
             await handler(sender, message, reply)
         except AlmondtideError as exc:
             await reply(
--- a/almondtide/adapters/platform.py
+++ b/almondtide/adapters/platform.py
@@ -48,9 +48,12 @@
             body = value["body"]
         except (ValueError, KeyError, TypeError) as exc:
             raise PlatformError(f"document {name}: invalid response") from exc
-        if not isinstance(revision, int):
+        if type(revision) is not int or revision < 1:
             raise PlatformError(f"document {name}: invalid revision {revision!r}")
-        return Document(name, revision, body)
+        try:
+            return Document(name, revision, body)
+        except (TypeError, RecursionError) as exc:
+            raise PlatformError(f"document {name}: invalid body: {exc}") from exc
 
     async def _get(self, path, timeout_s):
         self.calls += 1
--- a/almondtide/daemon.py
+++ b/almondtide/daemon.py
@@ -1,6 +1,7 @@
 """The daemon: wiring of all parts and its command line."""
 
 import os
+import random
 import secrets
 import signal
 import socket as stdlib_socket
@@ -17,21 +18,30 @@
 from .adapters.peer import PeerNetwork
 from .adapters.platform import HTTPPlatform
 from .adapters.upstream import HTTPUpstreams
-from .clock import PauseDetector, SystemClock
+from .clock import SystemClock
 from .configuration import parse_configuration
 from .coordinator import Coordinator
-from .dissemination import Dissemination
+from .dissemination import Dissemination, LocalState
+from .documents import DocumentKind, DocumentStore
 from .draining import Drain
 from .errors import AlmondtideError, RefusedError, ResultCode, SettingsError
 from .events import EventRing
 from .executions import Executions
 from .logs import Log
 from .membership import Membership, parse_instances
-from .messages import Leaving, QuarantineNotice
+from .messages import (
+    Execute,
+    ForwardRevise,
+    Leaving,
+    QuarantineNotice,
+    SubQueryBatch,
+)
 from .metrics import Metrics
 from .owners import Owners
+from .pauses import PauseGuard
 from .quarantine import Quarantine
 from .settings import load_settings
+from .startup import StartupGuard
 
 __all__ = ["Daemon", "main"]
 
@@ -39,6 +49,9 @@
 INSTANCES = "instances"
 TICK_S = 0.2
 TICKS_PER_SECOND = 5
+NOT_READY_RETRY_MS = 500
+# Messages that bring new work to this daemon.
+WORK = (SubQueryBatch, Execute, ForwardRevise)
 
 
 class Daemon:
@@ -56,8 +69,12 @@
         "_listeners",
         "_membership",
         "_owners",
+        "_pauses",
         "_peers",
         "_quarantine",
+        "_startup",
+        "_state",
+        "_store",
         "clock",
         "incarnation",
         "log",
@@ -75,6 +92,12 @@
             self._events, instance=settings.instance, incarnation=self.incarnation
         )
         self._cfg = None
+        self._state = LocalState(
+            settings.instance,
+            self.incarnation,
+            settings.domain,
+            settings.peer_address,
+        )
         self._drain = Drain(self.clock)
         self._quarantine = Quarantine(self.clock)
         self._membership = Membership(settings.instance, self.clock)
@@ -86,7 +109,9 @@
         """Return the configuration in force; raises while there is none."""
         if self._cfg is None:
             raise RefusedError(
-                "no configuration yet", ResultCode.NOT_READY, retry_after_ms=500
+                "no configuration yet",
+                ResultCode.NOT_READY,
+                retry_after_ms=NOT_READY_RETRY_MS,
             )
         return self._cfg
 
@@ -99,7 +124,6 @@
             self._events.clock,
             self.log,
         )
-        self._peers.resolve = self._membership.peer_address
         self._peers.observer = self._membership
         self._peers.register(Leaving, self._handle_leaving)
         self._peers.register(QuarantineNotice, self._handle_notice)
@@ -136,12 +160,48 @@
             self.log,
             self.metrics,
         )
+        self._build_documents()
+
+    def _build_documents(self):
+        settings = self.settings
+        rng = random.Random()
+        kinds = [
+            DocumentKind(CONFIGURATION, parse_configuration, self._apply_configuration),
+            DocumentKind(INSTANCES, _parse_list, self._apply_instances),
+        ]
+        self._store = DocumentStore(kinds, self.log)
         self._dissemination = Dissemination(
+            self._state,
+            self._store,
+            self._membership,
+            self._peers,
             HTTPPlatform(settings.platform),
-            [CONFIGURATION, INSTANCES],
-            self._accept_document,
+            self._quarantine,
+            settings.seeds,
+            self.clock,
+            self.log,
+            self.metrics,
+            rng,
+        )
+        self._startup = StartupGuard(
+            settings.instance,
+            INSTANCES,
+            self._dissemination,
+            self._membership,
+            self.clock,
             self.log,
+            rng,
         )
+        self._pauses = PauseGuard(
+            TICK_S,
+            self._dissemination,
+            self._membership,
+            self._view_changed,
+            self.clock,
+            self.log,
+        )
+        self._peers.resolve = self._dissemination.resolve
+        self._peers.admit = self._admit_message
 
     def _build_interfaces(self):
         settings = self.settings
@@ -154,6 +214,7 @@
             self.clock,
             self.log,
             self.metrics,
+            self._admit_caller,
         )
         reports = {
             "status": self._status_report,
@@ -191,21 +252,35 @@
 
     # Documents and view
 
-    async def _accept_document(self, document):
-        if document.name == CONFIGURATION:
-            cfg = parse_configuration(document.body, document.revision)
-            self._cfg = cfg
-            self._quarantine.duration_s = cfg.fleet_setting("quarantine_s")
-            self._quarantine.limit = cfg.fleet_setting("quarantine_servers")
-            self.metrics.configuration_revision.set({}, document.revision)
-            await self._view_changed()
-        else:
-            await self._membership.update_list(parse_instances(document.body))
+    async def _apply_configuration(self, document, cfg):
+        self._cfg = cfg
+        self._quarantine.duration_s = cfg.fleet_setting("quarantine_s")
+        self._quarantine.limit = cfg.fleet_setting("quarantine_servers")
+        self.metrics.configuration_revision.set({}, document.revision)
+        await self._view_changed()
+
+    async def _apply_instances(self, document, members):
+        await self._membership.update_list(members)
 
     async def _view_changed(self):
         if self._cfg is not None:
             await self._owners.refresh()
 
+    # Admission of new work
+
+    def _admit_caller(self):
+        if not self._state.ready:
+            raise RefusedError(
+                "the documents are not current yet",
+                ResultCode.NOT_READY,
+                retry_after_ms=NOT_READY_RETRY_MS,
+            )
+        self._pauses.check()
+
+    def _admit_message(self, sender, message):
+        if isinstance(message, WORK) and sender != self.settings.instance:
+            self._admit_caller()
+
     # Messages
 
     async def _handle_leaving(self, sender, message, reply):
@@ -241,7 +316,7 @@
         }
 
     def _health_report(self):
-        ready = self._cfg is not None and not self._drain.leaving
+        ready = self._state.ready and not self._drain.leaving
         body = {"ready": ready, "leaving": self._drain.leaving}
         return (200 if ready else 503), body
 
@@ -251,9 +326,17 @@
             "incarnation": self.incarnation,
             "domain": self.settings.domain,
             "pid": os.getpid(),
+            "ready": self._state.ready,
             "leaving": self._drain.leaving,
             "running": self._caller.running,
             "configuration_revision": self._cfg.revision if self._cfg else None,
+            "instances_revision": self._store.revision(INSTANCES),
+            "watches": [
+                name
+                for name in self._store.names()
+                if self._dissemination.is_watcher(name)
+            ],
+            "lonely": self._dissemination.is_lonely(),
             "peer_links": self._peers.links,
             "executions": self._executions.records,
         }
@@ -266,18 +349,24 @@
                 "domain": member.domain,
                 "leaving": member.instance in view.leaving,
                 "gone": member.instance in view.gone,
+                "listed": self._membership.is_listed(member.instance),
+                "incarnation": self._membership.incarnation(member.instance),
+                "heard_s": self._membership.heard_s(member.instance),
             }
             for member in view.entries.values()
         ]
 
     def _configuration_report(self):
         document = self._dissemination.current(CONFIGURATION)
-        if document is None:
-            return None
         return {
-            "revision": document.revision,
-            "digest": document.digest,
-            "body": document.body,
+            "revision": document.revision if document is not None else None,
+            "digest": document.digest if document is not None else None,
+            "body": document.body if document is not None else None,
+            **self._store.report(CONFIGURATION),
+            "instances": {
+                "revision": self._store.revision(INSTANCES),
+                **self._store.report(INSTANCES),
+            },
         }
 
     def _queues_report(self):
@@ -298,14 +387,26 @@
         """Serve until SIGTERM, SIGINT or the drain command, then shut down."""
         for listener in self._listeners[:2]:
             await listener.start()
-        await self._dissemination.start()
+        await self._dissemination.start_exchange()
         await self._listeners[2].start()
+        await curio.spawn(self._become_ready, daemon=True)
         await curio.spawn(self._tick, daemon=True)
         await curio.spawn(self._watch_signals, daemon=True)
         self.log.info("daemon_started", domain=self.settings.domain)
         await self._drain.requested.wait()
         await self._shut_down()
 
+    async def _become_ready(self):
+        reason = await self._startup.wait()
+        self._state.ready = True
+        self.log.info(
+            "daemon_ready",
+            reason=reason,
+            configuration=self._store.revision(CONFIGURATION),
+            instances=self._store.revision(INSTANCES),
+        )
+        await self._dissemination.start_watches()
+
     async def _watch_signals(self):
         """Request the shutdown on SIGTERM or SIGINT.
 
@@ -323,14 +424,15 @@
         await self._drain.requested.set()
 
     async def _tick(self):
-        detector = PauseDetector(self.clock, TICK_S)
         count = 0
         while True:
             await curio.sleep(TICK_S)
-            pause_s = detector.tick()
+            pause_s = self._pauses.tick()
             if pause_s > 0:
                 self.metrics.pauses.inc({})
                 self.log.warning("process_paused", seconds=round(pause_s, 3))
+                # A task of its own, so that the check is not taken for a pause.
+                await curio.spawn(self._pauses.revalidate, daemon=True)
             count += 1
             if count % TICKS_PER_SECOND == 0:
                 await self._membership.expire()
@@ -341,6 +443,7 @@
         if self._cfg is not None:
             max_age_s = self._cfg.fleet_setting("entries_max_age_ms") / 1000.0
         self._drain.begin(max_age_s)
+        self._state.leaving = True
         self.log.info("drain_started", running=self._caller.running)
         message = Leaving(instance=self.settings.instance, incarnation=self.incarnation)
         for member in self._membership.view().live_entries():
@@ -361,6 +464,10 @@
             self.log.info("leaving_not_told", peer=member.instance, reason=exc.message)
 
 
+def _parse_list(body, revision):
+    return parse_instances(body)
+
+
 def _leave_to_wakeup_socket(number, frame):
     """Do nothing; the wakeup socket carries the signal."""
 
--- a/almondtide/dissemination.py
+++ b/almondtide/dissemination.py
@@ -1,68 +1,368 @@
-"""Platform documents in force: revision guard and distribution."""
+"""Distribution of documents: digests among daemons, watches of the platform."""
 
 import curio
 
-from .errors import PlatformError
+from .errors import DocumentError, PeerError, PlatformError
+from .membership import Member
+from .messages import Digest, DocumentReply, DocumentRequest
+from .rendezvous import rank
+from .sampling import PeerSample
 
-__all__ = ["Dissemination"]
+__all__ = ["Dissemination", "LocalState"]
 
-WATCH_WAIT_S = 10.0
-RETRY_S = 0.5
+EXCHANGE_INTERVAL_S = 1.0
+EXCHANGE_PEERS = 3
+# An epidemic with 4 targets reaches 98 % of a fleet at once; the periodic digests
+# reach the rest.
+PUSH_PEERS = 4
+EXCHANGE_TIMEOUT_S = 1.0
+FETCH_TIMEOUT_S = 2.0
+WATCHERS_PER_DOMAIN = 2
+# A watch notices a platform that vanished without closing only at its end.
+WATCH_WAIT_S = 20.0
+ROLE_CHECK_S = 0.5
+MIN_CALL_INTERVAL_S = 1.0
+MAX_CALL_INTERVAL_S = 4.0
+LONELY_AFTER_S = 3.0
+MAX_QUARANTINED = 64
+# A quarantine that ends sooner than this is not relearned from a peer.
+MIN_QUARANTINE_S = 1.0
+SEED_PREFIX = "seed/"
+
+
+class LocalState:
+    """What this daemon tells its peers about itself.
+
+    ``ready`` becomes True when the startup guard is passed, ``leaving`` when the
+    shutdown begins.
+    """
+
+    __slots__ = (
+        "domain",
+        "incarnation",
+        "instance",
+        "leaving",
+        "peer_address",
+        "ready",
+    )
+
+    def __init__(self, instance, incarnation, domain, peer_address):
+        self.instance = instance
+        self.incarnation = incarnation
+        self.domain = domain
+        self.peer_address = peer_address
+        self.ready = False
+        self.leaving = False
 
 
 class Dissemination:
-    """Keeps the highest valid revision of each document.
+    """Keeps the documents of all daemons at the highest revision.
 
-    ``accept(document)`` is an async function that puts a document into force;
-    it raises ``AlmondtideError`` or ``ValueError`` for an invalid one, which is
-    reported and leaves the last good revision in force.
+    ``state`` is the ``LocalState`` of this daemon. ``seeds`` are peer addresses
+    that are asked at the start and while no peer is heard.
     """
 
-    __slots__ = ("_accept", "_documents", "_log", "_names", "_platform", "_tasks")
+    __slots__ = (
+        "_clock",
+        "_fetching",
+        "_last_heard",
+        "_log",
+        "_membership",
+        "_metrics",
+        "_peers",
+        "_platform",
+        "_quarantine",
+        "_rng",
+        "_sample",
+        "_seeds",
+        "_state",
+        "_tasks",
+        "store",
+    )
 
-    def __init__(self, platform, names, accept, log):
+    def __init__(
+        self,
+        state,
+        store,
+        membership,
+        peers,
+        platform,
+        quarantine,
+        seeds,
+        clock,
+        log,
+        metrics,
+        rng,
+    ):
+        self._state = state
+        self.store = store
+        self._membership = membership
+        self._peers = peers
         self._platform = platform
-        self._names = names
-        self._accept = accept
+        self._quarantine = quarantine
+        self._seeds = {
+            f"{SEED_PREFIX}{host}:{port}": (host, port)
+            for host, port in seeds
+            if (host, port) != tuple(state.peer_address)
+        }
+        self._clock = clock
         self._log = log
-        self._documents = {}
+        self._metrics = metrics
+        self._rng = rng
+        self._sample = PeerSample(state.instance, membership, rng)
+        self._fetching = {name: curio.Lock() for name in store.names()}
+        self._last_heard = clock.monotonic()
         self._tasks = []
+        peers.register(Digest, self._handle_digest)
+        peers.register(DocumentRequest, self._handle_request)
 
     def current(self, name):
         """Return the document in force, or None."""
-        return self._documents.get(name)
+        return self.store.current(name)
+
+    async def offer(self, document, source="local"):
+        """Put a document into force when it is newer and valid, and push it."""
+        if await self.store.offer(document, source):
+            await self._push()
+            return True
+        return False
 
-    async def start(self):
-        """Start following all documents."""
-        for name in self._names:
+    def resolve(self, instance):
+        """Return the peer address of a daemon or of a seed, or None."""
+        return self._seeds.get(instance) or self._membership.peer_address(instance)
+
+    def seeds(self):
+        """Return the names under which seeds can be called."""
+        return list(self._seeds)
+
+    def sample(self, count):
+        """Return up to ``count`` random live peers."""
+        return self._sample.pick(count)
+
+    # Life
+
+    async def start_exchange(self):
+        """Start the exchange of digests."""
+        self._tasks.append(await curio.spawn(self._exchange_loop, daemon=True))
+
+    async def start_watches(self):
+        """Start following the platform where this daemon has to."""
+        for name in self.store.names():
             self._tasks.append(await curio.spawn(self._follow, name, daemon=True))
 
+    async def stop(self):
+        """End all tasks."""
+        for task in self._tasks:
+            await task.cancel()
+        self._tasks = []
+
+    # Platform
+
+    def is_watcher(self, name):
+        """Return whether this daemon is to watch a document for its domain."""
+        state = self._state
+        candidates = [
+            member
+            for member in self._membership.view().live_entries()
+            if member.domain == state.domain and member.instance != state.instance
+        ]
+        if not state.leaving:
+            candidates.append(Member(state.instance, "entry", None, state.domain))
+        ranked = rank(f"watch/{name}", candidates)[:WATCHERS_PER_DOMAIN]
+        return state.instance in [member.instance for member in ranked]
+
+    def is_lonely(self):
+        """Return whether no peer was heard for 3 s."""
+        return self._clock.monotonic() - self._last_heard > LONELY_AFTER_S
+
     async def _follow(self, name):
+        """Watch one document while this daemon is a watcher or hears no peer.
+
+        A lonely daemon waits in a watch as well, because a watch that waits
+        counts as one call and a read each second as twenty.
+        """
+        interval_s = MIN_CALL_INTERVAL_S
         while True:
-            current = self._documents.get(name)
-            after = current.revision if current is not None else 0
+            watcher = self.is_watcher(name)
+            if not watcher and not self.is_lonely():
+                await curio.sleep(ROLE_CHECK_S)
+                continue
+            if not watcher:
+                await curio.sleep(self._rng.uniform(0, MIN_CALL_INTERVAL_S))
+            started = self._clock.monotonic()
             try:
-                document = await self._platform.watch(name, after, WATCH_WAIT_S)
+                await self._watch(name)
+                interval_s = MIN_CALL_INTERVAL_S
             except PlatformError as exc:
                 self._log.debug("platform_unavailable", reason=exc.message)
-                await curio.sleep(RETRY_S)
-                continue
-            if document is not None:
-                await self.offer(document)
+                interval_s = min(MAX_CALL_INTERVAL_S, 2 * interval_s)
+            elapsed_s = self._clock.monotonic() - started
+            # Revisions that are published faster than this are skipped.
+            pause_s = interval_s * self._rng.uniform(0.75, 1.0) - elapsed_s
+            await curio.sleep(max(0.0, pause_s))
+
+    async def _watch(self, name):
+        self._metrics.platform_reads.inc({})
+        after = self.store.highest_seen(name)
+        document = await self._platform.watch(name, after, WATCH_WAIT_S)
+        if document is not None:
+            await self.offer(document, "platform")
 
-    async def offer(self, document):
-        """Put ``document`` into force when it is newer and valid."""
-        current = self._documents.get(document.name)
-        if current is not None and document.revision <= current.revision:
+    async def read_platform(self):
+        """Read all documents once; raises ``PlatformError``."""
+        for name in self.store.names():
+            self._metrics.platform_reads.inc({})
+            await self.offer(await self._platform.read(name), "platform")
+
+    # Digests
+
+    def digest(self):
+        """Return the ``Digest`` of this daemon."""
+        state = self._state
+        listed = self._membership.is_listed(state.instance)
+        return Digest(
+            instance=state.instance,
+            incarnation=state.incarnation,
+            documents=self.store.known(),
+            ready=state.ready,
+            leaving=state.leaving,
+            quarantined=[
+                [mark, left_s * 1000.0]
+                for mark, left_s in self._quarantine.entries()[:MAX_QUARANTINED]
+            ],
+            address=None if listed else list(state.peer_address),
+        )
+
+    async def exchange(self, instance):
+        """Exchange digests with one peer and return its answer.
+
+        Newer documents of the peer are in force when this returns. Raises
+        ``PeerError``.
+        """
+        try:
+            reply = await self._peers.request(
+                instance, self.digest(), EXCHANGE_TIMEOUT_S
+            )
+        except PeerError:
+            await self._membership.peer_suspected(instance)
+            raise
+        if not isinstance(reply, Digest):
+            raise PeerError(f"{instance} refused a digest")
+        if await self._take(reply):
+            await self._fetch_news(reply, instance)
+        return reply
+
+    async def _exchange_loop(self):
+        while True:
+            await curio.sleep(EXCHANGE_INTERVAL_S * self._rng.uniform(0.9, 1.1))
+            targets = self._sample.pick(EXCHANGE_PEERS)
+            doubtful = self._membership.doubtful()
+            if doubtful:
+                targets.append(self._rng.choice(doubtful))
+            if self.is_lonely():
+                targets.extend(self._seeds)
+            await self._exchange_all(targets)
+
+    async def _push(self):
+        await self._exchange_all(self._sample.pick(PUSH_PEERS))
+
+    async def _exchange_all(self, targets):
+        for instance in dict.fromkeys(targets):
+            await curio.spawn(self._try_exchange, instance, daemon=True)
+
+    async def _try_exchange(self, instance):
+        try:
+            await self.exchange(instance)
+        except PeerError as exc:
+            self._log.debug("exchange_failed", peer=instance, reason=exc.message)
+
+    async def _handle_digest(self, sender, message, reply):
+        await reply(self.digest())
+        if await self._take(message):
+            # Documents are fetched by a task of their own, because the handler
+            # holds up the other messages of the peer.
+            await curio.spawn(self._fetch_news, message, message.instance, daemon=True)
+
+    async def _take(self, digest):
+        """Note what a digest says about its sender; False when it is outdated."""
+        if digest.instance == self._state.instance:
             return False
-        self._documents[document.name] = document
-        await self._accept(document)
-        self._log.info(
-            "document_in_force", document=document.name, revision=document.revision
+        address = None
+        if digest.address is not None:
+            address = _parse_address(digest.address)
+        known = await self._membership.peer_seen(
+            digest.instance, digest.incarnation, address
         )
+        if not known:
+            return False
+        self._last_heard = self._clock.monotonic()
+        if digest.leaving:
+            await self._membership.peer_leaving(digest.instance, digest.incarnation)
+        for item in digest.quarantined:
+            self._learn_quarantine(item)
         return True
 
-    async def stop(self):
-        """End all tasks."""
-        for task in self._tasks:
-            await task.cancel()
+    def _learn_quarantine(self, item):
+        if not isinstance(item, list) or len(item) != 2:
+            return
+        mark, remaining_ms = item
+        if not isinstance(mark, str) or not isinstance(remaining_ms, (int, float)):
+            return
+        remaining_s = remaining_ms / 1000.0
+        if remaining_s > MIN_QUARANTINE_S and self._quarantine.add(mark, remaining_s):
+            self._log.info("quarantine_learned", fingerprint=mark)
+
+    # Documents
+
+    async def _fetch_news(self, digest, instance):
+        changed = False
+        for name, revision, content in digest.stated():
+            if self.store.wants(name, revision, content, digest.instance):
+                try:
+                    changed = await self._fetch(name, revision, instance) or changed
+                except (PeerError, DocumentError) as exc:
+                    self._log.info(
+                        "document_fetch_failed",
+                        document=name,
+                        revision=revision,
+                        peer=instance,
+                        reason=exc.message,
+                    )
+        if changed:
+            await self._push()
+
+    async def _fetch(self, name, revision, instance):
+        async with self._fetching[name]:
+            if self.store.revision(name) >= revision:
+                return False
+            current = self.store.current(name)
+            have = current.revision if current is not None else 0
+            digest = current.digest if current is not None else None
+            reply = await self._ask_document(name, have, digest, instance)
+            try:
+                return await self.store.take(reply, instance)
+            except DocumentError as exc:
+                self._log.warning(
+                    "document_change_unusable",
+                    document=name,
+                    peer=instance,
+                    reason=exc.message,
+                )
+                reply = await self._ask_document(name, 0, None, instance)
+                return await self.store.take(reply, instance)
+
+    async def _ask_document(self, name, have, digest, instance):
+        request = DocumentRequest(name=name, have=have, digest=digest)
+        reply = await self._peers.request(instance, request, FETCH_TIMEOUT_S)
+        if not isinstance(reply, DocumentReply) or reply.name != name:
+            raise PeerError(f"{instance} has no document {name}")
+        return reply
+
+    async def _handle_request(self, sender, message, reply):
+        await reply(self.store.reply(message))
+
+
+def _parse_address(value):
+    if len(value) == 2 and isinstance(value[0], str) and type(value[1]) is int:
+        return value[0], value[1]
+    return None
--- a/almondtide/errors.py
+++ b/almondtide/errors.py
@@ -6,6 +6,7 @@
     "AlmondtideError",
     "BadRequestError",
     "ConfigurationError",
+    "DocumentError",
     "ExecutionError",
     "PeerError",
     "PlatformError",
@@ -64,6 +65,7 @@
     CONFIGURATION_INVALID = 600
     SETTINGS_INVALID = 601
     PLATFORM_UNAVAILABLE = 602
+    DOCUMENT_MISMATCH = 603
     INTERNAL = 900
 
 
@@ -176,6 +178,12 @@
     code = ResultCode.PLATFORM_UNAVAILABLE
 
 
+class DocumentError(AlmondtideError):
+    """A received document or change does not have the content it states."""
+
+    code = ResultCode.DOCUMENT_MISMATCH
+
+
 class _ProblemListError(AlmondtideError):
     def __init__(self, problems):
         self.problems = list(problems)
--- a/almondtide/membership.py
+++ b/almondtide/membership.py
@@ -1,5 +1,7 @@
 """Live view of the fleet: the platform's list plus direct evidence of peers."""
 
+from collections import deque
+
 from .rendezvous import rank
 
 __all__ = ["ENTRY", "UPSTREAM", "Member", "Membership", "View", "parse_instances"]
@@ -7,7 +9,17 @@
 ENTRY = "entry"
 UPSTREAM = "upstream"
 # How long direct evidence against a peer is believed without confirmation, in s.
+# It doubles with each further failure up to the maximum, so that a daemon that is
+# gone for good but still listed costs few attempts.
 SUSPICION_S = 2.0
+MAX_SUSPICION_S = 16.0
+# A daemon that the list dropped stays while it was heard within this time, in s.
+# It is probed about once a second meanwhile, see ``Membership.doubtful``.
+CONTACT_S = 10.0
+# Evidence about daemons outside the view is dropped after this time, in s. It must
+# exceed the lag of the list, or a daemon that left would be taken as live again.
+FORGET_S = 600.0
+MAX_FORMER = 8
 
 
 class Member:
@@ -61,6 +73,18 @@
     return host, int(port)
 
 
+def _check_item(item, names):
+    """Note the id of an entry; raises ``ValueError`` for a bad id or role."""
+    name = item["id"]
+    if not isinstance(name, str) or name in names:
+        raise ValueError(f"id {name!r} is not a string or appears twice")
+    if item["role"] not in (ENTRY, UPSTREAM):
+        raise ValueError(f"unknown role {item['role']!r}")
+    if item["role"] == ENTRY and item.get("peer") is None:
+        raise ValueError("an entry needs a peer address")
+    names.add(name)
+
+
 def parse_instances(body):
     """Return the members of an ``instances`` document.
 
@@ -69,8 +93,10 @@
     if not isinstance(body, dict) or not isinstance(body.get("instances"), list):
         raise ValueError("$.instances: must be a list")
     members = []
+    names = set()
     for index, item in enumerate(body["instances"]):
         try:
+            _check_item(item, names)
             members.append(
                 Member(
                     item["id"],
@@ -126,18 +152,55 @@
         return ranked
 
 
+class _Contact:
+    """Direct evidence of one daemon.
+
+    ``heard`` is the monotonic time of its last message. ``former`` holds
+    incarnations that have ended. ``leaving`` is the incarnation that said that it
+    is leaving. ``restarted`` tells that the incarnation replaced another one; a list
+    that calls the instance leaving is then out of date until it says live once.
+    """
+
+    __slots__ = ("address", "former", "heard", "incarnation", "leaving", "restarted")
+
+    def __init__(self):
+        self.incarnation = None
+        self.heard = None
+        self.leaving = None
+        self.restarted = False
+        self.former = deque(maxlen=MAX_FORMER)
+        self.address = None
+
+
+class _Suspicion:
+    __slots__ = ("duration_s", "until")
+
+    def __init__(self):
+        self.duration_s = 0.0
+        self.until = 0.0
+
+
 class Membership:
     """Maintains the view from the list and from direct evidence.
 
-    Direct evidence wins over the list, which lags: a peer that said that it is
-    leaving stays so until its incarnation changes, and a peer that cannot be
-    reached is left out until it answers or the suspicion expires.
+    The list tells who belongs to the fleet; direct evidence, which is keyed by
+    (instance, incarnation), tells what state a daemon is in, because the list
+    lags. A daemon that said that it is leaving stays so until a new incarnation
+    of it is seen, which is live at once. A daemon that the list no longer names
+    is kept while it is in contact. A daemon that the list does not name yet is
+    answered and can be asked for documents, but it is not ranked and not given to
+    callers: only the list tells which processes belong to the fleet and under
+    which addresses callers reach them.
+
+    A peer that cannot be reached is left out by this daemon alone; suspicion is
+    not sent to others, because it may be due to this daemon's own network.
     """
 
     __slots__ = (
         "_clock",
-        "_incarnations",
-        "_leaving",
+        "_contacts",
+        "_kept",
+        "_listed",
         "_members",
         "_suspected",
         "_view",
@@ -149,9 +212,11 @@
         self.instance = instance
         self._clock = clock
         self._members = []
-        self._leaving = {}
+        self._listed = set()
+        # Daemons that the list no longer names.
+        self._kept = {}
+        self._contacts = {}
         self._suspected = {}
-        self._incarnations = {}
         self._view = View([], frozenset(), frozenset())
         self.on_change = None
 
@@ -163,31 +228,90 @@
         """Return the daemon with this id, or None."""
         return self._view.entries.get(instance)
 
+    def is_listed(self, instance):
+        """Return whether the platform's list names this daemon."""
+        return instance in self._listed
+
     def peer_address(self, instance):
         """Return the peer address of a daemon, or None."""
         member = self._view.entries.get(instance)
-        return member.peer if member is not None else None
+        if member is not None:
+            return member.peer
+        contact = self._contacts.get(instance)
+        return contact.address if contact is not None else None
 
     def incarnation(self, instance):
         """Return the newest incarnation seen of a daemon, or None."""
-        return self._incarnations.get(instance)
+        contact = self._contacts.get(instance)
+        return contact.incarnation if contact is not None else None
+
+    def heard_s(self, instance):
+        """Return the time since a daemon was heard, in seconds, or None."""
+        contact = self._contacts.get(instance)
+        if contact is None or contact.heard is None:
+            return None
+        return self._clock.monotonic() - contact.heard
+
+    def doubtful(self):
+        """Return the daemons whose state needs direct contact to be settled.
+
+        These are the suspected ones and those that only contact keeps in the
+        view.
+        """
+        leaving = self._view.leaving
+        return [name for name in (*self._suspected, *self._kept) if name not in leaving]
 
     async def update_list(self, members):
         """Take over a new list of the platform."""
+        previous = {**self._kept, **{m.instance: m for m in self._members}}
         self._members = members
+        self._listed = {m.instance for m in members if m.role == ENTRY}
+        self._kept = {
+            name: member
+            for name, member in previous.items()
+            if member.role == ENTRY
+            and name not in self._listed
+            and self._in_contact(name)
+        }
+        for member in members:
+            contact = self._contacts.get(member.instance)
+            if contact is not None and not member.leaving:
+                contact.restarted = False
         await self._rebuild()
 
-    async def peer_seen(self, instance, incarnation):
-        """Note an answer or a hello of a peer."""
+    async def peer_seen(self, instance, incarnation, address=None):
+        """Note a message of a peer; returns False for an ended incarnation.
+
+        ``address`` is the peer address that an unlisted daemon states.
+        """
+        if instance == self.instance:
+            return True
+        contact = self._contacts.setdefault(instance, _Contact())
+        if incarnation in contact.former:
+            return False
+        contact.heard = self._clock.monotonic()
+        if address is not None:
+            contact.address = address
         changed = self._suspected.pop(instance, None) is not None
-        if self._incarnations.get(instance) != incarnation:
-            self._incarnations[instance] = incarnation
-            changed = self._leaving.pop(instance, None) is not None or changed
+        if contact.incarnation != incarnation:
+            changed = self._note_incarnation(contact, incarnation) or changed
         if changed:
             await self._rebuild()
+        return True
+
+    def _note_incarnation(self, contact, incarnation):
+        if contact.incarnation is not None:
+            contact.former.append(contact.incarnation)
+            contact.restarted = True
+        contact.incarnation = incarnation
+        contact.leaving = None
+        return contact.restarted
 
     async def peer_recovered(self, instance):
         """Note that a suspected peer answers again."""
+        contact = self._contacts.get(instance)
+        if contact is not None:
+            contact.heard = self._clock.monotonic()
         if self._suspected.pop(instance, None) is not None:
             await self._rebuild()
 
@@ -201,35 +325,76 @@
 
     async def peer_leaving(self, instance, incarnation):
         """Note that a peer is shutting down."""
-        if self._leaving.get(instance) != incarnation:
-            self._leaving[instance] = incarnation
-            self._incarnations[instance] = incarnation
+        if instance == self.instance:
+            return
+        if not await self.peer_seen(instance, incarnation):
+            return
+        contact = self._contacts[instance]
+        if contact.leaving != incarnation:
+            contact.leaving = incarnation
+            await self._rebuild()
+
+    async def forget_suspicions(self):
+        """Drop all suspicions, for example those of a process that was paused."""
+        if self._suspected:
+            self._suspected.clear()
             await self._rebuild()
 
     async def expire(self):
-        """Drop suspicions that are too old; call it about once a second."""
+        """Drop evidence that is too old; call it about once a second."""
         now = self._clock.monotonic()
-        expired = [name for name, until in self._suspected.items() if until <= now]
-        for name in expired:
-            del self._suspected[name]
-        if expired:
+        expired = [
+            name
+            for name, suspicion in self._suspected.items()
+            if suspicion.until <= now and name in self._view.gone
+        ]
+        silent = [name for name in self._kept if not self._in_contact(name)]
+        for name in silent:
+            del self._kept[name]
+        self._forget_contacts()
+        if expired or silent:
             await self._rebuild()
 
+    def _forget_contacts(self):
+        """Bound the evidence about daemons that are no longer in the fleet."""
+        for name in list(self._contacts):
+            if name in self._listed or name in self._kept:
+                continue
+            if (self.heard_s(name) or 0.0) > FORGET_S:
+                del self._contacts[name]
+
+    def _in_contact(self, instance):
+        heard_s = self.heard_s(instance)
+        return heard_s is not None and heard_s <= CONTACT_S
+
     async def _suspect(self, instance):
-        if instance == self.instance:
+        if instance not in self._view.entries or instance == self.instance:
             return
-        known = instance in self._suspected
-        self._suspected[instance] = self._clock.monotonic() + SUSPICION_S
+        now = self._clock.monotonic()
+        suspicion = self._suspected.setdefault(instance, _Suspicion())
+        known = suspicion.until > now
+        if not known:
+            doubled = max(SUSPICION_S, 2 * suspicion.duration_s)
+            suspicion.duration_s = min(MAX_SUSPICION_S, doubled)
+        suspicion.until = now + suspicion.duration_s
         if not known:
             await self._rebuild()
 
+    def _is_leaving(self, member):
+        if member.instance == self.instance:
+            return False
+        contact = self._contacts.get(member.instance)
+        if contact is not None and contact.leaving is not None:
+            return True
+        return member.leaving and not (contact is not None and contact.restarted)
+
     async def _rebuild(self):
-        leaving = {
-            member.instance
-            for member in self._members
-            if member.leaving and member.instance != self.instance
-        }
-        leaving.update(self._leaving)
-        self._view = View(self._members, frozenset(leaving), frozenset(self._suspected))
+        now = self._clock.monotonic()
+        members = [*self._members, *self._kept.values()]
+        for name in self._suspected.keys() - {m.instance for m in members}:
+            del self._suspected[name]
+        leaving = {m.instance for m in members if self._is_leaving(m)}
+        gone = {name for name, item in self._suspected.items() if item.until > now}
+        self._view = View(members, frozenset(leaving), frozenset(gone))
         if self.on_change is not None:
             await self.on_change()
--- a/almondtide/messages.py
+++ b/almondtide/messages.py
@@ -307,19 +307,43 @@
 class Digest(Message):
     """What the sender knows: documents, its own state, quarantined requests.
 
-    ``documents`` maps a document's name to ``[revision, digest]``;
-    ``quarantined`` is a list of ``[fingerprint, remaining_ms]``.
+    ``documents`` maps a document's name to ``[revision, digest]``; ``ready`` tells
+    that the sender serves callers; ``quarantined`` is a list of ``[fingerprint,
+    remaining_ms]``. ``address`` is the sender's peer address, ``[host, port]``, or
+    None when the platform's list names the sender. Suspicion of other daemons is
+    not part of it.
     """
 
-    __slots__ = ("documents", "incarnation", "instance", "leaving", "quarantined")
+    __slots__ = (
+        "address",
+        "documents",
+        "incarnation",
+        "instance",
+        "leaving",
+        "quarantined",
+        "ready",
+    )
     FIELDS = {
         "instance": (str, Message.REQUIRED),
         "incarnation": (str, Message.REQUIRED),
         "documents": (dict, dict),
+        "ready": (bool, False),
         "leaving": (bool, False),
         "quarantined": (list, list),
+        "address": ((list, type(None)), None),
     }
 
+    def stated(self):
+        """Return (name, revision, digest) of all well-formed document entries."""
+        return [
+            (name, stated[0], stated[1])
+            for name, stated in self.documents.items()
+            if isinstance(stated, list)
+            and len(stated) == 2
+            and type(stated[0]) is int
+            and isinstance(stated[1], str)
+        ]
+
 
 @_message("document_request")
 class DocumentRequest(Message):
@@ -338,7 +362,8 @@
     """A newer document, either as a snapshot or as a chain of changes.
 
     ``patches`` is a list of ``[revision, merge patch, digest of the result]`` in
-    order of revision; when it is empty, ``snapshot`` holds the whole body.
+    order of revision, which starts from the revision that the request states; when
+    it is empty, ``snapshot`` holds the whole body.
     """
 
     __slots__ = ("digest", "name", "patches", "revision", "snapshot")
--- /dev/null
+++ b/almondtide/pauses.py
@@ -0,0 +1,96 @@
+"""Checks after a pause of the process, before new work is accepted."""
+
+import curio
+
+from .clock import PauseDetector
+from .errors import PeerError, PlatformError, RefusedError, ResultCode
+
+__all__ = ["PauseGuard"]
+
+# A daemon that reaches neither peer nor platform serves again after this time; it
+# is then cut off like any other and no more outdated than before.
+CHECK_LIMIT_S = 1.0
+RETRY_AFTER_MS = 250
+CHECK_PEERS = 3
+
+
+class PauseGuard:
+    """Refuses new work after a pause until documents were checked.
+
+    ``refresh()`` is an async function that applies the fresh view to the roles of
+    this daemon. Call ``tick`` periodically; ``check`` raises ``RefusedError`` for
+    new work, also when the work arrives before the first tick after the pause.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_detector",
+        "_dissemination",
+        "_last_tick",
+        "_log",
+        "_membership",
+        "_refresh",
+        "_until",
+        "interval_s",
+    )
+
+    def __init__(self, interval_s, dissemination, membership, refresh, clock, log):
+        self.interval_s = interval_s
+        self._clock = clock
+        self._log = log
+        self._detector = PauseDetector(clock, interval_s)
+        self._dissemination = dissemination
+        self._membership = membership
+        self._refresh = refresh
+        self._last_tick = clock.monotonic()
+        self._until = 0.0
+
+    def check(self):
+        """Raise ``RefusedError`` while new work must wait for the check."""
+        now = self._clock.monotonic()
+        late_s = now - self._last_tick - self.interval_s
+        if now < self._until or late_s > self._detector.threshold:
+            raise RefusedError(
+                "the process was paused and checks its documents",
+                ResultCode.NOT_READY,
+                retry_after_ms=RETRY_AFTER_MS,
+            )
+
+    def tick(self):
+        """Return the length of a pause that has just ended in seconds, or 0.0.
+
+        After a pause, ``revalidate`` must be called.
+        """
+        pause_s = self._detector.tick()
+        self._last_tick = self._clock.monotonic()
+        if pause_s > 0:
+            self._until = self._last_tick + CHECK_LIMIT_S
+        return pause_s
+
+    async def revalidate(self):
+        """Check the documents with peers or the platform, then the own roles."""
+        # Peers were silent for this process only because it did not run.
+        await self._membership.forget_suspicions()
+        source = None
+        async with curio.ignore_after(CHECK_LIMIT_S):
+            source = await self._check_documents()
+        await self._refresh()
+        self._until = 0.0
+        if source is None:
+            self._log.warning("documents_not_checked", limit_s=CHECK_LIMIT_S)
+        else:
+            self._log.info("documents_checked", source=source)
+
+    async def _check_documents(self):
+        for instance in self._dissemination.sample(CHECK_PEERS):
+            try:
+                answer = await self._dissemination.exchange(instance)
+            except PeerError:
+                continue
+            if answer.ready:
+                return instance
+        try:
+            await self._dissemination.read_platform()
+        except PlatformError:
+            return None
+        return "platform"
--- a/almondtide/ports.py
+++ b/almondtide/ports.py
@@ -18,22 +18,35 @@
 ]
 
 
+def _canonical_json(body):
+    return orjson.dumps(body, option=orjson.OPT_SORT_KEYS)
+
+
 def document_digest(body):
     """Return the hex digest of ``body`` in canonical JSON."""
-    canonical = orjson.dumps(body, option=orjson.OPT_SORT_KEYS)
+    return _digest(_canonical_json(body))
+
+
+def _digest(canonical):
     return hashlib.blake2b(canonical, digest_size=16).hexdigest()
 
 
 class Document:
-    """One revision of a document that the platform publishes."""
+    """One revision of a document that the platform publishes.
+
+    ``size`` is the length of the body in canonical JSON, in bytes. Raises
+    ``TypeError`` when the body is not JSON data.
+    """
 
-    __slots__ = ("body", "digest", "name", "revision")
+    __slots__ = ("body", "digest", "name", "revision", "size")
 
-    def __init__(self, name, revision, body, digest=None):
+    def __init__(self, name, revision, body):
         self.name = name
         self.revision = revision
         self.body = body
-        self.digest = digest or document_digest(body)
+        canonical = _canonical_json(body)
+        self.size = len(canonical)
+        self.digest = _digest(canonical)
 
 
 class BasePlatform:
--- /dev/null
+++ b/almondtide/sampling.py
@@ -0,0 +1,62 @@
+"""Choice of the peers that a daemon exchanges digests with."""
+
+__all__ = ["PeerSample"]
+
+SAMPLE_SIZE = 12
+# One peer of the sample is replaced after this many picks.
+PICKS_PER_CHANGE = 5
+# One pick in this many contains a peer of another failure domain for certain.
+PICKS_PER_DOMAIN_CROSSING = 4
+
+
+class PeerSample:
+    """A random sample of the fleet that changes slowly.
+
+    Peers drawn from the whole fleet each second would mean a new connection for
+    nearly every message in a large fleet. Drawing from a sample of 12 whose
+    members are replaced one at a time keeps most links in use, and the graph of
+    links stays random.
+    """
+
+    __slots__ = ("_instance", "_membership", "_picks", "_rng", "_sample")
+
+    def __init__(self, instance, membership, rng):
+        self._instance = instance
+        self._membership = membership
+        self._rng = rng
+        self._sample = []
+        self._picks = 0
+
+    def _peers(self):
+        entries = self._membership.view().live_entries()
+        return [m.instance for m in entries if m.instance != self._instance]
+
+    def _refresh(self, peers):
+        known = set(peers)
+        self._sample = [name for name in self._sample if name in known]
+        if self._sample and self._picks % PICKS_PER_CHANGE == 0:
+            self._sample.pop(self._rng.randrange(len(self._sample)))
+        others = sorted(known.difference(self._sample))
+        missing = min(SAMPLE_SIZE - len(self._sample), len(others))
+        if missing > 0:
+            self._sample.extend(self._rng.sample(others, missing))
+
+    def pick(self, count):
+        """Return up to ``count`` different live peers."""
+        peers = self._peers()
+        self._picks += 1
+        self._refresh(peers)
+        picked = self._rng.sample(self._sample, min(count, len(self._sample)))
+        if self._picks % PICKS_PER_DOMAIN_CROSSING == 0:
+            self._cross(picked)
+        return picked
+
+    def _cross(self, picked):
+        """Replace the last pick when all are of this daemon's failure domain."""
+        view = self._membership.view()
+        own = view.entries.get(self._instance)
+        if own is None or not picked:
+            return
+        others = [m.instance for m in view.live_entries() if m.domain != own.domain]
+        if others and not set(picked).intersection(others):
+            picked[-1] = self._rng.choice(others)
