--- a/almondtide/adapters/peer.py
+++ b/almondtide/adapters/peer.py
@@ -279,6 +279,7 @@
         "_links",
         "_probed",
         "_refused_until",
+        "admit",
         "clock",
         "hlc",
         "incarnation",
@@ -296,6 +297,8 @@
         self.log = log
         self.resolve = lambda instance: None
         self.observer = None
+        # Raises ``AlmondtideError`` for a message that is not served now.
+        self.admit = lambda sender, message: None
         self._handlers = {}
         self._links = {}
         self._dialing = {}
@@ -496,6 +499,7 @@
             await reply(error)
             return
         try:
+            self.admit(sender, message)
             await handler(sender, message, reply)
         except AlmondtideError as exc:
             await reply(
