--- a/almondtide/configuration.py
+++ b/almondtide/configuration.py
@@ -121,7 +121,7 @@
     WORKLOAD,
     str,
     "rows",
-    choices=("rows", "count", "statistics"),
+    choices=("rows", "count", "statistics", "newest_per_probe"),
     help="How sub-answers become one answer.",
 )
 Setting(
--- a/almondtide/merging.py
+++ b/almondtide/merging.py
@@ -1,6 +1,7 @@
 """Merges of sub-answers and the coverage of an answer."""
 
 import heapq
+import math
 
 from .registry import Registry
 from .shards import KeyRange, missing_ranges
@@ -75,7 +76,11 @@
 
 @merges.register("statistics")
 def merge_statistics(payloads):
-    """Return count, minimum, maximum and mean of the field ``value``."""
+    """Return count, minimum, maximum and mean of the field ``value``.
+
+    The sum is rounded once, so that the mean does not depend on how the rows are
+    spread over services.
+    """
     values = [row["value"] for payload in payloads for row in payload]
     if not values:
         return {"count": 0, "minimum": None, "maximum": None, "mean": None}
@@ -83,5 +88,27 @@
         "count": len(values),
         "minimum": min(values),
         "maximum": max(values),
-        "mean": sum(values) / len(values),
+        "mean": math.fsum(values) / len(values),
     }
+
+
+@merges.register("newest_per_probe")
+def merge_newest_per_probe(payloads):
+    """Return the newest reading of each probe, in key order.
+
+    Networks number their probes on their own, so a probe is the pair of
+    ``network`` and ``probe``. Equal times are decided by the reading's ``id``.
+    """
+    newest = {}
+    for payload in payloads:
+        for row in payload:
+            probe = (row["network"], row["probe"])
+            known = newest.get(probe)
+            if known is None or _age_order(row) > _age_order(known):
+                newest[probe] = row
+    rows = sorted(newest.values(), key=lambda row: (row["key"], str(row["id"])))
+    return {"rows": rows}
+
+
+def _age_order(row):
+    return row["time"], str(row["id"])
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -15,14 +15,27 @@
 STOP_TIMEOUT_S = 10.0
 ADMIN_TOKEN = "operator-token"
 
+_given_ports = set()
+
 
 def free_ports(count):
-    """Return ``count`` TCP ports that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
+    """Return ``count`` TCP ports that were free a moment ago.
+
+    No port is returned twice, because the process that gets it may bind it only
+    after the next call.
+    """
+    sockets = []
+    ports = []
     try:
-        for sock in sockets:
+        while len(ports) < count:
+            sock = socket.socket()
+            sockets.append(sock)
             sock.bind(("127.0.0.1", 0))
-        return [sock.getsockname()[1] for sock in sockets]
+            port = sock.getsockname()[1]
+            if port not in _given_ports:
+                _given_ports.add(port)
+                ports.append(port)
+        return ports
     finally:
         for sock in sockets:
             sock.close()
@@ -49,6 +62,8 @@
     ``workloads`` maps a name to a dict with ``services``, ``servers``, ``slots``,
     ``kind`` (data set) and optionally ``settings`` (workload settings).
     ``upstream`` holds fields of ``UpstreamSpec`` that apply to all servers.
+    ``pack_servers`` runs the servers of one failure domain in one process, so
+    that they can only be killed together.
     """
 
     __slots__ = (
@@ -58,6 +73,7 @@
         "exceptions",
         "link_peers",
         "list_lag_s",
+        "pack_servers",
         "upstream",
         "workloads",
     )
@@ -71,6 +87,7 @@
         exceptions=None,
         upstream=None,
         list_lag_s=0.0,
+        pack_servers=False,
     ):
         self.daemons = daemons
         self.domains = list(domains)
@@ -82,6 +99,7 @@
         self.upstream = upstream or {}
         self.list_lag_s = list_lag_s
         self.link_peers = False
+        self.pack_servers = pack_servers
 
 
 class Fleet:
@@ -97,6 +115,7 @@
         self.platform = None
         self.daemons = {}
         self.upstreams = {}
+        self.upstream_specs = {}
         self.records = {}
         self.document = None
         self.listed = []
@@ -155,8 +174,8 @@
         self._wait_for(lambda: self.control_platform({}) is not None)
 
     def control_platform(self, command):
-        """Send a command to the platform stand-in."""
-        return http_call(self.platform, "POST", "/control", command)[2]
+        """Send a command to the platform stand-in; ValueError for a bad one."""
+        return _control(self.platform, command)
 
     def platform_state(self):
         """Return the counters of the platform stand-in."""
@@ -186,16 +205,18 @@
                 yield f"{workload}-{number}", workload, shape
 
     def start_upstreams(self):
-        """Start one process for each server."""
+        """Start the servers, in one process each or in one for each domain."""
         for service, _, shape in self.services():
             for number in range(shape["servers"]):
                 self.add_upstream(service, shape, number)
+        if self.spec.pack_servers:
+            self._start_packed_upstreams()
         self._wait_for(
             lambda: all(_answers(address) for address in self.upstreams.values())
         )
 
     def add_upstream(self, service, shape, number):
-        """Start one server and add it to the list."""
+        """Add one server to the list and start it, unless servers are packed."""
         instance = f"{service}-s{number}"
         (port,) = free_ports(1)
         domain = self.spec.domains[number % len(self.spec.domains)]
@@ -223,11 +244,28 @@
                 "state": "live",
             }
         )
-        self.spawn(instance, ["-m", "standins.upstream", "--specs", json.dumps([spec])])
+        self.upstream_specs[instance] = spec
+        if not self.spec.pack_servers:
+            self.start_upstream(instance)
+
+    def start_upstream(self, instance):
+        """Start the process of a server, also after it has ended."""
+        specs = json.dumps([self.upstream_specs[instance]])
+        self.spawn(instance, ["-m", "standins.upstream", "--specs", specs])
+
+    def _start_packed_upstreams(self):
+        packed = {}
+        for item in self.listed:
+            if item["role"] == "upstream":
+                spec = self.upstream_specs[item["id"]]
+                packed.setdefault(item["domain"], []).append(spec)
+        for domain, specs in packed.items():
+            argv = ["-m", "standins.upstream", "--specs", json.dumps(specs)]
+            self.spawn(f"upstreams-{domain}", argv)
 
     def control_upstream(self, instance, command):
-        """Send a command to a server."""
-        return http_call(self.upstreams[instance], "POST", "/control", command)[2]
+        """Send a command to a server; raises ValueError for a bad one."""
+        return _control(self.upstreams[instance], command)
 
     def read_records(self):
         """Return what all servers ran, as a list of dicts."""
@@ -370,5 +408,12 @@
     return {"epoch": epoch, "shards": shards}
 
 
+def _control(address, command):
+    status, _, answer = http_call(address, "POST", "/control", command)
+    if status != 200:
+        raise ValueError(f"the command was refused: {answer}")
+    return answer
+
+
 def _answers(address):
     return http_call(address, "GET", "/v1/status")[0] == 200
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -6,33 +6,49 @@
 
 from almondtide.adapters.http import HTTPResponse, json_response, serve_http
 from almondtide.adapters.listener import Listener
+from almondtide.clock import SystemClock
 from almondtide.logs import Log
 
 __all__ = ["PlatformServer"]
 
 MAX_WAIT_S = 60.0
-WATCH_POLL_S = 0.01
+MAX_VALUE_BYTES = 1_000_000
+MAX_REQUEST_BYTES = 8 << 20
+READS_PER_S = 2000.0
+MODES = ("normal", "down", "stale")
+INSTANCES = "instances"
 
 
 class PlatformServer:
     """Serves documents for reading and watching, and a control path for tests.
 
     ``POST /control`` takes ``{"publish": {"name": ..., "body": ...}}``, which
-    publishes the next revision, or ``{"mode": "normal" | "down" | "stale"}``. A
-    stale service serves the documents as they were when the mode began. The
-    document ``instances`` becomes visible ``list_lag_s`` seconds after it was
-    published.
+    publishes the next revision, ``{"mode": "normal" | "down" | "stale"}``,
+    ``{"list_lag_s": seconds}`` and ``{"reads_per_s": rate}``. A stale service
+    serves the documents as they were when the mode began. The document
+    ``instances`` becomes visible ``list_lag_s`` seconds after it was published.
+    Each read counts as one call, a watch also when it waits; calls above
+    ``reads_per_s`` are refused with status 429.
     """
 
-    def __init__(self, address, list_lag_s=0.0):
+    def __init__(self, address, list_lag_s=0.0, reads_per_s=READS_PER_S):
         self.listener = Listener(address, self._serve)
         self.list_lag_s = list_lag_s
+        self.reads_per_s = reads_per_s
         self.documents = {}
+        self.revisions = {}
         self.frozen = None
         self.mode = "normal"
         self.calls = 0
+        self.calls_by_name = {}
+        self.rejected = 0
         self.waiting = 0
+        self.wakeups = 0
         self.log = Log(component="platform")
+        self._clock = SystemClock()
+        self._tokens = reads_per_s
+        self._refilled = self._clock.monotonic()
+        self._changed = curio.Event()
 
     async def start(self):
         """Start serving."""
@@ -40,71 +56,154 @@
 
     async def _serve(self, sock, address):
         await serve_http(
-            sock, self._handle, log=self.log, max_body=8 << 20, idle_timeout_s=300
+            sock,
+            self._handle,
+            log=self.log,
+            max_body=MAX_REQUEST_BYTES,
+            idle_timeout_s=300,
         )
 
     async def publish(self, name, body):
-        """Publish the next revision of a document and return it."""
-        revision = self.documents.get(name, (0, None))[0] + 1
-        if name == "instances" and self.list_lag_s > 0:
-            await curio.sleep(self.list_lag_s)
-        self.documents[name] = (revision, body)
+        """Publish the next revision of a document and return the revision."""
+        revision = self.revisions.get(name, 0) + 1
+        self.revisions[name] = revision
+        if name == INSTANCES and self.list_lag_s > 0:
+            await curio.spawn(
+                self._show_later, name, revision, body, self.list_lag_s, daemon=True
+            )
+        else:
+            await self._show(name, revision, body)
         return revision
 
+    async def _show_later(self, name, revision, body, delay_s):
+        await curio.sleep(delay_s)
+        await self._show(name, revision, body)
+
+    async def _show(self, name, revision, body):
+        # A shorter lag set in between can let a newer revision overtake.
+        if revision > self.documents.get(name, (0, None))[0]:
+            self.documents[name] = (revision, body)
+            await self._wake()
+
+    async def _wake(self):
+        """Let all waiting watches look again."""
+        changed, self._changed = self._changed, curio.Event()
+        await changed.set()
+
     async def _handle(self, request):
         if request.path == "/control":
             return await self._control(request)
         if request.path == "/control/state":
-            return json_response(
-                200,
-                {"calls": self.calls, "waiting": self.waiting, "mode": self.mode},
-            )
+            return json_response(200, self._state())
+        prefix = "/v1/documents/"
+        if request.method != "GET" or not request.path.startswith(prefix):
+            return _refusal(404, "not_found", "only GET /v1/documents/{name}")
+        name = request.path.removeprefix(prefix)
         self.calls += 1
-        if self.mode == "down":
-            return HTTPResponse(503)
-        name = request.path.removeprefix("/v1/documents/")
-        after, wait_s = _parse_watch(request.query)
+        self.calls_by_name[name] = self.calls_by_name.get(name, 0) + 1
+        if not self._take_token():
+            self.rejected += 1
+            return _refusal(429, "rate_limited", f"over {self.reads_per_s} reads/s")
+        try:
+            after, wait_s = _parse_watch(request.query)
+        except ValueError as exc:
+            return _refusal(400, "bad_request", str(exc))
         return await self._read(name, after, wait_s)
 
+    def _state(self):
+        return {
+            "calls": self.calls,
+            "calls_by_name": self.calls_by_name,
+            "rejected": self.rejected,
+            "waiting": self.waiting,
+            "wakeups": self.wakeups,
+            "mode": self.mode,
+            "revisions": self.revisions,
+        }
+
+    def _take_token(self):
+        now = self._clock.monotonic()
+        earned = (now - self._refilled) * self.reads_per_s
+        self._refilled = now
+        # At most the reads of one second may come at once.
+        self._tokens = min(self.reads_per_s, self._tokens + earned)
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
     async def _control(self, request):
-        command = orjson.loads(request.body)
-        answer = {}
+        try:
+            command = orjson.loads(request.body)
+            _check_command(command)
+        except ValueError as exc:
+            return _refusal(400, "bad_command", str(exc))
         if "mode" in command:
             self.mode = command["mode"]
             self.frozen = dict(self.documents) if self.mode == "stale" else None
-        if "list_lag_s" in command:
-            self.list_lag_s = command["list_lag_s"]
-        if "publish" in command:
-            publish = command["publish"]
-            if publish["name"] == "instances" and self.list_lag_s > 0:
-                await curio.spawn(
-                    self.publish, publish["name"], publish["body"], daemon=True
-                )
-            else:
-                answer["revision"] = await self.publish(
-                    publish["name"], publish["body"]
-                )
-        return json_response(200, answer)
+            await self._wake()
+        self.list_lag_s = command.get("list_lag_s", self.list_lag_s)
+        self.reads_per_s = command.get("reads_per_s", self.reads_per_s)
+        if "publish" not in command:
+            return json_response(200, {})
+        published = command["publish"]
+        size = len(orjson.dumps(published["body"]))
+        if size > MAX_VALUE_BYTES:
+            message = f"the value has {size} bytes, the limit is {MAX_VALUE_BYTES}"
+            return _refusal(413, "value_too_large", message)
+        revision = await self.publish(published["name"], published["body"])
+        return json_response(200, {"revision": revision})
 
     def _visible(self):
         return self.frozen if self.frozen is not None else self.documents
 
     async def _read(self, name, after, wait_s):
-        waited = 0.0
+        limit = self._clock.monotonic() + wait_s
+        while True:
+            if self.mode == "down":
+                return _refusal(503, "unavailable", "the service is down")
+            revision, body = self._visible().get(name, (0, None))
+            if revision > after:
+                return json_response(200, {"revision": revision, "body": body})
+            remaining_s = limit - self._clock.monotonic()
+            if remaining_s <= 0:
+                return HTTPResponse(304 if revision else 404)
+            await self._wait_for_change(remaining_s)
+
+    async def _wait_for_change(self, remaining_s):
+        changed = self._changed
         self.waiting += 1
         try:
-            while True:
-                if self.mode == "down":
-                    return HTTPResponse(503)
-                revision, body = self._visible().get(name, (0, None))
-                if revision > after:
-                    return json_response(200, {"revision": revision, "body": body})
-                if waited >= wait_s:
-                    return HTTPResponse(304 if revision else 404)
-                await curio.sleep(WATCH_POLL_S)
-                waited += WATCH_POLL_S
+            async with curio.ignore_after(remaining_s):
+                await changed.wait()
         finally:
             self.waiting -= 1
+            self.wakeups += 1
+
+
+def _refusal(status, code, message):
+    return json_response(status, {"error": code, "message": message})
+
+
+def _check_command(command):
+    """Raise ValueError that says what is wrong with a control command."""
+    if not isinstance(command, dict):
+        raise ValueError("a command must be a JSON object")
+    known = ("publish", "mode", "list_lag_s", "reads_per_s")
+    unknown = sorted(set(command) - set(known))
+    if unknown:
+        raise ValueError(f"unknown command {unknown[0]!r}; known: {', '.join(known)}")
+    if command.get("mode", "normal") not in MODES:
+        raise ValueError(f"mode must be one of {', '.join(MODES)}")
+    for name in ("list_lag_s", "reads_per_s"):
+        value = command.get(name, 0)
+        if isinstance(value, bool) or not isinstance(value, (int, float)) or value < 0:
+            raise ValueError(f"{name} must be a number that is not negative")
+    if "publish" not in command:
+        return
+    published = command["publish"]
+    if not isinstance(published, dict) or set(published) != {"name", "body"}:
+        raise ValueError("publish must have exactly the fields name and body")
 
 
 def _parse_watch(query):
