--- a/almondtide/daemon.py
+++ b/almondtide/daemon.py
@@ -27,7 +27,7 @@
 from .executions import Executions
 from .logs import Log
 from .membership import Membership, parse_instances
-from .messages import Leaving, QuarantineNotice
+from .messages import Leaving, Ping, QuarantineNotice
 from .metrics import Metrics
 from .owners import Owners
 from .quarantine import Quarantine
@@ -200,7 +200,19 @@
             self.metrics.configuration_revision.set({}, document.revision)
             await self._view_changed()
         else:
+            first = not self._membership.view().entries
             await self._membership.update_list(parse_instances(document.body))
+            if first:
+                await self._announce()
+
+    async def _announce(self):
+        """Make the peers learn this incarnation.
+
+        Peers that saw an earlier incarnation leave would leave this one out until
+        it contacts them.
+        """
+        for member in self._other_entries():
+            await curio.spawn(self._tell, member, Ping(), daemon=True)
 
     async def _view_changed(self):
         if self._cfg is not None:
@@ -343,9 +355,10 @@
         self._drain.begin(max_age_s)
         self.log.info("drain_started", running=self._caller.running)
         message = Leaving(instance=self.settings.instance, incarnation=self.incarnation)
-        for member in self._membership.view().live_entries():
-            if member.instance != self.settings.instance:
-                await curio.spawn(self._tell_leaving, member, message, daemon=True)
+        # All that are listed, because the view may still call a daemon leaving or
+        # gone that is back.
+        for member in self._other_entries():
+            await curio.spawn(self._tell, member, message, daemon=True)
         complete = await self._drain.wait(
             lambda: self._caller.running, self.settings.drain_timeout_s
         )
@@ -354,11 +367,24 @@
             await listener.close()
         await self._peers.close()
 
-    async def _tell_leaving(self, member, message):
+    def _other_entries(self):
+        entries = self._membership.view().entries
+        return [
+            member
+            for member in entries.values()
+            if member.instance != self.settings.instance
+        ]
+
+    async def _tell(self, member, message):
         try:
             await self._peers.send(member.instance, message)
         except AlmondtideError as exc:
-            self.log.info("leaving_not_told", peer=member.instance, reason=exc.message)
+            self.log.info(
+                "peer_not_told",
+                peer=member.instance,
+                message=message.TYPE,
+                reason=exc.message,
+            )
 
 
 def _leave_to_wakeup_socket(number, frame):
--- /dev/null
+++ b/tests/standins/test_demo.py
@@ -0,0 +1,96 @@
+"""Tests of the demo's parts that prove something about the tier."""
+
+import tempfile
+import time
+
+import testtools
+
+from standins.dataset import make_data_set
+from standins.demo import AnswerCheck, LoadClient
+from standins.fleet import Fleet, FleetSpec
+
+KIND = "probes"
+WORKLOAD = "advisory"
+SHAPE = {
+    "services": 2,
+    "servers": 3,
+    "kind": KIND,
+    "settings": {"deadline_ms": 3000},
+}
+
+
+class RollingRestartTest(testtools.TestCase):
+    """Guards against planned restarts that callers notice.
+
+    A daemon that took restarted peers as still leaving told none of them of its
+    own leaving, and callers went on to use it after it had stopped.
+    """
+
+    def test_no_request_fails(self):
+        spec = FleetSpec(
+            daemons=3,
+            workloads={WORKLOAD: SHAPE},
+            defaults={"entries_max_age_ms": 1000},
+            pack_servers=True,
+        )
+        with tempfile.TemporaryDirectory() as directory, Fleet(spec, directory) as it:
+            check = AnswerCheck({WORKLOAD: make_data_set(KIND)}, it.document, {})
+            entry = it.daemons["entry-00"]["caller"]
+            client = LoadClient(1, entry, WORKLOAD, KIND, check)
+            client.start()
+            for name in list(it.daemons):
+                self.assertEqual(0, it.terminate(name))
+                it.start_daemon(name)
+                it.wait_ready(name)
+            time.sleep(0.5)
+            client.finish()
+        self.assertEqual([], client.failures)
+        self.assertGreater(client.sent, 50)
+
+
+class AnswerCheckTest(testtools.TestCase):
+    """Guards against a check that takes a wrong answer for a right one."""
+
+    def setUp(self):
+        super().setUp()
+        shards = [
+            {"name": "a", "low": 0, "high": 30000, "service": "s-0"},
+            {"name": "b", "low": 30000, "high": 65536, "service": "s-1"},
+        ]
+        maps = [{"epoch": 1, "shards": shards}]
+        document = {"workloads": {WORKLOAD: {"shard_maps": maps}}}
+        self.data = make_data_set(KIND)
+        self.check = AnswerCheck({WORKLOAD: self.data}, document, {})
+
+    def answer(self, rows, covered=("a", "b"), missing=(), code=0):
+        return {
+            "code": code,
+            "name": "",
+            "snapshot": {"version": 1, "epoch": 1},
+            "coverage": {
+                "covered": list(covered),
+                "missing": [{"shard": name, "code": 104} for name in missing],
+            },
+            "result": {"rows": rows},
+        }
+
+    def problem(self, *args, **kwargs):
+        return self.check.problem(WORKLOAD, {}, self.answer(*args, **kwargs))
+
+    def test_right_answers_pass(self):
+        rows = self.data.rows(1)
+        part = [row for row in rows if row["key"] < 30000]
+        self.assertIsNone(self.problem(rows))
+        self.assertIsNone(self.problem(part, ["a"], ["b"], code=1))
+
+    def test_wrong_answers_are_found(self):
+        rows = self.data.rows(1)
+        part = [row for row in rows if row["key"] < 30000]
+        self.assertIsNotNone(self.problem(rows[:-1]))
+        self.assertIsNotNone(self.problem([rows[0], *rows]))
+        self.assertIsNotNone(self.problem(self.data.rows(2)))
+        self.assertIsNotNone(self.problem(part))
+        self.assertIsNotNone(self.problem(rows, ["a"], ["b"], code=1))
+        self.assertIsNotNone(self.problem(part, ["a"], ["b"], code=0))
+        self.assertIsNotNone(self.problem(part, ["a"], [], code=1))
+        self.assertIsNotNone(self.problem(rows, code=104))
