--- a/almondtide/daemon.py
+++ b/almondtide/daemon.py
@@ -33,6 +33,7 @@
     Execute,
     ForwardRevise,
     Leaving,
+    Ping,
     QuarantineNotice,
     SubQueryBatch,
 )
@@ -50,6 +51,8 @@
 TICK_S = 0.2
 TICKS_PER_SECOND = 5
 NOT_READY_RETRY_MS = 500
+# Peers that a starting daemon contacts at once.
+MAX_ANNOUNCED = 64
 # Messages that bring new work to this daemon.
 WORK = (SubQueryBatch, Execute, ForwardRevise)
 
@@ -261,7 +264,21 @@
         await self._view_changed()
 
     async def _apply_instances(self, document, members):
+        first = not self._membership.view().entries
         await self._membership.update_list(members)
+        if first:
+            await self._announce()
+
+    async def _announce(self):
+        """Make the peers learn this incarnation.
+
+        Peers that saw an earlier incarnation leave would leave this one out until
+        it contacts them. In a large fleet the rest learns it by digests.
+        """
+        others = self._other_entries()
+        sample = random.sample(others, min(len(others), MAX_ANNOUNCED))
+        for member in sample:
+            await curio.spawn(self._tell, member, Ping(), daemon=True)
 
     async def _view_changed(self):
         if self._cfg is not None:
@@ -454,23 +471,37 @@
         self._state.leaving = True
         self.log.info("drain_started", running=self._running())
         message = Leaving(instance=self.settings.instance, incarnation=self.incarnation)
-        for member in self._membership.view().live_entries():
-            if member.instance != self.settings.instance:
-                await curio.spawn(self._tell_leaving, member, message, daemon=True)
+        # All that are listed, because the view may still call a daemon leaving or
+        # gone that is back.
+        for member in self._other_entries():
+            await curio.spawn(self._tell, member, message, daemon=True)
         # This daemon's own view must drop it too, or it would go on using the
         # slots of services that have another owner now.
-        await self._membership.peer_leaving(self.settings.instance, self.incarnation)
+        await self._membership.set_leaving()
         complete = await self._drain.wait(self._running, self.settings.drain_timeout_s)
         self.log.info("drain_ended", complete=complete, running=self._running())
         for listener in reversed(self._listeners):
             await listener.close()
         await self._peers.close()
 
-    async def _tell_leaving(self, member, message):
+    def _other_entries(self):
+        entries = self._membership.view().entries
+        return [
+            member
+            for member in entries.values()
+            if member.instance != self.settings.instance
+        ]
+
+    async def _tell(self, member, message):
         try:
             await self._peers.send(member.instance, message)
         except AlmondtideError as exc:
-            self.log.info("leaving_not_told", peer=member.instance, reason=exc.message)
+            self.log.info(
+                "peer_not_told",
+                peer=member.instance,
+                message=message.TYPE,
+                reason=exc.message,
+            )
 
 
 def _parse_list(body, revision):
