Add the command line: query, revise, entries, status, timeline

Cause: callers and operators had no program; the demo needs one.

Change: client.py speaks the caller protocol (entries for their max_age_ms, at most 4 tries within the deadline, another entry after a loss or a temporary "not run") and the admin API. revise keeps one execution id over all tries. When an earlier try was lost, a later "not run" is reported as CONNECTION_LOST, because the lost try may have run. Codes 700 to 703 name what only the command line can see. The members report names the caller and admin addresses, so that status and timeline find the whole fleet from one admin address.

Ruled out: repeated flags by defopt's list type, which keeps only the last flag and swallows the positional argument; the flags are joined before parsing.

--- /dev/null
+++ b/almondtide/cli.py
@@ -0,0 +1,464 @@
+"""The command line ``almondtide`` for callers and operators."""
+
+import os
+import sys
+from typing import Literal
+
+import curio
+import defopt
+import orjson
+
+from . import __version__
+from .adapters.listener import parse_address
+from .client import AdminClient, CallerClient, format_address
+from .errors import AlmondtideError, ClientError, ResultCode, exit_status
+from .presentation import print_error, print_json, print_text, table
+from .timeline import Timeline, format_timeline_event
+
+__all__ = ["main"]
+
+ENTRIES_VARIABLE = "ALMONDTIDE_CLI_ENTRIES"
+ADMIN_VARIABLE = "ALMONDTIDE_CLI_ADMIN"
+TOKEN_VARIABLE = "ALMONDTIDE_CLI_TOKEN"
+USAGE_STATUS = 2
+INTERRUPTED_STATUS = 130
+FOLLOW_INTERVAL_S = 0.5
+REPEATABLE = ("--entry", "--admin")
+
+Output = Literal["text", "json"]
+
+
+class UsageError(Exception):
+    """The command line is incomplete or malformed."""
+
+
+# Arguments
+
+
+def _addresses(flags, variable, flag):
+    """Return the addresses of a flag or of the environment variable."""
+    text = flags if flags is not None else os.environ.get(variable, "")
+    parts = [part.strip() for part in text.split(",") if part.strip()]
+    if not parts:
+        raise UsageError(f"{flag} host:port or {variable} is required")
+    try:
+        return [parse_address(part) for part in parts]
+    except ValueError as exc:
+        raise UsageError(f"{flag}: {exc}") from exc
+
+
+def _token(flag):
+    token = flag if flag is not None else os.environ.get(TOKEN_VARIABLE)
+    if not token:
+        raise UsageError(f"--token or {TOKEN_VARIABLE} is required")
+    return token
+
+
+def _body(text):
+    """Return the JSON bytes of ``--body``: text, @file or standard input."""
+    try:
+        if text is None or text == "-":
+            data = sys.stdin.buffer.read()
+        elif text.startswith("@"):
+            with open(text[1:], "rb") as file:
+                data = file.read()
+        else:
+            data = text.encode()
+        orjson.loads(data)
+    except OSError as exc:
+        raise UsageError(f"--body: {exc}") from exc
+    except orjson.JSONDecodeError as exc:
+        raise UsageError(f"--body is not valid JSON: {exc}") from exc
+    return data
+
+
+def _join_repeated(argv, flags=REPEATABLE):
+    """Merge ``--entry A --entry B`` into ``--entry A,B``; defopt keeps the last."""
+    joined = []
+    position = {}
+    words = iter(argv)
+    for word in words:
+        flag, separator, value = word.partition("=")
+        if flag not in flags:
+            joined.append(word)
+            continue
+        if not separator:
+            value = next(words, None)
+            if value is None:
+                joined.append(word)
+                break
+        if flag in position:
+            joined[position[flag]] += f",{value}"
+        else:
+            position[flag] = len(joined)
+            joined.append(f"{flag}={value}")
+    return joined
+
+
+# Callers
+
+
+def query(
+    workload: str,
+    *,
+    body: str | None = None,
+    deadline_ms: float | None = None,
+    request_id: str | None = None,
+    entry: str | None = None,
+    output: Output = "text",
+):
+    """Send a query and print its answer.
+
+    A query is idempotent: it is sent again through another entry when an entry
+    is lost or refuses it for now, within the deadline.
+
+    :param workload: name of the workload
+    :param body: JSON text, @file, or - for standard input (the default)
+    :param deadline_ms: time for the answer; default: the workload's setting
+    :param request_id: id for the time line; default: a random one
+    :param entry: host:port of an entry, repeatable; default: ALMONDTIDE_CLI_ENTRIES
+    :param output: text or json
+    """
+    seeds = _addresses(entry, ENTRIES_VARIABLE, "--entry")
+    data = _body(body)
+    return curio.run(_query, seeds, workload, data, deadline_ms, request_id, output)
+
+
+async def _query(seeds, workload, data, deadline_ms, request_id, output):
+    client = CallerClient(seeds)
+    try:
+        answer = await client.query(workload, data, deadline_ms, request_id)
+    finally:
+        await client.close()
+    return _print_answer(answer, output)
+
+
+def revise(
+    workload: str,
+    *,
+    body: str | None = None,
+    deadline_ms: float | None = None,
+    execution_id: str | None = None,
+    request_id: str | None = None,
+    entry: str | None = None,
+    output: Output = "text",
+):
+    """Send a non-idempotent request, which runs at most once.
+
+    Prints the execution id before anything is sent. After a lost connection the
+    same id is sent again through another entry. To ask later for an outcome that
+    is unknown, give the printed id and the same body again.
+
+    :param workload: name of the workload
+    :param body: JSON text, @file, or - for standard input (the default)
+    :param deadline_ms: time for the answer; default: the workload's setting
+    :param execution_id: id of an earlier call; default: a new one
+    :param request_id: id for the time line; default: a random one
+    :param entry: host:port of an entry, repeatable; default: ALMONDTIDE_CLI_ENTRIES
+    :param output: text or json
+    """
+    seeds = _addresses(entry, ENTRIES_VARIABLE, "--entry")
+    data = _body(body)
+    return curio.run(
+        _revise, seeds, workload, data, deadline_ms, execution_id, request_id, output
+    )
+
+
+async def _revise(seeds, workload, data, deadline_ms, execution_id, request_id, output):
+    client = CallerClient(seeds)
+    try:
+        if execution_id is None:
+            execution_id = await client.new_execution_id()
+        # Standard error, so that the id survives an interrupted call and the
+        # JSON on standard output stays one document.
+        stream = sys.stderr if output == "json" else sys.stdout
+        print(f"execution_id={execution_id}", file=stream, flush=True)
+        answer = await client.revise(
+            workload, execution_id, data, deadline_ms, request_id
+        )
+    finally:
+        await client.close()
+    return _print_answer(answer, output)
+
+
+def _print_answer(answer, output):
+    body = answer.body if isinstance(answer.body, dict) else {"result": answer.body}
+    code = answer.code
+    if answer.uncertain and answer.stated_not_run:
+        # The last try was not run, but an earlier one was lost on its way.
+        code = ResultCode.CONNECTION_LOST
+        body = {**body, "code": int(code), "name": code.name, "not_run": False}
+    if output == "json":
+        entry = format_address(answer.address)
+        print_json({**body, "entry": entry, "tries": answer.tries})
+    else:
+        print_text("\n".join(_answer_lines(answer, code, body)))
+    return exit_status(code)
+
+
+def _answer_lines(answer, code, body):
+    request_id = body.get("request_id")
+    entry = format_address(answer.address)
+    yield (
+        f"{code.name} ({int(code)}) request_id={request_id} entry={entry} "
+        f"tries={answer.tries}"
+    )
+    if body.get("message"):
+        yield f"message: {body['message']}"
+    if code not in (ResultCode.OK, ResultCode.PARTIAL):
+        retry = body.get("retry_after_ms")
+        yield f"not_run: {'yes' if body.get('not_run') else 'no'}"
+        if retry is not None:
+            yield f"retry_after_ms: {retry}"
+    coverage = body.get("coverage")
+    if coverage is not None:
+        yield from _coverage_lines(body, coverage)
+    if body.get("result") is not None:
+        yield f"result: {orjson.dumps(body['result']).decode()}"
+
+
+def _coverage_lines(body, coverage):
+    snapshot = body.get("snapshot", {})
+    covered = len(coverage["covered"])
+    missing = coverage["missing"]
+    yield (
+        f"snapshot: version {snapshot.get('version')} epoch {snapshot.get('epoch')}; "
+        f"coverage: {covered} of {covered + len(missing)} shards"
+    )
+    for item in missing:
+        yield f"missing: {item['shard']} {item.get('name', item['code'])}"
+
+
+def entries(*, entry: str | None = None, output: Output = "text"):
+    """Show the addresses that callers may use now.
+
+    :param entry: host:port of an entry, repeatable; default: ALMONDTIDE_CLI_ENTRIES
+    :param output: text or json
+    """
+    seeds = _addresses(entry, ENTRIES_VARIABLE, "--entry")
+    return curio.run(_entries, seeds, output)
+
+
+async def _entries(seeds, output):
+    client = CallerClient(seeds)
+    try:
+        body = await client.entries()
+    finally:
+        await client.close()
+    if output == "json":
+        print_json(body)
+        return 0
+    rows = [(e["instance"], e["address"], e.get("domain")) for e in body["entries"]]
+    print_text(table(("instance", "address", "domain"), rows))
+    print_text(f"max_age_ms: {body['max_age_ms']}")
+    print_text(f"execution_prefix: {body['execution_prefix']}")
+    return 0
+
+
+# Operators
+
+
+def status(
+    *,
+    admin: str | None = None,
+    token: str | None = None,
+    listed_only: bool = False,
+    output: Output = "text",
+):
+    """Show one line for each daemon of the fleet.
+
+    The daemons are those of --admin and all members that they know.
+
+    :param admin: admin host:port, repeatable; default: ALMONDTIDE_CLI_ADMIN
+    :param token: bearer token; default: ALMONDTIDE_CLI_TOKEN
+    :param listed_only: ask only the addresses of --admin
+    :param output: text or json
+    """
+    addresses = _addresses(admin, ADMIN_VARIABLE, "--admin")
+    return curio.run(_status, addresses, _token(token), listed_only, output)
+
+
+async def _fleet_reports(addresses, token, listed_only, name):
+    """Return a dict from admin address to the report or the error."""
+    client = AdminClient(token)
+    try:
+        if not listed_only:
+            addresses = await client.discover(addresses)
+        reports = await client.call_all(addresses, name)
+    finally:
+        await client.close()
+    if all(isinstance(report, ClientError) for report in reports.values()):
+        raise next(iter(reports.values()))
+    return reports
+
+
+async def _status(addresses, token, listed_only, output):
+    reports = await _fleet_reports(addresses, token, listed_only, "status")
+    complete = not any(isinstance(r, ClientError) for r in reports.values())
+    if output == "json":
+        print_json({format_address(a): _jsonable(r) for a, r in reports.items()})
+    else:
+        _print_status(reports)
+    return exit_status(ResultCode.OK if complete else ResultCode.PARTIAL)
+
+
+def _jsonable(report):
+    if isinstance(report, ClientError):
+        return {"code": int(report.code), "message": report.message}
+    return report
+
+
+STATUS_COLUMNS = (
+    "instance",
+    "domain",
+    "admin",
+    "state",
+    "running",
+    "revision",
+    "peer_links",
+    "executions",
+)
+
+
+def _print_status(reports):
+    rows = []
+    for address, report in reports.items():
+        name = format_address(address)
+        if isinstance(report, ClientError):
+            empty = [None] * (len(STATUS_COLUMNS) - 4)
+            rows.append((None, None, name, "no answer", *empty))
+            continue
+        rows.append(
+            (
+                report["instance"],
+                report["domain"],
+                name,
+                "leaving" if report["leaving"] else "serving",
+                report["running"],
+                report["configuration_revision"],
+                report["peer_links"],
+                report["executions"],
+            )
+        )
+    rows.sort(key=lambda row: (row[0] is None, row[0] or row[2]))
+    print_text(table(STATUS_COLUMNS, rows))
+
+
+def timeline(
+    *,
+    request_id: str | None = None,
+    event: str | None = None,
+    follow: bool = False,
+    admin: str | None = None,
+    token: str | None = None,
+    listed_only: bool = False,
+    output: Output = "text",
+):
+    """Show the events of all daemons in the order of the hybrid logical clock.
+
+    :param request_id: only events of this request, query or execution id
+    :param event: only events with this name
+    :param follow: go on with new events until interrupted
+    :param admin: admin host:port, repeatable; default: ALMONDTIDE_CLI_ADMIN
+    :param token: bearer token; default: ALMONDTIDE_CLI_TOKEN
+    :param listed_only: ask only the addresses of --admin
+    :param output: text, or json for one JSON object per line
+    """
+    addresses = _addresses(admin, ADMIN_VARIABLE, "--admin")
+    token = _token(token)
+    return curio.run(
+        _timeline, addresses, token, listed_only, request_id, event, follow, output
+    )
+
+
+async def _timeline(addresses, token, listed_only, request_id, event, follow, output):
+    client = AdminClient(token)
+    try:
+        if not listed_only:
+            addresses = await client.discover(addresses)
+        merged = Timeline(client, addresses, request_id, event)
+        first = True
+        while True:
+            for item in await merged.poll():
+                _print_event(item, output)
+            if first or not follow:
+                _report_missing(merged)
+            first = False
+            if not follow:
+                break
+            await curio.sleep(FOLLOW_INTERVAL_S)
+    finally:
+        await client.close()
+    return exit_status(ResultCode.PARTIAL if merged.failures else ResultCode.OK)
+
+
+def _print_event(item, output):
+    if output == "json":
+        print_json(item)
+    else:
+        print_text(format_timeline_event(item))
+
+
+def _report_missing(merged):
+    for exc in merged.failures.values():
+        print_error(exc.message)
+    for instance, count in merged.dropped.items():
+        if count:
+            print_error(f"{instance} has dropped {count} older events")
+
+
+def version(*, output: Output = "text"):
+    """Show the version of this program.
+
+    :param output: text or json
+    """
+    if output == "json":
+        print_json({"version": __version__})
+    else:
+        print_text(f"almondtide {__version__}")
+    return 0
+
+
+COMMANDS = {
+    "query": query,
+    "revise": revise,
+    "entries": entries,
+    "status": status,
+    "timeline": timeline,
+    "version": version,
+}
+
+
+def run(argv):
+    """Run one command and return its exit status."""
+    try:
+        return defopt.run(
+            COMMANDS,
+            argv=_join_repeated(argv),
+            short={},
+            no_negated_flags=True,
+            show_defaults=False,
+            version=__version__,
+            argparse_kwargs={"prog": "almondtide"},
+        )
+    except UsageError as exc:
+        print_error(exc)
+        return USAGE_STATUS
+    except AlmondtideError as exc:
+        print_error(f"{exc.message} ({exc.code.name} {int(exc.code)})")
+        return exit_status(exc.code)
+    except KeyboardInterrupt:
+        return INTERRUPTED_STATUS
+    except BrokenPipeError:
+        # The reader of the output is gone; there is nobody to tell.
+        sys.stdout = None
+        return 0
+
+
+def main(argv=None):
+    """Entry point of ``almondtide``."""
+    sys.exit(run(sys.argv[1:] if argv is None else argv))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/almondtide/client.py
@@ -0,0 +1,413 @@
+"""Client of the caller protocol and of the admin API, for the command line."""
+
+import random
+import secrets
+from urllib.parse import quote
+
+import curio
+import h11
+
+from .adapters.http import HTTPClient
+from .adapters.listener import parse_address
+from .clock import SystemClock
+from .errors import ClientError, ResultCode, UpstreamError
+
+__all__ = ["AdminClient", "CallerClient", "ClientAnswer", "format_address"]
+
+CONNECT_TIMEOUT_S = 1.0
+DEFAULT_TIMEOUT_S = 30.0
+# Time for the answer to travel back after the deadline, in s.
+ANSWER_MARGIN_S = 1.0
+MAX_TRIES = 4
+SUFFIX_BYTES = 8
+
+# Refusals after which another try makes sense when the tier says "not run".
+_TEMPORARY = frozenset(
+    {ResultCode.OVERLOADED, ResultCode.DRAINING, ResultCode.NOT_READY}
+)
+
+
+def format_address(address):
+    """Return ``"host:port"`` of ``(host, port)``."""
+    return f"{address[0]}:{address[1]}"
+
+
+class ClientAnswer:
+    """The last response to a request, with the entry that gave it.
+
+    ``body`` is the decoded JSON body, ``tries`` the number of exchanges.
+    ``uncertain`` is True when an earlier try was lost after it had been sent.
+    """
+
+    __slots__ = ("address", "body", "code", "status", "tries", "uncertain")
+
+    def __init__(self, status, body, address):
+        self.status = status
+        self.body = body
+        self.address = address
+        self.tries = 0
+        self.uncertain = False
+        code = body.get("code") if isinstance(body, dict) else None
+        try:
+            self.code = ResultCode(code)
+        except ValueError:
+            self.code = ResultCode.OK if status == 200 else ResultCode.INTERNAL
+
+    @property
+    def not_run(self):
+        """Whether the tier says that no upstream ran the request."""
+        return self.stated_not_run and not self.uncertain
+
+    @property
+    def stated_not_run(self):
+        """Whether this response says that its own try was not run."""
+        return isinstance(self.body, dict) and self.body.get("not_run") is True
+
+    @property
+    def retry_after_s(self):
+        """After how many seconds another try makes sense; 0.0 when not stated."""
+        return (self.body.get("retry_after_ms") or 0) / 1000.0
+
+    def doubt(self):
+        """Withdraw "not run": an earlier try of the request was lost on its way."""
+        self.uncertain = True
+
+    @property
+    def temporary(self):
+        """Whether this try was not run and the request may be sent again."""
+        return self.stated_not_run and self.code in _TEMPORARY
+
+
+class _Connections:
+    """Idle connections by address; an exchange uses one of them alone."""
+
+    __slots__ = ("_idle",)
+
+    def __init__(self):
+        self._idle = {}
+
+    async def exchange(self, address, method, path, headers, body, timeout_s):
+        """Return the ``HTTPResponse``; raises ``ClientError``.
+
+        The code is NO_ANSWER when nothing was sent and CONNECTION_LOST when the
+        daemon may have received the request.
+        """
+        name = format_address(address)
+        try:
+            client = await self._acquire(address, min(timeout_s, CONNECT_TIMEOUT_S))
+        except (OSError, curio.TaskTimeout) as exc:
+            reason = str(exc) or "timed out"
+            raise ClientError(
+                f"cannot connect to {name}: {reason}", not_run=True
+            ) from exc
+        try:
+            async with curio.timeout_after(timeout_s):
+                response = await client.request(method, path, headers, body)
+        except curio.TaskTimeout as exc:
+            await client.close()
+            raise ClientError(
+                f"no answer of {name} in {timeout_s:.1f} s", ResultCode.CONNECTION_LOST
+            ) from exc
+        except h11.LocalProtocolError as exc:
+            await client.close()
+            raise ClientError(
+                f"the request cannot be sent: {exc}",
+                ResultCode.BAD_REQUEST,
+                not_run=True,
+            ) from exc
+        except UpstreamError as exc:
+            await client.close()
+            raise ClientError(
+                f"{name}: {exc.message}", ResultCode.CONNECTION_LOST
+            ) from exc
+        except BaseException:
+            await client.close()
+            raise
+        await self._release(address, client)
+        return response
+
+    async def _acquire(self, address, timeout_s):
+        idle = self._idle.get(address, [])
+        while idle:
+            client = idle.pop()
+            if not client.is_stale():
+                return client
+            await client.close()
+        return await HTTPClient.open(address, timeout_s)
+
+    async def _release(self, address, client):
+        if client.usable:
+            self._idle.setdefault(address, []).append(client)
+        else:
+            await client.close()
+
+    async def close(self):
+        for clients in self._idle.values():
+            while clients:
+                await clients.pop().close()
+
+
+def _decode(response, address):
+    try:
+        body = response.json()
+    except ValueError as exc:
+        raise ClientError(
+            f"{format_address(address)}: the answer is not valid JSON",
+            ResultCode.BAD_RESPONSE,
+        ) from exc
+    return ClientAnswer(response.status, body, address)
+
+
+class CallerClient:
+    """Sends requests through the entries that the tier names.
+
+    ``seeds`` are addresses ``(host, port)`` that are asked for the entries. The
+    answer is used for its ``max_age_ms``. An entry that was lost or is draining
+    is left out until the entries are asked for again.
+    """
+
+    __slots__ = (
+        "_avoid",
+        "_clock",
+        "_connections",
+        "_entries",
+        "_expires",
+        "_rng",
+        "_seeds",
+    )
+
+    def __init__(self, seeds, clock=None, rng=None):
+        self._seeds = list(seeds)
+        self._clock = clock or SystemClock()
+        self._rng = rng or random.Random()
+        self._connections = _Connections()
+        self._entries = None
+        self._expires = 0.0
+        self._avoid = set()
+
+    async def entries(self, timeout_s=DEFAULT_TIMEOUT_S):
+        """Return the body of ``GET /v1/entries``, cached for its ``max_age_ms``.
+
+        Raises ``ClientError`` when none of the known addresses gives one.
+        """
+        if self._entries is not None and self._clock.monotonic() < self._expires:
+            return self._entries
+        reasons = []
+        limit = self._clock.monotonic() + timeout_s
+        for address in self._known():
+            remaining_s = limit - self._clock.monotonic()
+            if remaining_s <= 0:
+                break
+            asked = self._clock.monotonic()
+            try:
+                answer = await self._get(address, "/v1/entries", remaining_s)
+                self._adopt(answer, asked)
+            except ClientError as exc:
+                reasons.append(exc.message)
+                continue
+            return self._entries
+        raise ClientError(
+            "no entry answers: " + ("; ".join(reasons) or "the time is over"),
+            not_run=True,
+        )
+
+    def _known(self):
+        """Return the seeds and the entries seen before, each once."""
+        known = dict.fromkeys(self._shuffled(self._seeds))
+        if self._entries is not None:
+            known.update(dict.fromkeys(_addresses(self._entries)))
+        return list(known)
+
+    def _shuffled(self, items):
+        return self._rng.sample(items, len(items))
+
+    async def _get(self, address, path, timeout_s):
+        response = await self._connections.exchange(
+            address, "GET", path, {}, b"", timeout_s
+        )
+        return _decode(response, address)
+
+    def _adopt(self, answer, asked):
+        """Use an entries answer; its age counts from the moment of the call."""
+        body = answer.body
+        try:
+            if answer.status != 200 or not _addresses(body):
+                raise ValueError(f"status {answer.status} without entries")
+            max_age_s = float(body["max_age_ms"]) / 1000.0
+        except (KeyError, TypeError, ValueError) as exc:
+            raise ClientError(
+                f"{format_address(answer.address)}: unusable entries answer: {exc}"
+            ) from exc
+        self._entries = body
+        self._expires = asked + max_age_s
+        self._avoid.clear()
+
+    async def _pick(self, timeout_s):
+        """Return an entry that was not lost, asking for the entries if need be."""
+        entries = await self.entries(timeout_s)
+        usable = [a for a in _addresses(entries) if a not in self._avoid]
+        if not usable:
+            self._expires = 0.0
+            usable = _addresses(await self.entries(timeout_s))
+        return self._rng.choice(usable)
+
+    async def query(self, workload, body, deadline_ms=None, request_id=None):
+        """Return the ``ClientAnswer`` to an idempotent query.
+
+        ``body`` is JSON text as bytes. The query is sent at most ``MAX_TRIES``
+        times within the deadline: again after a lost connection, and after a
+        temporary refusal that says "not run".
+        """
+        path = f"/v1/workloads/{quote(workload, safe='')}/query"
+        headers = {"almondtide-request-id": request_id or new_request_id()}
+        return await self._send(path, headers, body, deadline_ms)
+
+    async def new_execution_id(self, timeout_s=DEFAULT_TIMEOUT_S):
+        """Return a fresh execution id: the tier's prefix and a random suffix."""
+        entries = await self.entries(timeout_s)
+        prefix = entries.get("execution_prefix")
+        if not isinstance(prefix, str) or not prefix:
+            raise ClientError("the entries answer has no execution_prefix")
+        return f"{prefix}~{secrets.token_hex(SUFFIX_BYTES)}"
+
+    async def revise(
+        self, workload, execution_id, body, deadline_ms=None, request_id=None
+    ):
+        """Return the ``ClientAnswer`` to a non-idempotent request.
+
+        The same ``execution_id`` is sent again, through another entry, after a
+        lost connection and after a temporary refusal that says "not run". The
+        tier runs an execution id at most once, so this is safe.
+        """
+        path = f"/v1/workloads/{quote(workload, safe='')}/revise"
+        headers = {
+            "almondtide-request-id": request_id or new_request_id(),
+            "almondtide-execution-id": execution_id,
+        }
+        return await self._send(path, headers, body, deadline_ms)
+
+    async def _send(self, path, headers, body, deadline_ms):
+        now = self._clock.monotonic
+        if deadline_ms is None:
+            limit = now() + DEFAULT_TIMEOUT_S
+        else:
+            limit = now() + deadline_ms / 1000.0
+        answer = None
+        failure = None
+        lost = False
+        for number in range(1, MAX_TRIES + 1):
+            remaining_s = limit - now()
+            if remaining_s <= 0 and number > 1:
+                break
+            try:
+                address = await self._pick(max(remaining_s, 0.1))
+                answer = await self._try(
+                    address, path, headers, body, limit, deadline_ms
+                )
+            except ClientError as exc:
+                if exc.code == ResultCode.BAD_REQUEST:
+                    raise
+                failure = exc
+                lost = lost or not exc.not_run
+                continue
+            answer.tries = number
+            if lost:
+                answer.doubt()
+            if not answer.temporary or now() + answer.retry_after_s >= limit:
+                return answer
+            await curio.sleep(answer.retry_after_s)
+        if answer is not None and not lost:
+            return answer
+        raise failure
+
+    async def _try(self, address, path, headers, body, limit, deadline_ms):
+        remaining_s = max(0.0, limit - self._clock.monotonic())
+        sent = {"content-type": "application/json", **headers}
+        if deadline_ms is not None:
+            sent["almondtide-deadline-ms"] = f"{remaining_s * 1000:.0f}"
+        try:
+            response = await self._connections.exchange(
+                address, "POST", path, sent, body, remaining_s + ANSWER_MARGIN_S
+            )
+        except ClientError:
+            self._avoid.add(address)
+            raise
+        answer = _decode(response, address)
+        if answer.temporary and answer.code != ResultCode.OVERLOADED:
+            self._avoid.add(address)
+        return answer
+
+    async def close(self):
+        """Close all connections."""
+        await self._connections.close()
+
+
+def new_request_id():
+    """Return a random request id."""
+    return f"cli-{secrets.token_hex(6)}"
+
+
+def _addresses(entries):
+    return [parse_address(item["address"]) for item in entries["entries"]]
+
+
+class AdminClient:
+    """Reads the admin reports of daemons."""
+
+    __slots__ = ("_connections", "_timeout_s", "_token")
+
+    def __init__(self, token, timeout_s=3.0):
+        self._token = token
+        self._timeout_s = timeout_s
+        self._connections = _Connections()
+
+    async def call(self, address, name, method="GET"):
+        """Return the decoded report ``name`` of one daemon.
+
+        Raises ``ClientError`` when the daemon does not answer or refuses.
+        """
+        headers = {"authorization": f"Bearer {self._token}"}
+        response = await self._connections.exchange(
+            address, method, f"/admin/v1/{name}", headers, b"", self._timeout_s
+        )
+        answer = _decode(response, address)
+        if answer.status >= 300:
+            reason = f"status {answer.status}"
+            if isinstance(answer.body, dict):
+                reason = answer.body.get("message", reason)
+            raise ClientError(f"{format_address(address)}: {reason}", answer.code)
+        return answer.body
+
+    async def call_all(self, addresses, name):
+        """Return a dict from address to report or ``ClientError``."""
+        tasks = {
+            address: await curio.spawn(self._call_caught, address, name)
+            for address in addresses
+        }
+        return {address: await task.join() for address, task in tasks.items()}
+
+    async def _call_caught(self, address, name):
+        try:
+            return await self.call(address, name)
+        except ClientError as exc:
+            return exc
+
+    async def discover(self, addresses):
+        """Return ``addresses`` and the admin addresses of all their members.
+
+        Raises ``ClientError`` when none of ``addresses`` answers.
+        """
+        found = dict.fromkeys(addresses)
+        reports = await self.call_all(addresses, "members")
+        members = [item for item in reports.values() if isinstance(item, list)]
+        if not members:
+            raise next(iter(reports.values()))
+        for report in members:
+            for member in report:
+                if member.get("admin"):
+                    found[parse_address(member["admin"])] = None
+        return list(found)
+
+    async def close(self):
+        """Close all connections."""
+        await self._connections.close()
--- a/almondtide/daemon.py
+++ b/almondtide/daemon.py
@@ -264,6 +264,8 @@
             {
                 "instance": member.instance,
                 "domain": member.domain,
+                "caller": _format_address(member.address),
+                "admin": _format_address(member.admin),
                 "leaving": member.instance in view.leaving,
                 "gone": member.instance in view.gone,
             }
@@ -361,6 +363,10 @@
             self.log.info("leaving_not_told", peer=member.instance, reason=exc.message)
 
 
+def _format_address(address):
+    return None if address is None else f"{address[0]}:{address[1]}"
+
+
 def _leave_to_wakeup_socket(number, frame):
     """Do nothing; the wakeup socket carries the signal."""
 
--- a/almondtide/errors.py
+++ b/almondtide/errors.py
@@ -5,6 +5,7 @@
 __all__ = [
     "AlmondtideError",
     "BadRequestError",
+    "ClientError",
     "ConfigurationError",
     "ExecutionError",
     "PeerError",
@@ -23,7 +24,8 @@
 
     The hundreds digit names the family: 0 answers, 1 bad requests, 2 refusals by
     the tier, 3 upstream failures, 4 non-idempotent execution, 5 peers, 6
-    configuration and platform, 9 internal. ``docs/result-codes.md`` lists them.
+    configuration and platform, 7 the command line, 9 internal.
+    ``docs/result-codes.md`` lists them.
     """
 
     OK = 0
@@ -64,6 +66,10 @@
     CONFIGURATION_INVALID = 600
     SETTINGS_INVALID = 601
     PLATFORM_UNAVAILABLE = 602
+    NO_ANSWER = 700
+    CONNECTION_LOST = 701
+    WAIT_TIMEOUT = 702
+    DISAGREEMENT = 703
     INTERNAL = 900
 
 
@@ -176,6 +182,12 @@
     code = ResultCode.PLATFORM_UNAVAILABLE
 
 
+class ClientError(AlmondtideError):
+    """The command line got no usable answer from any daemon it asked."""
+
+    code = ResultCode.NO_ANSWER
+
+
 class _ProblemListError(AlmondtideError):
     def __init__(self, problems):
         self.problems = list(problems)
--- /dev/null
+++ b/almondtide/timeline.py
@@ -0,0 +1,75 @@
+"""One time line of the events of all daemons."""
+
+from .errors import ClientError
+from .logs import format_event
+
+__all__ = ["Timeline", "format_timeline_event"]
+
+PAGE_EVENTS = 5000
+ID_FIELDS = ("request_id", "query_id", "execution_id")
+
+
+class Timeline:
+    """Polls the events of daemons and merges them by hybrid logical clock.
+
+    ``failures`` maps the address of each daemon that did not answer the last
+    poll to its error; ``dropped`` maps an instance to the number of events that
+    left its ring buffer.
+    """
+
+    __slots__ = ("_after", "_client", "_event", "_request_id", "dropped", "failures")
+
+    def __init__(self, client, addresses, request_id=None, event=None):
+        self._client = client
+        self._after = dict.fromkeys(addresses, (0, 0))
+        self._request_id = request_id
+        self._event = event
+        self.failures = {}
+        self.dropped = {}
+
+    async def poll(self):
+        """Return the events since the last poll in order.
+
+        Raises ``ClientError`` when no daemon answers.
+        """
+        events = []
+        self.failures = {}
+        for address in self._after:
+            try:
+                events.extend(await self._read(address))
+            except ClientError as exc:
+                self.failures[address] = exc
+        if len(self.failures) == len(self._after):
+            raise next(iter(self.failures.values()))
+        events.sort(key=lambda item: (item["time"], item["instance"]))
+        return [item for item in events if self._matches(item)]
+
+    async def _read(self, address):
+        events = []
+        while True:
+            millis, counter = self._after[address]
+            report = await self._client.call(
+                address, f"events?after={millis},{counter}&limit={PAGE_EVENTS}"
+            )
+            page = report["events"]
+            self.dropped[report["instance"]] = report["dropped"]
+            events.extend(page)
+            if page:
+                self._after[address] = tuple(page[-1]["time"])
+            if len(page) < PAGE_EVENTS:
+                return events
+
+    def _matches(self, item):
+        if self._event is not None and item["event"] != self._event:
+            return False
+        if self._request_id is None:
+            return True
+        fields = item["fields"]
+        return any(fields.get(name) == self._request_id for name in ID_FIELDS)
+
+
+def format_timeline_event(item):
+    """Return one line: time stamp, instance, event and its fields."""
+    millis, counter = item["time"]
+    head = f"{millis / 1000:.3f}+{counter:03d} {item['instance']}"
+    return f"{head} {format_event(item['event'], item['fields'])}"
