--- a/almondtide/daemon.py
+++ b/almondtide/daemon.py
@@ -372,6 +372,8 @@
             {
                 "instance": member.instance,
                 "domain": member.domain,
+                "caller": _format_address(member.address),
+                "admin": _format_address(member.admin),
                 "leaving": member.instance in view.leaving,
                 "gone": member.instance in view.gone,
                 "listed": self._membership.is_listed(member.instance),
@@ -508,6 +510,10 @@
     return parse_instances(body)
 
 
+def _format_address(address):
+    return None if address is None else f"{address[0]}:{address[1]}"
+
+
 def _leave_to_wakeup_socket(number, frame):
     """Do nothing; the wakeup socket carries the signal."""
 
--- a/almondtide/errors.py
+++ b/almondtide/errors.py
@@ -5,6 +5,7 @@
 __all__ = [
     "AlmondtideError",
     "BadRequestError",
+    "ClientError",
     "ConfigurationError",
     "DocumentError",
     "ExecutionError",
@@ -24,7 +25,8 @@
 
     The hundreds digit names the family: 0 answers, 1 bad requests, 2 refusals by
     the tier, 3 upstream failures, 4 non-idempotent execution, 5 peers, 6
-    configuration and platform, 9 internal. ``docs/result-codes.md`` lists them.
+    configuration and platform, 7 the command line, 9 internal.
+    ``docs/result-codes.md`` lists them.
     """
 
     OK = 0
@@ -66,6 +68,10 @@
     SETTINGS_INVALID = 601
     PLATFORM_UNAVAILABLE = 602
     DOCUMENT_MISMATCH = 603
+    NO_ANSWER = 700
+    CONNECTION_LOST = 701
+    WAIT_TIMEOUT = 702
+    DISAGREEMENT = 703
     INTERNAL = 900
 
 
@@ -184,6 +190,12 @@
     code = ResultCode.DOCUMENT_MISMATCH
 
 
+class ClientError(AlmondtideError):
+    """The command line got no usable answer from any daemon it asked."""
+
+    code = ResultCode.NO_ANSWER
+
+
 class _ProblemListError(AlmondtideError):
     def __init__(self, problems):
         self.problems = list(problems)
