Add history checks of the eight promises

Change: proofs/ runs a fleet of processes for each promise, records what callers saw and what upstreams ran, and checks the history with pure functions. standins/link.py forwards connections and can cut, hold, delay, duplicate, truncate and cross. The upstream's record carries the marker of the caller's body and the time; refusals while draining are recorded as arrivals.

--- /dev/null
+++ b/proofs/__init__.py
@@ -0,0 +1,1 @@
+"""History checks of the promises that the tier makes."""
--- /dev/null
+++ b/proofs/callers.py
@@ -0,0 +1,224 @@
+"""Callers that follow the address answers of the tier and record a history."""
+
+import http.client
+import json
+import random
+import select
+import threading
+import time
+
+from standins.dataset import make_query
+
+from .history import Call
+
+__all__ = ["Caller", "CallerPool", "query_bodies", "revision_bodies"]
+
+ANSWER_GRACE_S = 2.0
+ENTRIES_TIMEOUT_S = 2.0
+RETRY_PAUSE_S = 0.05
+KEY_LIMIT = 65536
+
+
+class _Connections:
+    """Keep-alive connections of one caller, one for each address."""
+
+    def __init__(self):
+        self._open = {}
+
+    def exchange(self, address, method, path, body, headers, timeout_s):
+        """Return (status, headers, content); raises OSError or HTTPException."""
+        conn = self._open.pop(address, None)
+        if conn is not None and _is_closed(conn):
+            conn.close()
+            conn = None
+        if conn is None:
+            host, _, port = address.rpartition(":")
+            conn = http.client.HTTPConnection(host, int(port))
+        try:
+            conn.timeout = timeout_s
+            if conn.sock is not None:
+                conn.sock.settimeout(timeout_s)
+            conn.request(method, path, body, headers)
+            response = conn.getresponse()
+            content = response.read()
+        except BaseException:
+            conn.close()
+            raise
+        if response.will_close:
+            conn.close()
+        else:
+            self._open[address] = conn
+        return response.status, response.headers, content
+
+    def close(self):
+        for conn in self._open.values():
+            conn.close()
+
+
+def _is_closed(conn):
+    """Return whether the daemon has closed the idle connection."""
+    return conn.sock is None or bool(select.select([conn.sock], [], [], 0)[0])
+
+
+class Caller:
+    """One caller: it keeps an address answer up to its age and connects directly.
+
+    ``addresses`` are the addresses that it knows before its first answer.
+    """
+
+    def __init__(self, number, seed, addresses, workload):
+        self.number = number
+        self.rng = random.Random(f"{seed}/caller/{number}")
+        self.workload = workload
+        self.calls = []
+        self._known = list(addresses)
+        self._entries = []
+        self._prefix = None
+        self._expires = 0.0
+        self._connections = _Connections()
+        self._sent = 0
+
+    def forget_entries(self):
+        """Ask again before the next request, as after a failed connection."""
+        self._expires = 0.0
+
+    def refresh(self):
+        """Get a new address answer when the last one is too old."""
+        while time.monotonic() >= self._expires:
+            asked = time.monotonic()
+            address = self.rng.choice(self._entries or self._known)
+            try:
+                _, _, content = self._connections.exchange(
+                    address, "GET", "/v1/entries", None, {}, ENTRIES_TIMEOUT_S
+                )
+                report = json.loads(content)
+                entries = [item["address"] for item in report["entries"]]
+            except (OSError, http.client.HTTPException, ValueError, KeyError):
+                entries = []
+            if not entries:
+                self._entries = []
+                time.sleep(RETRY_PAUSE_S)
+                continue
+            self._entries = entries
+            self._prefix = report["execution_prefix"]
+            self._expires = asked + report["max_age_ms"] / 1000.0
+
+    def next_marker(self):
+        """Return a marker that no other request has."""
+        self._sent += 1
+        return f"m{self.number}-{self._sent}"
+
+    def query(self, body, deadline_s):
+        """Send a query and return its ``Call``."""
+        return self._send("query", body, deadline_s, None)
+
+    def revise(self, body, deadline_s, execution_id=None):
+        """Send a revision request and return its ``Call``."""
+        self.refresh()
+        if execution_id is None:
+            execution_id = f"{self._prefix}~{body['marker']}"
+        return self._send("revise", body, deadline_s, execution_id)
+
+    def _send(self, kind, body, deadline_s, execution_id):
+        self.refresh()
+        call = Call(
+            f"{body['marker']}/{len(self.calls)}",
+            kind,
+            body,
+            self.rng.choice(self._entries),
+            deadline_s,
+            execution_id=execution_id,
+        )
+        headers = {
+            "almondtide-request-id": call.request_id,
+            "almondtide-deadline-ms": str(deadline_s * 1000),
+        }
+        if execution_id is not None:
+            headers["almondtide-execution-id"] = execution_id
+        call.sent = time.monotonic()
+        try:
+            status, received, content = self._connections.exchange(
+                call.entry,
+                "POST",
+                f"/v1/workloads/{self.workload}/{kind}",
+                json.dumps(body),
+                headers,
+                deadline_s + ANSWER_GRACE_S,
+            )
+            call.answer = json.loads(content)
+            call.status = status
+            call.header_request_id = received.get("almondtide-request-id")
+        except (OSError, http.client.HTTPException, ValueError) as exc:
+            call.error = repr(exc)
+        call.received = time.monotonic()
+        self.calls.append(call)
+        if call.status is None:
+            self.forget_entries()
+        return call
+
+    def close(self):
+        """Close all connections."""
+        self._connections.close()
+
+
+def query_bodies(kind):
+    """Return a function that makes distinct queries over the data set ``kind``."""
+
+    def make(caller):
+        body = make_query(kind, caller.rng)
+        return {**body, "marker": caller.next_marker()}
+
+    return make
+
+
+def revision_bodies(caller):
+    """Return a revision request with a marker of its own."""
+    return {"key": caller.rng.randrange(KEY_LIMIT), "marker": caller.next_marker()}
+
+
+class CallerPool:
+    """Callers in threads; ``step(caller)`` sends the requests of one turn.
+
+    ``pause_s`` is the mean pause between the turns of a caller.
+    """
+
+    def __init__(self, callers, step, pause_s=0.02):
+        self.callers = callers
+        self.pause_s = pause_s
+        self._step = step
+        self._stop = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._run, args=(caller,), daemon=True)
+            for caller in callers
+        ]
+        self.failures = []
+
+    def __enter__(self):
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *details):
+        self._stop.set()
+        for thread in self._threads:
+            thread.join()
+        for caller in self.callers:
+            caller.close()
+        if self.failures and details[0] is None:
+            raise self.failures[0]
+
+    def _run(self, caller):
+        try:
+            while not self._stop.wait(caller.rng.uniform(0, 2 * self.pause_s)):
+                self._step(caller)
+        except Exception as exc:
+            self.failures.append(exc)
+
+    def sent(self):
+        """Return how many requests were sent so far."""
+        return sum(len(caller.calls) for caller in self.callers)
+
+    def calls(self):
+        """Return all calls in the order of their sending."""
+        merged = [call for caller in self.callers for call in caller.calls]
+        return sorted(merged, key=lambda call: call.sent)
--- /dev/null
+++ b/proofs/checks.py
@@ -0,0 +1,349 @@
+"""Checks of histories: pure functions that return the violations they find."""
+
+from collections import Counter
+
+from almondtide.errors import ResultCode
+from standins.dataset import evaluate
+
+from .history import Violation
+
+__all__ = [
+    "Oracle",
+    "check_answers",
+    "check_configuration",
+    "check_coverage",
+    "check_executions",
+    "check_leaving",
+    "check_not_run",
+    "check_planned_stops",
+    "check_refusals",
+    "check_snapshots",
+]
+
+LEAVING_LIMIT_S = 3.0
+CONFIGURATION_LIMIT_S = 7.0
+# A refusal must be far from the deadline; half of it also holds on a slow machine.
+REFUSAL_SHARE = 0.5
+# Bad requests and misused execution ids are final, so there is no time to return.
+FINAL_FAMILIES = (1, 4)
+
+
+class Oracle:
+    """The single-process evaluation that answers are compared with.
+
+    ``shard_maps`` maps an epoch to its ``ShardMap``.
+    """
+
+    __slots__ = ("data", "shard_maps")
+
+    def __init__(self, data, shard_maps):
+        self.data = data
+        self.shard_maps = shard_maps
+
+    def rows(self, query, version, epoch, shards):
+        """Return the rows of the named shards, in key order."""
+        ranges = [
+            shard.key_range
+            for shard in self.shard_maps[epoch].shards
+            if shard.name in shards
+        ]
+        found = evaluate(self.data, query, version)
+        return [row for row in found if any(row["key"] in part for part in ranges)]
+
+
+def _with_rows(calls):
+    return [call for call in calls if call.kind == "query" and call.rows is not None]
+
+
+def check_snapshots(calls, oracle):
+    """Every row carries the stated version; all rows are those of the snapshot."""
+    violations = []
+    for call in _with_rows(calls):
+        version, epoch = call.snapshot
+        others = {row.get("version") for row in call.rows} - {version}
+        if others:
+            violations.append(
+                Violation(
+                    call.request_id,
+                    f"states version {version} but holds rows of {sorted(others)}",
+                )
+            )
+        elif epoch not in oracle.shard_maps:
+            violations.append(
+                Violation(call.request_id, f"states unknown epoch {epoch}")
+            )
+        elif call.rows != oracle.rows(call.body, version, epoch, call.covered):
+            violations.append(
+                Violation(
+                    call.request_id,
+                    f"its {len(call.rows)} rows differ from the evaluation of version "
+                    f"{version}, epoch {epoch}, shards {call.covered}",
+                )
+            )
+    return violations
+
+
+def check_coverage(calls, oracle):
+    """The named shards are exactly those whose rows are in the answer, once."""
+    violations = []
+    for call in calls:
+        if call.kind != "query" or call.field("coverage") is None:
+            continue
+        problem = _coverage_problem(call, oracle)
+        if problem is not None:
+            violations.append(Violation(call.request_id, problem))
+    return violations
+
+
+def _coverage_problem(call, oracle):
+    version, epoch = call.snapshot
+    shard_map = oracle.shard_maps.get(epoch)
+    if shard_map is None:
+        return f"states unknown epoch {epoch}"
+    stated = Counter([*call.covered, *call.missing])
+    known = Counter(shard.name for shard in shard_map.shards)
+    if stated != known:
+        return f"names the shards {sorted(stated.elements())} of {sorted(known)}"
+    complete = call.code == ResultCode.OK
+    if complete != (not call.missing):
+        return f"code {call.code} with the missing shards {call.missing}"
+    ids = Counter(row["id"] for row in call.rows or ())
+    repeated = [name for name, count in ids.items() if count > 1]
+    if repeated:
+        return f"counts {repeated[:3]} more than once"
+    for shard in shard_map.shards:
+        present = {
+            row["id"] for row in call.rows or () if row["key"] in shard.key_range
+        }
+        wanted = set()
+        if shard.name in call.covered:
+            rows = oracle.rows(call.body, version, epoch, [shard.name])
+            wanted = {row["id"] for row in rows}
+        if present != wanted:
+            return (
+                f"shard {shard.name}: {len(present)} rows in the answer, "
+                f"{len(wanted)} according to its coverage"
+            )
+    return None
+
+
+def check_answers(calls, oracle):
+    """Each caller gets the whole answer to its own request."""
+    violations = []
+    for call in calls:
+        problem = None
+        if call.status is not None:
+            problem = _answer_problem(call, oracle)
+        if problem is not None:
+            violations.append(Violation(call.request_id, problem))
+    return violations
+
+
+def _answer_problem(call, oracle):
+    stated = {call.field("request_id"), call.header_request_id}
+    if stated != {call.request_id}:
+        return f"got the answer to {sorted(map(str, stated))}"
+    if call.kind == "revise":
+        result = call.field("result") or {}
+        own = result.get("execution_id") == call.execution_id
+        if call.code == ResultCode.OK and not own:
+            return f"got the outcome of {result.get('execution_id')!r}"
+        return None
+    if call.rows is None:
+        return "OK without rows" if call.code == ResultCode.OK else None
+    version, epoch = call.snapshot
+    shards = call.covered
+    if call.code == ResultCode.OK:
+        shards = [shard.name for shard in oracle.shard_maps[epoch].shards]
+    expected = oracle.rows(call.body, version, epoch, shards)
+    if call.rows != expected:
+        return (
+            f"has {len(call.rows)} rows, its own query has {len(expected)} "
+            f"in {len(shards)} shards"
+        )
+    return None
+
+
+def check_not_run(calls, executions):
+    """No upstream ran a request whose caller was told that it was not run.
+
+    A caller may send a marker more than once, so a run is explained by any try
+    that was sent before it and was not answered "not run".
+    """
+    explained = {}
+    refused = {}
+    for call in calls:
+        if call.not_run:
+            refused.setdefault(call.marker, call)
+        else:
+            earliest = min(call.sent, explained.get(call.marker, call.sent))
+            explained[call.marker] = earliest
+    violations = []
+    for run in executions:
+        if run.marker is None or run.marker not in refused:
+            continue
+        if run.at < explained.get(run.marker, float("inf")):
+            call = refused[run.marker]
+            violations.append(
+                Violation(
+                    call.request_id,
+                    f"answered code {call.code} and not run, but {run.server} ran it "
+                    f"{run.at - call.sent:+.3f} s after it was sent",
+                )
+            )
+    return violations
+
+
+def check_refusals(calls, share=REFUSAL_SHARE):
+    """A request that is given up is answered at once, with a time to come back.
+
+    ``share`` is the part of the deadline within which the refusal must arrive;
+    None leaves the time out, because a paused entry cannot answer at once.
+    """
+    violations = []
+    for call in calls:
+        if not call.not_run or call.code // 100 in FINAL_FAMILIES:
+            continue
+        if not call.field("retry_after_ms"):
+            violations.append(
+                Violation(
+                    call.request_id, f"refused with code {call.code}, no retry_after_ms"
+                )
+            )
+        elapsed = call.received - call.sent
+        if share is not None and elapsed > share * call.deadline_s:
+            violations.append(
+                Violation(
+                    call.request_id,
+                    f"refused with code {call.code} after {elapsed:.3f} s of "
+                    f"{call.deadline_s:.3f} s",
+                )
+            )
+    return violations
+
+
+def check_executions(calls, executions):
+    """No execution id and no marker runs twice; outcomes agree with the records."""
+    violations = []
+    runs = [run for run in executions if run.event == "revise"]
+    for name in ("execution_id", "marker"):
+        counts = Counter(getattr(run, name) for run in runs)
+        for value, count in counts.items():
+            if value is not None and count > 1:
+                servers = [run.server for run in runs if getattr(run, name) == value]
+                violations.append(
+                    Violation(value, f"ran {count} times, on {', '.join(servers)}")
+                )
+    ran = {run.execution_id for run in runs}
+    for call in calls:
+        if call.code == ResultCode.OK and call.execution_id not in ran:
+            violations.append(
+                Violation(call.request_id, "was answered OK, but no upstream ran it")
+            )
+    return violations
+
+
+def check_leaving(leavings, executions, limit_s=LEAVING_LIMIT_S):
+    """A leaving upstream starts no new work ``limit_s`` after it was published.
+
+    ``leavings`` are intervals named by the server: published until live again.
+    """
+    violations = []
+    for leaving in leavings:
+        late = [
+            run.at - leaving.start
+            for run in executions
+            if run.server == leaving.name
+            and leaving.start + limit_s < run.at < leaving.end
+        ]
+        if late:
+            violations.append(
+                Violation(
+                    leaving.name,
+                    f"ran {len(late)} requests {min(late):.2f} to {max(late):.2f} s "
+                    "after its leaving was published",
+                )
+            )
+    return violations
+
+
+def check_planned_stops(calls, exit_statuses):
+    """Every request is answered in full and every daemon ends by itself.
+
+    ``exit_statuses`` is a list of (daemon, status).
+    """
+    violations = []
+    for call in calls:
+        if call.code != ResultCode.OK:
+            seen = call.error or f"code {call.code} {call.field('message', '')}"
+            violations.append(
+                Violation(
+                    call.request_id,
+                    f"{call.kind} at {call.entry}: {seen}; missing {call.missing}",
+                )
+            )
+    for daemon, status in exit_statuses:
+        if status != 0:
+            violations.append(Violation(daemon, f"exit status {status}"))
+    return violations
+
+
+def check_configuration(samples, published, excuses, limit_s=CONFIGURATION_LIMIT_S):
+    """Accepted revisions are in force in time, and none ever decreases.
+
+    ``published`` is a list of (revision, time). ``excuses`` are intervals in
+    which the daemon of that name could hear from nobody (paused, stopped or cut
+    off on all sides); the limit counts from their end. An excuse named None
+    applies to all daemons.
+    """
+    violations = []
+    by_daemon = {}
+    for sample in sorted(samples, key=lambda item: item.at):
+        by_daemon.setdefault(sample.daemon, []).append(sample)
+    for daemon, series in by_daemon.items():
+        own = [item for item in excuses if item.name in (None, daemon)]
+        violations.extend(_decreases(daemon, series))
+        for revision, at in published:
+            due = _due(at, own, limit_s)
+            late = [
+                item
+                for item in series
+                if item.at > due
+                and not any(excuse.start <= item.at < excuse.end for excuse in own)
+                and (item.revision or 0) < revision
+            ]
+            if late:
+                last = late[-1]
+                violations.append(
+                    Violation(
+                        daemon,
+                        f"revision {last.revision} is in force {last.at - at:.1f} s "
+                        f"after revision {revision} was published",
+                    )
+                )
+    return violations
+
+
+def _decreases(daemon, series):
+    violations = []
+    highest = 0
+    for sample in series:
+        if sample.revision is None:
+            continue
+        if sample.revision < highest:
+            violations.append(
+                Violation(
+                    daemon, f"went from revision {highest} back to {sample.revision}"
+                )
+            )
+        highest = max(highest, sample.revision)
+    return violations
+
+
+def _due(at, excuses, limit_s):
+    """Return when a revision of ``at`` must be in force, after all excuses."""
+    due = at + limit_s
+    for excuse in sorted(excuses, key=lambda item: item.start):
+        if excuse.start < due and excuse.end + limit_s > due:
+            due = excuse.end + limit_s
+    return due
--- /dev/null
+++ b/proofs/faults.py
@@ -0,0 +1,215 @@
+"""Seeded faults that strike a running fleet."""
+
+import contextlib
+import http.client
+import random
+import signal
+import threading
+import time
+
+from almondtide.registry import Registry
+
+from .history import Interval
+
+__all__ = ["FaultInjector", "faults"]
+
+faults = Registry("fault")
+
+MIN_PAUSE_S = 0.3
+READY_TIMEOUT_S = 8.0
+MAX_DAEMONS_AT_ONCE = 2
+
+
+class FaultInjector:
+    """Runs faults of ``kinds`` in two threads, so that two strike at once.
+
+    No process is struck by two faults at the same time. ``log`` holds an
+    ``Interval`` for each fault and process: from its begin until the process
+    works again.
+    """
+
+    def __init__(self, fleet, kinds, seed, gap_s=0.5, max_pause_s=3.0, threads=2):
+        self.fleet = fleet
+        self.kinds = list(kinds)
+        self.gap_s = gap_s
+        self.max_pause_s = max_pause_s
+        self.log = []
+        self.stopping = threading.Event()
+        self._lock = threading.Lock()
+        self._struck = set()
+        self._failures = []
+        self._threads = [
+            threading.Thread(target=self._run, args=(f"{seed}/{n}",), daemon=True)
+            for n in range(threads if kinds else 0)
+        ]
+
+    def __enter__(self):
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *details):
+        self.stopping.set()
+        for thread in self._threads:
+            thread.join()
+        if self._failures and details[0] is None:
+            raise self._failures[0]
+
+    def _run(self, seed):
+        rng = random.Random(f"{seed}/faults")
+        try:
+            while not self.stopping.wait(rng.uniform(0.2, 2.0) * self.gap_s):
+                faults.get(rng.choice(self.kinds))(self, rng)
+        except Exception as exc:
+            self._failures.append(exc)
+
+    def wait(self, seconds):
+        """Wait, or return early when the run ends."""
+        self.stopping.wait(seconds)
+
+    @contextlib.contextmanager
+    def strike(self, kind, names, rng):
+        """Choose one of ``names`` that no fault strikes; yields None without one."""
+        with self._lock:
+            free = sorted(set(names) - self._struck)
+            daemons = len(self._struck & set(self.fleet.daemons))
+            if daemons >= MAX_DAEMONS_AT_ONCE:
+                free = [name for name in free if name not in self.fleet.daemons]
+            chosen = rng.choice(free) if free else None
+            if chosen is not None:
+                self._struck.add(chosen)
+        begun = time.monotonic()
+        try:
+            yield chosen
+        finally:
+            if chosen is not None:
+                interval = Interval(f"{kind} {chosen}", begun, time.monotonic())
+                with self._lock:
+                    self._struck.discard(chosen)
+                    self.log.append(interval)
+
+    def wait_ready(self, name):
+        """Wait until a daemon serves again, for a limited time."""
+        limit = time.monotonic() + READY_TIMEOUT_S
+        while time.monotonic() < limit and not self.stopping.is_set():
+            with contextlib.suppress(OSError, http.client.HTTPException, TimeoutError):
+                self.fleet.wait_ready(name)
+                return
+
+
+def _pause(injector, kind, names, rng):
+    with injector.strike(kind, names, rng) as name:
+        if name is None:
+            return
+        injector.fleet.signal(name, signal.SIGSTOP)
+        injector.wait(rng.uniform(MIN_PAUSE_S, injector.max_pause_s))
+        injector.fleet.signal(name, signal.SIGCONT)
+
+
+@faults.register("pause_daemon")
+def pause_daemon(injector, rng):
+    """SIGSTOP a daemon; SIGCONT comes late."""
+    _pause(injector, "pause", injector.fleet.daemons, rng)
+
+
+@faults.register("pause_upstream")
+def pause_upstream(injector, rng):
+    """SIGSTOP a server; SIGCONT comes late."""
+    _pause(injector, "pause", injector.fleet.upstreams, rng)
+
+
+@faults.register("kill_daemon")
+def kill_daemon(injector, rng):
+    """SIGKILL a daemon and start it again."""
+    with injector.strike("kill", injector.fleet.daemons, rng) as name:
+        if name is None:
+            return
+        injector.fleet.kill(name)
+        injector.wait(rng.uniform(0.1, 1.0))
+        injector.fleet.start_daemon(name)
+        injector.wait_ready(name)
+
+
+@faults.register("kill_upstream")
+def kill_upstream(injector, rng):
+    """SIGKILL a server and start it again."""
+    with injector.strike("kill", injector.fleet.upstreams, rng) as name:
+        if name is None:
+            return
+        injector.fleet.kill(name)
+        injector.wait(rng.uniform(0.1, 1.5))
+        injector.fleet.start_upstream(name)
+
+
+@faults.register("kill_service")
+def kill_service(injector, rng):
+    """SIGKILL all servers of one service and start them again."""
+    services = sorted(
+        {spec["service"] for spec in injector.fleet.upstream_specs.values()}
+    )
+    service = rng.choice(services)
+    names = [
+        name
+        for name, spec in injector.fleet.upstream_specs.items()
+        if spec["service"] == service
+    ]
+    with contextlib.ExitStack() as stack:
+        struck = [
+            stack.enter_context(injector.strike("kill", [name], rng)) for name in names
+        ]
+        struck = [name for name in struck if name is not None]
+        for name in struck:
+            injector.fleet.kill(name)
+        injector.wait(rng.uniform(0.3, 1.5))
+        for name in struck:
+            injector.fleet.start_upstream(name)
+
+
+def _link_fault(injector, rng, kind, behaviour, calm, longest_s):
+    links = [name for name in injector.fleet.link_addresses if name.startswith("peer/")]
+    with injector.strike(kind, links, rng) as name:
+        if name is None:
+            return
+        injector.fleet.control_links([name], **behaviour)
+        injector.wait(rng.uniform(MIN_PAUSE_S, longest_s))
+        injector.fleet.control_links([name], **calm)
+
+
+@faults.register("cut_peers")
+def cut_peers(injector, rng):
+    """Cut all connections of other daemons to one daemon."""
+    _link_fault(injector, rng, "cut", {"cut": True}, {"cut": False}, 3.0)
+
+
+@faults.register("hold_peers")
+def hold_peers(injector, rng):
+    """Leave connections to one daemon open, but move no byte for a while."""
+    _link_fault(injector, rng, "hold", {"hold": True}, {"hold": False}, 3.0)
+
+
+@faults.register("delay_peers")
+def delay_peers(injector, rng):
+    """Delay everything that other daemons exchange with one daemon."""
+    slow = {"delay_ms": rng.uniform(5, 150)}
+    _link_fault(injector, rng, "delay", slow, {"delay_ms": 0}, 3.0)
+
+
+def _platform_mode(injector, rng, mode):
+    with injector.strike(mode, ["platform"], rng) as name:
+        if name is None:
+            return
+        injector.fleet.control_platform({"mode": mode})
+        injector.wait(rng.uniform(0.5, 4.0))
+        injector.fleet.control_platform({"mode": "normal"})
+
+
+@faults.register("platform_down")
+def platform_down(injector, rng):
+    """Let the platform answer nothing."""
+    _platform_mode(injector, rng, "down")
+
+
+@faults.register("platform_stale")
+def platform_stale(injector, rng):
+    """Let the platform serve what it served before."""
+    _platform_mode(injector, rng, "stale")
--- /dev/null
+++ b/proofs/mutations.py
@@ -0,0 +1,132 @@
+"""Daemons with one broken behaviour each; the checks must notice all of them."""
+
+import sys
+
+import curio
+
+from almondtide import daemon
+from almondtide.adapters import platform, upstream
+from almondtide.coordinator import Coordinator
+from almondtide.dissemination import Dissemination
+from almondtide.merging import Coverage
+from almondtide.owner import ServiceOwner
+from almondtide.registry import Registry
+from almondtide.servers import Server
+
+__all__ = ["main", "mutations"]
+
+mutations = Registry("mutation")
+
+
+@mutations.register("one-snapshot")
+def skip_snapshot_comparison():
+    """Search the newest version of each server and label it as the pinned one."""
+    search = upstream.HTTPUpstreamConnection.search
+
+    async def search_newest(conn, request_id, remaining_s, sub):
+        pinned = sub.version
+        sub.version = max(getattr(conn, "newest", None) or [pinned])
+        try:
+            reply = await search(conn, request_id, remaining_s, sub)
+        finally:
+            sub.version = pinned
+        conn.newest = reply.versions
+        if isinstance(reply.body, dict) and "index_version" in reply.body:
+            reply.body["index_version"] = pinned
+        return reply
+
+    upstream.HTTPUpstreamConnection.search = search_newest
+
+
+@mutations.register("true-coverage")
+def claim_full_coverage():
+    """Name every shard as covered, whatever came back."""
+    compare = Coverage.__init__
+
+    def claim(coverage, shard_map, results):
+        compare(coverage, shard_map, results)
+        coverage.present = coverage.whole_services()
+        if coverage.covered:
+            coverage.covered = [shard.name for shard in shard_map.shards]
+            coverage.missing = []
+
+    class Claim(Coverage):
+        def whole_services(self):
+            present = getattr(self, "present", None)
+            return super().whole_services() if present is None else present
+
+    Claim.__init__ = claim
+    sys.modules["almondtide.coordinator"].Coverage = Claim
+
+
+@mutations.register("own-whole-answer")
+def forget_request_id_check():
+    """Take any response on the connection for the answer to the request."""
+    upstream.HTTPUpstreamConnection._check_identity = lambda *args: None
+
+
+@mutations.register("not-run-is-true")
+def mark_failures_not_run():
+    """Say "not run" of every failed query."""
+    fill = Coordinator._fill_failure
+
+    def fill_not_run(coordinator, answer, run):
+        fill(coordinator, answer, run)
+        answer.not_run = True
+
+    Coordinator._fill_failure = fill_not_run
+
+
+@mutations.register("at-most-once")
+def retry_lost_revisions():
+    """Send a revision request again after its server was lost."""
+
+    def may_retry(owner, item, code, not_run):
+        return any(name not in item.tried for name in owner._live_servers())
+
+    ServiceOwner._may_retry = may_retry
+
+
+@mutations.register("leaving-upstream")
+def ignore_draining():
+    """Give work to servers that are leaving."""
+    Server.is_draining = lambda server, now: False
+
+
+@mutations.register("planned-stop")
+def exit_at_once():
+    """Close everything as soon as SIGTERM arrives."""
+
+    async def shut_down(self):
+        for listener in self._listeners:
+            await listener.close()
+
+    daemon.Daemon._shut_down = shut_down
+
+
+@mutations.register("configuration")
+def accept_lower_revisions():
+    """Put every received revision into force, also a lower one."""
+    watch = platform.HTTPPlatform.watch
+
+    async def watch_all(self, name, after, wait_s):
+        await curio.sleep(0.2)
+        return await watch(self, name, 0, wait_s)
+
+    async def offer(self, document):
+        self._documents[document.name] = document
+        await self._accept(document)
+        return True
+
+    platform.HTTPPlatform.watch = watch_all
+    Dissemination.offer = offer
+
+
+def main(name):
+    """Run ``almondtided`` with the mutation ``name``."""
+    mutations.get(name)()
+    daemon.main([])
+
+
+if __name__ == "__main__":
+    main(sys.argv[1])
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -49,14 +49,18 @@
     ``workloads`` maps a name to a dict with ``services``, ``servers``, ``slots``,
     ``kind`` (data set) and optionally ``settings`` (workload settings).
     ``upstream`` holds fields of ``UpstreamSpec`` that apply to all servers.
+    ``links`` tells which connections pass through a forwarding link that tests
+    can cut or delay: any of ``peer``, ``platform`` and ``upstream``.
+    ``daemon_argv`` is the command line of a daemon after the interpreter.
     """
 
     __slots__ = (
+        "daemon_argv",
         "daemons",
         "defaults",
         "domains",
         "exceptions",
-        "link_peers",
+        "links",
         "list_lag_s",
         "upstream",
         "workloads",
@@ -71,6 +75,8 @@
         exceptions=None,
         upstream=None,
         list_lag_s=0.0,
+        links=(),
+        daemon_argv=("-m", "almondtide.daemon"),
     ):
         self.daemons = daemons
         self.domains = list(domains)
@@ -81,7 +87,8 @@
         self.exceptions = exceptions or []
         self.upstream = upstream or {}
         self.list_lag_s = list_lag_s
-        self.link_peers = False
+        self.links = frozenset(links)
+        self.daemon_argv = list(daemon_argv)
 
 
 class Fleet:
@@ -97,6 +104,9 @@
         self.platform = None
         self.daemons = {}
         self.upstreams = {}
+        self.upstream_specs = {}
+        self.links = None
+        self.link_addresses = {}
         self.records = {}
         self.document = None
         self.listed = []
@@ -118,8 +128,12 @@
         self.start_upstreams()
         self.document = self._configuration()
         self.publish("configuration", self.document)
-        for number in range(self.spec.daemons):
-            self.add_daemon(f"entry-{number:02d}")
+        names = [f"entry-{number:02d}" for number in range(self.spec.daemons)]
+        for name in names:
+            self.assign_addresses(name)
+        self.start_links()
+        for name in names:
+            self.add_daemon(name)
         self.publish_instances()
         for name in list(self.daemons):
             self.wait_ready(name)
@@ -177,6 +191,41 @@
             if item["id"] == instance:
                 item["state"] = state
 
+    # Links
+
+    def start_links(self):
+        """Start the process that holds the links of ``spec.links``."""
+        targets = {}
+        for name, info in self.daemons.items():
+            if "peer" in self.spec.links:
+                targets[f"peer/{name}"] = info["peer"]
+            if "platform" in self.spec.links:
+                targets[f"platform/{name}"] = self.platform
+        if "upstream" in self.spec.links:
+            for instance, address in self.upstreams.items():
+                targets[f"upstream/{instance}"] = address
+        if not targets:
+            return
+        control, *ports = free_ports(1 + len(targets))
+        specs = [
+            {"name": name, "port": port, "target": target}
+            for (name, target), port in zip(targets.items(), ports, strict=True)
+        ]
+        for item in specs:
+            self.link_addresses[item["name"]] = f"127.0.0.1:{item['port']}"
+        self.links = f"127.0.0.1:{control}"
+        argv = ["-m", "standins.link", "--control-port", str(control)]
+        self.spawn("links", [*argv, "--links", json.dumps(specs)])
+        self._wait_for(lambda: http_call(self.links, "GET", "/")[0] == 200)
+        for item in self.listed:
+            link = self.link_addresses.get(f"upstream/{item['id']}")
+            item["address"] = link or item["address"]
+
+    def control_links(self, names, **behaviour):
+        """Change what links do; ``names`` None means all of them."""
+        command = {"links": names, "set": behaviour}
+        return http_call(self.links, "POST", "/control", command)[2]
+
     # Upstreams
 
     def services(self):
@@ -223,6 +272,12 @@
                 "state": "live",
             }
         )
+        self.upstream_specs[instance] = spec
+        self.start_upstream(instance)
+
+    def start_upstream(self, instance):
+        """Start the process of a server, also after it has ended."""
+        spec = self.upstream_specs[instance]
         self.spawn(instance, ["-m", "standins.upstream", "--specs", json.dumps([spec])])
 
     def control_upstream(self, instance, command):
@@ -240,8 +295,8 @@
 
     # Daemons
 
-    def add_daemon(self, name):
-        """Start one daemon and add it to the list, without publishing."""
+    def assign_addresses(self, name):
+        """Choose the addresses and the failure domain of a daemon."""
         caller, peer, admin = free_ports(3)
         number = len(self.daemons)
         self.daemons[name] = {
@@ -250,12 +305,17 @@
             "admin": f"127.0.0.1:{admin}",
             "domain": self.spec.domains[number % len(self.spec.domains)],
         }
+
+    def add_daemon(self, name):
+        """Start one daemon and add it to the list, without publishing."""
+        if name not in self.daemons:
+            self.assign_addresses(name)
         self.listed.append(
             {
                 "id": name,
                 "role": "entry",
                 "address": self.daemons[name]["caller"],
-                "peer": self.daemons[name]["peer"],
+                "peer": self._peer_address(name),
                 "admin": self.daemons[name]["admin"],
                 "domain": self.daemons[name]["domain"],
                 "state": "live",
@@ -263,10 +323,14 @@
         )
         self.start_daemon(name)
 
+    def _peer_address(self, name):
+        """Return the address at which other daemons reach ``name``."""
+        return self.link_addresses.get(f"peer/{name}", self.daemons[name]["peer"])
+
     def start_daemon(self, name):
         """Start the process of a daemon, also after it has ended."""
         info = self.daemons[name]
-        seeds = [other["peer"] for key, other in self.daemons.items() if key != name]
+        seeds = [self._peer_address(key) for key in self.daemons if key != name]
         environ = {
             "ALMONDTIDE_INSTANCE": name,
             "ALMONDTIDE_DOMAIN": info["domain"],
@@ -274,10 +338,12 @@
             "ALMONDTIDE_PEER_ADDRESS": info["peer"],
             "ALMONDTIDE_ADMIN_ADDRESS": info["admin"],
             "ALMONDTIDE_ADMIN_TOKEN": ADMIN_TOKEN,
-            "ALMONDTIDE_PLATFORM": self.platform,
+            "ALMONDTIDE_PLATFORM": self.link_addresses.get(
+                f"platform/{name}", self.platform
+            ),
             "ALMONDTIDE_SEEDS": ",".join(seeds[:3]),
         }
-        self.spawn(name, ["-m", "almondtide.daemon"], environ)
+        self.spawn(name, self.spec.daemon_argv, environ)
 
     def wait_ready(self, name):
         """Wait until a daemon accepts queries."""
--- /dev/null
+++ b/standins/link.py
@@ -0,0 +1,204 @@
+"""Forwarding link between two processes that can misbehave on command."""
+
+import json
+import random
+
+import curio
+import orjson
+from absl import logging
+from curio import socket
+
+from almondtide.adapters.http import json_response, serve_http
+from almondtide.adapters.listener import Listener, connect
+from almondtide.logs import Log
+
+__all__ = ["Link", "LinkSet"]
+
+RECEIVE_BYTES = 65536
+CONNECT_TIMEOUT_S = 1.0
+HOLD_POLL_S = 0.01
+# A reply that waits to be crossed with another one is sent after this time.
+CROSS_WAIT_S = 0.05
+
+BEHAVIOUR = {
+    "cut": False,
+    "hold": False,
+    "delay_ms": 0.0,
+    "duplicate_share": 0.0,
+    "truncate_share": 0.0,
+    "cross_share": 0.0,
+}
+
+
+class _Crossing:
+    """Reply bytes of one connection that wait to change places with others."""
+
+    __slots__ = ("data", "met")
+
+    def __init__(self, data):
+        self.data = data
+        self.met = curio.Event()
+
+
+class Link:
+    """Forwards connections from one local port to ``target``.
+
+    ``behaviour`` holds what the link does now. ``cut`` closes all connections
+    and refuses new ones. ``hold`` keeps connections open but moves no byte until
+    it ends; the bytes arrive late then. ``delay_ms`` delays each piece in both
+    directions. The shares apply to pieces of replies: ``duplicate_share`` are
+    sent twice, ``truncate_share`` are cut in half and the connection is closed,
+    and ``cross_share`` change places with a piece of another connection.
+    """
+
+    def __init__(self, name, port, target, seed=1):
+        host, _, target_port = target.rpartition(":")
+        self.name = name
+        self.target = (host, int(target_port))
+        self.rng = random.Random(f"{name}/{seed}")
+        self.behaviour = dict(BEHAVIOUR)
+        self.listener = Listener(("127.0.0.1", port), self._serve)
+        self.crossing = None
+        self.counts = {"connections": 0, "duplicate": 0, "truncate": 0, "cross": 0}
+        self._open = set()
+
+    async def start(self):
+        """Start forwarding."""
+        await self.listener.start()
+
+    async def change(self, behaviour):
+        """Change some of the behaviour; a cut takes effect at once."""
+        self.behaviour.update(behaviour)
+        if self.behaviour["cut"]:
+            for sock in list(self._open):
+                _shut(sock)
+
+    async def _serve(self, client, address):
+        if self.behaviour["cut"]:
+            return
+        try:
+            server = await connect(self.target, CONNECT_TIMEOUT_S)
+        except (OSError, curio.TaskTimeout):
+            return
+        self.counts["connections"] += 1
+        self._open.update((client, server))
+        try:
+            async with server, curio.TaskGroup(wait=any) as group:
+                await group.spawn(self._forward, client, server)
+                await group.spawn(self._forward_replies, server, client)
+        finally:
+            self._open.difference_update((client, server))
+
+    async def _receive(self, sock):
+        try:
+            data = await sock.recv(RECEIVE_BYTES)
+        except OSError:
+            return b""
+        if data and self.behaviour["delay_ms"]:
+            await curio.sleep(self.behaviour["delay_ms"] / 1000.0)
+        while self.behaviour["hold"] and not self.behaviour["cut"]:
+            await curio.sleep(HOLD_POLL_S)
+        return data
+
+    async def _forward(self, source, sink):
+        while data := await self._receive(source):
+            try:
+                await sink.sendall(data)
+            except OSError:
+                return
+
+    async def _forward_replies(self, source, sink):
+        while data := await self._receive(source):
+            kind = self._choose()
+            try:
+                if kind == "truncate":
+                    await sink.sendall(data[: len(data) // 2])
+                    return
+                if kind == "cross":
+                    data = await self._cross(data)
+                await sink.sendall(data)
+                if kind == "duplicate":
+                    await sink.sendall(data)
+            except OSError:
+                return
+
+    def _choose(self):
+        """Return which misbehaviour the next piece of a reply gets, or None."""
+        draw = self.rng.random()
+        for kind in ("duplicate", "truncate", "cross"):
+            draw -= self.behaviour[f"{kind}_share"]
+            if draw < 0:
+                self.counts[kind] += 1
+                return kind
+        return None
+
+    async def _cross(self, data):
+        """Exchange ``data`` with the piece that waits, or wait for the next."""
+        other, self.crossing = self.crossing, None
+        if other is not None:
+            other.data, data = data, other.data
+            await other.met.set()
+            return data
+        mine = self.crossing = _Crossing(data)
+        async with curio.ignore_after(CROSS_WAIT_S):
+            await mine.met.wait()
+        if self.crossing is mine:
+            self.crossing = None
+        return mine.data
+
+
+def _shut(sock):
+    try:
+        sock._socket.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        pass
+
+
+class LinkSet:
+    """All links of a fleet in one process, with one control address.
+
+    ``POST /control`` takes ``{"links": [name, ...] | null, "set": {...}}``; null
+    means all links.
+    """
+
+    def __init__(self, control_port, links):
+        self.links = {link.name: link for link in links}
+        self.listener = Listener(("127.0.0.1", control_port), self._serve)
+        self.log = Log(component="link")
+
+    async def start(self):
+        """Start all links, then the control address."""
+        for link in self.links.values():
+            await link.start()
+        await self.listener.start()
+
+    async def _serve(self, sock, address):
+        await serve_http(sock, self._handle, log=self.log)
+
+    async def _handle(self, request):
+        if request.method == "POST":
+            command = orjson.loads(request.body)
+            for name in command.get("links") or list(self.links):
+                await self.links[name].change(command["set"])
+        return json_response(200, {n: link.counts for n, link in self.links.items()})
+
+
+async def _run(control_port, links):
+    await LinkSet(control_port, [Link(**item) for item in links]).start()
+    await curio.Event().wait()
+
+
+def main(*, control_port: int, links: str):
+    """Run forwarding links on 127.0.0.1.
+
+    :param control_port: TCP port of the control address
+    :param links: JSON list of objects with name, port, target and seed
+    """
+    logging.set_verbosity(logging.WARNING)
+    curio.run(_run, control_port, json.loads(links))
+
+
+if __name__ == "__main__":
+    import defopt
+
+    defopt.run(main)
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -3,6 +3,7 @@
 import json
 import os
 import random
+import time
 
 import curio
 import orjson
@@ -99,7 +100,8 @@
     def _write(self, event, **fields):
         """Append one line to the record; it survives a crash of the process."""
         if self.record is not None:
-            line = json.dumps({"event": event, "server": self.spec.instance, **fields})
+            fields.update(server=self.spec.instance, at=time.monotonic())
+            line = json.dumps({"event": event, **fields})
             os.write(self.record, line.encode() + b"\n")
 
     async def _serve(self, sock, address):
@@ -152,6 +154,7 @@
     def _refusal(self):
         """Return the refusal of new work, or None."""
         if self.state == "draining":
+            self._write("refused")
             return json_response(503, {"code": "draining", "not_run": True})
         if self.in_use >= self.spec.slots:
             self.counts["shed"] += 1
@@ -194,7 +197,8 @@
         version = body["index_version"]
         if version not in self.spec.versions or body["epoch"] not in self.spec.epochs:
             return json_response(409, {"code": "snapshot_unavailable", "not_run": True})
-        self._write("search", request_id=request_id, version=version)
+        marker = _marker(body["query"])
+        self._write("search", request_id=request_id, version=version, marker=marker)
         self._crash_if_marked(body["query"])
         ended = await self._work(request_id, remaining_s)
         if ended is not None:
@@ -224,7 +228,8 @@
         refusal = self._refusal()
         if refusal is not None:
             return refusal
-        self._write("revise", execution_id=execution_id)
+        marker = _marker(body["revision"])
+        self._write("revise", execution_id=execution_id, marker=marker)
         self._crash_if_marked(body["revision"])
         ended = await self._work(execution_id, remaining_s)
         if ended is not None:
@@ -240,6 +245,11 @@
         return json_response(200, {"found": event is not None})
 
 
+def _marker(body):
+    """Return the caller's marker, which ties a record to one request."""
+    return body.get("marker") if isinstance(body, dict) else None
+
+
 async def _run(specs):
     for spec in specs:
         await UpstreamServer(spec).start()
