Dial a restarted peer as soon as it has made contact

Cause: the trace of a rolling restart shows peer_call_failed for up to 0.5 s after a restarted daemon was seen: the refusal to dial again outlived the contact. Change: contact of a peer ends the refusal. Ruled out: a shorter refusal, which lets queries pay for dead peers.

--- a/almondtide/adapters/peer.py
+++ b/almondtide/adapters/peer.py
@@ -475,6 +475,8 @@
 
     async def peer_seen(self, instance, incarnation):
         """Tell the observer which incarnation of a peer answers."""
+        # A peer that has just contacted this daemon can be dialled again.
+        self._refused_until.pop(instance, None)
         await self._notify("peer_seen", instance, incarnation)
 
     async def _notify(self, event, *args):
