Interrupt no request by a planned stop; give every refusal a retry time

Change: the age of a leaving daemon's answers ends with its hand-out time, which gets 0.5 s for requests on their way; Leaving goes to all listed daemons; the stop waits for all work; the home alone judges the incarnation; refusals without an estimate say 100 ms. Ruled out: refusing the entries call while leaving, because a caller may know no other address.

--- a/almondtide/coordinator.py
+++ b/almondtide/coordinator.py
@@ -7,6 +7,7 @@
 from .admission import Estimate, LoadTable, admit
 from .budgets import RetryBudget
 from .errors import (
+    DEFAULT_RETRY_AFTER_MS,
     BadRequestError,
     PeerError,
     RefusedError,
@@ -574,6 +575,8 @@
         )
         delays = [item.retry_after_ms for item in failed if item.retry_after_ms]
         answer.retry_after_ms = max(delays) if delays else None
+        if answer.not_run and not delays:
+            answer.retry_after_ms = DEFAULT_RETRY_AFTER_MS
 
     def _merge(self, run, services):
         name = self._cfg().workload_setting(run.workload.name, "merge")
--- a/almondtide/daemon.py
+++ b/almondtide/daemon.py
@@ -234,8 +234,9 @@
                     "domain": member.domain,
                 }
             )
+        max_age_s = cfg.fleet_setting("entries_max_age_ms") / 1000.0
         return {
-            "max_age_ms": cfg.fleet_setting("entries_max_age_ms"),
+            "max_age_ms": int(self._drain.answer_age_s(max_age_s) * 1000),
             "execution_prefix": self._executions.prefix(),
             "entries": entries,
         }
@@ -343,17 +344,20 @@
         self._drain.begin(max_age_s)
         self.log.info("drain_started", running=self._caller.running)
         message = Leaving(instance=self.settings.instance, incarnation=self.incarnation)
-        for member in self._membership.view().live_entries():
+        # Also those that seem to be leaving or gone: they may be back already.
+        for member in self._membership.view().entries.values():
             if member.instance != self.settings.instance:
                 await curio.spawn(self._tell_leaving, member, message, daemon=True)
-        complete = await self._drain.wait(
-            lambda: self._caller.running, self.settings.drain_timeout_s
-        )
+        complete = await self._drain.wait(self._running, self.settings.drain_timeout_s)
         self.log.info("drain_ended", complete=complete, running=self._caller.running)
         for listener in reversed(self._listeners):
             await listener.close()
         await self._peers.close()
 
+    def _running(self):
+        """Return the work in progress for callers and for other daemons."""
+        return self._caller.running + self._executions.running + self._owners.running
+
     async def _tell_leaving(self, member, message):
         try:
             await self._peers.send(member.instance, message)
--- a/almondtide/errors.py
+++ b/almondtide/errors.py
@@ -3,6 +3,7 @@
 import enum
 
 __all__ = [
+    "DEFAULT_RETRY_AFTER_MS",
     "AlmondtideError",
     "BadRequestError",
     "ConfigurationError",
@@ -18,6 +19,10 @@
 ]
 
 
+# When a caller may come back after a refusal that has no estimate of its own.
+DEFAULT_RETRY_AFTER_MS = 100
+
+
 class ResultCode(enum.IntEnum):
     """Outcome of a request, a sub-request or an operation.
 
@@ -149,6 +154,8 @@
     code = ResultCode.OVERLOADED
 
     def __init__(self, message, code=None, *, retry_after_ms=None):
+        if retry_after_ms is None:
+            retry_after_ms = DEFAULT_RETRY_AFTER_MS
         super().__init__(message, code, not_run=True, retry_after_ms=retry_after_ms)
 
 
--- a/almondtide/executions.py
+++ b/almondtide/executions.py
@@ -178,6 +178,7 @@
         "_tell_peers",
         "incarnation",
         "instance",
+        "running",
     )
 
     def __init__(
@@ -205,6 +206,7 @@
         self._metrics = metrics
         self._records = {}
         self._started = clock.monotonic()
+        self.running = 0
         peers.register(ForwardRevise, self._handle_forward)
 
     @property
@@ -271,9 +273,8 @@
             remaining_ms=remaining_s * 1000.0,
             body=req.body,
         )
-        known = self._membership.incarnation(execution_id.instance)
-        if known is not None and known != execution_id.incarnation:
-            return self._unknown("the home of the execution id was restarted")
+        # Only the home can tell whether the id is its own: the incarnation known
+        # here may be the one before a restart.
         try:
             reply = await self._peers.request(
                 execution_id.instance, message, remaining_s + REPLY_MARGIN_S
@@ -294,6 +295,13 @@
         await curio.spawn(self._serve_forward, message, deadline, reply, daemon=True)
 
     async def _serve_forward(self, message, deadline, reply):
+        self.running += 1
+        try:
+            await self._answer_forward(message, deadline, reply)
+        finally:
+            self.running -= 1
+
+    async def _answer_forward(self, message, deadline, reply):
         try:
             outcome = await self._run_forwarded(message, deadline)
         except AlmondtideError as exc:
@@ -386,7 +394,12 @@
         try:
             outcome = await self._dispatch(key, record.digest, req, deadline)
         except AlmondtideError as exc:
-            outcome = Outcome(exc.code, not_run=exc.not_run, message=exc.message)
+            outcome = Outcome(
+                exc.code,
+                not_run=exc.not_run,
+                message=exc.message,
+                retry_after_ms=exc.retry_after_ms,
+            )
         except Exception as exc:
             self._log.error("execution_failed", execution_id=key, error=repr(exc))
             outcome = self._unknown("internal error")
--- a/almondtide/owner.py
+++ b/almondtide/owner.py
@@ -7,7 +7,7 @@
 
 from .admission import Estimate, admit
 from .budgets import RetryBudget, TokenBudget
-from .errors import ExecutionError, ResultCode
+from .errors import DEFAULT_RETRY_AFTER_MS, ExecutionError, ResultCode
 from .hedging import LatencyWindow, hedge_policies
 from .servers import Server, Worker
 from .subrequests import SubResult
@@ -251,6 +251,11 @@
 
     # Submission
 
+    @property
+    def running(self):
+        """Number of queries and executions that have work here."""
+        return len(self._by_query)
+
     async def submit(self, sub, deliver):
         """Run ``sub``; ``deliver`` is called once with its ``SubResult``."""
         now = self.clock.monotonic()
@@ -283,10 +288,13 @@
         return self._failure(item, ResultCode.OVERLOADED, retry_after_ms)
 
     def _failure(self, item, code, retry_after_ms=None):
+        not_run = item.ran == 0
+        if not_run and retry_after_ms is None:
+            retry_after_ms = DEFAULT_RETRY_AFTER_MS
         return SubResult(
             self.service,
             code,
-            not_run=item.ran == 0,
+            not_run=not_run,
             attempts=item.started,
             retry_after_ms=retry_after_ms,
         )
--- a/almondtide/owners.py
+++ b/almondtide/owners.py
@@ -88,6 +88,11 @@
         members = self._membership.view().upstreams(service)
         await owner.update(members, self._owns(service))
 
+    @property
+    def running(self):
+        """Number of queries and executions that wait for a result here."""
+        return sum(owner.running for owner in self._owners.values())
+
     async def refresh(self):
         """Follow a change of the view or of the configuration.
 
