--- a/almondtide/daemon.py
+++ b/almondtide/daemon.py
@@ -325,20 +325,22 @@
                     "domain": member.domain,
                 }
             )
+        max_age_s = cfg.fleet_setting("entries_max_age_ms") / 1000.0
         return {
-            "max_age_ms": cfg.fleet_setting("entries_max_age_ms"),
+            "max_age_ms": int(self._drain.answer_age_s(max_age_s) * 1000),
             "execution_prefix": await self._execution_prefix(),
             "entries": entries,
         }
 
     async def _execution_prefix(self):
+        foreign = None
         if self._drain.leaving:
-            return await self._executions.foreign_prefix()
-        return self._executions.prefix()
+            foreign = await self._executions.foreign_prefix()
+        return foreign or self._executions.prefix()
 
     def _running(self):
         """Return the number of requests of callers and peers under way."""
-        return self._caller.running + self._owners.running() + self._executions.running
+        return self._caller.running + self._owners.running + self._executions.running
 
     def _health_report(self):
         ready = self._state.ready and not self._drain.leaving
--- a/almondtide/owner.py
+++ b/almondtide/owner.py
@@ -7,7 +7,7 @@
 
 from .admission import Estimate, admit
 from .budgets import RetryBudget, TokenBudget
-from .errors import ExecutionError, ResultCode
+from .errors import DEFAULT_RETRY_AFTER_MS, ExecutionError, ResultCode
 from .hedging import LatencyWindow, hedge_policies
 from .servers import Server, Worker
 from .subrequests import SubResult
@@ -272,6 +272,11 @@
 
     # Submission
 
+    @property
+    def running(self):
+        """Number of queries and executions that have work here."""
+        return len(self._by_query)
+
     async def submit(self, sub, deliver):
         """Run ``sub``; ``deliver`` is called once with its ``SubResult``."""
         now = self.clock.monotonic()
@@ -305,10 +310,13 @@
         return self._failure(item, ResultCode.OVERLOADED, retry_after_ms)
 
     def _failure(self, item, code, retry_after_ms=None):
+        not_run = item.ran == 0
+        if not_run and retry_after_ms is None:
+            retry_after_ms = DEFAULT_RETRY_AFTER_MS
         return SubResult(
             self.service,
             code,
-            not_run=item.ran == 0,
+            not_run=not_run,
             attempts=item.started,
             retry_after_ms=retry_after_ms,
         )
@@ -335,10 +343,6 @@
         typical_s = self.latencies.quantile(0.5) or service_s
         return Estimate(wait_s, typical_s)
 
-    def unfinished(self):
-        """Return the number of sub-requests that have no result yet."""
-        return sum(len(items) for items in self._by_query.values())
-
     def usable_slots(self):
         """Return the number of slots that take new work."""
         now = self.clock.monotonic()
--- a/almondtide/owners.py
+++ b/almondtide/owners.py
@@ -90,6 +90,11 @@
         members = self._membership.view().upstreams(service)
         await owner.update(members, self._owns(service))
 
+    @property
+    def running(self):
+        """Number of queries and executions that wait for a result here."""
+        return sum(owner.running for owner in self._owners.values())
+
     async def refresh(self):
         """Follow a change of the view or of the configuration.
 
@@ -110,10 +115,6 @@
                 del self._owners[service]
                 await owner.stop()
 
-    def running(self):
-        """Return the number of sub-requests that have no result yet."""
-        return sum(owner.unfinished() for owner in self._owners.values())
-
     def describe(self):
         """Return the state of all services for the admin API."""
         return [owner.describe() for owner in self._owners.values()]
