--- /dev/null
+++ b/baseline/daemon.py
@@ -0,0 +1,259 @@
+"""The naive daemon: same settings and interfaces, no cooperation."""
+
+import functools
+import os
+import secrets
+import signal
+import socket as stdlib_socket
+import sys
+
+import curio
+import defopt
+from absl import logging
+
+from almondtide import daemon as tier
+from almondtide.adapters.admin import AdminAPI
+from almondtide.adapters.caller import CallerAPI
+from almondtide.adapters.http import serve_http
+from almondtide.adapters.listener import Listener
+from almondtide.adapters.platform import HTTPPlatform
+from almondtide.adapters.upstream import HTTPUpstreams
+from almondtide.clock import SystemClock
+from almondtide.configuration import parse_configuration
+from almondtide.draining import Drain
+from almondtide.errors import (
+    ConfigurationError,
+    PlatformError,
+    RefusedError,
+    ResultCode,
+    SettingsError,
+)
+from almondtide.events import EventRing
+from almondtide.logs import Log
+from almondtide.membership import Membership, parse_instances
+from almondtide.metrics import Metrics
+from almondtide.settings import load_settings
+
+from .coordinator import NaiveCoordinator, NaiveExecutions
+
+__all__ = ["NaiveDaemon", "main"]
+
+CONFIGURATION = "configuration"
+INSTANCES = "instances"
+WATCH_WAIT_S = 10.0
+WATCH_RETRY_S = 0.5
+
+
+class NaiveDaemon:
+    """One naive daemon; ``run`` serves until the shutdown is over.
+
+    It watches the platform itself and has no links to other daemons; the peer
+    address is not used.
+    """
+
+    __slots__ = (
+        "_admin",
+        "_caller",
+        "_cfg",
+        "_drain",
+        "_executions",
+        "_listeners",
+        "_membership",
+        "_platform",
+        "_revisions",
+        "clock",
+        "incarnation",
+        "log",
+        "metrics",
+        "settings",
+    )
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.clock = SystemClock()
+        self.incarnation = secrets.token_hex(6)
+        self.metrics = Metrics()
+        events = EventRing(self.clock, settings.event_capacity)
+        self.log = Log(events, instance=settings.instance, naive=True)
+        self._cfg = None
+        self._revisions = {}
+        self._drain = Drain(self.clock)
+        self._membership = Membership(settings.instance, self.clock)
+        self._platform = HTTPPlatform(settings.platform)
+        upstreams = HTTPUpstreams()
+        coordinator = NaiveCoordinator(
+            settings.instance,
+            self.configuration,
+            self._membership,
+            upstreams,
+            self.clock,
+            self.log,
+            self.metrics,
+        )
+        self._executions = NaiveExecutions(coordinator, upstreams, self.clock)
+        self._caller = CallerAPI(
+            settings.instance,
+            coordinator,
+            self._executions,
+            self._entries_report,
+            self._health_report,
+            self.clock,
+            self.log,
+            self.metrics,
+        )
+        self._admin = AdminAPI(
+            settings.instance,
+            settings.admin_token,
+            {"status": self._status_report, "configuration": self._revision_report},
+            events,
+            self.metrics,
+            self._drain.requested.set,
+        )
+        self._listeners = [
+            Listener(settings.admin_address, self._serve_admin),
+            Listener(settings.caller_address, self._serve_caller),
+        ]
+
+    def configuration(self):
+        """Return the configuration in force; raises while there is none."""
+        if self._cfg is None:
+            raise RefusedError(
+                "no configuration yet", ResultCode.NOT_READY, retry_after_ms=500
+            )
+        return self._cfg
+
+    async def _serve_caller(self, sock, address):
+        await serve_http(
+            sock,
+            self._caller.handle,
+            log=self.log,
+            max_body=self.settings.max_body_bytes,
+            max_header=self.settings.max_header_bytes,
+        )
+
+    async def _serve_admin(self, sock, address):
+        await serve_http(sock, self._admin.handle, log=self.log)
+
+    # Documents
+
+    async def _follow(self, name):
+        while True:
+            after = self._revisions.get(name, 0)
+            try:
+                document = await self._platform.watch(name, after, WATCH_WAIT_S)
+            except PlatformError as exc:
+                self.log.debug("platform_unavailable", reason=exc.message)
+                await curio.sleep(WATCH_RETRY_S)
+                continue
+            if document is not None:
+                self._revisions[name] = document.revision
+                await self._accept(document)
+
+    async def _accept(self, document):
+        try:
+            if document.name == CONFIGURATION:
+                self._cfg = parse_configuration(document.body, document.revision)
+            else:
+                await self._membership.update_list(parse_instances(document.body))
+        except (ConfigurationError, ValueError) as exc:
+            self.log.error("document_invalid", document=document.name, problem=str(exc))
+
+    # Reports
+
+    def _entries_report(self):
+        cfg = self.configuration()
+        entries = []
+        for member in self._membership.view().live_entries():
+            if member.instance == self.settings.instance and self._drain.leaving:
+                continue
+            entries.append(
+                {
+                    "instance": member.instance,
+                    "address": f"{member.address[0]}:{member.address[1]}",
+                    "domain": member.domain,
+                }
+            )
+        return {
+            "max_age_ms": cfg.fleet_setting("entries_max_age_ms"),
+            "execution_prefix": self._executions.prefix(),
+            "entries": entries,
+        }
+
+    def _health_report(self):
+        listed = bool(self._membership.view().entries)
+        ready = self._cfg is not None and listed and not self._drain.leaving
+        body = {"ready": ready, "leaving": self._drain.leaving}
+        return (200 if ready else 503), body
+
+    def _status_report(self):
+        return {
+            "instance": self.settings.instance,
+            "incarnation": self.incarnation,
+            "domain": self.settings.domain,
+            "pid": os.getpid(),
+            "leaving": self._drain.leaving,
+            "running": self._caller.running,
+            "configuration_revision": self._revisions.get(CONFIGURATION),
+        }
+
+    def _revision_report(self):
+        return {"revision": self._revisions.get(CONFIGURATION)}
+
+    # Life
+
+    async def run(self):
+        """Serve until SIGTERM, SIGINT or the drain command, then shut down."""
+        for name in (CONFIGURATION, INSTANCES):
+            await curio.spawn(self._follow, name, daemon=True)
+        for listener in self._listeners:
+            await listener.start()
+        await curio.spawn(self._watch_signals, daemon=True)
+        await self._drain.requested.wait()
+        max_age_s = 0.0
+        if self._cfg is not None:
+            max_age_s = self._cfg.fleet_setting("entries_max_age_ms") / 1000.0
+        self._drain.begin(max_age_s)
+        await self._drain.wait(
+            lambda: self._caller.running, self.settings.drain_timeout_s
+        )
+        for listener in reversed(self._listeners):
+            await listener.close()
+
+    async def _watch_signals(self):
+        reader, writer = stdlib_socket.socketpair()
+        reader.setblocking(False)
+        writer.setblocking(False)
+        signal.set_wakeup_fd(writer.fileno(), warn_on_full_buffer=False)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda number, frame: None)
+        async with curio.io.Socket(reader) as sock:
+            await sock.recv(1)
+        await self._drain.requested.set()
+
+
+@functools.wraps(tier.serve)
+def serve(**flags):
+    """Run one naive daemon with the settings of ``almondtided``."""
+    try:
+        settings = load_settings(flags)
+    except SettingsError as exc:
+        for problem in exc.problems:
+            print(f"baseline: {problem}", file=sys.stderr)
+        return 2
+    logging.set_verbosity(settings.verbosity)
+    logging.use_absl_handler()
+    try:
+        curio.run(NaiveDaemon(settings).run)
+    except OSError as exc:
+        print(f"baseline: {exc}", file=sys.stderr)
+        return 1
+    return 0
+
+
+def main(argv=None):
+    """Entry point of the naive daemon."""
+    sys.exit(defopt.run(serve, argv=argv))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/baseline/pool.py
@@ -0,0 +1,61 @@
+"""Pooled connections of one daemon to the servers."""
+
+from almondtide.errors import ResultCode, UpstreamError
+
+__all__ = ["ConnectionPool"]
+
+CONNECT_TIMEOUT_S = 1.0
+
+
+class ConnectionPool:
+    """Idle connections by server address, with a limit for each server.
+
+    ``limit(server)`` returns how many connections this daemon may hold to a
+    server. A daemon without coordination can only keep a fleet under the
+    server's limit by a fixed share, so a full pool counts as a shed.
+    """
+
+    __slots__ = ("_idle", "_limit", "_open", "_upstreams")
+
+    def __init__(self, upstreams, limit):
+        self._upstreams = upstreams
+        self._limit = limit
+        self._idle = {}
+        self._open = {}
+
+    async def acquire(self, address):
+        """Return an idle or a new connection; raises ``UpstreamError``."""
+        idle = self._idle.setdefault(address, [])
+        while idle:
+            conn = idle.pop()
+            if conn.usable and not conn.is_stale():
+                return conn
+            await self.discard(address, conn)
+        if self._open.get(address, 0) >= self._limit():
+            raise UpstreamError(
+                "all connections to the server are in use",
+                ResultCode.UPSTREAM_SHED,
+                not_run=True,
+            )
+        self._open[address] = self._open.get(address, 0) + 1
+        try:
+            return await self._upstreams.connect(address, CONNECT_TIMEOUT_S)
+        except BaseException:
+            self._open[address] -= 1
+            raise
+
+    async def release(self, address, conn):
+        """Take back a connection whose exchange is over."""
+        if conn.usable:
+            self._idle.setdefault(address, []).append(conn)
+        else:
+            await self.discard(address, conn)
+
+    async def discard(self, address, conn):
+        """Close a connection."""
+        self._open[address] -= 1
+        await conn.close()
+
+    def open_connections(self, address):
+        """Return the number of connections to a server, idle or in use."""
+        return self._open.get(address, 0)
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of the tier and of its naive version."""
--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,390 @@
+"""Open-loop load: seeded Poisson arrivals over persistent connections."""
+
+import itertools
+import json
+import os
+import random
+import subprocess
+import sys
+import tempfile
+import time
+
+import curio
+import orjson
+
+from almondtide.adapters.http import HTTPClient
+from almondtide.adapters.listener import parse_address
+from almondtide.errors import UpstreamError
+from standins.dataset import make_query
+
+from .records import (
+    CODE_CONNECTION,
+    CODE_TIMEOUT,
+    LoadReport,
+    Record,
+    Summary,
+    read_report,
+    write_report,
+)
+
+__all__ = ["Load", "LoadSpec", "main"]
+
+CONNECT_TIMEOUT_S = 1.0
+# Time after the deadline for which a caller waits for the final answer, in s.
+ANSWER_MARGIN_S = 0.5
+# How long a caller leaves out an entry that did not answer, in s.
+AVOID_S = 3.0
+START_DELAY_S = 1.5
+REFRESH_MIN_S = 0.5
+
+
+class LoadSpec:
+    """One load: ``rate`` requests per second for ``seconds`` on a workload.
+
+    ``entries`` are the addresses that a caller knows at the start; the others
+    come from ``GET /v1/entries``. ``deadline_ms`` is None for the workload's
+    default. ``connections`` is the number of idle connections that one process
+    keeps to one entry. ``body`` replaces the seeded queries.
+    """
+
+    __slots__ = (
+        "body",
+        "connections",
+        "deadline_ms",
+        "entries",
+        "kind",
+        "processes",
+        "rate",
+        "seconds",
+        "seed",
+        "workload",
+    )
+
+    def __init__(
+        self,
+        entries,
+        workload,
+        rate,
+        seconds,
+        *,
+        seed=1,
+        deadline_ms=None,
+        kind="probes",
+        processes=2,
+        connections=4,
+        body=None,
+    ):
+        self.entries = list(entries)
+        self.workload = workload
+        self.rate = rate
+        self.seconds = seconds
+        self.seed = seed
+        self.deadline_ms = deadline_ms
+        self.kind = kind
+        self.processes = processes
+        self.connections = connections
+        self.body = body
+
+    def arrivals(self, number):
+        """Return the intended starts in seconds of load process ``number``."""
+        rng = random.Random(f"arrivals/{self.seed}/{number}")
+        rate = self.rate / self.processes
+        times = []
+        now = rng.expovariate(rate)
+        while now < self.seconds:
+            times.append(now)
+            now += rng.expovariate(rate)
+        return times
+
+    def bodies(self, number):
+        """Return an endless iterator over the request bodies of a process."""
+        if self.body is not None:
+            return itertools.repeat(self.body)
+        rng = random.Random(f"queries/{self.seed}/{number}")
+        return (make_query(self.kind, rng) for _ in itertools.count())
+
+    def to_json(self):
+        """Return the spec as JSON text."""
+        return json.dumps({name: getattr(self, name) for name in self.__slots__})
+
+    @classmethod
+    def from_json(cls, text):
+        """Return the spec of JSON text."""
+        return cls(**json.loads(text))
+
+
+class _Entries:
+    """The addresses a caller uses, as the tier last stated them."""
+
+    __slots__ = ("_avoided", "_known", "_rng", "addresses", "max_age_s")
+
+    def __init__(self, known, rng):
+        self._known = [parse_address(text) for text in known]
+        self._rng = rng
+        self._avoided = {}
+        self.addresses = list(self._known)
+        self.max_age_s = REFRESH_MIN_S
+
+    def pick(self):
+        """Return a random address that answered lately, or any without one."""
+        now = time.monotonic()
+        usable = [
+            address
+            for address in self.addresses
+            if self._avoided.get(address, 0.0) <= now
+        ]
+        return self._rng.choice(usable or self.addresses)
+
+    def avoid(self, address):
+        """Leave an address out for a while."""
+        self._avoided[address] = time.monotonic() + AVOID_S
+
+    async def refresh(self):
+        """Ask one entry for the list of entries."""
+        address = self.pick()
+        client = None
+        try:
+            async with curio.timeout_after(CONNECT_TIMEOUT_S):
+                client = await HTTPClient.open(address)
+                response = await client.request("GET", "/v1/entries")
+            if response.status != 200:
+                return
+            value = response.json()
+            stated = [parse_address(item["address"]) for item in value["entries"]]
+            self.addresses = stated or self.addresses
+            self.max_age_s = max(REFRESH_MIN_S, value["max_age_ms"] / 1000.0)
+        except (OSError, UpstreamError, curio.TaskTimeout):
+            self.avoid(address)
+        finally:
+            if client is not None:
+                await client.close()
+
+
+class LoadProcess:
+    """One process of a load; ``run`` returns its ``LoadReport``."""
+
+    def __init__(self, spec, number):
+        self.spec = spec
+        self.number = number
+        self.entries = _Entries(spec.entries, random.Random(f"{spec.seed}/{number}"))
+        self.idle = {}
+        self.records = []
+        self.running = 0
+        self.path = f"/v1/workloads/{spec.workload}/query"
+
+    async def run(self, start_at):
+        """Send all requests; ``start_at`` is the start in Unix time."""
+        refresher = await curio.spawn(self._refresh_loop, daemon=True)
+        await self._warm_up()
+        begin = time.monotonic() + start_at - time.time()
+        cpu_before = time.process_time()
+        bodies = self.spec.bodies(self.number)
+        for start_s in self.spec.arrivals(self.number):
+            delay = begin + start_s - time.monotonic()
+            if delay > 0:
+                await curio.sleep(delay)
+            self.running += 1
+            await curio.spawn(self._request, begin, start_s, next(bodies), daemon=True)
+        await self._wait_for_answers()
+        elapsed = time.monotonic() - begin
+        cpu_share = (time.process_time() - cpu_before) / max(elapsed, 0.001)
+        await refresher.cancel()
+        return LoadReport(self.records, round(cpu_share, 3), self.running)
+
+    async def _refresh_loop(self):
+        while True:
+            await self.entries.refresh()
+            await curio.sleep(self.entries.max_age_s)
+
+    async def _warm_up(self):
+        """Open one connection to each entry before the first request."""
+        await self.entries.refresh()
+        for address in self.entries.addresses:
+            try:
+                client = await HTTPClient.open(address, CONNECT_TIMEOUT_S)
+            except (OSError, curio.TaskTimeout):
+                continue
+            self.idle.setdefault(address, []).append(client)
+
+    async def _wait_for_answers(self):
+        deadline_s = (self.spec.deadline_ms or 2000) / 1000.0
+        limit = time.monotonic() + deadline_s + 2 * ANSWER_MARGIN_S
+        while self.running and time.monotonic() < limit:
+            await curio.sleep(0.02)
+
+    async def _acquire(self, address):
+        idle = self.idle.setdefault(address, [])
+        while idle:
+            client = idle.pop()
+            if client.usable and not client.is_stale():
+                return client
+            await client.close()
+        return await HTTPClient.open(address, CONNECT_TIMEOUT_S)
+
+    async def _release(self, address, client):
+        idle = self.idle.setdefault(address, [])
+        if client.usable and len(idle) < self.spec.connections:
+            idle.append(client)
+        else:
+            await client.close()
+
+    async def _request(self, begin, start_s, body):
+        lateness_s = time.monotonic() - begin - start_s
+        address = self.entries.pick()
+        record = Record(start_s, 0.0, lateness_s, entry=f"{address[0]}:{address[1]}")
+        deadline_s = (self.spec.deadline_ms or 60_000) / 1000.0
+        try:
+            async with curio.timeout_after(deadline_s + ANSWER_MARGIN_S):
+                response = await self._exchange(address, body)
+            _fill(record, response)
+        except (OSError, UpstreamError):
+            record.status = 0
+            record.code = CODE_CONNECTION
+            self.entries.avoid(address)
+        except curio.TaskTimeout:
+            record.status = 0
+            record.code = CODE_TIMEOUT
+            self.entries.avoid(address)
+        record.latency_s = time.monotonic() - begin - start_s
+        self.records.append(record)
+        self.running -= 1
+
+    async def _exchange(self, address, body):
+        client = await self._acquire(address)
+        headers = {"content-type": "application/json"}
+        if self.spec.deadline_ms is not None:
+            headers["almondtide-deadline-ms"] = str(self.spec.deadline_ms)
+        try:
+            response = await client.request(
+                "POST", self.path, headers, orjson.dumps(body)
+            )
+        except BaseException:
+            await client.close()
+            raise
+        await self._release(address, client)
+        return response
+
+
+def _fill(record, response):
+    body = response.json()
+    record.status = response.status
+    record.code = body["code"]
+    record.not_run = body["not_run"]
+    record.retry_after_ms = body["retry_after_ms"]
+    coverage = body.get("coverage")
+    if coverage is not None:
+        record.covered = len(coverage["covered"])
+        record.missing = len(coverage["missing"])
+    record.sends = body.get("sends", 0)
+
+
+class Load:
+    """A load that runs in processes of its own.
+
+    >>> load = Load(LoadSpec(["127.0.0.1:8000"], "advisory", rate=100, seconds=10))
+    >>> report = load.result()
+
+    ``began`` is the monotonic time of the start of the arrivals.
+    """
+
+    def __init__(self, spec):
+        self.spec = spec
+        self._directory = tempfile.TemporaryDirectory()
+        self._processes = []
+        start_at = time.time() + START_DELAY_S
+        self.began = time.monotonic() + START_DELAY_S
+        for number in range(spec.processes):
+            argv = [sys.executable, "-m", "bench.load", "--spec", spec.to_json()]
+            argv += ["--number", str(number), "--start-at", repr(start_at)]
+            argv += ["--output", self._path(number)]
+            self._processes.append(subprocess.Popen(argv))
+
+    def _path(self, number):
+        return os.path.join(self._directory.name, f"{number}.json")
+
+    def wait_until(self, second):
+        """Sleep until ``second`` of the run."""
+        time.sleep(max(0.0, self.began + second - time.monotonic()))
+
+    def result(self):
+        """Wait for the end and return the ``LoadReport``."""
+        limit_s = START_DELAY_S + self.spec.seconds + 30.0
+        try:
+            for process in self._processes:
+                if process.wait(timeout=limit_s) != 0:
+                    raise RuntimeError("a load process failed")
+            reports = [read_report(self._path(n)) for n in range(self.spec.processes)]
+        finally:
+            self.close()
+        return LoadReport.combine(reports)
+
+    def close(self):
+        """End the processes and remove their files."""
+        for process in self._processes:
+            if process.poll() is None:
+                process.kill()
+                process.wait()
+        self._directory.cleanup()
+
+
+def main(
+    *,
+    entry: list[str] | None = None,
+    workload: str = "advisory",
+    rate: float = 100.0,
+    seconds: float = 10.0,
+    seed: int = 1,
+    deadline_ms: int | None = None,
+    kind: str = "probes",
+    processes: int = 2,
+    shards: int = 10,
+    spec: str | None = None,
+    number: int = 0,
+    start_at: float | None = None,
+    output: str | None = None,
+):
+    """Send queries at a given rate and print a summary as JSON.
+
+    :param entry: host:port of one or more daemons
+    :param workload: name of the workload
+    :param rate: requests per second over all processes
+    :param seconds: duration of the arrivals
+    :param seed: seed of arrivals and queries
+    :param deadline_ms: deadline of each request; default: that of the workload
+    :param kind: data set of the queries, probes or sheets
+    :param processes: number of load processes
+    :param shards: number of shards of the workload, for the coverage
+    :param spec: used by the tool itself to start one load process
+    :param number: number of the load process
+    :param start_at: start in Unix time
+    :param output: file for the records
+    """
+    if spec is not None:
+        process = LoadProcess(LoadSpec.from_json(spec), number)
+        write_report(output, curio.run(process.run, start_at))
+        return
+    if not entry:
+        sys.exit("bench.load: --entry is required")
+    load_spec = LoadSpec(
+        entry,
+        workload,
+        rate,
+        seconds,
+        seed=seed,
+        deadline_ms=deadline_ms,
+        kind=kind,
+        processes=processes,
+    )
+    report = Load(load_spec).result()
+    if output is not None:
+        write_report(output, report)
+    figures = Summary(report.records, seconds, shards).to_dict()
+    figures["load_cpu_share"] = report.cpu_share
+    figures["unfinished"] = report.unfinished
+    print(json.dumps(figures, indent=2))
+
+
+if __name__ == "__main__":
+    import defopt
+
+    defopt.run(main)
--- /dev/null
+++ b/bench/records.py
@@ -0,0 +1,300 @@
+"""What a load process records of each request, and summaries of it."""
+
+import orjson
+from hdrh.histogram import HdrHistogram
+
+from almondtide.errors import ResultCode
+
+__all__ = [
+    "LoadReport",
+    "Record",
+    "Summary",
+    "latency_histogram",
+    "read_report",
+    "recovery_s",
+    "write_report",
+]
+
+HISTOGRAM_MAX_US = 120_000_000
+HISTOGRAM_DIGITS = 3
+QUANTILES = {"p50": 50.0, "p90": 90.0, "p99": 99.0, "p999": 99.9}
+
+# Codes of the load tool itself, outside the result codes of the tier.
+CODE_CONNECTION = -1
+CODE_TIMEOUT = -2
+
+_REFUSALS = frozenset(
+    {ResultCode.OVERLOADED, ResultCode.DRAINING, ResultCode.NOT_READY}
+)
+
+
+class Record:
+    """One request.
+
+    ``start_s`` is the intended start in seconds after the start of the run, and
+    ``latency_s`` counts from it, so a delay of the load tool or of a server that
+    holds up later requests is part of the latency. ``lateness_s`` is the part
+    that the load tool itself caused: from the intended start to the moment at
+    which the request was handed to its task. ``status`` is 0 without a response.
+    """
+
+    __slots__ = (
+        "code",
+        "covered",
+        "entry",
+        "latency_s",
+        "lateness_s",
+        "missing",
+        "not_run",
+        "retry_after_ms",
+        "sends",
+        "start_s",
+        "status",
+    )
+
+    def __init__(
+        self,
+        start_s,
+        latency_s,
+        lateness_s=0.0,
+        status=200,
+        code=0,
+        not_run=False,
+        covered=0,
+        missing=0,
+        sends=0,
+        retry_after_ms=None,
+        entry="",
+    ):
+        self.start_s = start_s
+        self.latency_s = latency_s
+        self.lateness_s = lateness_s
+        self.status = status
+        self.code = code
+        self.not_run = not_run
+        self.covered = covered
+        self.missing = missing
+        self.sends = sends
+        self.retry_after_ms = retry_after_ms
+        self.entry = entry
+
+    def to_list(self):
+        """Return the fields in the order of the constructor."""
+        return [getattr(self, name) for name in _FIELDS]
+
+    @property
+    def full(self):
+        """Whether the answer covers every shard."""
+        return self.code == ResultCode.OK
+
+    @property
+    def answered(self):
+        """Whether the answer covers at least one shard."""
+        return self.code in (ResultCode.OK, ResultCode.PARTIAL)
+
+    @property
+    def refused(self):
+        """Whether the tier refused the request as a matter of load."""
+        return self.code in _REFUSALS
+
+
+_FIELDS = (
+    "start_s",
+    "latency_s",
+    "lateness_s",
+    "status",
+    "code",
+    "not_run",
+    "covered",
+    "missing",
+    "sends",
+    "retry_after_ms",
+    "entry",
+)
+
+
+class LoadReport:
+    """The records of a run and the cost of the load processes.
+
+    ``cpu_share`` is the largest share of a core that one load process used.
+    """
+
+    __slots__ = ("cpu_share", "records", "unfinished")
+
+    def __init__(self, records, cpu_share=0.0, unfinished=0):
+        self.records = records
+        self.cpu_share = cpu_share
+        self.unfinished = unfinished
+
+    @classmethod
+    def combine(cls, reports):
+        """Return one report of several load processes."""
+        records = [record for report in reports for record in report.records]
+        records.sort(key=lambda record: record.start_s)
+        return cls(
+            records,
+            max(report.cpu_share for report in reports),
+            sum(report.unfinished for report in reports),
+        )
+
+    def between(self, begin_s, end_s):
+        """Return the records with an intended start in ``[begin_s, end_s)``."""
+        return [item for item in self.records if begin_s <= item.start_s < end_s]
+
+
+def write_report(path, report):
+    """Write a report as JSON."""
+    value = {
+        "cpu_share": report.cpu_share,
+        "unfinished": report.unfinished,
+        "fields": _FIELDS,
+        "records": [record.to_list() for record in report.records],
+    }
+    with open(path, "wb") as out:
+        out.write(orjson.dumps(value))
+
+
+def read_report(path):
+    """Return the ``LoadReport`` of a file that ``write_report`` wrote."""
+    with open(path, "rb") as source:
+        value = orjson.loads(source.read())
+    records = [Record(*fields) for fields in value["records"]]
+    return LoadReport(records, value["cpu_share"], value["unfinished"])
+
+
+def latency_histogram(seconds):
+    """Return an ``HdrHistogram`` in microseconds of latencies in seconds."""
+    histogram = HdrHistogram(1, HISTOGRAM_MAX_US, HISTOGRAM_DIGITS)
+    for value in seconds:
+        histogram.record_value(max(1, min(HISTOGRAM_MAX_US, int(value * 1e6))))
+    return histogram
+
+
+def _quantiles_ms(seconds):
+    if not seconds:
+        return dict.fromkeys((*QUANTILES, "max"))
+    histogram = latency_histogram(seconds)
+    values = {
+        name: round(histogram.get_value_at_percentile(percent) / 1000.0, 2)
+        for name, percent in QUANTILES.items()
+    }
+    values["max"] = round(max(seconds) * 1000.0, 2)
+    return values
+
+
+class Summary:
+    """Figures of the records of one phase; ``to_dict`` returns them for JSON.
+
+    Latencies are in ms: of answers with any coverage, and of refusals. A request
+    without an answer counts as a request whose shards are all missing.
+    ``extra_sends`` is the share of exchanges beyond one per sub-request, counted
+    over requests with a full answer.
+    """
+
+    __slots__ = ("records", "seconds", "shards")
+
+    def __init__(self, records, seconds, shards):
+        self.records = records
+        self.seconds = seconds
+        self.shards = shards
+
+    @property
+    def full(self):
+        """Number of answers with full coverage."""
+        return sum(record.full for record in self.records)
+
+    @property
+    def goodput(self):
+        """Answers with full coverage per second."""
+        return self.full / self.seconds
+
+    def answered_ms(self):
+        """Return quantiles of the latency of answers with any coverage."""
+        return _quantiles_ms([r.latency_s for r in self.records if r.answered])
+
+    def refused_ms(self):
+        """Return quantiles of the latency of refusals."""
+        return _quantiles_ms([r.latency_s for r in self.records if r.refused])
+
+    @property
+    def coverage(self):
+        """Share of the shards of all requests that were covered."""
+        if not self.records:
+            return None
+        return sum(r.covered for r in self.records) / (len(self.records) * self.shards)
+
+    @property
+    def extra_sends(self):
+        """Share of exchanges beyond one for each sub-request."""
+        full = [record for record in self.records if record.full]
+        if not full:
+            return None
+        return sum(r.sends for r in full) / (len(full) * self.shards) - 1.0
+
+    def codes(self):
+        """Return a dict from result code name to the number of requests."""
+        counts = {}
+        for record in self.records:
+            name = _code_name(record.code)
+            counts[name] = counts.get(name, 0) + 1
+        return dict(sorted(counts.items()))
+
+    def refusals_well_formed(self):
+        """Return the share of refusals with "not run" and a time to come back."""
+        refused = [record for record in self.records if record.refused]
+        if not refused:
+            return None
+        good = [r for r in refused if r.not_run and r.retry_after_ms is not None]
+        return len(good) / len(refused)
+
+    def to_dict(self):
+        """Return all figures."""
+        lateness = _quantiles_ms([record.lateness_s for record in self.records])
+        return {
+            "requests": len(self.records),
+            "offered_per_s": round(len(self.records) / self.seconds, 1),
+            "full": self.full,
+            "goodput_per_s": round(self.goodput, 1),
+            "latency_ms": self.answered_ms(),
+            "refusal_ms": self.refused_ms(),
+            "refusals_well_formed": self.refusals_well_formed(),
+            "coverage": _rounded(self.coverage, 5),
+            "extra_sends": _rounded(self.extra_sends, 4),
+            "codes": self.codes(),
+            "load_lateness_p99_ms": lateness["p99"],
+        }
+
+
+def _rounded(value, digits):
+    return None if value is None else round(value, digits)
+
+
+def _code_name(code):
+    if code == CODE_CONNECTION:
+        return "connection lost"
+    if code == CODE_TIMEOUT:
+        return "no answer"
+    return ResultCode(code).name
+
+
+def recovery_s(records, fault_s, end_s, slow_s, bin_s=0.5, bad_share=0.05):
+    """Return the seconds from a fault until requests were served well again.
+
+    Requests are sorted into bins of ``bin_s`` by their intended start. A bin is
+    bad when more than ``bad_share`` of its requests were not answered in full
+    within ``slow_s``. The result is the end of the last bad bin, 0.0 without one,
+    or None when the last bin before ``end_s`` is bad.
+    """
+    bins = max(1, int((end_s - fault_s) / bin_s))
+    total = [0] * bins
+    bad = [0] * bins
+    for record in records:
+        index = int((record.start_s - fault_s) / bin_s)
+        if record.start_s < fault_s or index >= bins:
+            continue
+        total[index] += 1
+        bad[index] += not (record.full and record.latency_s <= slow_s)
+    for index in reversed(range(bins)):
+        if bad[index] > bad_share * total[index]:
+            return None if index == bins - 1 else (index + 1) * bin_s
+    return 0.0
--- /dev/null
+++ b/bench/results.py
@@ -0,0 +1,92 @@
+"""Results of scenarios: aims, tables, files."""
+
+import datetime
+import json
+import os
+import pathlib
+
+__all__ = ["Aim", "Result", "save"]
+
+DIRECTORY = pathlib.Path(__file__).parent / "results"
+
+
+class Aim:
+    """One aim and what was measured; ``met`` is a bool."""
+
+    __slots__ = ("measured", "met", "text")
+
+    def __init__(self, text, met, measured):
+        self.text = text
+        self.met = bool(met)
+        self.measured = measured
+
+    def line(self):
+        """Return the aim as one line of text."""
+        return (
+            f"{'aim met' if self.met else 'aim missed'}: {self.text} ({self.measured})"
+        )
+
+
+class Result:
+    """What a scenario measured: ``columns`` and ``rows`` of text, and raw data."""
+
+    __slots__ = ("aims", "columns", "data", "name", "notes", "rows", "title")
+
+    def __init__(self, name, title, columns):
+        self.name = name
+        self.title = title
+        self.columns = columns
+        self.rows = []
+        self.aims = []
+        self.notes = []
+        self.data = {}
+
+    def add_row(self, *cells):
+        """Add one row of the table."""
+        self.rows.append([_cell(value) for value in cells])
+
+    def add_aim(self, text, met, measured):
+        """Add one aim."""
+        self.aims.append(Aim(text, met, measured))
+
+    def to_markdown(self, date):
+        """Return the readable report."""
+        lines = [f"# {self.title}", "", f"Run on {date}.", ""]
+        lines += [f"{note}" for note in self.notes]
+        lines += ["", "| " + " | ".join(self.columns) + " |"]
+        lines += ["|" + " --- |" * len(self.columns)]
+        lines += ["| " + " | ".join(row) + " |" for row in self.rows]
+        lines += [""] + [f"* {aim.line()}" for aim in self.aims]
+        return "\n".join(lines) + "\n"
+
+
+def _cell(value):
+    if value is None:
+        return "-"
+    if isinstance(value, float):
+        return f"{value:.4g}" if abs(value) < 1 else f"{value:.1f}"
+    return str(value)
+
+
+def save(result, options):
+    """Write the JSON and Markdown files of a result; returns the Markdown."""
+    date = datetime.datetime.now(datetime.UTC).strftime("%Y-%m-%d %H:%M UTC")
+    DIRECTORY.mkdir(exist_ok=True)
+    value = {
+        "scenario": result.name,
+        "title": result.title,
+        "date": date,
+        "options": options,
+        "cores": os.cpu_count(),
+        "load_average": os.getloadavg(),
+        "aims": [
+            {"aim": aim.text, "met": aim.met, "measured": aim.measured}
+            for aim in result.aims
+        ],
+        "data": result.data,
+    }
+    path = DIRECTORY / f"{result.name}.json"
+    path.write_text(json.dumps(value, indent=1) + "\n", encoding="utf-8")
+    text = result.to_markdown(date)
+    path.with_suffix(".md").write_text(text, encoding="utf-8")
+    return text
--- /dev/null
+++ b/bench/scenarios.py
@@ -0,0 +1,528 @@
+"""The scenarios of the benchmark."""
+
+import signal
+import threading
+import time
+
+from almondtide.quarantine import fingerprint
+from almondtide.registry import Registry
+from standins.fleet import http_call
+
+from .environment import SERVICES, SIDES, WORKLOAD, BenchFleet, Shape
+from .records import Summary, recovery_s
+from .results import Result
+
+__all__ = ["scenarios"]
+
+scenarios = Registry("scenario")
+
+STRAGGLER_SHARE = 0.01
+STRAGGLER_FACTOR = 20.0
+# Above the slowest straggler, so that the tail is measured and not cut off.
+STRAGGLER_DEADLINE_MS = 5000
+FAULT_DEADLINE_MS = 1000
+FAULT_LOAD = 0.5
+PAUSE_S = 10.0
+CRASH_SENDS = 20
+CRASH_STATUS = 70
+RESTART_DELAY_S = 1.0
+FIRST_COLUMNS = ["side", "load"]
+PHASE_COLUMNS = [
+    "queries/s",
+    "p50 ms",
+    "p99 ms",
+    "p99.9 ms",
+    "coverage",
+    "extra load",
+    "sheds",
+    "daemon cores",
+    "upstream cores",
+    "load tool late p99 ms",
+]
+
+
+def _phase_cells(phase):
+    summary = phase.summary
+    latency = summary.answered_ms()
+    lateness = summary.to_dict()["load_lateness_p99_ms"]
+    return [
+        round(len(summary.records) / phase.seconds, 1),
+        latency["p50"],
+        latency["p99"],
+        latency["p999"],
+        summary.coverage,
+        phase.extra_load,
+        phase.shed,
+        phase.cores["daemons"],
+        phase.cores["upstreams"],
+        lateness,
+    ]
+
+
+def _ratio(part, whole):
+    return part / whole if part is not None and whole else float("nan")
+
+
+# Stragglers
+
+
+@scenarios.register("stragglers")
+def run_stragglers(seconds):
+    """Compare the tails while 1 in 100 sub-queries is 20 times slower."""
+    shape = Shape(STRAGGLER_DEADLINE_MS, STRAGGLER_SHARE, STRAGGLER_FACTOR)
+    result = Result("stragglers", "Stragglers", FIRST_COLUMNS + PHASE_COLUMNS)
+    result.notes.append(
+        f"1 in 100 sub-queries takes 20 times longer. All slots are in use at "
+        f"{shape.capacity:.0f} queries/s, stragglers included."
+    )
+    phases = {}
+    for side in SIDES:
+        with BenchFleet(shape, side) as bench:
+            bench.warm_up(shape.capacity * 0.5)
+            for share in (0.6, 0.8):
+                phase = bench.measure(shape.capacity * share, seconds)
+                phases[side, share] = phase
+                result.add_row(side, f"{share:.0%}", *_phase_cells(phase))
+                result.data[f"{side} {share:.0%}"] = phase.to_dict()
+    for share in (0.6, 0.8):
+        product = phases["product", share]
+        naive = phases["baseline", share]
+        ratio = _ratio(
+            product.summary.answered_ms()["p99"], naive.summary.answered_ms()["p99"]
+        )
+        result.add_aim(
+            f"p99 at most 1/3 of the baseline's at {share:.0%}",
+            ratio <= 1 / 3,
+            f"ratio {ratio:.3f}",
+        )
+        result.add_aim(
+            f"at most 5 % extra sends at {share:.0%}",
+            product.extra_load <= 0.05,
+            f"{product.extra_load:.2%}",
+        )
+        result.add_aim(
+            f"full coverage at {share:.0%}",
+            product.summary.coverage == 1.0,
+            f"{product.summary.coverage:.5f}",
+        )
+    return result
+
+
+# Overload
+
+
+@scenarios.register("overload")
+def run_overload(seconds):
+    """Offer up to twice the capacity and look at goodput and refusals."""
+    shape = Shape()
+    columns = ["goodput/s", "refused", "refusal p50 ms", "refusal p99 ms"]
+    result = Result("overload", "Overload", FIRST_COLUMNS + columns + PHASE_COLUMNS)
+    result.notes.append(
+        f"Deadline {shape.deadline_ms} ms; all slots are in use at "
+        f"{shape.capacity:.0f} queries/s. Goodput counts full answers."
+    )
+    goodputs = {}
+    last = {}
+    for side in SIDES:
+        with BenchFleet(shape, side) as bench:
+            bench.warm_up(shape.capacity * 0.5)
+            for share in (0.7, 0.85, 1.0, 1.2, 2.0):
+                phase = bench.measure(shape.capacity * share, seconds)
+                refused = phase.summary.refused_ms()
+                count = sum(record.refused for record in phase.summary.records)
+                goodputs[side, share] = phase.summary.goodput
+                last[side] = phase
+                result.add_row(
+                    side,
+                    f"{share:.0%}",
+                    phase.summary.goodput,
+                    count,
+                    refused["p50"],
+                    refused["p99"],
+                    *_phase_cells(phase),
+                )
+                result.data[f"{side} {share:.0%}"] = phase.to_dict()
+    _add_overload_aims(result, shape, goodputs, last["product"])
+    return result
+
+
+def _add_overload_aims(result, shape, goodputs, phase):
+    peak = max(value for (side, _), value in goodputs.items() if side == "product")
+    kept = goodputs["product", 2.0] / peak
+    result.add_aim(
+        "goodput at 200 % at least 90 % of the peak", kept >= 0.9, f"{kept:.1%}"
+    )
+    refusal_ms = phase.summary.refused_ms()["p99"]
+    limit_ms = shape.deadline_ms / 4
+    result.add_aim(
+        f"refusals at once (p99 within {limit_ms:.0f} ms, a quarter of the deadline)",
+        refusal_ms is not None and refusal_ms <= limit_ms,
+        f"p99 {refusal_ms} ms",
+    )
+    formed = phase.summary.refusals_well_formed()
+    result.add_aim(
+        "every refusal has not_run and retry_after_ms", formed == 1.0, f"{formed}"
+    )
+    naive_peak = max(v for (side, _), v in goodputs.items() if side == "baseline")
+    result.notes.append(
+        f"Peak goodput: product {peak:.1f}/s, baseline {naive_peak:.1f}/s, "
+        f"ratio {_ratio(peak, naive_peak):.2f}; at 200 %: ratio "
+        f"{_ratio(goodputs['product', 2.0], goodputs['baseline', 2.0]):.2f}."
+    )
+
+
+@scenarios.register("shares")
+def run_shares(seconds):
+    """Overload a service with one workload while another stays in its share."""
+    shape = Shape(workloads={"field": {"shares": WORKLOAD}})
+    shape.workloads["field"]["settings"] = {"deadline_ms": 390}
+    columns = ["side", "workload", "offered/s", "goodput/s", "p99 ms", "codes"]
+    result = Result("shares", "Two workloads on the same services", columns)
+    result.notes.append(
+        "The workload advisory offers 200 % of the capacity, field 40 %; both have "
+        "weight 1, so each may use 50 %."
+    )
+    kept = {}
+    for side in SIDES:
+        with BenchFleet(shape, side) as bench:
+            bench.warm_up(shape.capacity * 0.5)
+            loads = {
+                WORKLOAD: bench.start_load(shape.capacity * 2.0, seconds),
+                "field": bench.start_load(
+                    shape.capacity * 0.4, seconds, workload="field", processes=1
+                ),
+            }
+            for name, load in loads.items():
+                summary = Summary(load.result().records, seconds, SERVICES)
+                kept[side, name] = summary.full / len(summary.records)
+                figures = summary.to_dict()
+                result.data[f"{side} {name}"] = figures
+                result.add_row(
+                    side,
+                    name,
+                    figures["offered_per_s"],
+                    figures["goodput_per_s"],
+                    figures["latency_ms"]["p99"],
+                    " ".join(f"{k}={v}" for k, v in figures["codes"].items()),
+                )
+    share = kept["product", "field"]
+    result.add_aim(
+        "the workload within its share keeps 90 % of its queries",
+        share >= 0.9,
+        f"{share:.1%}, baseline {kept['baseline', 'field']:.1%}",
+    )
+    return result
+
+
+# Faults
+
+
+class Fault:
+    """One fault: how it begins and how it is healed."""
+
+    __slots__ = ("begin", "duration_s", "heal", "loses_daemon", "name")
+
+    def __init__(self, name, begin, heal, loses_daemon, duration_s=None):
+        self.name = name
+        self.begin = begin
+        self.heal = heal
+        self.loses_daemon = loses_daemon
+        self.duration_s = duration_s
+
+
+def _kill_server(fleet):
+    fleet.kill(f"{WORKLOAD}-0-s0")
+
+
+def _restart_server(fleet):
+    fleet.start_upstream(f"{WORKLOAD}-0-s0")
+
+
+def _kill_daemon(fleet):
+    fleet.kill("entry-03")
+
+
+def _restart_daemon(fleet):
+    fleet.start_daemon("entry-03")
+
+
+def _pause_daemon(fleet):
+    fleet.signal("entry-04", signal.SIGSTOP)
+
+
+def _resume_daemon(fleet):
+    fleet.signal("entry-04", signal.SIGCONT)
+
+
+def _domain(fleet):
+    domain = fleet.spec.domains[1]
+    return [item["id"] for item in fleet.listed if item["domain"] == domain]
+
+
+def _kill_domain(fleet):
+    names = _domain(fleet)
+    for name in names:
+        fleet.signal(name, signal.SIGKILL)
+    for name in names:
+        fleet.processes[name].wait()
+
+
+def _restart_domain(fleet):
+    for name in _domain(fleet):
+        if name in fleet.daemons:
+            fleet.start_daemon(name)
+        else:
+            fleet.start_upstream(name)
+
+
+FAULTS = [
+    Fault("server killed", _kill_server, _restart_server, False),
+    Fault("daemon killed", _kill_daemon, _restart_daemon, True),
+    Fault("daemon paused", _pause_daemon, _resume_daemon, True, PAUSE_S),
+    Fault("failure domain cut", _kill_domain, _restart_domain, True),
+]
+
+
+@scenarios.register("faults")
+def run_faults(seconds):
+    """Break one part after the other under load."""
+    shape = Shape(FAULT_DEADLINE_MS)
+    columns = ["side", "fault", "phase", "requests", "p99 ms", "coverage"]
+    columns += ["extra sends", "codes", "recovery s"]
+    result = Result("faults", "Faults", columns)
+    result.notes.append(
+        f"Load: {FAULT_LOAD:.0%} of the slot capacity. The platform's list keeps "
+        "naming what was killed. A request to a daemon that is gone counts as "
+        "uncovered. Recovery: end of the last half second in which more than 5 % of "
+        "the requests were not answered in full within 3 times the p99 from before."
+    )
+    recoveries = {}
+    for side in SIDES:
+        with BenchFleet(shape, side) as bench:
+            bench.warm_up(shape.capacity * FAULT_LOAD)
+            for fault in FAULTS:
+                recoveries[side, fault.name] = _run_fault(result, bench, fault, seconds)
+    for fault in FAULTS:
+        value = recoveries["product", fault.name]
+        naive = recoveries["baseline", fault.name]
+        aim = "under 5 s" if fault.loses_daemon else "under 5 s (server)"
+        result.add_aim(
+            f"recovery after {fault.name} {aim}",
+            value is not None and value < 5.0,
+            f"{_seconds(value)}, baseline {_seconds(naive)}",
+        )
+    return result
+
+
+def _seconds(value):
+    return "none within the phase" if value is None else f"{value:.1f} s"
+
+
+def _run_fault(result, bench, fault, seconds):
+    before_s = max(3.0, seconds / 2)
+    during_s = fault.duration_s or seconds
+    heal_at = before_s + during_s
+    total_s = heal_at + seconds
+    load = bench.start_load(bench.shape.capacity * FAULT_LOAD, total_s)
+    load.wait_until(before_s)
+    fault_at = time.monotonic() - load.began
+    fault.begin(bench.fleet)
+    load.wait_until(heal_at)
+    fault.heal(bench.fleet)
+    report = load.result()
+    phases = {
+        "before": (0.0, fault_at),
+        "during": (fault_at, heal_at),
+        "after": (heal_at, total_s),
+    }
+    p99_ms = _fault_p99(report, 0.0, fault_at)
+    recovery = recovery_s(report.records, fault_at, heal_at, 3 * p99_ms / 1000.0)
+    for name, (begin, end) in phases.items():
+        records = report.between(begin, end)
+        figures = Summary(records, end - begin, SERVICES).to_dict()
+        result.data[f"{bench.side} {fault.name} {name}"] = figures
+        result.add_row(
+            bench.side,
+            fault.name,
+            name,
+            len(records),
+            figures["latency_ms"]["p99"],
+            figures["coverage"],
+            figures["extra_sends"],
+            " ".join(f"{k}={v}" for k, v in figures["codes"].items()),
+            _seconds(recovery) if name == "during" else "",
+        )
+    result.data[f"{bench.side} {fault.name} recovery_s"] = recovery
+    return recovery
+
+
+def _fault_p99(report, begin, end):
+    return Summary(report.between(begin, end), end - begin, 1).answered_ms()["p99"]
+
+
+# Crashing requests
+
+
+class Restarter:
+    """Restarts servers that crashed, and counts them."""
+
+    def __init__(self, fleet):
+        self._fleet = fleet
+        self._stop = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self.lost = []
+
+    def __enter__(self):
+        self._thread.start()
+        return self
+
+    def __exit__(self, *details):
+        self._stop.set()
+        self._thread.join()
+
+    def _run(self):
+        waiting = {}
+        while not self._stop.wait(0.05):
+            now = time.monotonic()
+            for name in self._fleet.upstreams:
+                if name in waiting:
+                    if waiting[name] <= now:
+                        del waiting[name]
+                        self._fleet.start_upstream(name)
+                elif self._fleet.processes[name].poll() == CRASH_STATUS:
+                    self.lost.append(name)
+                    waiting[name] = now + RESTART_DELAY_S
+
+
+@scenarios.register("crash")
+def run_crash(seconds):
+    """Send a crashing request again and again through different entries."""
+    shape = Shape(FAULT_DEADLINE_MS)
+    columns = ["side", "crashes", "servers lost", "answers to the crashing request"]
+    columns += ["background coverage", "background p99 ms", "innocent quarantined"]
+    result = Result("crash", "Crashing request", columns)
+    result.notes.append(
+        f"The caller sends the request {CRASH_SENDS} times, each time through another "
+        "entry, as soon as it has an answer. A lost server is restarted after "
+        f"{RESTART_DELAY_S:.0f} s. Background load: 40 % of the slot capacity."
+    )
+    for side in SIDES:
+        with BenchFleet(shape, side) as bench:
+            bench.warm_up(shape.capacity * 0.4)
+            for crash in (f"{WORKLOAD}-1", True):
+                _run_crash(result, bench, crash, seconds)
+    one = result.data[f"product {WORKLOAD}-1"]
+    result.add_aim(
+        "at most 3 upstreams lost when the request crashes one service",
+        len(one["lost"]) <= 3,
+        f"{len(one['lost'])}, baseline "
+        f"{len(result.data[f'baseline {WORKLOAD}-1']['lost'])}",
+    )
+    innocent = one["innocent"] + result.data["product True"]["innocent"]
+    result.add_aim("no innocent request quarantined", innocent == 0, f"{innocent}")
+    return result
+
+
+def _run_crash(result, bench, crash, seconds):
+    body = {"match": {"district": "Nadi"}, "crash": crash}
+    total_s = max(seconds, 10.0)
+    with Restarter(bench.fleet) as restarter:
+        load = bench.start_load(bench.shape.capacity * 0.4, total_s)
+        load.wait_until(1.0)
+        codes = _send_crashing(bench, body, load.began + total_s)
+        report = load.result()
+        time.sleep(RESTART_DELAY_S + 1.0)
+    records = report.records
+    innocent = sum(record.code == 203 for record in records)
+    innocent += len(_quarantined(bench) - _marks())
+    figures = Summary(records, total_s, SERVICES).to_dict()
+    result.data[f"{bench.side} {crash}"] = {
+        "lost": restarter.lost,
+        "codes": codes,
+        "innocent": innocent,
+        "background": figures,
+    }
+    counted = {code: codes.count(code) for code in dict.fromkeys(codes)}
+    result.add_row(
+        bench.side,
+        "every service" if crash is True else crash,
+        len(restarter.lost),
+        " ".join(f"{code}={count}" for code, count in counted.items()),
+        figures["coverage"],
+        figures["latency_ms"]["p99"],
+        innocent,
+    )
+
+
+def _send_crashing(bench, body, until):
+    """Send the request through one entry after the other; returns the codes."""
+    codes = []
+    entries = list(bench.fleet.daemons.values())
+    headers = {"almondtide-deadline-ms": str(bench.shape.deadline_ms)}
+    for number in range(CRASH_SENDS):
+        if time.monotonic() > until:
+            break
+        address = entries[number % len(entries)]["caller"]
+        path = f"/v1/workloads/{WORKLOAD}/query"
+        try:
+            answer = http_call(address, "POST", path, body, headers)[2]
+            codes.append(answer["name"])
+        except OSError:
+            codes.append("connection lost")
+    return codes
+
+
+def _marks():
+    bodies = [
+        {"match": {"district": "Nadi"}, "crash": crash}
+        for crash in (f"{WORKLOAD}-1", True)
+    ]
+    return {fingerprint(WORKLOAD, "query", body) for body in bodies}
+
+
+def _quarantined(bench):
+    """Return the fingerprints in quarantine at any daemon of the product."""
+    if bench.side != "product":
+        return set()
+    marks = set()
+    for name in bench.fleet.daemons:
+        report = bench.fleet.admin(name, "quarantine")
+        marks.update(item["fingerprint"] for item in report["quarantined"])
+    return marks
+
+
+# Policies
+
+POLICIES = {
+    "all on": {},
+    "hedging off": {"hedge_policy": "off"},
+    "retry budget 0": {"retry_budget": 0.0},
+    "hedging off, retry budget 0": {"hedge_policy": "off", "retry_budget": 0.0},
+}
+
+
+@scenarios.register("policies")
+def run_policies(seconds):
+    """Switch single policies off under stragglers."""
+    shape = Shape(STRAGGLER_DEADLINE_MS, STRAGGLER_SHARE, STRAGGLER_FACTOR)
+    result = Result("policies", "Policies on and off", ["policies"] + PHASE_COLUMNS)
+    result.notes.append(
+        "Product only, stragglers as in that scenario, 60 % load, one fleet whose "
+        "configuration changes between the phases."
+    )
+    tails = {}
+    with BenchFleet(shape, "product") as bench:
+        rate = shape.capacity * 0.6
+        bench.warm_up(rate)
+        for name, defaults in POLICIES.items():
+            bench.fleet.publish_defaults(defaults)
+            bench.warm_up(rate, 2.0)
+            phase = bench.measure(rate, seconds, seed=100)
+            tails[name] = phase.summary.answered_ms()["p99"]
+            result.add_row(name, *_phase_cells(phase))
+            result.data[name] = phase.to_dict()
+    ratio = _ratio(tails["all on"], tails["hedging off"])
+    result.add_aim(
+        "hedging lowers the p99", ratio < 1.0, f"p99 with/without: {ratio:.3f}"
+    )
+    return result
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -3,6 +3,7 @@
 import http.client
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -13,19 +14,28 @@
 
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 10.0
+PORT_RANGE = (10_000, 32_000)
 ADMIN_TOKEN = "operator-token"
 
 
 def free_ports(count):
-    """Return ``count`` TCP ports that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for sock in sockets:
-            sock.bind(("127.0.0.1", 0))
-        return [sock.getsockname()[1] for sock in sockets]
-    finally:
-        for sock in sockets:
-            sock.close()
+    """Return ``count`` TCP ports that were free a moment ago.
+
+    The ports are below the range from which the system takes the local ports of
+    outgoing connections, because such a connection could take the port between
+    this check and the start of the process that listens on it.
+    """
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(*PORT_RANGE)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
+    return ports
 
 
 def http_call(address, method, path, body=None, headers=None, timeout_s=5.0):
@@ -48,10 +58,14 @@
 
     ``workloads`` maps a name to a dict with ``services``, ``servers``, ``slots``,
     ``kind`` (data set) and optionally ``settings`` (workload settings).
-    ``upstream`` holds fields of ``UpstreamSpec`` that apply to all servers.
+    A workload with ``shares`` (the name of another workload) has no servers of its
+    own; its shard map names the services of that workload. ``upstream`` holds
+    fields of ``UpstreamSpec`` that apply to all servers. ``daemon_module`` is the
+    module that each daemon runs, for example ``baseline.daemon``.
     """
 
     __slots__ = (
+        "daemon_module",
         "daemons",
         "defaults",
         "domains",
@@ -71,7 +85,9 @@
         exceptions=None,
         upstream=None,
         list_lag_s=0.0,
+        daemon_module="almondtide.daemon",
     ):
+        self.daemon_module = daemon_module
         self.daemons = daemons
         self.domains = list(domains)
         self.workloads = workloads or {
@@ -97,6 +113,7 @@
         self.platform = None
         self.daemons = {}
         self.upstreams = {}
+        self.upstream_specs = {}
         self.records = {}
         self.document = None
         self.listed = []
@@ -182,8 +199,15 @@
     def services(self):
         """Return (service, workload, shape) for all services."""
         for workload, shape in self.spec.workloads.items():
-            for number in range(shape["services"]):
-                yield f"{workload}-{number}", workload, shape
+            if "shares" not in shape:
+                for service in self.workload_services(workload):
+                    yield service, workload, shape
+
+    def workload_services(self, workload):
+        """Return the names of the services that a workload uses."""
+        workload = self.spec.workloads[workload].get("shares", workload)
+        count = self.spec.workloads[workload]["services"]
+        return [f"{workload}-{number}" for number in range(count)]
 
     def start_upstreams(self):
         """Start one process for each server."""
@@ -223,7 +247,13 @@
                 "state": "live",
             }
         )
-        self.spawn(instance, ["-m", "standins.upstream", "--specs", json.dumps([spec])])
+        self.upstream_specs[instance] = spec
+        self.start_upstream(instance)
+
+    def start_upstream(self, instance):
+        """Start the process of a server, also after it has ended."""
+        specs = json.dumps([self.upstream_specs[instance]])
+        self.spawn(instance, ["-m", "standins.upstream", "--specs", specs])
 
     def control_upstream(self, instance, command):
         """Send a command to a server."""
@@ -263,11 +293,16 @@
         )
         self.start_daemon(name)
 
-    def start_daemon(self, name):
-        """Start the process of a daemon, also after it has ended."""
+    def start_daemon(self, name, module=None, environ=None):
+        """Start the process of a daemon, also after it has ended.
+
+        ``module`` replaces the module of the spec; ``environ`` is added to the
+        environment.
+        """
         info = self.daemons[name]
         seeds = [other["peer"] for key, other in self.daemons.items() if key != name]
         environ = {
+            **(environ or {}),
             "ALMONDTIDE_INSTANCE": name,
             "ALMONDTIDE_DOMAIN": info["domain"],
             "ALMONDTIDE_CALLER_ADDRESS": info["caller"],
@@ -277,7 +312,7 @@
             "ALMONDTIDE_PLATFORM": self.platform,
             "ALMONDTIDE_SEEDS": ",".join(seeds[:3]),
         }
-        self.spawn(name, ["-m", "almondtide.daemon"], environ)
+        self.spawn(name, ["-m", module or self.spec.daemon_module], environ)
 
     def wait_ready(self, name):
         """Wait until a daemon accepts queries."""
@@ -310,11 +345,17 @@
 
     # Configuration
 
+    def publish_defaults(self, defaults):
+        """Publish the configuration with other defaults; returns the revision."""
+        self.spec.defaults = defaults
+        self.document = self._configuration()
+        return self.publish("configuration", self.document)
+
     def _configuration(self):
         workloads = {}
         exceptions = list(self.spec.exceptions)
         for workload, shape in self.spec.workloads.items():
-            services = [f"{workload}-{n}" for n in range(shape["services"])]
+            services = self.workload_services(workload)
             workloads[workload] = {"shard_maps": [shard_map(1, services)]}
             for setting, value in shape.get("settings", {}).items():
                 exceptions.append(
@@ -325,7 +366,8 @@
                         "reason": "shape of the test fleet",
                     }
                 )
-            if shape.get("slots", 3) != self.spec.defaults.get("slots", 3):
+            slots = shape.get("slots", 3)
+            if "shares" not in shape and slots != self.spec.defaults.get("slots", 3):
                 for service in services:
                     exceptions.append(
                         {
