--- a/almondtide/errors.py
+++ b/almondtide/errors.py
@@ -5,7 +5,9 @@
 __all__ = [
     "AlmondtideError",
     "BadRequestError",
+    "ClientError",
     "ConfigurationError",
+    "DocumentError",
     "ExecutionError",
     "PeerError",
     "PlatformError",
@@ -23,7 +25,8 @@
 
     The hundreds digit names the family: 0 answers, 1 bad requests, 2 refusals by
     the tier, 3 upstream failures, 4 non-idempotent execution, 5 peers, 6
-    configuration and platform, 9 internal. ``docs/result-codes.md`` lists them.
+    configuration and platform, 7 the command line, 9 internal.
+    ``docs/result-codes.md`` lists them.
     """
 
     OK = 0
@@ -64,6 +67,11 @@
     CONFIGURATION_INVALID = 600
     SETTINGS_INVALID = 601
     PLATFORM_UNAVAILABLE = 602
+    DOCUMENT_MISMATCH = 603
+    NO_ANSWER = 700
+    CONNECTION_LOST = 701
+    WAIT_TIMEOUT = 702
+    DISAGREEMENT = 703
     INTERNAL = 900
 
 
@@ -176,6 +184,18 @@
     code = ResultCode.PLATFORM_UNAVAILABLE
 
 
+class DocumentError(AlmondtideError):
+    """A received document or change does not have the content it states."""
+
+    code = ResultCode.DOCUMENT_MISMATCH
+
+
+class ClientError(AlmondtideError):
+    """The command line got no usable answer from any daemon it asked."""
+
+    code = ResultCode.NO_ANSWER
+
+
 class _ProblemListError(AlmondtideError):
     def __init__(self, problems):
         self.problems = list(problems)
--- a/bench/environment.py
+++ b/bench/environment.py
@@ -93,7 +93,7 @@
                 "straggler_share": self.straggler_share,
                 "straggler_factor": self.straggler_factor,
             },
-            daemon_module=SIDES[side],
+            daemon_argv=("-m", SIDES[side]),
         )
 
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -17,24 +17,30 @@
 PORT_RANGE = (10_000, 32_000)
 ADMIN_TOKEN = "operator-token"
 
+_given_ports = set()
+
 
 def free_ports(count):
     """Return ``count`` TCP ports that were free a moment ago.
 
     The ports are below the range from which the system takes the local ports of
     outgoing connections, because such a connection could take the port between
-    this check and the start of the process that listens on it.
+    this check and the start of the process that listens on it. No port is
+    returned twice, because the process that gets it may bind it only after the
+    next call.
     """
     ports = []
     while len(ports) < count:
         port = random.randrange(*PORT_RANGE)
+        if port in _given_ports:
+            continue
+        _given_ports.add(port)
         with socket.socket() as sock:
             try:
                 sock.bind(("127.0.0.1", port))
             except OSError:
                 continue
-        if port not in ports:
-            ports.append(port)
+        ports.append(port)
     return ports
 
 
@@ -60,18 +66,23 @@
     ``kind`` (data set) and optionally ``settings`` (workload settings).
     A workload with ``shares`` (the name of another workload) has no servers of its
     own; its shard map names the services of that workload. ``upstream`` holds
-    fields of ``UpstreamSpec`` that apply to all servers. ``daemon_module`` is the
-    module that each daemon runs, for example ``baseline.daemon``.
+    fields of ``UpstreamSpec`` that apply to all servers.
+    ``pack_servers`` runs the servers of one failure domain in one process, so
+    that they can only be killed together.
+    ``links`` tells which connections pass through a forwarding link that tests
+    can cut or delay: any of ``peer``, ``platform`` and ``upstream``.
+    ``daemon_argv`` is the command line of a daemon after the interpreter.
     """
 
     __slots__ = (
-        "daemon_module",
+        "daemon_argv",
         "daemons",
         "defaults",
         "domains",
         "exceptions",
-        "link_peers",
+        "links",
         "list_lag_s",
+        "pack_servers",
         "upstream",
         "workloads",
     )
@@ -85,9 +96,10 @@
         exceptions=None,
         upstream=None,
         list_lag_s=0.0,
-        daemon_module="almondtide.daemon",
+        pack_servers=False,
+        links=(),
+        daemon_argv=("-m", "almondtide.daemon"),
     ):
-        self.daemon_module = daemon_module
         self.daemons = daemons
         self.domains = list(domains)
         self.workloads = workloads or {
@@ -97,7 +109,9 @@
         self.exceptions = exceptions or []
         self.upstream = upstream or {}
         self.list_lag_s = list_lag_s
-        self.link_peers = False
+        self.pack_servers = pack_servers
+        self.links = frozenset(links)
+        self.daemon_argv = list(daemon_argv)
 
 
 class Fleet:
@@ -114,6 +128,8 @@
         self.daemons = {}
         self.upstreams = {}
         self.upstream_specs = {}
+        self.links = None
+        self.link_addresses = {}
         self.records = {}
         self.document = None
         self.listed = []
@@ -135,8 +151,12 @@
         self.start_upstreams()
         self.document = self._configuration()
         self.publish("configuration", self.document)
-        for number in range(self.spec.daemons):
-            self.add_daemon(f"entry-{number:02d}")
+        names = [f"entry-{number:02d}" for number in range(self.spec.daemons)]
+        for name in names:
+            self.assign_addresses(name)
+        self.start_links()
+        for name in names:
+            self.add_daemon(name)
         self.publish_instances()
         for name in list(self.daemons):
             self.wait_ready(name)
@@ -172,8 +192,8 @@
         self._wait_for(lambda: self.control_platform({}) is not None)
 
     def control_platform(self, command):
-        """Send a command to the platform stand-in."""
-        return http_call(self.platform, "POST", "/control", command)[2]
+        """Send a command to the platform stand-in; ValueError for a bad one."""
+        return _control(self.platform, command)
 
     def platform_state(self):
         """Return the counters of the platform stand-in."""
@@ -194,6 +214,41 @@
             if item["id"] == instance:
                 item["state"] = state
 
+    # Links
+
+    def start_links(self):
+        """Start the process that holds the links of ``spec.links``."""
+        targets = {}
+        for name, info in self.daemons.items():
+            if "peer" in self.spec.links:
+                targets[f"peer/{name}"] = info["peer"]
+            if "platform" in self.spec.links:
+                targets[f"platform/{name}"] = self.platform
+        if "upstream" in self.spec.links:
+            for instance, address in self.upstreams.items():
+                targets[f"upstream/{instance}"] = address
+        if not targets:
+            return
+        control, *ports = free_ports(1 + len(targets))
+        specs = [
+            {"name": name, "port": port, "target": target}
+            for (name, target), port in zip(targets.items(), ports, strict=True)
+        ]
+        for item in specs:
+            self.link_addresses[item["name"]] = f"127.0.0.1:{item['port']}"
+        self.links = f"127.0.0.1:{control}"
+        argv = ["-m", "standins.link", "--control-port", str(control)]
+        self.spawn("links", [*argv, "--links", json.dumps(specs)])
+        self._wait_for(lambda: http_call(self.links, "GET", "/")[0] == 200)
+        for item in self.listed:
+            link = self.link_addresses.get(f"upstream/{item['id']}")
+            item["address"] = link or item["address"]
+
+    def control_links(self, names, **behaviour):
+        """Change what links do; ``names`` None means all of them."""
+        command = {"links": names, "set": behaviour}
+        return http_call(self.links, "POST", "/control", command)[2]
+
     # Upstreams
 
     def services(self):
@@ -210,16 +265,18 @@
         return [f"{workload}-{number}" for number in range(count)]
 
     def start_upstreams(self):
-        """Start one process for each server."""
+        """Start the servers, in one process each or in one for each domain."""
         for service, _, shape in self.services():
             for number in range(shape["servers"]):
                 self.add_upstream(service, shape, number)
+        if self.spec.pack_servers:
+            self._start_packed_upstreams()
         self._wait_for(
             lambda: all(_answers(address) for address in self.upstreams.values())
         )
 
     def add_upstream(self, service, shape, number):
-        """Start one server and add it to the list."""
+        """Add one server to the list and start it, unless servers are packed."""
         instance = f"{service}-s{number}"
         (port,) = free_ports(1)
         domain = self.spec.domains[number % len(self.spec.domains)]
@@ -248,16 +305,27 @@
             }
         )
         self.upstream_specs[instance] = spec
-        self.start_upstream(instance)
+        if not self.spec.pack_servers:
+            self.start_upstream(instance)
 
     def start_upstream(self, instance):
         """Start the process of a server, also after it has ended."""
         specs = json.dumps([self.upstream_specs[instance]])
         self.spawn(instance, ["-m", "standins.upstream", "--specs", specs])
 
+    def _start_packed_upstreams(self):
+        packed = {}
+        for item in self.listed:
+            if item["role"] == "upstream":
+                spec = self.upstream_specs[item["id"]]
+                packed.setdefault(item["domain"], []).append(spec)
+        for domain, specs in packed.items():
+            argv = ["-m", "standins.upstream", "--specs", json.dumps(specs)]
+            self.spawn(f"upstreams-{domain}", argv)
+
     def control_upstream(self, instance, command):
-        """Send a command to a server."""
-        return http_call(self.upstreams[instance], "POST", "/control", command)[2]
+        """Send a command to a server; raises ValueError for a bad one."""
+        return _control(self.upstreams[instance], command)
 
     def read_records(self):
         """Return what all servers ran, as a list of dicts."""
@@ -270,8 +338,8 @@
 
     # Daemons
 
-    def add_daemon(self, name):
-        """Start one daemon and add it to the list, without publishing."""
+    def assign_addresses(self, name):
+        """Choose the addresses and the failure domain of a daemon."""
         caller, peer, admin = free_ports(3)
         number = len(self.daemons)
         self.daemons[name] = {
@@ -280,12 +348,17 @@
             "admin": f"127.0.0.1:{admin}",
             "domain": self.spec.domains[number % len(self.spec.domains)],
         }
+
+    def add_daemon(self, name):
+        """Start one daemon and add it to the list, without publishing."""
+        if name not in self.daemons:
+            self.assign_addresses(name)
         self.listed.append(
             {
                 "id": name,
                 "role": "entry",
                 "address": self.daemons[name]["caller"],
-                "peer": self.daemons[name]["peer"],
+                "peer": self._peer_address(name),
                 "admin": self.daemons[name]["admin"],
                 "domain": self.daemons[name]["domain"],
                 "state": "live",
@@ -293,14 +366,18 @@
         )
         self.start_daemon(name)
 
-    def start_daemon(self, name, module=None, environ=None):
+    def _peer_address(self, name):
+        """Return the address at which other daemons reach ``name``."""
+        return self.link_addresses.get(f"peer/{name}", self.daemons[name]["peer"])
+
+    def start_daemon(self, name, argv=None, environ=None):
         """Start the process of a daemon, also after it has ended.
 
-        ``module`` replaces the module of the spec; ``environ`` is added to the
-        environment.
+        ``argv`` replaces the command line of the spec; ``environ`` is added to
+        the environment.
         """
         info = self.daemons[name]
-        seeds = [other["peer"] for key, other in self.daemons.items() if key != name]
+        seeds = [self._peer_address(key) for key in self.daemons if key != name]
         environ = {
             **(environ or {}),
             "ALMONDTIDE_INSTANCE": name,
@@ -309,10 +386,12 @@
             "ALMONDTIDE_PEER_ADDRESS": info["peer"],
             "ALMONDTIDE_ADMIN_ADDRESS": info["admin"],
             "ALMONDTIDE_ADMIN_TOKEN": ADMIN_TOKEN,
-            "ALMONDTIDE_PLATFORM": self.platform,
+            "ALMONDTIDE_PLATFORM": self.link_addresses.get(
+                f"platform/{name}", self.platform
+            ),
             "ALMONDTIDE_SEEDS": ",".join(seeds[:3]),
         }
-        self.spawn(name, ["-m", module or self.spec.daemon_module], environ)
+        self.spawn(name, argv or self.spec.daemon_argv, environ)
 
     def wait_ready(self, name):
         """Wait until a daemon accepts queries."""
@@ -412,5 +491,12 @@
     return {"epoch": epoch, "shards": shards}
 
 
+def _control(address, command):
+    status, _, answer = http_call(address, "POST", "/control", command)
+    if status != 200:
+        raise ValueError(f"the command was refused: {answer}")
+    return answer
+
+
 def _answers(address):
     return http_call(address, "GET", "/v1/status")[0] == 200
