Test the distribution of documents with fakes

The platform stand-in can serve an older revision (as_of), and the fleet launcher can give a failure domain another platform address.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -95,6 +95,9 @@
         self.directory = str(directory)
         self.processes = {}
         self.platform = None
+        # Failure domain -> another platform address, for example one that nothing
+        # listens on.
+        self.platform_of = {}
         self.daemons = {}
         self.upstreams = {}
         self.records = {}
@@ -274,7 +277,7 @@
             "ALMONDTIDE_PEER_ADDRESS": info["peer"],
             "ALMONDTIDE_ADMIN_ADDRESS": info["admin"],
             "ALMONDTIDE_ADMIN_TOKEN": ADMIN_TOKEN,
-            "ALMONDTIDE_PLATFORM": self.platform,
+            "ALMONDTIDE_PLATFORM": self.platform_of.get(info["domain"], self.platform),
             "ALMONDTIDE_SEEDS": ",".join(seeds[:3]),
         }
         self.spawn(name, ["-m", "almondtide.daemon"], environ)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -19,15 +19,16 @@
 
     ``POST /control`` takes ``{"publish": {"name": ..., "body": ...}}``, which
     publishes the next revision, or ``{"mode": "normal" | "down" | "stale"}``. A
-    stale service serves the documents as they were when the mode began. The
-    document ``instances`` becomes visible ``list_lag_s`` seconds after it was
-    published.
+    stale service serves the documents as they were when the mode began, or at the
+    revisions that ``as_of`` gives by name. The document ``instances`` becomes
+    visible ``list_lag_s`` seconds after it was published.
     """
 
     def __init__(self, address, list_lag_s=0.0):
         self.listener = Listener(address, self._serve)
         self.list_lag_s = list_lag_s
         self.documents = {}
+        self.history = {}
         self.frozen = None
         self.mode = "normal"
         self.calls = 0
@@ -49,6 +50,7 @@
         if name == "instances" and self.list_lag_s > 0:
             await curio.sleep(self.list_lag_s)
         self.documents[name] = (revision, body)
+        self.history[name, revision] = body
         return revision
 
     async def _handle(self, request):
@@ -72,6 +74,8 @@
         if "mode" in command:
             self.mode = command["mode"]
             self.frozen = dict(self.documents) if self.mode == "stale" else None
+            for name, revision in command.get("as_of", {}).items():
+                self.frozen[name] = (revision, self.history[name, revision])
         if "list_lag_s" in command:
             self.list_lag_s = command["list_lag_s"]
         if "publish" in command:
--- /dev/null
+++ b/tests/memory.py
@@ -0,0 +1,194 @@
+"""Daemons in one process for tests: documents and membership without sockets."""
+
+import random
+
+import curio
+
+from almondtide.clock import MemoryClock
+from almondtide.dissemination import Dissemination, LocalState
+from almondtide.documents import DocumentKind, DocumentStore
+from almondtide.errors import AlmondtideError, PeerError
+from almondtide.events import EventRing
+from almondtide.logs import Log
+from almondtide.membership import Membership, parse_instances
+from almondtide.messages import ErrorReply, decode_frame, encode_frame
+from almondtide.metrics import Metrics
+from almondtide.ports import BasePeers, MemoryPlatform
+from almondtide.quarantine import Quarantine
+from almondtide.startup import StartupGuard
+
+DOMAINS = ("sala-norte", "sala-sur", "sala-barva")
+
+
+class MemoryPeers(BasePeers):
+    """Peers that call each other's handlers; ``cut`` holds pairs that cannot."""
+
+    def __init__(self, instance, network):
+        self.instance = instance
+        self.network = network
+        self.handlers = {}
+        self.resolve = lambda instance: None
+        self.sent = []
+        network.nodes[instance] = self
+
+    def register(self, message_class, handler):
+        self.handlers[message_class] = handler
+
+    async def request(self, instance, message, timeout_s):
+        address = self.resolve(instance)
+        node = self.network.find(address)
+        if node is None or frozenset((self.instance, node.instance)) in (
+            self.network.cut
+        ):
+            raise PeerError(f"{instance} cannot be reached", not_run=True)
+        self.sent.append(message)
+        replies = []
+
+        async def reply(answer):
+            replies.append(_over_the_wire(answer))
+
+        try:
+            received = _over_the_wire(message)
+            await node.handlers[type(received)](self.instance, received, reply)
+        except AlmondtideError as exc:
+            await reply(ErrorReply(code=int(exc.code), message=exc.message))
+        return replies[0]
+
+
+def _over_the_wire(message):
+    return decode_frame(encode_frame((0, 0), [message]))[1][0]
+
+
+class MemoryNetwork:
+    """All nodes of a test, the platform and the clock that they share."""
+
+    def __init__(self, seed=1):
+        self.clock = MemoryClock()
+        self.platform = MemoryPlatform()
+        self.nodes = {}
+        self.cut = set()
+        self.daemons = {}
+        self.rng = random.Random(seed)
+
+    def find(self, address):
+        for name, daemon in self.daemons.items():
+            if daemon.state.peer_address == address and daemon.running:
+                return self.nodes[name]
+        return None
+
+    def listed(self, names):
+        """Return the ``instances`` body that names these daemons."""
+        return {"instances": [entry(name) for name in names]}
+
+    def partition(self, left, right):
+        self.cut.update(frozenset((a, b)) for a in left for b in right)
+
+    async def settle(self, rounds=3):
+        """Let tasks run, and let each daemon exchange digests some times."""
+        for _ in range(rounds):
+            for daemon in list(self.daemons.values()):
+                if daemon.running:
+                    await daemon.round()
+            for _ in range(30):
+                await curio.sleep(0)
+
+
+def entry(name, state="live"):
+    """Return the list entry of daemon ``d<number>``."""
+    number = int(name[1:])
+    return {
+        "id": name,
+        "role": "entry",
+        "address": f"10.0.0.{number}:1",
+        "peer": f"10.0.0.{number}:2",
+        "domain": DOMAINS[number % 3],
+        "state": state,
+    }
+
+
+def _validate(body, revision):
+    if "bad" in body:
+        raise ValueError("$.bad: unknown field")
+    return body
+
+
+class MemoryDaemon:
+    """The parts of a daemon that distribute documents."""
+
+    def __init__(self, network, name, seeds=(), incarnation="i1", platform=None):
+        number = int(name[1:])
+        self.running = True
+        self.name = name
+        self.applied = []
+        self.events = EventRing(network.clock)
+        log = Log(self.events)
+        self.membership = Membership(name, network.clock)
+        self.state = LocalState(
+            name, incarnation, DOMAINS[number % 3], (f"10.0.0.{number}", 2)
+        )
+        kinds = [
+            DocumentKind("configuration", _validate, self._apply),
+            DocumentKind(
+                "instances", lambda body, _: parse_instances(body), self._list
+            ),
+        ]
+        self.store = DocumentStore(kinds, log)
+        peers = MemoryPeers(name, network)
+        self.peers = peers
+        self.platform = platform or network.platform
+        self.dissemination = Dissemination(
+            self.state,
+            self.store,
+            self.membership,
+            peers,
+            self.platform,
+            Quarantine(network.clock),
+            [(f"10.0.0.{seed[1:]}", 2) for seed in seeds],
+            network.clock,
+            log,
+            Metrics(),
+            network.rng,
+        )
+        peers.resolve = self.dissemination.resolve
+        self.guard = StartupGuard(
+            name,
+            "instances",
+            self.dissemination,
+            self.membership,
+            network.clock,
+            log,
+            network.rng,
+        )
+        network.daemons[name] = self
+
+    async def _apply(self, document, parsed):
+        self.applied.append(document.revision)
+
+    async def _list(self, document, members):
+        await self.membership.update_list(members)
+
+    async def round(self):
+        """Exchange digests with 3 random peers."""
+        for peer in self.dissemination.sample(3):
+            try:
+                await self.dissemination.exchange(peer)
+            except PeerError:
+                pass
+
+    def revision(self, name="configuration"):
+        return self.store.revision(name)
+
+    def event_names(self):
+        return [event.name for event in self.events.since()]
+
+
+async def make_fleet(network, count):
+    """Return ready daemons that know the list."""
+    names = [f"d{number}" for number in range(count)]
+    network.platform.publish("instances", 1, network.listed(names))
+    network.platform.publish("configuration", 1, {"n": 1})
+    daemons = [MemoryDaemon(network, name) for name in names]
+    for daemon in daemons:
+        await daemon.dissemination.read_platform()
+        daemon.state.ready = True
+    return daemons
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,144 @@
+"""Tests of the live view."""
+
+import curio
+import testtools
+from testtools.matchers import Contains, Not
+
+from almondtide.clock import MemoryClock
+from almondtide.membership import CONTACT_S, Membership, parse_instances
+from tests.memory import entry
+
+
+class MembershipTest(testtools.TestCase):
+    """Guards against routing by a list that lags or by hearsay."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = MemoryClock()
+        self.membership = Membership("d0", self.clock)
+        self.list_all()
+
+    def update(self, *entries):
+        members = parse_instances({"instances": list(entries)})
+        curio.run(self.membership.update_list, members)
+
+    def list_all(self, **states):
+        names = ("d0", "d1", "d2")
+        self.update(*(entry(name, states.get(name, "live")) for name in names))
+
+    def tell(self, event, *args):
+        return curio.run(getattr(self.membership, event), *args)
+
+    def live(self):
+        view = self.membership.view()
+        return sorted(member.instance for member in view.live_entries())
+
+    def test_list_does_not_bring_back_a_leaving_daemon(self):
+        self.tell("peer_seen", "d1", "a")
+        self.tell("peer_leaving", "d1", "a")
+        self.list_all()
+        self.assertThat(self.live(), Not(Contains("d1")))
+        # Late messages of the same incarnation do not bring it back either.
+        self.tell("peer_seen", "d1", "a")
+        self.assertThat(self.live(), Not(Contains("d1")))
+
+    def test_restarted_daemon_is_live_at_once(self):
+        self.tell("peer_leaving", "d1", "a")
+        self.tell("peer_lost", "d1")
+        self.tell("peer_seen", "d1", "b")
+        self.assertThat(self.live(), Contains("d1"))
+
+    def test_restart_overrides_a_list_that_still_says_leaving(self):
+        self.tell("peer_seen", "d1", "a")
+        self.list_all(d1="leaving")
+        self.assertThat(self.live(), Not(Contains("d1")))
+        self.tell("peer_seen", "d1", "b")
+        self.assertThat(self.live(), Contains("d1"))
+        self.list_all(d1="leaving")
+        self.assertThat(self.live(), Contains("d1"))
+        # Once the list caught up, its next "leaving" counts again.
+        self.list_all()
+        self.list_all(d1="leaving")
+        self.assertThat(self.live(), Not(Contains("d1")))
+
+    def test_first_sight_is_not_a_restart(self):
+        """A daemon that starts must not take leaving peers for live ones."""
+        self.list_all(d1="leaving")
+        self.tell("peer_seen", "d1", "a")
+        self.assertThat(self.live(), Not(Contains("d1")))
+
+    def test_messages_of_an_ended_incarnation_are_ignored(self):
+        self.tell("peer_seen", "d1", "a")
+        self.tell("peer_seen", "d1", "b")
+        self.assertFalse(self.tell("peer_seen", "d1", "a"))
+        self.tell("peer_leaving", "d1", "a")
+        self.assertThat(self.live(), Contains("d1"))
+        self.assertEqual("b", self.membership.incarnation("d1"))
+
+    def test_daemon_in_contact_survives_a_list_without_it(self):
+        self.tell("peer_seen", "d1", "a")
+        self.update(entry("d0"), entry("d2"))
+        self.assertThat(self.live(), Contains("d1"))
+        self.assertEqual(["d1"], self.membership.doubtful())
+        self.clock.advance(CONTACT_S / 2)
+        self.tell("peer_seen", "d1", "a")
+        self.clock.advance(CONTACT_S - 1)
+        self.tell("expire")
+        self.assertThat(self.live(), Contains("d1"))
+        self.clock.advance(2)
+        self.tell("expire")
+        self.assertThat(self.live(), Not(Contains("d1")))
+
+    def test_daemon_without_contact_leaves_with_the_list(self):
+        self.update(entry("d0"), entry("d2"))
+        self.assertThat(self.live(), Not(Contains("d1")))
+
+    def test_unlisted_daemon_is_reachable_but_not_ranked(self):
+        """Only the list tells which processes belong to the fleet."""
+        self.tell("peer_seen", "d7", "a", ("10.0.0.7", 2))
+        self.assertThat(self.live(), Not(Contains("d7")))
+        self.assertThat(self.membership.view().ranked("s"), Not(Contains("d7")))
+        self.assertEqual(("10.0.0.7", 2), self.membership.peer_address("d7"))
+
+    def test_suspicion_ends_with_contact_or_time(self):
+        self.tell("peer_suspected", "d1")
+        self.assertThat(self.live(), Not(Contains("d1")))
+        self.tell("peer_seen", "d1", "a")
+        self.assertThat(self.live(), Contains("d1"))
+        self.tell("peer_lost", "d1")
+        self.clock.advance(2.1)
+        self.tell("expire")
+        self.assertThat(self.live(), Contains("d1"))
+
+    def test_repeated_suspicion_lasts_longer(self):
+        """A daemon that is gone but still listed must cost few attempts."""
+        self.tell("peer_lost", "d1")
+        self.clock.advance(2.1)
+        self.tell("expire")
+        self.tell("peer_lost", "d1")
+        self.clock.advance(2.1)
+        self.tell("expire")
+        self.assertThat(self.live(), Not(Contains("d1")))
+
+    def test_suspicion_of_unknown_names_is_ignored(self):
+        """Seeds are called by their address, which is not a member."""
+        self.tell("peer_lost", "seed/10.0.0.9:2")
+        self.assertEqual([], self.membership.doubtful())
+
+
+class ParseInstancesTest(testtools.TestCase):
+    """Guards against a list that breaks the daemon."""
+
+    def test_bad_entries_are_named(self):
+        bad = [
+            [{"id": "a"}],
+            [entry("d0"), entry("d0")],
+            [{**entry("d0"), "role": "other"}],
+            [{**entry("d0"), "id": 7}],
+            [{**entry("d0"), "address": "nowhere"}],
+            [{**entry("d0"), "peer": None}],
+            ["x"],
+        ]
+        for items in bad:
+            error = self.assertRaises(ValueError, parse_instances, {"instances": items})
+            self.assertIn("$.instances[", str(error))
