Keep pause detection apart from housekeeping; report the platform's state

Cause: housekeeping in the tick could be taken for a pause, one hanging peer used up the whole time of the check after a pause, and the role of a watcher was ranked again twice a second, which would cost about 1 % of a core at the target size (estimate, not measured).

Change: the tick only detects pauses; the check asks 3 peers at once and leaves half of its time for the platform; watcher roles are kept per view. The log and the admin status tell when the platform stops or starts to answer, and platform_stale names a lower revision.

--- a/almondtide/daemon.py
+++ b/almondtide/daemon.py
@@ -49,7 +49,7 @@
 CONFIGURATION = "configuration"
 INSTANCES = "instances"
 TICK_S = 0.2
-TICKS_PER_SECOND = 5
+HOUSEKEEPING_S = 1.0
 NOT_READY_RETRY_MS = 500
 # Messages that bring new work to this daemon.
 WORK = (SubQueryBatch, Execute, ForwardRevise)
@@ -339,6 +339,7 @@
                 for name in self._store.names()
                 if self._dissemination.is_watcher(name)
             ],
+            "platform": self._dissemination.platform_state(),
             "lonely": self._dissemination.is_lonely(),
             "peer_links": self._peers.links,
             "executions": self._executions.records,
@@ -400,6 +401,7 @@
         await self._listeners[2].start()
         await curio.spawn(self._become_ready, daemon=True)
         await curio.spawn(self._tick, daemon=True)
+        await curio.spawn(self._keep_house, daemon=True)
         await curio.spawn(self._watch_signals, daemon=True)
         self.log.info("daemon_started", domain=self.settings.domain)
         await self._drain.requested.wait()
@@ -433,19 +435,20 @@
         await self._drain.requested.set()
 
     async def _tick(self):
-        count = 0
+        """Detect pauses; nothing else may hold up this task."""
         while True:
             await curio.sleep(TICK_S)
             pause_s = self._pauses.tick()
             if pause_s > 0:
                 self.metrics.pauses.inc({})
                 self.log.warning("process_paused", seconds=round(pause_s, 3))
-                # A task of its own, so that the check is not taken for a pause.
                 await curio.spawn(self._pauses.revalidate, daemon=True)
-            count += 1
-            if count % TICKS_PER_SECOND == 0:
-                await self._membership.expire()
-                await self._owners.release_idle()
+
+    async def _keep_house(self):
+        while True:
+            await curio.sleep(HOUSEKEEPING_S)
+            await self._membership.expire()
+            await self._owners.release_idle()
 
     async def _shut_down(self):
         max_age_s = 0.0
--- a/almondtide/dissemination.py
+++ b/almondtide/dissemination.py
@@ -3,7 +3,7 @@
 import curio
 
 from .errors import DocumentError, PeerError, PlatformError
-from .membership import Member
+from .membership import ENTRY, Member
 from .messages import Digest, DocumentReply, DocumentRequest
 from .rendezvous import rank
 from .sampling import PeerSample
@@ -71,8 +71,10 @@
         "_metrics",
         "_peers",
         "_platform",
+        "_platform_state",
         "_quarantine",
         "_rng",
+        "_roles",
         "_sample",
         "_seeds",
         "_state",
@@ -113,6 +115,10 @@
         self._fetching = {name: curio.Lock() for name in store.names()}
         self._last_heard = clock.monotonic()
         self._tasks = []
+        # Name -> (view, leaving, whether this daemon is a watcher in that view).
+        self._roles = {}
+        # Name -> None before the first watch, then whether the last one worked.
+        self._platform_state = dict.fromkeys(store.names())
         peers.register(Digest, self._handle_digest)
         peers.register(DocumentRequest, self._handle_request)
 
@@ -160,17 +166,30 @@
 
     def is_watcher(self, name):
         """Return whether this daemon is to watch a document for its domain."""
+        view = self._membership.view()
+        leaving = self._state.leaving
+        known = self._roles.get(name)
+        if known is None or known[0] is not view or known[1] != leaving:
+            known = (view, leaving, self._has_watch(name, view))
+            self._roles[name] = known
+        return known[2]
+
+    def _has_watch(self, name, view):
         state = self._state
         candidates = [
             member
-            for member in self._membership.view().live_entries()
+            for member in view.live_entries()
             if member.domain == state.domain and member.instance != state.instance
         ]
         if not state.leaving:
-            candidates.append(Member(state.instance, "entry", None, state.domain))
+            candidates.append(Member(state.instance, ENTRY, None, state.domain))
         ranked = rank(f"watch/{name}", candidates)[:WATCHERS_PER_DOMAIN]
         return state.instance in [member.instance for member in ranked]
 
+    def platform_state(self):
+        """Return {name: whether the last watch worked, None for no watch}."""
+        return dict(self._platform_state)
+
     def is_lonely(self):
         """Return whether no peer was heard for 3 s."""
         return self._clock.monotonic() - self._last_heard > LONELY_AFTER_S
@@ -185,6 +204,7 @@
         while True:
             watcher = self.is_watcher(name)
             if not watcher and not self.is_lonely():
+                self._platform_state[name] = None
                 await curio.sleep(ROLE_CHECK_S)
                 continue
             if not watcher:
@@ -192,27 +212,47 @@
             started = self._clock.monotonic()
             try:
                 await self._watch(name)
+                self._note_platform(name, True)
                 interval_s = MIN_CALL_INTERVAL_S
             except PlatformError as exc:
-                self._log.debug("platform_unavailable", reason=exc.message)
+                self._note_platform(name, False, exc.message)
                 interval_s = min(MAX_CALL_INTERVAL_S, 2 * interval_s)
             elapsed_s = self._clock.monotonic() - started
             # Revisions that are published faster than this are skipped.
             pause_s = interval_s * self._rng.uniform(0.75, 1.0) - elapsed_s
             await curio.sleep(max(0.0, pause_s))
 
+    def _note_platform(self, name, works, reason=""):
+        """Log when the platform stops or starts to answer for a document."""
+        if works is False and self._platform_state[name] is not False:
+            self._log.warning("platform_unavailable", document=name, reason=reason)
+        elif works and self._platform_state[name] is False:
+            self._log.info("platform_available", document=name)
+        self._platform_state[name] = works
+
     async def _watch(self, name):
         self._metrics.platform_reads.inc({})
         after = self.store.highest_seen(name)
         document = await self._platform.watch(name, after, WATCH_WAIT_S)
         if document is not None:
-            await self.offer(document, "platform")
+            await self._offer_from_platform(document)
 
     async def read_platform(self):
         """Read all documents once; raises ``PlatformError``."""
         for name in self.store.names():
             self._metrics.platform_reads.inc({})
-            await self.offer(await self._platform.read(name), "platform")
+            await self._offer_from_platform(await self._platform.read(name))
+
+    async def _offer_from_platform(self, document):
+        in_force = self.store.revision(document.name)
+        if document.revision < in_force:
+            self._log.warning(
+                "platform_stale",
+                document=document.name,
+                revision=document.revision,
+                in_force=in_force,
+            )
+        await self.offer(document, "platform")
 
     # Digests
 
--- a/almondtide/documents.py
+++ b/almondtide/documents.py
@@ -13,6 +13,7 @@
 # replicas of the platform can publish invalid ones in turn.
 MAX_REJECTIONS = 8
 MAX_PROBLEMS = 20
+MAX_CONFLICTS = 8
 # Larger documents are validated and compared in a thread: 900 KB take 85 to 90 ms,
 # during which queries would wait.
 THREAD_FROM_BYTES = 50_000
@@ -142,6 +143,7 @@
             else:
                 entry.chain.clear()
             entry.current = document
+            entry.conflicts.clear()
             self._log.info(
                 "document_in_force",
                 document=document.name,
@@ -189,7 +191,9 @@
     def _check_conflict(self, entry, revision, digest, source):
         if digest == entry.current.digest or (revision, digest) in entry.conflicts:
             return
-        entry.conflicts = {(revision, digest): source}
+        if len(entry.conflicts) >= MAX_CONFLICTS:
+            return
+        entry.conflicts[(revision, digest)] = source
         self._log.warning(
             "document_conflict",
             document=entry.kind.name,
--- a/almondtide/pauses.py
+++ b/almondtide/pauses.py
@@ -10,6 +10,8 @@
 # A daemon that reaches neither peer nor platform serves again after this time; it
 # is then cut off like any other and no more outdated than before.
 CHECK_LIMIT_S = 1.0
+# Part of it for peers; the rest is left for the platform.
+PEER_LIMIT_S = 0.5
 RETRY_AFTER_MS = 250
 CHECK_PEERS = 3
 
@@ -82,15 +84,26 @@
             self._log.info("documents_checked", source=source)
 
     async def _check_documents(self):
-        for instance in self._dissemination.sample(CHECK_PEERS):
-            try:
-                answer = await self._dissemination.exchange(instance)
-            except PeerError:
-                continue
-            if answer.ready:
-                return instance
+        """Return the first source that confirmed the documents, or None."""
+        answers = curio.Queue()
+        peers = self._dissemination.sample(CHECK_PEERS)
+        for instance in peers:
+            await curio.spawn(self._ask, instance, answers, daemon=True)
+        async with curio.ignore_after(PEER_LIMIT_S):
+            for _ in peers:
+                instance = await answers.get()
+                if instance is not None:
+                    return instance
         try:
             await self._dissemination.read_platform()
         except PlatformError:
             return None
         return "platform"
+
+    async def _ask(self, instance, answers):
+        try:
+            answer = await self._dissemination.exchange(instance)
+        except PeerError:
+            await answers.put(None)
+        else:
+            await answers.put(instance if answer.ready else None)
--- a/almondtide/sampling.py
+++ b/almondtide/sampling.py
@@ -36,10 +36,11 @@
         self._sample = [name for name in self._sample if name in known]
         if self._sample and self._picks % PICKS_PER_CHANGE == 0:
             self._sample.pop(self._rng.randrange(len(self._sample)))
+        if len(self._sample) >= min(SAMPLE_SIZE, len(known)):
+            return
         others = sorted(known.difference(self._sample))
         missing = min(SAMPLE_SIZE - len(self._sample), len(others))
-        if missing > 0:
-            self._sample.extend(self._rng.sample(others, missing))
+        self._sample.extend(self._rng.sample(others, missing))
 
     def pick(self, count):
         """Return up to ``count`` different live peers."""
