--- a/tests/test_dissemination.py
+++ b/tests/test_dissemination.py
@@ -193,6 +193,41 @@
 
         curio.run(main)
 
+    def test_only_watchers_and_lonely_daemons_call_the_platform(self):
+        """Guards against calls of all daemons, and more than one each second."""
+
+        async def main():
+            daemons = await make_fleet(self.network, 12)
+            names = ("configuration", "instances")
+            idle = next(
+                daemon
+                for daemon in daemons
+                if not any(daemon.dissemination.is_watcher(name) for name in names)
+            )
+            calls = self.network.platform.calls
+            await idle.dissemination.start_watches()
+            await curio.sleep(0.7)
+            self.assertEqual(calls, self.network.platform.calls)
+            self.network.clock.advance(4)
+            self.assertTrue(idle.dissemination.is_lonely())
+            await curio.sleep(2.6)
+            await idle.dissemination.stop()
+            made = self.network.platform.calls - calls
+            self.assertTrue(2 <= made <= 8, f"{made} calls for 2 documents in 2.6 s")
+
+        curio.run(main)
+
+    def test_stale_answer_of_the_platform_is_logged(self):
+        async def main():
+            (daemon,) = await make_fleet(self.network, 1)
+            await daemon.dissemination.offer(self.publish(3))
+            self.publish(2)
+            await daemon.dissemination.read_platform()
+            self.assertEqual(3, daemon.revision())
+            self.assertIn("platform_stale", daemon.event_names())
+
+        curio.run(main)
+
 
 class _Recording:
     """A store whose ``take`` is replaced."""
--- a/tests/test_distribution_processes.py
+++ b/tests/test_distribution_processes.py
@@ -118,7 +118,35 @@
 
 
 class LifeTest(ProcessTest):
-    """Guards against stale state after a restart or a pause."""
+    """Guards against stale state at the start and after a restart or a pause."""
+
+    def test_not_ready_without_peer_and_platform(self):
+        """Callers get a coded refusal and the time of the next try."""
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        fleet = Fleet(FleetSpec(workloads=WORKLOADS), directory.name)
+        self.addCleanup(fleet.stop)
+        fleet.start_platform()
+        fleet.control_platform({"mode": "down"})
+        fleet.add_daemon("entry-00")
+        caller = fleet.daemons["entry-00"]["caller"]
+        self.wait_until(lambda: self.is_reachable(caller))
+        self.assertEqual(503, http_call(caller, "GET", "/v1/health")[0])
+        path = "/v1/workloads/advisory/query"
+        status, _, answer = http_call(caller, "POST", path, {})
+        self.assertEqual((503, "NOT_READY"), (status, answer["name"]))
+        self.assertTrue(answer["not_run"])
+        self.assertGreater(answer["retry_after_ms"], 0)
+        fleet.control_platform({"mode": "normal"})
+        fleet.publish("configuration", fleet._configuration())
+        fleet.publish_instances()
+        fleet.wait_ready("entry-00")
+
+    def is_reachable(self, address):
+        try:
+            return http_call(address, "GET", "/v1/health")[0] in (200, 503)
+        except OSError:
+            return False
 
     def entries(self, fleet, name):
         answer = http_call(fleet.daemons[name]["caller"], "GET", "/v1/entries")[2]
