--- a/almondtide/daemon.py
+++ b/almondtide/daemon.py
@@ -34,6 +34,7 @@
     Execute,
     ForwardRevise,
     Leaving,
+    Ping,
     QuarantineNotice,
     SubQueryBatch,
 )
@@ -51,6 +52,8 @@
 TICK_S = 0.2
 HOUSEKEEPING_S = 1.0
 NOT_READY_RETRY_MS = 500
+# Peers that a starting daemon contacts at once.
+MAX_ANNOUNCED = 64
 # Messages that bring new work to this daemon.
 WORK = (SubQueryBatch, Execute, ForwardRevise)
 
@@ -248,6 +251,7 @@
             log=self.log,
             max_body=self.settings.max_body_bytes,
             max_header=self.settings.max_header_bytes,
+            closing=lambda: self._drain.leaving,
         )
 
     async def _serve_admin(self, sock, address):
@@ -263,7 +267,21 @@
         await self._view_changed()
 
     async def _apply_instances(self, document, members):
+        first = not self._membership.view().entries
         await self._membership.update_list(members)
+        if first:
+            await self._announce()
+
+    async def _announce(self):
+        """Make the peers learn this incarnation.
+
+        Peers that saw an earlier incarnation leave would leave this one out until
+        it contacts them. In a large fleet the rest learns it by digests.
+        """
+        others = self._other_entries()
+        sample = random.sample(others, min(len(others), MAX_ANNOUNCED))
+        for member in sample:
+            await curio.spawn(self._tell, member, Ping(), daemon=True)
 
     async def _view_changed(self):
         if self._cfg is not None:
@@ -299,12 +317,10 @@
 
     # Reports
 
-    def _entries_report(self):
+    async def _entries_report(self):
         cfg = self.configuration()
         entries = []
         for member in self._membership.view().live_entries():
-            if member.instance == self.settings.instance and self._drain.leaving:
-                continue
             entries.append(
                 {
                     "instance": member.instance,
@@ -312,12 +328,23 @@
                     "domain": member.domain,
                 }
             )
+        max_age_s = cfg.fleet_setting("entries_max_age_ms") / 1000.0
         return {
-            "max_age_ms": cfg.fleet_setting("entries_max_age_ms"),
-            "execution_prefix": self._executions.prefix(),
+            "max_age_ms": int(self._drain.answer_age_s(max_age_s) * 1000),
+            "execution_prefix": await self._execution_prefix(),
             "entries": entries,
         }
 
+    async def _execution_prefix(self):
+        foreign = None
+        if self._drain.leaving:
+            foreign = await self._executions.foreign_prefix()
+        return foreign or self._executions.prefix()
+
+    def _running(self):
+        """Return the number of requests of callers and peers under way."""
+        return self._caller.running + self._owners.running + self._executions.running
+
     def _health_report(self):
         ready = self._state.ready and not self._drain.leaving
         body = {"ready": ready, "leaving": self._drain.leaving}
@@ -357,6 +384,8 @@
             {
                 "instance": member.instance,
                 "domain": member.domain,
+                "caller": _format_address(member.address),
+                "admin": _format_address(member.admin),
                 "leaving": member.instance in view.leaving,
                 "gone": member.instance in view.gone,
                 "listed": self._membership.is_listed(member.instance),
@@ -456,31 +485,50 @@
             max_age_s = self._cfg.fleet_setting("entries_max_age_ms") / 1000.0
         self._drain.begin(max_age_s)
         self._state.leaving = True
-        self.log.info("drain_started", running=self._caller.running)
+        self.log.info("drain_started", running=self._running())
         message = Leaving(instance=self.settings.instance, incarnation=self.incarnation)
-        for member in self._membership.view().live_entries():
-            if member.instance != self.settings.instance:
-                await curio.spawn(self._tell_leaving, member, message, daemon=True)
-        complete = await self._drain.wait(
-            lambda: self._caller.running, self.settings.drain_timeout_s
-        )
-        self.log.info("drain_ended", complete=complete, running=self._caller.running)
+        # All that are listed, because the view may still call a daemon leaving or
+        # gone that is back.
+        for member in self._other_entries():
+            await curio.spawn(self._tell, member, message, daemon=True)
+        # This daemon's own view must drop it too, or it would go on using the
+        # slots of services that have another owner now.
+        await self._membership.set_leaving()
+        complete = await self._drain.wait(self._running, self.settings.drain_timeout_s)
+        self.log.info("drain_ended", complete=complete, running=self._running())
         for listener in reversed(self._listeners):
             await listener.close()
         await self._peers.close()
         await self._platform.close()
 
-    async def _tell_leaving(self, member, message):
+    def _other_entries(self):
+        entries = self._membership.view().entries
+        return [
+            member
+            for member in entries.values()
+            if member.instance != self.settings.instance
+        ]
+
+    async def _tell(self, member, message):
         try:
             await self._peers.send(member.instance, message)
         except AlmondtideError as exc:
-            self.log.info("leaving_not_told", peer=member.instance, reason=exc.message)
+            self.log.info(
+                "peer_not_told",
+                peer=member.instance,
+                message=message.TYPE,
+                reason=exc.message,
+            )
 
 
 def _parse_list(body, revision):
     return parse_instances(body)
 
 
+def _format_address(address):
+    return None if address is None else f"{address[0]}:{address[1]}"
+
+
 def _leave_to_wakeup_socket(number, frame):
     """Do nothing; the wakeup socket carries the signal."""
 
--- a/almondtide/dissemination.py
+++ b/almondtide/dissemination.py
@@ -134,8 +134,15 @@
         return False
 
     def resolve(self, instance):
-        """Return the peer address of a daemon or of a seed, or None."""
-        return self._seeds.get(instance) or self._membership.peer_address(instance)
+        """Return the peer address of a daemon or of a seed, or None.
+
+        Seeds have an address only while they are needed, so that nothing goes on
+        dialling one that is gone.
+        """
+        if instance in self._seeds:
+            needed = not self._state.ready or self.is_lonely()
+            return self._seeds[instance] if needed else None
+        return self._membership.peer_address(instance)
 
     def seeds(self):
         """Return the names under which seeds can be called."""
--- a/almondtide/executions.py
+++ b/almondtide/executions.py
@@ -10,7 +10,14 @@
     RefusedError,
     ResultCode,
 )
-from .messages import ErrorReply, Execute, ExecuteResult, ForwardRevise
+from .messages import (
+    ErrorReply,
+    Execute,
+    ExecuteResult,
+    ForwardRevise,
+    PrefixReply,
+    PrefixRequest,
+)
 from .quarantine import fingerprint
 
 __all__ = ["ExecutionId", "Executions", "Outcome", "ReviseRequest"]
@@ -21,6 +28,7 @@
 SEPARATOR = "~"
 # Extra time for the reply of the home or the owner to travel back, in s.
 REPLY_MARGIN_S = 0.1
+PREFIX_TIMEOUT_S = 0.5
 
 
 class ExecutionId:
@@ -178,6 +186,7 @@
         "_tell_peers",
         "incarnation",
         "instance",
+        "running",
     )
 
     def __init__(
@@ -205,7 +214,9 @@
         self._metrics = metrics
         self._records = {}
         self._started = clock.monotonic()
+        self.running = 0
         peers.register(ForwardRevise, self._handle_forward)
+        peers.register(PrefixRequest, self._handle_prefix)
 
     @property
     def records(self):
@@ -220,6 +231,28 @@
         """Return the execution id prefix that callers may use now."""
         return SEPARATOR.join((self.instance, self.incarnation, str(self.window())))
 
+    async def _handle_prefix(self, sender, message, reply):
+        await reply(PrefixReply(prefix=self.prefix()))
+
+    async def foreign_prefix(self):
+        """Return the prefix of another daemon, or None when none answers.
+
+        A daemon that is leaving gives no new ids to itself, because they would
+        have no home soon.
+        """
+        for member in self._membership.view().live_entries():
+            if member.instance == self.instance:
+                continue
+            try:
+                reply = await self._peers.request(
+                    member.instance, PrefixRequest(), PREFIX_TIMEOUT_S
+                )
+            except PeerError:
+                continue
+            if isinstance(reply, PrefixReply):
+                return reply.prefix
+        return None
+
     # At the entry
 
     async def revise(self, req):
@@ -271,9 +304,8 @@
             remaining_ms=remaining_s * 1000.0,
             body=req.body,
         )
-        known = self._membership.incarnation(execution_id.instance)
-        if known is not None and known != execution_id.incarnation:
-            return self._unknown("the home of the execution id was restarted")
+        # Only the home can tell whether the id is its own: the incarnation known
+        # here may be the one before a restart.
         try:
             reply = await self._peers.request(
                 execution_id.instance, message, remaining_s + REPLY_MARGIN_S
@@ -294,6 +326,13 @@
         await curio.spawn(self._serve_forward, message, deadline, reply, daemon=True)
 
     async def _serve_forward(self, message, deadline, reply):
+        self.running += 1
+        try:
+            await self._answer_forward(message, deadline, reply)
+        finally:
+            self.running -= 1
+
+    async def _answer_forward(self, message, deadline, reply):
         try:
             outcome = await self._run_forwarded(message, deadline)
         except AlmondtideError as exc:
@@ -383,10 +422,22 @@
             del self._records[key]
 
     async def _execute(self, key, record, req, deadline):
+        self.running += 1
+        try:
+            await self._execute_counted(key, record, req, deadline)
+        finally:
+            self.running -= 1
+
+    async def _execute_counted(self, key, record, req, deadline):
         try:
             outcome = await self._dispatch(key, record.digest, req, deadline)
         except AlmondtideError as exc:
-            outcome = Outcome(exc.code, not_run=exc.not_run, message=exc.message)
+            outcome = Outcome(
+                exc.code,
+                not_run=exc.not_run,
+                message=exc.message,
+                retry_after_ms=exc.retry_after_ms,
+            )
         except Exception as exc:
             self._log.error("execution_failed", execution_id=key, error=repr(exc))
             outcome = self._unknown("internal error")
--- a/almondtide/membership.py
+++ b/almondtide/membership.py
@@ -200,6 +200,7 @@
         "_clock",
         "_contacts",
         "_kept",
+        "_leaving",
         "_listed",
         "_members",
         "_suspected",
@@ -213,6 +214,7 @@
         self._clock = clock
         self._members = []
         self._listed = set()
+        self._leaving = False
         # Daemons that the list no longer names.
         self._kept = {}
         self._contacts = {}
@@ -334,6 +336,11 @@
             contact.leaving = incarnation
             await self._rebuild()
 
+    async def set_leaving(self):
+        """Note that this daemon itself is shutting down."""
+        self._leaving = True
+        await self._rebuild()
+
     async def forget_suspicions(self):
         """Drop all suspicions, for example those of a process that was paused."""
         if self._suspected:
@@ -382,7 +389,7 @@
 
     def _is_leaving(self, member):
         if member.instance == self.instance:
-            return False
+            return self._leaving
         contact = self._contacts.get(member.instance)
         if contact is not None and contact.leaving is not None:
             return True
--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements on this machine."""
+"""Benchmarks of the tier and of its naive version."""
