Poll a peer link only while calls are outstanding

Cause: each link woke its monitor ten times a second. With the digest exchange every daemon holds links to a dozen peers or more, so the monitors were the largest part of control work at rest.

Change: the monitor of a link without calls waits for the next call, or 5 s. Silence is found as before, because a call ends the wait at once. Ruled out: a longer poll, which would delay the detection of a silent peer beyond 250 ms.

--- a/almondtide/adapters/peer.py
+++ b/almondtide/adapters/peer.py
@@ -27,6 +27,8 @@
 REDIAL_AFTER_S = 0.5
 PROBE_INTERVAL_S = 0.5
 IDLE_LINK_S = 60.0
+# How often a link without calls is looked at.
+IDLE_CHECK_S = 5.0
 
 
 class PeerCall:
@@ -90,6 +92,7 @@
     """The connection on which this daemon sends requests to one peer."""
 
     __slots__ = (
+        "_called",
         "_network",
         "_outbox",
         "_sequence",
@@ -112,6 +115,7 @@
         self.address = address
         self._sequence = itertools.count(1)
         self.calls = {}
+        self._called = curio.Event()
         self._tasks = []
         self._websocket = None
         self._outbox = None
@@ -139,6 +143,8 @@
         message.seq = seq
         call = PeerCall(self, instance, seq, inbox)
         self.calls[seq] = call
+        if not self._called.is_set():
+            await self._called.set()
         await self._put(message)
         return call
 
@@ -193,7 +199,7 @@
         """Ping a silent peer while replies are outstanding; then suspect it."""
         pinged = False
         while True:
-            await curio.sleep(MONITOR_INTERVAL_S if self.calls else PING_AFTER_S)
+            await self._wait_monitor()
             now = self._network.clock.monotonic()
             if not self.calls:
                 pinged = False
@@ -213,6 +219,15 @@
                 pinged = True
                 await self._outbox.put(Ping())
 
+    async def _wait_monitor(self):
+        if self.calls:
+            await curio.sleep(MONITOR_INTERVAL_S)
+            return
+        # A link without calls needs no poll; a call ends the wait at once.
+        self._called.clear()
+        async with curio.ignore_after(IDLE_CHECK_S):
+            await self._called.wait()
+
     async def _suspect(self, silence):
         self.suspect = True
         error = PeerError(
