Shorten the tests of the distribution

Change: async tests run through a decorator, and two tests share their set-up. No check was removed; the patch test now looks at the replies on the wire instead of replacing a method of the store.

--- a/tests/memory.py
+++ b/tests/memory.py
@@ -1,5 +1,6 @@
 """Daemons in one process for tests: documents and membership without sockets."""
 
+import functools
 import random
 
 import curio
@@ -20,6 +21,16 @@
 DOMAINS = ("sala-norte", "sala-sur", "sala-barva")
 
 
+def in_curio(test):
+    """Run an async test method under curio."""
+
+    @functools.wraps(test)
+    def run(self):
+        curio.run(test, self)
+
+    return run
+
+
 class MemoryPeers(BasePeers):
     """Peers that call each other's handlers; ``cut`` holds pairs that cannot."""
 
@@ -28,7 +39,7 @@
         self.network = network
         self.handlers = {}
         self.resolve = lambda instance: None
-        self.sent = []
+        self.replies = []
         network.nodes[instance] = self
 
     def register(self, message_class, handler):
@@ -41,11 +52,11 @@
             self.network.cut
         ):
             raise PeerError(f"{instance} cannot be reached", not_run=True)
-        self.sent.append(message)
         replies = []
 
         async def reply(answer):
             replies.append(_over_the_wire(answer))
+            self.replies.append(replies[-1])
 
         try:
             received = _over_the_wire(message)
--- a/tests/test_dissemination.py
+++ b/tests/test_dissemination.py
@@ -5,7 +5,7 @@
 
 from almondtide.messages import DocumentReply
 from almondtide.ports import Document, MemoryPlatform
-from tests.memory import MemoryDaemon, MemoryNetwork, make_fleet
+from tests.memory import MemoryDaemon, MemoryNetwork, in_curio, make_fleet
 
 
 class DistributionTest(testtools.TestCase):
@@ -23,221 +23,167 @@
     def revisions(self):
         return {daemon.revision() for daemon in self.network.daemons.values()}
 
-    def test_one_daemon_with_the_revision_is_enough(self):
+    @in_curio
+    async def test_one_daemon_with_the_revision_is_enough(self):
         """The platform is unreachable for all others; nobody lags behind."""
-
-        async def main():
-            daemons = await make_fleet(self.network, 12)
-            document = self.publish(2)
-            self.network.platform.available = False
-            await daemons[5].dissemination.offer(document)
-            await self.network.settle()
-
-        curio.run(main)
+        daemons = await make_fleet(self.network, 12)
+        document = self.publish(2)
+        self.network.platform.available = False
+        await daemons[5].dissemination.offer(document)
+        await self.network.settle()
         self.assertEqual({2}, self.revisions())
 
-    def test_each_domain_has_two_watchers(self):
+    @in_curio
+    async def test_each_domain_has_two_watchers(self):
         """Guards against platform calls that grow with the fleet."""
-
-        async def main():
-            daemons = await make_fleet(self.network, 15)
-            for name in ("configuration", "instances"):
-                watchers = [d for d in daemons if d.dissemination.is_watcher(name)]
-                domains = sorted(d.state.domain for d in watchers)
-                self.assertEqual(6, len(watchers))
-                self.assertEqual(3, len(set(domains)))
-            # A watcher that leaves is replaced.
-            watchers[0].state.leaving = True
-            self.assertFalse(watchers[0].dissemination.is_watcher("instances"))
-
-        curio.run(main)
-
-    def test_partition_heals(self):
-        async def main():
-            daemons = await make_fleet(self.network, 9)
-            left = [d.name for d in daemons[:4]]
-            right = [d.name for d in daemons[4:]]
-            self.network.partition(left, right)
-            await daemons[0].dissemination.offer(self.publish(2))
-            await self.network.settle()
-            self.assertEqual({1, 2}, self.revisions())
-            self.assertEqual(1, daemons[8].revision())
-            self.network.cut.clear()
-            self.network.clock.advance(20)
-            for daemon in daemons:
-                await daemon.membership.expire()
-            await self.network.settle(4)
-
-        curio.run(main)
+        daemons = await make_fleet(self.network, 15)
+        for name in ("configuration", "instances"):
+            watchers = [d for d in daemons if d.dissemination.is_watcher(name)]
+            domains = sorted(d.state.domain for d in watchers)
+            self.assertEqual(6, len(watchers))
+            self.assertEqual(3, len(set(domains)))
+        # A watcher that leaves is replaced.
+        watchers[0].state.leaving = True
+        self.assertFalse(watchers[0].dissemination.is_watcher("instances"))
+
+    @in_curio
+    async def test_partition_heals(self):
+        daemons = await make_fleet(self.network, 9)
+        left = [d.name for d in daemons[:4]]
+        right = [d.name for d in daemons[4:]]
+        self.network.partition(left, right)
+        await daemons[0].dissemination.offer(self.publish(2))
+        await self.network.settle()
+        self.assertEqual({1, 2}, self.revisions())
+        self.assertEqual(1, daemons[8].revision())
+        self.network.cut.clear()
+        self.network.clock.advance(20)
+        for daemon in daemons:
+            await daemon.membership.expire()
+        await self.network.settle(4)
         self.assertEqual({2}, self.revisions())
 
-    def test_operators_racing_to_publish(self):
+    @in_curio
+    async def test_operators_racing_to_publish(self):
         """Daemons see the revisions in different orders and agree in the end."""
-
-        async def main():
-            daemons = await make_fleet(self.network, 6)
-            second = Document("configuration", 2, {"by": "first operator"})
-            third = Document("configuration", 3, {"by": "second operator"})
-            await daemons[0].dissemination.offer(third)
-            await daemons[5].dissemination.offer(second)
-            await self.network.settle()
-            bodies = {str(d.store.current("configuration").body) for d in daemons}
-            self.assertEqual({str(third.body)}, bodies)
-
-        curio.run(main)
-
-    def test_two_contents_of_one_revision_end_with_the_next(self):
+        daemons = await make_fleet(self.network, 6)
+        second = Document("configuration", 2, {"by": "first operator"})
+        third = Document("configuration", 3, {"by": "second operator"})
+        await daemons[0].dissemination.offer(third)
+        await daemons[5].dissemination.offer(second)
+        await self.network.settle()
+        bodies = {str(d.store.current("configuration").body) for d in daemons}
+        self.assertEqual({str(third.body)}, bodies)
+
+    @in_curio
+    async def test_two_contents_of_one_revision_end_with_the_next(self):
         """Each daemon keeps and reports; the next revision reaches everyone."""
-
-        async def main():
-            daemons = await make_fleet(self.network, 6)
-            for index, daemon in enumerate(daemons):
-                document = Document("configuration", 2, {"n": index % 2})
-                await daemon.store.offer(document, "replica")
-            await self.network.settle()
-            self.assertEqual(
-                [0, 1] * 3,
-                [d.store.current("configuration").body["n"] for d in daemons],
-            )
-            for daemon in daemons:
-                self.assertIn("document_conflict", daemon.event_names())
-            await daemons[0].dissemination.offer(self.publish(3))
-            await self.network.settle()
-
-        curio.run(main)
+        daemons = await make_fleet(self.network, 6)
+        for index, daemon in enumerate(daemons):
+            document = Document("configuration", 2, {"n": index % 2})
+            await daemon.store.offer(document, "replica")
+        await self.network.settle()
+        self.assertEqual(
+            [0, 1] * 3,
+            [d.store.current("configuration").body["n"] for d in daemons],
+        )
+        for daemon in daemons:
+            self.assertIn("document_conflict", daemon.event_names())
+        await daemons[0].dissemination.offer(self.publish(3))
+        await self.network.settle()
         self.assertEqual({3}, self.revisions())
 
-    def test_invalid_revision_does_not_spread(self):
-        async def main():
-            daemons = await make_fleet(self.network, 6)
-            await daemons[0].dissemination.offer(self.publish(2, {"bad": 1}))
-            await self.network.settle()
-            self.assertEqual({1}, self.revisions())
-            await daemons[0].dissemination.offer(self.publish(3))
-            await self.network.settle()
-
-        curio.run(main)
+    @in_curio
+    async def test_invalid_revision_does_not_spread(self):
+        daemons = await make_fleet(self.network, 6)
+        await daemons[0].dissemination.offer(self.publish(2, {"bad": 1}))
+        await self.network.settle()
+        self.assertEqual({1}, self.revisions())
+        await daemons[0].dissemination.offer(self.publish(3))
+        await self.network.settle()
         self.assertEqual({3}, self.revisions())
 
-    def test_corrupted_change_is_replaced_by_a_snapshot(self):
+    async def make_pair(self):
+        """Return two daemons; the first has one change more than the second."""
+        first, second = await make_fleet(self.network, 2)
+        large = {str(n): "text" * 9 for n in range(50)}
+        for daemon in (first, second):
+            await daemon.store.offer(Document("configuration", 2, large), "test")
+        await first.store.offer(Document("configuration", 3, {**large, "n": 3}), "test")
+        return first, second
+
+    @in_curio
+    async def test_corrupted_change_is_replaced_by_a_snapshot(self):
         """A change whose result has another digest is never put into force."""
-
-        async def main():
-            first, second = await make_fleet(self.network, 2)
-            large = {str(n): "text" * 9 for n in range(50)}
-            for daemon in (first, second):
-                await daemon.store.offer(Document("configuration", 2, large), "test")
-            await first.store.offer(
-                Document("configuration", 3, {**large, "n": 3}), "test"
-            )
-            first.store._entries["configuration"].chain._changes[-1].patch["n"] = 4
-            await second.round()
-            self.assertEqual(3, second.store.current("configuration").body["n"])
-            self.assertIn("document_change_unusable", second.event_names())
-
-        curio.run(main)
-
-    def test_change_travels_as_a_patch(self):
+        first, second = await self.make_pair()
+        first.store._entries["configuration"].chain._changes[-1].patch["n"] = 4
+        await second.round()
+        self.assertEqual(3, second.store.current("configuration").body["n"])
+        self.assertIn("document_change_unusable", second.event_names())
+
+    @in_curio
+    async def test_change_travels_as_a_patch(self):
         """Guards against snapshots of the whole document for each change."""
-        replies = []
-
-        async def main():
-            first, second = await make_fleet(self.network, 2)
-            large = {str(n): "text" * 9 for n in range(50)}
-            for daemon in (first, second):
-                await daemon.store.offer(Document("configuration", 2, large), "test")
-            await first.store.offer(
-                Document("configuration", 3, {**large, "n": 3}), "test"
-            )
-            take = second.store.take
-
-            async def record(reply, source):
-                replies.append(reply)
-                return await take(reply, source)
-
-            second.dissemination.store = _Recording(second.store, record)
-            await second.round()
-            self.assertEqual(3, second.revision())
-
-        curio.run(main)
-        self.assertEqual([[3, {"n": 3}]], [step[:2] for step in replies[0].patches])
-        self.assertIsInstance(replies[0], DocumentReply)
-
-    def test_suspicion_is_not_passed_on(self):
+        _, second = await self.make_pair()
+        await second.round()
+        replies = second.peers.replies
+        (reply,) = [item for item in replies if isinstance(item, DocumentReply)]
+        self.assertEqual([[3, {"n": 3}]], [step[:2] for step in reply.patches])
+        self.assertEqual(3, second.revision())
+
+    @in_curio
+    async def test_suspicion_is_not_passed_on(self):
         """One daemon's broken link must not remove a peer for the others."""
-
-        async def main():
-            daemons = await make_fleet(self.network, 4)
-            self.network.partition(["d0"], ["d3"])
-            await daemons[0].membership.peer_lost("d3")
-            await self.network.settle()
-            self.assertIn("d3", daemons[0].membership.view().gone)
-            for other in daemons[1:3]:
-                self.assertEqual(frozenset(), other.membership.view().gone)
-
-        curio.run(main)
-
-    def test_unlisted_daemon_gets_and_brings_documents(self):
+        daemons = await make_fleet(self.network, 4)
+        self.network.partition(["d0"], ["d3"])
+        await daemons[0].membership.peer_lost("d3")
+        await self.network.settle()
+        self.assertIn("d3", daemons[0].membership.view().gone)
+        for other in daemons[1:3]:
+            self.assertEqual(frozenset(), other.membership.view().gone)
+
+    @in_curio
+    async def test_unlisted_daemon_gets_and_brings_documents(self):
         """A new daemon that the lagging list omits is current nevertheless."""
-
-        async def main():
-            daemons = await make_fleet(self.network, 3)
-            new = MemoryDaemon(self.network, "d7", seeds=["d1"])
-            (seed,) = new.dissemination.seeds()
-            await new.dissemination.exchange(seed)
-            self.assertEqual(1, new.revision())
-            await new.dissemination.offer(self.publish(2))
-            await new.round()
-            await self.network.settle()
-            self.assertEqual({2}, {d.revision() for d in daemons})
-
-        curio.run(main)
-
-    def test_only_watchers_and_lonely_daemons_call_the_platform(self):
+        daemons = await make_fleet(self.network, 3)
+        new = MemoryDaemon(self.network, "d7", seeds=["d1"])
+        (seed,) = new.dissemination.seeds()
+        await new.dissemination.exchange(seed)
+        self.assertEqual(1, new.revision())
+        await new.dissemination.offer(self.publish(2))
+        await new.round()
+        await self.network.settle()
+        self.assertEqual({2}, {d.revision() for d in daemons})
+
+    @in_curio
+    async def test_only_watchers_and_lonely_daemons_call_the_platform(self):
         """Guards against calls of all daemons, and more than one each second."""
-
-        async def main():
-            daemons = await make_fleet(self.network, 12)
-            names = ("configuration", "instances")
-            idle = next(
-                daemon
-                for daemon in daemons
-                if not any(daemon.dissemination.is_watcher(name) for name in names)
-            )
-            calls = self.network.platform.calls
-            await idle.dissemination.start_watches()
-            await curio.sleep(0.7)
-            self.assertEqual(calls, self.network.platform.calls)
-            self.network.clock.advance(4)
-            self.assertTrue(idle.dissemination.is_lonely())
-            await curio.sleep(2.6)
-            await idle.dissemination.stop()
-            made = self.network.platform.calls - calls
-            self.assertTrue(2 <= made <= 8, f"{made} calls for 2 documents in 2.6 s")
-
-        curio.run(main)
-
-    def test_stale_answer_of_the_platform_is_logged(self):
-        async def main():
-            (daemon,) = await make_fleet(self.network, 1)
-            await daemon.dissemination.offer(self.publish(3))
-            self.publish(2)
-            await daemon.dissemination.read_platform()
-            self.assertEqual(3, daemon.revision())
-            self.assertIn("platform_stale", daemon.event_names())
-
-        curio.run(main)
-
-
-class _Recording:
-    """A store whose ``take`` is replaced."""
-
-    def __init__(self, store, take):
-        self._store = store
-        self.take = take
-
-    def __getattr__(self, name):
-        return getattr(self._store, name)
+        daemons = await make_fleet(self.network, 12)
+        names = ("configuration", "instances")
+        idle = next(
+            daemon
+            for daemon in daemons
+            if not any(daemon.dissemination.is_watcher(name) for name in names)
+        )
+        calls = self.network.platform.calls
+        await idle.dissemination.start_watches()
+        await curio.sleep(0.7)
+        self.assertEqual(calls, self.network.platform.calls)
+        self.network.clock.advance(4)
+        self.assertTrue(idle.dissemination.is_lonely())
+        await curio.sleep(2.6)
+        await idle.dissemination.stop()
+        made = self.network.platform.calls - calls
+        self.assertTrue(2 <= made <= 8, f"{made} calls for 2 documents in 2.6 s")
+
+    @in_curio
+    async def test_stale_answer_of_the_platform_is_logged(self):
+        (daemon,) = await make_fleet(self.network, 1)
+        await daemon.dissemination.offer(self.publish(3))
+        self.publish(2)
+        await daemon.dissemination.read_platform()
+        self.assertEqual(3, daemon.revision())
+        self.assertIn("platform_stale", daemon.event_names())
 
 
 class StartupTest(testtools.TestCase):
@@ -272,74 +218,58 @@
             await daemon.store.offer(document, "test")
         return daemons
 
-    def test_seed_brings_the_revision_before_ready(self):
-        async def main():
-            await self.fleet_at_revision(9)
-            new = MemoryDaemon(
-                self.network, "d3", ["d1"], "i2", self.stale_platform(["d3"])
-            )
-            self.assertEqual("peers", await self.wait_ready(new, 20))
-            self.assertEqual([9], new.applied)
-            self.assertEqual(0, new.platform.calls)
-
-        curio.run(main)
-
-    def test_listed_peers_are_asked_without_seeds(self):
-        async def main():
-            await self.fleet_at_revision(9)
-            platform = self.stale_platform(["d0", "d1", "d3"])
-            new = MemoryDaemon(self.network, "d3", [], "i2", platform)
-            self.assertEqual("peers", await self.wait_ready(new, 20))
-            self.assertEqual(9, new.revision())
-
-        curio.run(main)
-
-    def test_not_ready_without_peer_and_platform(self):
-        async def main():
-            new = MemoryDaemon(self.network, "d3", ["d1"])
-            self.network.platform.available = False
-            self.assertIsNone(await self.wait_ready(new, 10))
-
-        curio.run(main)
-
-    def test_first_daemon_is_ready_with_the_platform(self):
-        async def main():
-            new = MemoryDaemon(self.network, "d3", platform=self.stale_platform(["d3"]))
-            self.assertEqual("first daemon", await self.wait_ready(new, 2))
-
-        curio.run(main)
-
-    def test_silent_peers_delay_by_a_bounded_time(self):
+    @in_curio
+    async def test_seed_brings_the_revision_before_ready(self):
+        await self.fleet_at_revision(9)
+        new = MemoryDaemon(
+            self.network, "d3", ["d1"], "i2", self.stale_platform(["d3"])
+        )
+        self.assertEqual("peers", await self.wait_ready(new, 20))
+        self.assertEqual([9], new.applied)
+        self.assertEqual(0, new.platform.calls)
+
+    @in_curio
+    async def test_listed_peers_are_asked_without_seeds(self):
+        await self.fleet_at_revision(9)
+        platform = self.stale_platform(["d0", "d1", "d3"])
+        new = MemoryDaemon(self.network, "d3", [], "i2", platform)
+        self.assertEqual("peers", await self.wait_ready(new, 20))
+        self.assertEqual(9, new.revision())
+
+    @in_curio
+    async def test_not_ready_without_peer_and_platform(self):
+        new = MemoryDaemon(self.network, "d3", ["d1"])
+        self.network.platform.available = False
+        self.assertIsNone(await self.wait_ready(new, 10))
+
+    @in_curio
+    async def test_first_daemon_is_ready_with_the_platform(self):
+        new = MemoryDaemon(self.network, "d3", platform=self.stale_platform(["d3"]))
+        self.assertEqual("first daemon", await self.wait_ready(new, 2))
+
+    @in_curio
+    async def test_silent_peers_delay_by_a_bounded_time(self):
         """A list of dead instances must not keep a new fleet down."""
-
-        async def main():
-            platform = self.stale_platform(["d0", "d1", "d3"])
-            new = MemoryDaemon(self.network, "d3", platform=platform)
-            self.assertIsNone(await self.wait_ready(new, 4))
-            self.assertEqual("no peer answers", await self.wait_ready(new, 12))
-            self.assertIn("started_without_peers", new.event_names())
-
-        curio.run(main)
-
-    def test_whole_fleet_starts_without_delay(self):
-        async def main():
-            platform = self.stale_platform(["d0", "d1"])
-            MemoryDaemon(self.network, "d0", platform=platform)
-            new = MemoryDaemon(self.network, "d1", platform=platform)
-            self.assertEqual("fleet starts", await self.wait_ready(new, 4))
-
-        curio.run(main)
-
-    def test_peer_that_starts_as_well_is_no_evidence(self):
+        platform = self.stale_platform(["d0", "d1", "d3"])
+        new = MemoryDaemon(self.network, "d3", platform=platform)
+        self.assertIsNone(await self.wait_ready(new, 4))
+        self.assertEqual("no peer answers", await self.wait_ready(new, 12))
+        self.assertIn("started_without_peers", new.event_names())
+
+    @in_curio
+    async def test_whole_fleet_starts_without_delay(self):
+        platform = self.stale_platform(["d0", "d1"])
+        MemoryDaemon(self.network, "d0", platform=platform)
+        new = MemoryDaemon(self.network, "d1", platform=platform)
+        self.assertEqual("fleet starts", await self.wait_ready(new, 4))
+
+    @in_curio
+    async def test_peer_that_starts_as_well_is_no_evidence(self):
         """A starting peer has the same stale copy; one that serves is awaited."""
-
-        async def main():
-            await self.fleet_at_revision(9)
-            platform = self.stale_platform(["d2", "d3", "d5"])
-            starting = MemoryDaemon(self.network, "d5", platform=platform)
-            await starting.dissemination.read_platform()
-            new = MemoryDaemon(self.network, "d3", ["d5"], "i2", platform)
-            self.assertEqual("peers", await self.wait_ready(new, 20))
-            self.assertEqual(9, new.revision())
-
-        curio.run(main)
+        await self.fleet_at_revision(9)
+        platform = self.stale_platform(["d2", "d3", "d5"])
+        starting = MemoryDaemon(self.network, "d5", platform=platform)
+        await starting.dissemination.read_platform()
+        new = MemoryDaemon(self.network, "d3", ["d5"], "i2", platform)
+        self.assertEqual("peers", await self.wait_ready(new, 20))
+        self.assertEqual(9, new.revision())
