Add differential tests and make upstream request ids unique

Cause: nothing compared the core with a plain evaluation under faults. The first run of the new tests found that two owners use the same upstream request id: a coordinator whose link to the owner is lost sends the sub-request to a standby with the same query id, and both numbered their attempts from 1. The cancellation of the first owner's attempt then stops the standby's attempt on that server.

The owner adds a random id and its own counter to the request id.

Ruled out: a new query id for each rerouting; cancellations are by query id and must reach every owner that was asked.

The test fails without the fix (request id entry-0.1.advisory-0.1 used twice).

--- a/almondtide/owner.py
+++ b/almondtide/owner.py
@@ -2,6 +2,7 @@
 
 import heapq
 import itertools
+import secrets
 
 import curio
 
@@ -84,7 +85,7 @@
 
     __slots__ = ("is_hedge", "item", "request_id", "server", "started")
 
-    def __init__(self, item, server, started, is_hedge):
+    def __init__(self, item, server, started, is_hedge, number):
         self.item = item
         self.server = server
         self.started = started
@@ -92,7 +93,7 @@
         item.started += 1
         item.ran += 1
         sub = item.sub
-        self.request_id = f"{sub.query_id}.{sub.service}.{item.started}"
+        self.request_id = f"{sub.query_id}.{sub.service}.{number}"
 
 
 class ServiceOwner:
@@ -107,10 +108,12 @@
     """
 
     __slots__ = (
+        "_attempts",
         "_by_query",
         "_cfg",
         "_front",
         "_idle",
+        "_incarnation",
         "_log",
         "_metrics",
         "_order",
@@ -153,6 +156,10 @@
         self._idle = []
         self._by_query = {}
         self._order = itertools.count()
+        # A standby may run a query that this owner still cancels on the same
+        # server, so request ids must not repeat between owners.
+        self._incarnation = secrets.token_hex(4)
+        self._attempts = itertools.count(1)
         self._timers = []
         self._timer_wake = curio.Event()
         self._timer_task = None
@@ -389,7 +396,8 @@
     async def _start(self, item, worker, is_hedge):
         now = self.clock.monotonic()
         server = worker.server
-        attempt = _Attempt(item, server, now, is_hedge)
+        number = f"{self._incarnation}.{next(self._attempts)}"
+        attempt = _Attempt(item, server, now, is_hedge, number)
         item.tried.add(server.instance)
         item.running.append(attempt)
         server.in_flight.add(attempt)
--- /dev/null
+++ b/tests/test_differential.py
@@ -0,0 +1,397 @@
+"""Differential tests of the core against the evaluation in one process."""
+
+import itertools
+import logging as stdlib_logging
+
+import curio
+import testtools
+from absl import logging
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from almondtide.clock import SystemClock
+from almondtide.configuration import parse_configuration
+from almondtide.coordinator import Coordinator, QueryRequest
+from almondtide.errors import AlmondtideError, ResultCode
+from almondtide.logs import Log
+from almondtide.membership import ENTRY, UPSTREAM, Member, Membership
+from almondtide.messages import QuarantineNotice
+from almondtide.metrics import Metrics
+from almondtide.owners import Owners
+from almondtide.ports import (
+    MemoryFault,
+    MemoryNetwork,
+    MemoryPeers,
+    MemoryServer,
+    MemoryUpstreams,
+)
+from almondtide.quarantine import Quarantine
+from almondtide.shards import KEY_SPACE
+from standins.dataset import DISTRICTS, NETWORKS, evaluate_merged, make_data_set
+
+EXAMPLES = 150
+DEADLINE_MS = 250
+SOFT_DEADLINE_MS = 120
+# Longer than the deadline, so that a slow server without a hedge costs coverage.
+SLOW_S = 0.4
+# Scheduling on a busy machine; an answer that waits for a slow server is later.
+LATENESS_S = 1.0
+SETTLE_S = 0.01
+DATA = make_data_set("probes", seed=7, size=300)
+KEYS = sorted({row["key"] for row in DATA.rows(1)})
+DOMAINS = ("lautoka", "nadi", "suva")
+WORKLOAD = "advisory"
+
+SERVER_FAULTS = [fault for fault in MemoryFault if fault is not MemoryFault.REFUSED]
+PEER_FAULTS = [
+    MemoryFault.NONE,
+    MemoryFault.REFUSED,
+    MemoryFault.LOST,
+    MemoryFault.DRAINING,
+]
+
+
+class Case:
+    """One generated fleet with its shard maps, faults and queries."""
+
+    __slots__ = (
+        "concurrent",
+        "daemons",
+        "dead",
+        "maps",
+        "merge",
+        "peer_faults",
+        "policy",
+        "queries",
+        "servers",
+        "switches",
+    )
+
+    def __init__(self, **values):
+        for name, value in values.items():
+            setattr(self, name, value)
+
+    def __repr__(self):
+        fields = (f"{name}={getattr(self, name)!r}" for name in self.__slots__)
+        return f"Case({', '.join(fields)})"
+
+
+@st.composite
+def shard_maps(draw, epoch, services):
+    """Return a document of uneven shards; each service holds at least one."""
+    count = draw(st.integers(len(services), len(services) + 5))
+    cut = st.one_of(st.sampled_from(KEYS[1:]), st.integers(1, KEY_SPACE - 1))
+    cuts = draw(st.sets(cut, min_size=count - 1, max_size=count - 1))
+    bounds = [0, *sorted(cuts), KEY_SPACE]
+    extra = st.lists(
+        st.sampled_from(services),
+        min_size=count - len(services),
+        max_size=count - len(services),
+    )
+    holders = draw(st.permutations([*services, *draw(extra)]))
+    shards = [
+        {"name": f"e{epoch}-{index}", "low": low, "high": high, "service": holder}
+        for index, ((low, high), holder) in enumerate(
+            zip(itertools.pairwise(bounds), holders, strict=True)
+        )
+    ]
+    return {"epoch": epoch, "shards": shards}
+
+
+QUERIES = st.fixed_dictionaries(
+    {},
+    optional={
+        "match": st.fixed_dictionaries(
+            {},
+            optional={
+                "district": st.sampled_from(DISTRICTS),
+                "network": st.sampled_from(NETWORKS),
+            },
+        ),
+        "minimum": st.integers(1, 50),
+    },
+)
+# What the servers hold before and after each step of a change of the index.
+STEPS = [[1], [1, 2], [2], [2, 3], [3]]
+
+
+@st.composite
+def cases(draw, faults=True):
+    """Return a ``Case``; without faults all servers hold the same snapshots."""
+    count = draw(st.integers(1, 12))
+    services = [f"advisory-{number}" for number in range(count)]
+    maps = [draw(shard_maps(1, services))]
+    if draw(st.booleans()):
+        # The second epoch drops services or brings new ones.
+        first = draw(st.integers(0, count - 1))
+        size = draw(st.integers(1, 12))
+        later = [f"advisory-{number}" for number in range(first, first + size)]
+        maps.append(draw(shard_maps(2, later)))
+    usual = STEPS[0], [item["epoch"] for item in maps]
+    names = dict.fromkeys(s["service"] for item in maps for s in item["shards"])
+    servers = {}
+    for service in names:
+        for number in range(draw(st.integers(1, 3)) if faults else 2):
+            # A server that stayed behind in versions or epochs.
+            held = usual
+            if faults and draw(st.integers(0, 29)) == 0:
+                held = draw(st.sampled_from([([1, 2], [1]), ([2], [1, 2]), ([1], [2])]))
+            script = []
+            if faults and draw(st.integers(0, 3)) == 0:
+                script = draw(st.lists(st.sampled_from(SERVER_FAULTS), max_size=3))
+            servers[f"{service}-s{number}"] = (service, *held, script)
+    dead = set()
+    if faults and draw(st.integers(0, 4)) == 0:
+        dead = draw(st.sets(st.sampled_from(sorted(servers)), max_size=2))
+    daemons = draw(st.integers(1, 3))
+    scripts = st.lists(st.sampled_from(PEER_FAULTS), max_size=3 if faults else 0)
+    queries = draw(st.lists(QUERIES, min_size=1, max_size=3))
+    late = st.sets(st.sampled_from(list(names)), max_size=3)
+    switch = st.tuples(st.integers(0, 2 if faults else 0), late)
+    return Case(
+        maps=maps,
+        servers=servers,
+        dead=dead,
+        daemons=daemons,
+        peer_faults=[draw(scripts) for _ in range(daemons)],
+        queries=queries,
+        switches=[draw(switch) for _ in queries],
+        concurrent=draw(st.booleans()),
+        merge=draw(
+            st.sampled_from(["rows", "count", "statistics", "newest_per_probe"])
+        ),
+        policy=draw(st.sampled_from(["coverage_first", "tail_first"])),
+    )
+
+
+def make_document(case, deadline_ms):
+    return {
+        "defaults": {
+            "deadline_ms": deadline_ms,
+            "soft_deadline_ms": min(deadline_ms, SOFT_DEADLINE_MS),
+            "coverage_policy": case.policy,
+            "merge": case.merge,
+        },
+        "workloads": {WORKLOAD: {"shard_maps": case.maps}},
+    }
+
+
+class System:
+    """The core of several daemons and their servers in one process."""
+
+    def __init__(self, case, deadline_ms):
+        self.case = case
+        self.cfg = parse_configuration(make_document(case, deadline_ms), 1)
+        self.servers = {}
+        self.step = 0
+        self.network = MemoryNetwork()
+        self.coordinators = []
+        self.owners = []
+        self.members = []
+        for instance, (service, versions, epochs, script) in case.servers.items():
+            server = MemoryServer(
+                DATA.search, versions, self.held(service, epochs), slow_s=SLOW_S
+            )
+            server.faults.extend(script)
+            self.servers[instance] = server
+            domain = DOMAINS[len(self.servers) % 3]
+            self.members.append(
+                Member(instance, UPSTREAM, (instance, 1), domain, service=service)
+            )
+        for number in range(case.daemons):
+            name = f"entry-{number}"
+            self.members.append(Member(name, ENTRY, (name, 1), DOMAINS[number]))
+
+    def held(self, service, epochs):
+        """Return the ranges of the service by epoch, as its servers were given."""
+        return {
+            item["epoch"]: [
+                [shard["low"], shard["high"]]
+                for shard in item["shards"]
+                if shard["service"] == service
+            ]
+            for item in self.case.maps
+            if item["epoch"] in epochs
+        }
+
+    async def start(self):
+        upstreams = MemoryUpstreams(
+            {
+                (name, 1): server
+                for name, server in self.servers.items()
+                if name not in self.case.dead
+            }
+        )
+        for number in range(self.case.daemons):
+            await self._start_daemon(f"entry-{number}", upstreams)
+        for number, script in enumerate(self.case.peer_faults):
+            self.network.faults[f"entry-{number}"].extend(script)
+
+    async def _start_daemon(self, name, upstreams):
+        clock = SystemClock()
+        membership = Membership(name, clock)
+        peers = MemoryPeers(name, self.network)
+        quarantine = Quarantine(clock)
+        log, metrics = Log(instance=name), Metrics()
+        shared = (quarantine, clock, log, metrics)
+        owners = Owners(name, self.configuration, membership, peers, upstreams, *shared)
+        coordinator = Coordinator(name, self.configuration, membership, peers, *shared)
+        peers.register(QuarantineNotice, self._ignore)
+        await membership.update_list(self.members)
+        await owners.refresh()
+        self.owners.append(owners)
+        self.coordinators.append(coordinator)
+
+    async def _ignore(self, sender, message, reply):
+        """Quarantine notices are not part of these tests."""
+
+    def configuration(self):
+        return self.cfg
+
+    def switch(self, step, late):
+        """Change the index by ``step`` steps, by one less in ``late`` services.
+
+        The coordinators learn it only from refusals.
+        """
+        self.step = min(self.step + step, len(STEPS) - 1)
+        for name, server in self.servers.items():
+            service, versions, _, _ = self.case.servers[name]
+            if versions == STEPS[0]:
+                behind = 1 if service in late and self.step > 0 else 0
+                server.versions = list(STEPS[self.step - behind])
+
+    def runs(self):
+        return sum(server.ran for server in self.servers.values())
+
+    async def ask(self, number, body):
+        """Return (answer or error, elapsed seconds)."""
+        coordinator = self.coordinators[number % len(self.coordinators)]
+        started = SystemClock().monotonic()
+        try:
+            outcome = await coordinator.query(
+                QueryRequest(f"q-{number}", WORKLOAD, body)
+            )
+        except AlmondtideError as exc:
+            outcome = exc
+        return outcome, SystemClock().monotonic() - started
+
+
+async def run_case(case, deadline_ms):
+    """Return a list of (query, outcome, elapsed) and a list of violations."""
+    system = System(case, deadline_ms)
+    await system.start()
+    outcomes = []
+    violations = []
+    rounds = [list(enumerate(case.queries))]
+    if not case.concurrent:
+        rounds = [[item] for item in rounds[0]]
+    for index, group in enumerate(rounds):
+        system.switch(*case.switches[index])
+        before = system.runs()
+        tasks = [await curio.spawn(system.ask, *item) for item in group]
+        results = [await task.join() for task in tasks]
+        if all(outcome.not_run for outcome, _ in results) and system.runs() > before:
+            violations.append(f"not run: {[str(outcome) for outcome, _ in results]}")
+        for (_, body), (outcome, elapsed) in zip(group, results, strict=True):
+            outcomes.append((body, outcome, elapsed))
+        # Work of the round that was abandoned ends before the next one counts.
+        await curio.sleep(SETTLE_S)
+    for name, server in system.servers.items():
+        violations += [
+            f"{name}: request id {key} used twice" for key in server.repeated
+        ]
+    return outcomes, violations
+
+
+class CrashRecorder(stdlib_logging.Handler):
+    """Collects the crashes of curio tasks, which are only logged."""
+
+    def __init__(self):
+        super().__init__(stdlib_logging.ERROR)
+        self.crashes = []
+
+    def emit(self, record):
+        self.crashes.append(self.format(record))
+
+
+def run_recorded(function, *args):
+    """Run ``function`` and return its result and the crashes of its tasks."""
+    recorder = CrashRecorder()
+    logger = stdlib_logging.getLogger("curio.kernel")
+    logger.addHandler(recorder)
+    try:
+        return curio.run(function, *args), recorder.crashes
+    finally:
+        logger.removeHandler(recorder)
+
+
+class DifferentialTest(testtools.TestCase):
+    """Guards every answer against loss, repetition, mixing and false coverage."""
+
+    def setUp(self):
+        super().setUp()
+        before = logging.get_verbosity()
+        logging.set_verbosity(logging.FATAL)
+        self.addCleanup(logging.set_verbosity, before)
+
+    def check(self, case, body, outcome):
+        """Compare one outcome with the evaluation of the part it covers."""
+        if isinstance(outcome, AlmondtideError):
+            self.assertNotEqual(ResultCode.INTERNAL, outcome.code)
+            self.assertTrue(outcome.not_run)
+            return
+        answer = outcome.to_dict()
+        by_epoch = {item["epoch"]: item["shards"] for item in case.maps}
+        shards = {
+            shard["name"]: [shard["low"], shard["high"]]
+            for shard in by_epoch[outcome.epoch]
+        }
+        covered = answer["coverage"]["covered"]
+        missing = [item["shard"] for item in answer["coverage"]["missing"]]
+        self.assertEqual(sorted(shards), sorted(covered + missing))
+        self.assertEqual(outcome.code == ResultCode.OK, not missing)
+        for _, code in outcome.missing:
+            self.assertNotEqual(ResultCode.OK, code)
+        if not covered:
+            self.assertIsNone(answer["result"])
+            return
+        expected = evaluate_merged(
+            DATA,
+            body,
+            outcome.version,
+            case.merge,
+            [shards[name] for name in covered],
+        )
+        self.assertEqual(expected, answer["result"])
+
+    @settings(
+        max_examples=EXAMPLES,
+        deadline=None,
+        database=None,
+        derandomize=True,
+        suppress_health_check=list(HealthCheck),
+    )
+    @given(cases())
+    def test_answers_are_exact_under_faults(self, case):
+        (outcomes, violations), crashes = run_recorded(run_case, case, DEADLINE_MS)
+        for body, outcome, elapsed in outcomes:
+            self.check(case, body, outcome)
+            self.assertLess(elapsed, DEADLINE_MS / 1000.0 + LATENESS_S)
+        self.assertEqual([], violations + crashes)
+
+    @settings(
+        max_examples=30,
+        deadline=None,
+        database=None,
+        derandomize=True,
+        suppress_health_check=list(HealthCheck),
+    )
+    @given(cases(faults=False))
+    def test_answers_are_complete_without_faults(self, case):
+        case.policy = "coverage_first"
+        (outcomes, violations), crashes = run_recorded(run_case, case, 10_000)
+        self.assertEqual([], violations + crashes)
+        for body, outcome, _ in outcomes:
+            self.check(case, body, outcome)
+            self.assertEqual(ResultCode.OK, outcome.code)
+            self.assertEqual(len(case.maps), outcome.epoch)
