--- a/almondtide/errors.py
+++ b/almondtide/errors.py
@@ -3,9 +3,12 @@
 import enum
 
 __all__ = [
+    "DEFAULT_RETRY_AFTER_MS",
     "AlmondtideError",
     "BadRequestError",
+    "ClientError",
     "ConfigurationError",
+    "DocumentError",
     "ExecutionError",
     "PeerError",
     "PlatformError",
@@ -18,12 +21,17 @@
 ]
 
 
+# When a caller may come back after a refusal that has no estimate of its own.
+DEFAULT_RETRY_AFTER_MS = 100
+
+
 class ResultCode(enum.IntEnum):
     """Outcome of a request, a sub-request or an operation.
 
     The hundreds digit names the family: 0 answers, 1 bad requests, 2 refusals by
     the tier, 3 upstream failures, 4 non-idempotent execution, 5 peers, 6
-    configuration and platform, 9 internal. ``docs/result-codes.md`` lists them.
+    configuration and platform, 7 the command line, 9 internal.
+    ``docs/result-codes.md`` lists them.
     """
 
     OK = 0
@@ -64,6 +72,11 @@
     CONFIGURATION_INVALID = 600
     SETTINGS_INVALID = 601
     PLATFORM_UNAVAILABLE = 602
+    DOCUMENT_MISMATCH = 603
+    NO_ANSWER = 700
+    CONNECTION_LOST = 701
+    WAIT_TIMEOUT = 702
+    DISAGREEMENT = 703
     INTERNAL = 900
 
 
@@ -149,6 +162,8 @@
     code = ResultCode.OVERLOADED
 
     def __init__(self, message, code=None, *, retry_after_ms=None):
+        if retry_after_ms is None:
+            retry_after_ms = DEFAULT_RETRY_AFTER_MS
         super().__init__(message, code, not_run=True, retry_after_ms=retry_after_ms)
 
 
@@ -176,6 +191,18 @@
     code = ResultCode.PLATFORM_UNAVAILABLE
 
 
+class DocumentError(AlmondtideError):
+    """A received document or change does not have the content it states."""
+
+    code = ResultCode.DOCUMENT_MISMATCH
+
+
+class ClientError(AlmondtideError):
+    """The command line got no usable answer from any daemon it asked."""
+
+    code = ResultCode.NO_ANSWER
+
+
 class _ProblemListError(AlmondtideError):
     def __init__(self, problems):
         self.problems = list(problems)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -3,6 +3,7 @@
 import http.client
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -13,6 +14,7 @@
 
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 10.0
+PORT_RANGE = (10_000, 32_000)
 ADMIN_TOKEN = "operator-token"
 
 _given_ports = set()
@@ -21,24 +23,25 @@
 def free_ports(count):
     """Return ``count`` TCP ports that were free a moment ago.
 
-    No port is returned twice, because the process that gets it may bind it only
-    after the next call.
+    The ports are below the range from which the system takes the local ports of
+    outgoing connections, because such a connection could take the port between
+    this check and the start of the process that listens on it. No port is
+    returned twice, because the process that gets it may bind it only after the
+    next call.
     """
-    sockets = []
     ports = []
-    try:
-        while len(ports) < count:
-            sock = socket.socket()
-            sockets.append(sock)
-            sock.bind(("127.0.0.1", 0))
-            port = sock.getsockname()[1]
-            if port not in _given_ports:
-                _given_ports.add(port)
-                ports.append(port)
-        return ports
-    finally:
-        for sock in sockets:
-            sock.close()
+    while len(ports) < count:
+        port = random.randrange(*PORT_RANGE)
+        if port in _given_ports:
+            continue
+        _given_ports.add(port)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        ports.append(port)
+    return ports
 
 
 def http_call(address, method, path, body=None, headers=None, timeout_s=5.0):
@@ -61,17 +64,23 @@
 
     ``workloads`` maps a name to a dict with ``services``, ``servers``, ``slots``,
     ``kind`` (data set) and optionally ``settings`` (workload settings).
-    ``upstream`` holds fields of ``UpstreamSpec`` that apply to all servers.
+    A workload with ``shares`` (the name of another workload) has no servers of its
+    own; its shard map names the services of that workload. ``upstream`` holds
+    fields of ``UpstreamSpec`` that apply to all servers.
     ``pack_servers`` runs the servers of one failure domain in one process, so
     that they can only be killed together.
+    ``links`` tells which connections pass through a forwarding link that tests
+    can cut or delay: any of ``peer``, ``platform`` and ``upstream``.
+    ``daemon_argv`` is the command line of a daemon after the interpreter.
     """
 
     __slots__ = (
+        "daemon_argv",
         "daemons",
         "defaults",
         "domains",
         "exceptions",
-        "link_peers",
+        "links",
         "list_lag_s",
         "pack_servers",
         "upstream",
@@ -88,6 +97,8 @@
         upstream=None,
         list_lag_s=0.0,
         pack_servers=False,
+        links=(),
+        daemon_argv=("-m", "almondtide.daemon"),
     ):
         self.daemons = daemons
         self.domains = list(domains)
@@ -98,8 +109,9 @@
         self.exceptions = exceptions or []
         self.upstream = upstream or {}
         self.list_lag_s = list_lag_s
-        self.link_peers = False
         self.pack_servers = pack_servers
+        self.links = frozenset(links)
+        self.daemon_argv = list(daemon_argv)
 
 
 class Fleet:
@@ -116,6 +128,8 @@
         self.daemons = {}
         self.upstreams = {}
         self.upstream_specs = {}
+        self.links = None
+        self.link_addresses = {}
         self.records = {}
         self.document = None
         self.listed = []
@@ -137,8 +151,12 @@
         self.start_upstreams()
         self.document = self._configuration()
         self.publish("configuration", self.document)
-        for number in range(self.spec.daemons):
-            self.add_daemon(f"entry-{number:02d}")
+        names = [f"entry-{number:02d}" for number in range(self.spec.daemons)]
+        for name in names:
+            self.assign_addresses(name)
+        self.start_links()
+        for name in names:
+            self.add_daemon(name)
         self.publish_instances()
         for name in list(self.daemons):
             self.wait_ready(name)
@@ -196,13 +214,55 @@
             if item["id"] == instance:
                 item["state"] = state
 
+    # Links
+
+    def start_links(self):
+        """Start the process that holds the links of ``spec.links``."""
+        targets = {}
+        for name, info in self.daemons.items():
+            if "peer" in self.spec.links:
+                targets[f"peer/{name}"] = info["peer"]
+            if "platform" in self.spec.links:
+                targets[f"platform/{name}"] = self.platform
+        if "upstream" in self.spec.links:
+            for instance, address in self.upstreams.items():
+                targets[f"upstream/{instance}"] = address
+        if not targets:
+            return
+        control, *ports = free_ports(1 + len(targets))
+        specs = [
+            {"name": name, "port": port, "target": target}
+            for (name, target), port in zip(targets.items(), ports, strict=True)
+        ]
+        for item in specs:
+            self.link_addresses[item["name"]] = f"127.0.0.1:{item['port']}"
+        self.links = f"127.0.0.1:{control}"
+        argv = ["-m", "standins.link", "--control-port", str(control)]
+        self.spawn("links", [*argv, "--links", json.dumps(specs)])
+        self._wait_for(lambda: http_call(self.links, "GET", "/")[0] == 200)
+        for item in self.listed:
+            link = self.link_addresses.get(f"upstream/{item['id']}")
+            item["address"] = link or item["address"]
+
+    def control_links(self, names, **behaviour):
+        """Change what links do; ``names`` None means all of them."""
+        command = {"links": names, "set": behaviour}
+        return http_call(self.links, "POST", "/control", command)[2]
+
     # Upstreams
 
     def services(self):
         """Return (service, workload, shape) for all services."""
         for workload, shape in self.spec.workloads.items():
-            for number in range(shape["services"]):
-                yield f"{workload}-{number}", workload, shape
+            if "shares" not in shape:
+                for service in self.workload_services(workload):
+                    yield service, workload, shape
+
+    def workload_services(self, workload):
+        """Return the names of the services that a workload uses."""
+        workload = self.spec.workloads[workload].get("shares", workload)
+        count = self.spec.workloads[workload]["services"]
+        return [f"{workload}-{number}" for number in range(count)]
 
     def start_upstreams(self):
         """Start the servers, in one process each or in one for each domain."""
@@ -278,8 +338,8 @@
 
     # Daemons
 
-    def add_daemon(self, name):
-        """Start one daemon and add it to the list, without publishing."""
+    def assign_addresses(self, name):
+        """Choose the addresses and the failure domain of a daemon."""
         caller, peer, admin = free_ports(3)
         number = len(self.daemons)
         self.daemons[name] = {
@@ -288,12 +348,17 @@
             "admin": f"127.0.0.1:{admin}",
             "domain": self.spec.domains[number % len(self.spec.domains)],
         }
+
+    def add_daemon(self, name):
+        """Start one daemon and add it to the list, without publishing."""
+        if name not in self.daemons:
+            self.assign_addresses(name)
         self.listed.append(
             {
                 "id": name,
                 "role": "entry",
                 "address": self.daemons[name]["caller"],
-                "peer": self.daemons[name]["peer"],
+                "peer": self._peer_address(name),
                 "admin": self.daemons[name]["admin"],
                 "domain": self.daemons[name]["domain"],
                 "state": "live",
@@ -301,21 +366,32 @@
         )
         self.start_daemon(name)
 
-    def start_daemon(self, name):
-        """Start the process of a daemon, also after it has ended."""
+    def _peer_address(self, name):
+        """Return the address at which other daemons reach ``name``."""
+        return self.link_addresses.get(f"peer/{name}", self.daemons[name]["peer"])
+
+    def start_daemon(self, name, argv=None, environ=None):
+        """Start the process of a daemon, also after it has ended.
+
+        ``argv`` replaces the command line of the spec; ``environ`` is added to
+        the environment.
+        """
         info = self.daemons[name]
-        seeds = [other["peer"] for key, other in self.daemons.items() if key != name]
+        seeds = [self._peer_address(key) for key in self.daemons if key != name]
         environ = {
+            **(environ or {}),
             "ALMONDTIDE_INSTANCE": name,
             "ALMONDTIDE_DOMAIN": info["domain"],
             "ALMONDTIDE_CALLER_ADDRESS": info["caller"],
             "ALMONDTIDE_PEER_ADDRESS": info["peer"],
             "ALMONDTIDE_ADMIN_ADDRESS": info["admin"],
             "ALMONDTIDE_ADMIN_TOKEN": ADMIN_TOKEN,
-            "ALMONDTIDE_PLATFORM": self.platform,
+            "ALMONDTIDE_PLATFORM": self.link_addresses.get(
+                f"platform/{name}", self.platform
+            ),
             "ALMONDTIDE_SEEDS": ",".join(seeds[:3]),
         }
-        self.spawn(name, ["-m", "almondtide.daemon"], environ)
+        self.spawn(name, argv or self.spec.daemon_argv, environ)
 
     def wait_ready(self, name):
         """Wait until a daemon accepts queries."""
@@ -348,11 +424,17 @@
 
     # Configuration
 
+    def publish_defaults(self, defaults):
+        """Publish the configuration with other defaults; returns the revision."""
+        self.spec.defaults = defaults
+        self.document = self._configuration()
+        return self.publish("configuration", self.document)
+
     def _configuration(self):
         workloads = {}
         exceptions = list(self.spec.exceptions)
         for workload, shape in self.spec.workloads.items():
-            services = [f"{workload}-{n}" for n in range(shape["services"])]
+            services = self.workload_services(workload)
             workloads[workload] = {"shard_maps": [shard_map(1, services)]}
             for setting, value in shape.get("settings", {}).items():
                 exceptions.append(
@@ -363,7 +445,8 @@
                         "reason": "shape of the test fleet",
                     }
                 )
-            if shape.get("slots", 3) != self.spec.defaults.get("slots", 3):
+            slots = shape.get("slots", 3)
+            if "shares" not in shape and slots != self.spec.defaults.get("slots", 3):
                 for service in services:
                     exceptions.append(
                         {
