Keep lost services held back when a query is planned again

Cause: a query that lost a server and then changed to an epoch without that service failed with KeyError in Plan.ranges, answered as code 900. When the service was still in the map, the new plan sent the suspect request to it without isolation, and a second loss then counted as isolated evidence.

Change: the new plan drops lost services that it does not use and leaves the others to the isolated retry. MemoryPeers gets check().

Ruled out: ignoring unknown services in Plan.ranges, which would hide other faults of this kind.

--- a/almondtide/coordinator.py
+++ b/almondtide/coordinator.py
@@ -458,7 +458,11 @@
         run.results = {}
         run.targets = {}
         run.query_id = f"{self._instance}.{next(self._ids)}"
-        await self._send(run, plan.shard_map.services())
+        services = plan.shard_map.services()
+        # Services that lost a server stay held back, so that the request reaches
+        # them only in isolation; the new epoch may have dropped some of them.
+        run.lost = {name: run.lost[name] for name in services if name in run.lost}
+        await self._send(run, [name for name in services if name not in run.lost])
 
     # Lost servers
 
--- a/almondtide/ports.py
+++ b/almondtide/ports.py
@@ -356,6 +356,9 @@
         except PeerError:
             pass
 
+    async def check(self, instance):
+        """Do nothing: scripted faults leave no lasting state to probe."""
+
 
 class MemoryServer:
     """One upstream server in memory for tests.
--- a/tests/test_differential.py
+++ b/tests/test_differential.py
@@ -28,6 +28,7 @@
 from almondtide.quarantine import Quarantine
 from almondtide.shards import KEY_SPACE
 from standins.dataset import DISTRICTS, NETWORKS, evaluate_merged, make_data_set
+from standins.fleet import shard_map
 
 EXAMPLES = 150
 DEADLINE_MS = 250
@@ -395,3 +396,85 @@
             self.check(case, body, outcome)
             self.assertEqual(ResultCode.OK, outcome.code)
             self.assertEqual(len(case.maps), outcome.epoch)
+
+
+def make_case(maps, servers, queries):
+    return Case(
+        maps=maps,
+        servers=servers,
+        dead=set(),
+        daemons=1,
+        peer_faults=[[]],
+        queries=queries,
+        switches=[(0, set()) for _ in queries],
+        concurrent=False,
+        merge="rows",
+        policy="coverage_first",
+    )
+
+
+def make_maps(*epochs):
+    """Return shard maps that split the key space evenly over the services."""
+    return [
+        shard_map(number, services) for number, services in enumerate(epochs, start=1)
+    ]
+
+
+class ReplanTest(testtools.TestCase):
+    """Guards queries whose snapshot changes while they run."""
+
+    def test_snapshot_that_ran_is_not_called_not_run(self):
+        """A part that ran under an abandoned snapshot makes "not run" false."""
+        servers = {
+            "a-s0": ("a", [1, 2], [1], []),
+            "b-s0": ("b", [1], [1], []),
+        }
+        case = make_case(make_maps(["a", "b"]), servers, [{}, {}])
+
+        async def run():
+            system = System(case, DEADLINE_MS)
+            await system.start()
+            await system.ask(0, {})
+            before = system.runs()
+            system.servers["b-s0"].versions = [2]
+            system.servers["b-s0"].service_s = 0.05
+            system.servers["a-s0"].faults.extend([MemoryFault.NONE, MemoryFault.SHED])
+            system.servers["b-s0"].faults.extend([MemoryFault.NONE, MemoryFault.SHED])
+            answer, _ = await system.ask(1, {})
+            return answer, system.runs() - before
+
+        (answer, runs), crashes = run_recorded(run)
+        self.assertEqual([], crashes)
+        self.assertEqual([], answer.covered)
+        self.assertGreater(runs, 0)
+        self.assertFalse(answer.not_run)
+
+    def test_lost_server_of_a_service_that_the_new_epoch_drops(self):
+        """A lost sub-request is not sent again to a service without shards."""
+        servers = {
+            "a-s0": ("a", [1], [1], []),
+            "a-s1": ("a", [1], [1], []),
+            "b-s0": ("b", [1], [1], []),
+        }
+        case = make_case(make_maps(["a", "b"], ["a"]), servers, [{}, {}])
+
+        async def run():
+            system = System(case, 2000)
+            await system.start()
+            await system.ask(0, {})
+            first, second = system.servers["a-s0"], system.servers["a-s1"]
+            # Whichever server of "a" is asked first fails late; the other one has
+            # moved to the second epoch.
+            for server in (first, second):
+                server.service_s = 0.05
+                server.faults.append(MemoryFault.ERROR)
+            second.held = system.held("a", [2])
+            system.servers["b-s0"].faults.append(MemoryFault.LOST)
+            return await system.ask(1, {})
+
+        (answer, _), crashes = run_recorded(run)
+        self.assertEqual([], crashes)
+        self.assertEqual(2, answer.epoch)
+        self.assertEqual(ResultCode.OK, answer.code)
+        expected = evaluate_merged(DATA, {}, 1)
+        self.assertEqual(expected, answer.result)
