Recover from version changes and match responses of revisions

Change: the coordinator asks the owners before it refuses; the owner refuses such work at once; a 200 must repeat the request or execution id in its body, and another response in X-Request-Id where the server sends that header, as the stand-in now does. Ruled out: trusting TCP order alone, since a server or a middlebox may repeat a reply.

--- a/almondtide/adapters/upstream.py
+++ b/almondtide/adapters/upstream.py
@@ -87,12 +87,19 @@
         }
         response = await self._client.request("POST", "/v1/search", headers, body)
         reply = _reply(response)
-        if reply.code == ResultCode.OK:
-            self._check_identity(reply.body, request_id)
+        self._check_identity(response, reply, "request_id", request_id)
         return reply
 
-    def _check_identity(self, body, request_id):
-        if not isinstance(body, dict) or body.get("request_id") != request_id:
+    def _check_identity(self, response, reply, field, wanted):
+        """Raise ``UpstreamError`` for the response to another request.
+
+        A full answer repeats the id in its body, a refusal in the header
+        X-Request-Id where the server sends it.
+        """
+        stated = response.headers.get("x-request-id", wanted)
+        if reply.code == ResultCode.OK:
+            stated = reply.body.get(field) if isinstance(reply.body, dict) else None
+        if stated != wanted:
             self._client.usable = False
             raise UpstreamError(
                 "the response belongs to another request", ResultCode.BAD_RESPONSE
@@ -109,7 +116,9 @@
         response = await self._client.request(
             "POST", "/v1/revise", headers, body, before_write
         )
-        return _reply(response)
+        reply = _reply(response)
+        self._check_identity(response, reply, "execution_id", sub.execution_id)
+        return reply
 
     async def cancel(self, request_id):
         """Ask the server to stop the exchange with ``request_id``."""
--- a/almondtide/coordinator.py
+++ b/almondtide/coordinator.py
@@ -206,7 +206,7 @@
         try:
             await self._learn_snapshots(run)
             self._refuse_overload(run)
-            run.plan = self._catalog.choose(run.workload)
+            run.plan = await self._choose(run.workload)
             await self._send_all(run)
             await self._collect(run)
             return self._answer(run)
@@ -258,10 +258,24 @@
     async def _learn_snapshots(self, run):
         """Ask the owners of services that have made no statement so far."""
         unknown = self._catalog.unknown(run.workload.services())
-        if not unknown:
-            return
+        if unknown:
+            await self._ask_owners(unknown)
+
+    async def _choose(self, workload):
+        """Return the plan; raises ``RefusedError`` without a common snapshot.
+
+        Statements come with answers, so they would never change while every
+        query is refused; the owners are asked before that.
+        """
+        try:
+            return self._catalog.choose(workload)
+        except RefusedError:
+            await self._ask_owners(workload.services())
+            return self._catalog.choose(workload)
+
+    async def _ask_owners(self, services):
         asked = {}
-        for service in unknown:
+        for service in services:
             ranked = self._membership.view().ranked(service)
             asked.setdefault(ranked[0] if ranked else self._instance, []).append(
                 service
--- a/almondtide/owner.py
+++ b/almondtide/owner.py
@@ -278,6 +278,9 @@
             return self._failure(item, ResultCode.DEADLINE_EXCEEDED)
         if not any(server.reachable for server in self.servers.values()):
             return self._failure(item, ResultCode.NO_SERVER)
+        if item.sub.idempotent and not self._may_serve(item.sub):
+            # It would wait until its deadline; the coordinator plans again.
+            return self._failure(item, ResultCode.SNAPSHOT_UNAVAILABLE)
         estimate = self.estimate(item.workload)
         retry_after_ms = admit(estimate, remaining_s)
         if retry_after_ms is None and len(self._queue) >= self._setting("queue_limit"):
@@ -287,6 +290,10 @@
         self._metrics.refused.inc({"service": self.service})
         return self._failure(item, ResultCode.OVERLOADED, retry_after_ms)
 
+    def _may_serve(self, sub):
+        live = [self.servers[name] for name in self._live_servers()]
+        return not live or any(srv.serves(sub.version, sub.epoch) for srv in live)
+
     def _failure(self, item, code, retry_after_ms=None):
         not_run = item.ran == 0
         if not_run and retry_after_ms is None:
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -124,6 +124,9 @@
         else:
             response = self._status()
         response.headers.update(self._state_headers())
+        for name in ("x-request-id", "x-execution-id"):
+            if name in request.headers:
+                response.headers["x-request-id"] = request.headers[name]
         return response
 
     def _state_headers(self):
