--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -216,6 +216,9 @@
         except (ValueError, KeyError, TypeError) as exc:
             response = _refusal(400, "bad_request", True, message=str(exc))
         response.headers.update(_state_headers(status or self._truth()))
+        for name in ("x-request-id", "x-execution-id"):
+            if name in request.headers:
+                response.headers["x-request-id"] = request.headers[name]
         return response
 
     # State and status
