Fix the entries call of the naive daemon; report missing codes and machine load

Cause: the entries report of the caller API became async, so GET /v1/entries of the naive daemon failed and the load went to the two daemons it knew at first (232 requests of a trial to 2 of 18 entries), where no fault touched it.

Change: the naive report is async; the load tool stops when no daemon answers the call instead of going on with two entries. Summaries count the result codes of missing shards, phases report the cores in use on the whole machine.

--- a/baseline/daemon.py
+++ b/baseline/daemon.py
@@ -160,7 +160,7 @@
 
     # Reports
 
-    def _entries_report(self):
+    async def _entries_report(self):
         cfg = self.configuration()
         entries = []
         for member in self._membership.view().live_entries():
--- a/bench/environment.py
+++ b/bench/environment.py
@@ -173,9 +173,11 @@
         load.wait_until(0.0)
         before = self.upstream_counts()
         cpu_before = self.cpu_seconds()
+        busy_before = _machine_busy_s()
         started = time.monotonic()
         load.wait_until(load.spec.seconds)
         cpu_after = self.cpu_seconds()
+        busy_s = _machine_busy_s() - busy_before
         elapsed = time.monotonic() - started
         report = load.result()
         after = self.upstream_counts()
@@ -183,6 +185,7 @@
             part: round((cpu_after[part] - cpu_before[part]) / elapsed, 2)
             for part in cpu_after
         }
+        cores["machine"] = round(busy_s / elapsed, 2)
         ran = after["ran"] - before["ran"]
         shed = after["shed"] - before["shed"]
         return Phase(report, load.spec.seconds, ran, shed, cores)
@@ -218,3 +221,9 @@
     def domain_members(self, domain):
         """Return the daemons and the servers of a failure domain."""
         return [item["id"] for item in self.fleet.listed if item["domain"] == domain]
+
+
+def _machine_busy_s():
+    """Return the CPU time of all processes of the machine, in core seconds."""
+    times = psutil.cpu_times()
+    return sum(times) - times.idle - times.iowait - times.guest - times.guest_nice
--- a/bench/load.py
+++ b/bench/load.py
@@ -140,7 +140,7 @@
         self._avoided[address] = time.monotonic() + AVOID_S
 
     async def refresh(self):
-        """Ask one entry for the list of entries."""
+        """Ask one entry for the list of entries; returns whether it answered."""
         address = self.pick()
         client = None
         try:
@@ -148,13 +148,15 @@
                 client = await HTTPClient.open(address)
                 response = await client.request("GET", "/v1/entries")
             if response.status != 200:
-                return
+                return False
             value = response.json()
             stated = [parse_address(item["address"]) for item in value["entries"]]
             self.addresses = stated or self.addresses
             self.max_age_s = max(REFRESH_MIN_S, value["max_age_ms"] / 1000.0)
+            return True
         except (OSError, UpstreamError, curio.TaskTimeout):
             self.avoid(address)
+            return False
         finally:
             if client is not None:
                 await client.close()
@@ -174,8 +176,8 @@
 
     async def run(self, start_at):
         """Send all requests; ``start_at`` is the start in Unix time."""
-        refresher = await curio.spawn(self._refresh_loop, daemon=True)
         await self._warm_up()
+        refresher = await curio.spawn(self._refresh_loop, daemon=True)
         begin = time.monotonic() + start_at - time.time()
         cpu_before = time.process_time()
         bodies = self.spec.bodies(self.number)
@@ -193,12 +195,17 @@
 
     async def _refresh_loop(self):
         while True:
-            await self.entries.refresh()
             await curio.sleep(self.entries.max_age_s)
+            await self.entries.refresh()
 
     async def _warm_up(self):
-        """Open one connection to each entry before the first request."""
-        await self.entries.refresh()
+        """Open one connection to each entry before the first request.
+
+        Without the list the load would silently go to the few entries that are
+        known at first.
+        """
+        if not await self.entries.refresh() and not await self.entries.refresh():
+            raise RuntimeError("no daemon answers GET /v1/entries")
         for address in self.entries.addresses:
             try:
                 client = await HTTPClient.open(address, CONNECT_TIMEOUT_S)
@@ -274,7 +281,7 @@
     coverage = body.get("coverage")
     if coverage is not None:
         record.covered = len(coverage["covered"])
-        record.missing = len(coverage["missing"])
+        record.missing = [item["code"] for item in coverage["missing"]]
     record.sends = body.get("sends", 0)
 
 
--- a/bench/records.py
+++ b/bench/records.py
@@ -36,6 +36,7 @@
     holds up later requests is part of the latency. ``lateness_s`` is the part
     that the load tool itself caused: from the intended start to the moment at
     which the request was handed to its task. ``status`` is 0 without a response.
+    ``missing`` lists the result code of each missing shard.
     """
 
     __slots__ = (
@@ -61,7 +62,7 @@
         code=0,
         not_run=False,
         covered=0,
-        missing=0,
+        missing=(),
         sends=0,
         retry_after_ms=None,
         entry="",
@@ -73,7 +74,7 @@
         self.code = code
         self.not_run = not_run
         self.covered = covered
-        self.missing = missing
+        self.missing = list(missing)
         self.sends = sends
         self.retry_after_ms = retry_after_ms
         self.entry = entry
@@ -239,6 +240,15 @@
             counts[name] = counts.get(name, 0) + 1
         return dict(sorted(counts.items()))
 
+    def missing_codes(self):
+        """Return a dict from result code name to missing shards of answers."""
+        counts = {}
+        for record in self.records:
+            for code in record.missing:
+                name = _code_name(code)
+                counts[name] = counts.get(name, 0) + 1
+        return dict(sorted(counts.items()))
+
     def refusals_well_formed(self):
         """Return the share of refusals with "not run" and a time to come back."""
         refused = [record for record in self.records if record.refused]
@@ -261,6 +271,7 @@
             "coverage": _rounded(self.coverage, 5),
             "extra_sends": _rounded(self.extra_sends, 4),
             "codes": self.codes(),
+            "missing_codes": self.missing_codes(),
             "load_lateness_p99_ms": lateness["p99"],
         }
 
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -37,6 +37,7 @@
     "sheds",
     "daemon cores",
     "upstream cores",
+    "machine cores",
     "load tool late p99 ms",
 ]
 
@@ -55,6 +56,7 @@
         phase.shed,
         phase.cores["daemons"],
         phase.cores["upstreams"],
+        phase.cores["machine"],
         lateness,
     ]
 
