--- a/baseline/coordinator.py
+++ b/baseline/coordinator.py
@@ -351,7 +351,7 @@
         conn = await self._upstreams.connect(server.address, remaining_s)
         try:
             async with curio.timeout_after(remaining_s):
-                reply = await conn.revise(remaining_s, sub, None)
+                reply = await conn.revise(remaining_s, sub, lambda: None)
         except curio.TaskTimeout as exc:
             raise UpstreamError("no response", ResultCode.UPSTREAM_TIMEOUT) from exc
         finally:
--- /dev/null
+++ b/tests/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the load tool and of its accounting."""
--- /dev/null
+++ b/tests/bench/test_load.py
@@ -0,0 +1,93 @@
+"""Tests of the open-loop load."""
+
+import time
+
+import curio
+import testtools
+
+from almondtide.adapters.http import json_response, serve_http
+from almondtide.adapters.listener import Listener
+from almondtide.logs import Log
+from bench.load import LoadProcess, LoadSpec
+from bench.records import CODE_CONNECTION
+
+STALL_S = 0.4
+
+
+class _Daemon:
+    """Answers queries, but none in the first ``STALL_S`` of the load."""
+
+    def __init__(self):
+        self.listener = Listener(("127.0.0.1", 0), self._serve)
+        self.stalled_until = 0.0
+        self.stated = []
+
+    @property
+    def address(self):
+        return f"127.0.0.1:{self.listener.address[1]}"
+
+    async def _serve(self, sock, address):
+        await serve_http(sock, self._handle, log=Log())
+
+    async def _handle(self, request):
+        if request.path == "/v1/entries":
+            entries = [{"address": address} for address in self.stated]
+            return json_response(200, {"entries": entries, "max_age_ms": 1000})
+        await curio.sleep(max(0.0, self.stalled_until - time.monotonic()))
+        coverage = {"covered": ["a", "b"], "missing": []}
+        body = {"code": 0, "not_run": False, "retry_after_ms": None, "sends": 2}
+        return json_response(200, {**body, "coverage": coverage})
+
+
+class LoadTest(testtools.TestCase):
+    """Guards the load against figures that look better than the service."""
+
+    def run_load(self, stated=None, **options):
+        async def main():
+            daemon = _Daemon()
+            await daemon.listener.start()
+            daemon.stated = stated or [daemon.address]
+            daemon.stalled_until = time.monotonic() + 0.2 + STALL_S
+            spec = LoadSpec(
+                [daemon.address], "advisory", 100, 0.8, processes=1, **options
+            )
+            process = LoadProcess(spec, 0)
+            report = await process.run(time.time() + 0.2)
+            await daemon.listener.close()
+            return spec, report
+
+        return curio.run(main)
+
+    def test_stall_shows_in_all_requests_that_it_held_up(self):
+        """A load that waits for answers would send one request in the stall."""
+        spec, report = self.run_load()
+        self.assertEqual(len(spec.arrivals(0)), len(report.records))
+        held_up = [r for r in report.records if r.start_s < STALL_S]
+        self.assertGreater(len(held_up), 20)
+        for record in held_up:
+            self.assertGreater(record.latency_s, STALL_S - record.start_s - 0.1)
+        self.assertEqual(0, report.unfinished)
+        self.assertEqual((2, 2), (held_up[0].covered, held_up[0].sends))
+
+    def test_lost_connections_are_recorded(self):
+        _, report = self.run_load(stated=["127.0.0.1:1"])
+        self.assertEqual({CODE_CONNECTION}, {r.code for r in report.records})
+        self.assertEqual({0}, {r.status for r in report.records})
+
+
+class ArrivalsTest(testtools.TestCase):
+    """Guards against loads that differ between the sides of a comparison."""
+
+    def test_same_seed_gives_the_same_load(self):
+        first = LoadSpec([], "advisory", 50, 20, seed=3)
+        again = LoadSpec.from_json(first.to_json())
+        self.assertEqual(first.arrivals(1), again.arrivals(1))
+        queries = [first.bodies(1), again.bodies(1)]
+        for _ in range(20):
+            self.assertEqual(*[next(bodies) for bodies in queries])
+
+    def test_rate_is_met_over_all_processes(self):
+        spec = LoadSpec([], "advisory", 50, 100, processes=2)
+        count = sum(len(spec.arrivals(number)) for number in range(2))
+        self.assertAlmostEqual(5000, count, delta=250)
+        self.assertNotEqual(spec.arrivals(0)[0], spec.arrivals(1)[0])
