Mark phases on a saturated machine; wait for a quiet one on request

Cause: a trial of the overload scenario ran while other work took the machine to 11.8 of 12 cores; product and baseline both fell to a tenth of their goodput, which says nothing about either.

A change of the configuration is awaited at all daemons before the next phase. Load processes do not print curio's line for each late timeout.

Conclusion: figures are to be read only from runs without that note.

--- a/bench/cost.py
+++ b/bench/cost.py
@@ -23,6 +23,7 @@
         bench.warm_up(rate)
         idle_us = _idle_cost_us(bench, seconds / 2)
         phase = bench.measure(rate, seconds)
+    result.note_machine(phase.cores["machine"])
     subs_per_s = len(phase.report.records) * SERVICES / seconds
     busy_us = phase.cores["daemons"] * 1e6
     total_us = busy_us / subs_per_s
--- a/bench/environment.py
+++ b/bench/environment.py
@@ -11,7 +11,15 @@
 from .load import Load, LoadSpec
 from .records import Summary
 
-__all__ = ["SIDES", "BenchFleet", "Options", "Phase", "Shape"]
+__all__ = [
+    "SIDES",
+    "BenchFleet",
+    "MachineLoad",
+    "Options",
+    "Phase",
+    "Shape",
+    "is_saturated",
+]
 
 SIDES = {"product": "almondtide.daemon", "baseline": "baseline.daemon"}
 
@@ -23,6 +31,11 @@
 # Small data sets keep the stand-ins' own work far below their service time.
 DATA_SIZE = 100
 WARM_UP_S = 3.0
+CONFIGURATION_TIMEOUT_S = 10.0
+# Shares of the machine's cores: below the first a phase may start, above the
+# second the processes wait for cores and the figures say little.
+QUIET_SHARE = 0.35
+SATURATED_SHARE = 0.8
 WORKLOAD = "advisory"
 
 
@@ -102,12 +115,16 @@
     """What the caller of the benchmark chose for all scenarios.
 
     ``logs`` is a directory that keeps the log files of all processes, or None.
+    ``quiet_wait_s`` is how long a phase waits at most until the machine is quiet.
     """
 
-    __slots__ = ("logs", "seconds", "service_time_s", "sides")
+    __slots__ = ("logs", "quiet_wait_s", "seconds", "service_time_s", "sides")
 
-    def __init__(self, seconds=10.0, service_time_s=0.06, sides=(), logs=None):
+    def __init__(
+        self, seconds=10.0, service_time_s=0.06, sides=(), logs=None, quiet_wait_s=0.0
+    ):
         self.seconds = seconds
+        self.quiet_wait_s = quiet_wait_s
         self.service_time_s = service_time_s
         self.sides = list(sides) or list(SIDES)
         self.logs = logs
@@ -126,7 +143,7 @@
 
     def fleet(self, shape, side):
         """Return a ``BenchFleet``, not started."""
-        return BenchFleet(shape, side, self.logs)
+        return BenchFleet(shape, side, self.logs, self.quiet_wait_s)
 
 
 class Phase:
@@ -164,12 +181,13 @@
 class BenchFleet:
     """A fleet of one side with 18 daemons and 30 servers; a context manager."""
 
-    def __init__(self, shape, side, logs=None):
+    def __init__(self, shape, side, logs=None, quiet_wait_s=0.0):
         self.shape = shape
         self.side = side
         self._keep = logs is not None
         self._directory = tempfile.mkdtemp(prefix=f"{side}-", dir=logs)
         self.fleet = Fleet(shape.fleet_spec(side), self._directory)
+        self._quiet_wait_s = quiet_wait_s
         self._seed = 0
 
     def __enter__(self):
@@ -188,6 +206,15 @@
         if not self._keep:
             shutil.rmtree(self._directory, ignore_errors=True)
 
+    def wait_quiet(self):
+        """Wait until other work leaves most cores free, or the limit has passed."""
+        limit = time.monotonic() + self._quiet_wait_s
+        while time.monotonic() < limit:
+            machine = MachineLoad()
+            time.sleep(1.0)
+            if machine.cores() <= QUIET_SHARE * psutil.cpu_count():
+                return
+
     def start_load(self, rate, seconds, workload=WORKLOAD, **options):
         """Start a ``Load`` that knows two of the daemons at first."""
         self._seed += 1
@@ -203,6 +230,7 @@
 
     def measure(self, rate, seconds, **options):
         """Run one load and return its ``Phase``."""
+        self.wait_quiet()
         return self.finish(self.start_load(rate, seconds, **options))
 
     def finish(self, load):
@@ -226,6 +254,23 @@
         shed = after["shed"] - before["shed"]
         return Phase(report, load.spec.seconds, ran, shed, cores)
 
+    def publish_defaults(self, defaults):
+        """Publish other defaults; returns after how many s all daemons use them.
+
+        Raises TimeoutError when a daemon does not within 10 s.
+        """
+        revision = self.fleet.publish_defaults(defaults)
+        started = time.monotonic()
+        for name in self.fleet.daemons:
+            while self._revision(name) != revision:
+                if time.monotonic() - started > CONFIGURATION_TIMEOUT_S:
+                    raise TimeoutError(f"{name} does not use revision {revision}")
+                time.sleep(0.05)
+        return time.monotonic() - started
+
+    def _revision(self, name):
+        return self.fleet.admin(name, "status")["configuration_revision"]
+
     def upstream_counts(self):
         """Return the counters of all servers that run, summed."""
         totals = {"ran": 0, "shed": 0, "cancelled": 0}
@@ -277,6 +322,11 @@
         return round((_busy_s() - self._busy_s) / self.elapsed_s(), 2)
 
 
+def is_saturated(cores):
+    """Return whether so many cores in use make the figures of a phase doubtful."""
+    return cores > SATURATED_SHARE * psutil.cpu_count()
+
+
 def _busy_s():
     """Return the CPU time of all processes of the machine, in core seconds."""
     times = psutil.cpu_times()
--- a/bench/load.py
+++ b/bench/load.py
@@ -2,6 +2,7 @@
 
 import itertools
 import json
+import logging
 import os
 import random
 import subprocess
@@ -367,6 +368,9 @@
     :param output: file for the records
     """
     if spec is not None:
+        # A timeout that fires late is part of the figures; curio's log line for
+        # each of them would add to the load.
+        logging.getLogger("curio").setLevel(logging.ERROR)
         process = LoadProcess(LoadSpec.from_json(spec), number)
         write_report(output, curio.run(process.run, start_at))
         return
--- a/bench/results.py
+++ b/bench/results.py
@@ -5,6 +5,8 @@
 import os
 import pathlib
 
+from .environment import is_saturated
+
 __all__ = ["Aim", "Result", "save"]
 
 DIRECTORY = pathlib.Path(__file__).parent / "results"
@@ -28,9 +30,22 @@
 
 
 class Result:
-    """What a scenario measured: ``columns`` and ``rows`` of text, and raw data."""
-
-    __slots__ = ("aims", "columns", "data", "name", "notes", "rows", "title")
+    """What a scenario measured: ``columns`` and ``rows`` of text, and raw data.
+
+    ``saturated`` holds the cores in use in phases in which other work on the
+    machine left too few cores to the fleet.
+    """
+
+    __slots__ = (
+        "aims",
+        "columns",
+        "data",
+        "name",
+        "notes",
+        "rows",
+        "saturated",
+        "title",
+    )
 
     def __init__(self, name, title, columns):
         self.name = name
@@ -40,11 +55,17 @@
         self.aims = []
         self.notes = []
         self.data = {}
+        self.saturated = []
 
     def add_row(self, *cells):
         """Add one row of the table."""
         self.rows.append([_cell(value) for value in cells])
 
+    def note_machine(self, cores):
+        """Note how many cores of the machine were in use during a phase."""
+        if is_saturated(cores):
+            self.saturated.append(cores)
+
     def add_aim(self, text, met, measured):
         """Add one aim."""
         self.aims.append(Aim(text, met, measured))
@@ -52,7 +73,13 @@
     def to_markdown(self, date):
         """Return the readable report."""
         lines = [f"# {self.title}", "", f"Run on {date}.", ""]
-        lines += [f"{note}" for note in self.notes]
+        lines += self.notes
+        if self.saturated:
+            lines.append(
+                f"Doubtful: in {len(self.saturated)} phases up to "
+                f"{max(self.saturated)} of {os.cpu_count()} cores were in use, so "
+                "processes waited for a core."
+            )
         lines += ["", "| " + " | ".join(self.columns) + " |"]
         lines += ["|" + " --- |" * len(self.columns)]
         lines += ["| " + " | ".join(row) + " |" for row in self.rows]
@@ -78,6 +105,7 @@
         "date": date,
         "options": options,
         "cores": os.cpu_count(),
+        "saturated_phases": result.saturated,
         "load_average": os.getloadavg(),
         "aims": [
             {"aim": aim.text, "met": aim.met, "measured": aim.measured}
--- a/bench/run.py
+++ b/bench/run.py
@@ -17,6 +17,7 @@
     service_time_ms: float = 60.0,
     side: list[str] | None = None,
     logs: str | None = None,
+    quiet_wait_s: float = 0.0,
 ):
     """Run scenarios, print their tables and write bench/results.
 
@@ -28,11 +29,12 @@
     :param seconds: length of each measured phase
     :param service_time_ms: mean service time of the stand-ins
     :param side: product or baseline; default: both
+    :param quiet_wait_s: longest wait of a phase until the machine is quiet
     :param logs: directory that keeps the log files of all processes
     """
     if logs is not None:
         os.makedirs(logs, exist_ok=True)
-    options = Options(seconds, service_time_ms / 1000.0, side or (), logs)
+    options = Options(seconds, service_time_ms / 1000.0, side or (), logs, quiet_wait_s)
     missed = []
     for name in scenario or scenarios.names():
         run = scenarios.get(name)
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -25,6 +25,7 @@
 FAULT_DEADLINE_MS = 1000
 FAULT_LOAD = 0.5
 PAUSE_S = 10.0
+UNDER_WAY_S = 0.2
 # Longer than the recovery that is asked for, so that it can be seen.
 MIN_FAULT_S = 8.0
 CRASH_SENDS = 20
@@ -96,6 +97,7 @@
             for share in (0.6, 0.8):
                 phase = bench.measure(shape.capacity * share, options.seconds)
                 phases[side, share] = phase
+                result.note_machine(phase.cores["machine"])
                 result.add_row(side, f"{share:.0%}", *_phase_cells(phase))
                 result.data[f"{side} {share:.0%}"] = phase.to_dict()
     if len(options.sides) < 2:
@@ -144,6 +146,7 @@
             bench.warm_up(shape.capacity * 0.5)
             for share in (0.7, 0.85, 1.0, 1.2, 2.0):
                 phase = bench.measure(shape.capacity * share, options.seconds)
+                result.note_machine(phase.cores["machine"])
                 refused = phase.summary.refused_ms()
                 count = sum(record.refused for record in phase.summary.records)
                 goodputs[side, share] = phase.summary.goodput
@@ -203,14 +206,18 @@
     for side in options.sides:
         with options.fleet(shape, side) as bench:
             bench.warm_up(shape.capacity * 0.5)
+            bench.wait_quiet()
+            machine = MachineLoad()
             loads = {
                 WORKLOAD: bench.start_load(shape.capacity * 2.0, options.seconds),
                 "field": bench.start_load(
                     shape.capacity * 0.4, options.seconds, workload="field", processes=1
                 ),
             }
-            for name, load in loads.items():
-                summary = Summary(load.result().records, options.seconds, SERVICES)
+            reports = {name: load.result() for name, load in loads.items()}
+            result.note_machine(machine.cores())
+            for name, report in reports.items():
+                summary = Summary(report.records, options.seconds, SERVICES)
                 kept[side, name] = summary.full / len(summary.records)
                 figures = summary.to_dict()
                 result.data[f"{side} {name}"] = figures
@@ -339,6 +346,7 @@
     during_s = fault.duration_s or max(seconds, MIN_FAULT_S)
     heal_at = before_s + during_s
     total_s = heal_at + seconds
+    bench.wait_quiet()
     load = bench.start_load(bench.shape.capacity * FAULT_LOAD, total_s)
     load.wait_until(0.0)
     machine = [MachineLoad()]
@@ -356,11 +364,13 @@
     report = load.result()
     slow_s = bench.shape.deadline_ms / 2000.0
     recovery = recovery_s(report.records, fault_at, heal_at, slow_s)
-    times = [0.0, fault_at, heal_at, total_s]
+    # Requests that were under way when the fault began count to it.
+    times = [0.0, fault_at - UNDER_WAY_S, heal_at, total_s]
     for index, name in enumerate(("before", "during", "after")):
         begin, end = times[index : index + 2]
         records = report.between(begin, end)
         figures = Summary(records, end - begin, SERVICES).to_dict()
+        result.note_machine(cores[index])
         result.data[f"{bench.side} {name}"] = figures
         result.add_row(
             bench.side,
@@ -470,11 +480,14 @@
 def _run_crash(result, bench, crash, seconds):
     body = {"match": {"district": "Nadi"}, "crash": crash}
     total_s = max(seconds, 10.0)
+    bench.wait_quiet()
+    machine = MachineLoad()
     with Restarter(bench.fleet) as restarter:
         load = bench.start_load(bench.shape.capacity * 0.4, total_s)
         load.wait_until(1.0)
         codes = _send_crashing(bench, body, load.began + total_s)
         report = load.result()
+        result.note_machine(machine.cores())
         time.sleep(RESTART_DELAY_S + 1.0)
     records = report.records
     innocent = sum(record.code == 203 for record in records)
@@ -559,12 +572,13 @@
         rate = shape.capacity * 0.6
         bench.warm_up(rate)
         for name, defaults in POLICIES.items():
-            bench.fleet.publish_defaults(defaults)
-            bench.warm_up(rate, 2.0)
+            in_force_s = bench.publish_defaults(defaults)
+            bench.warm_up(rate)
             phase = bench.measure(rate, options.seconds, seed=100)
             tails[name] = phase.summary.answered_ms()["p99"]
+            result.note_machine(phase.cores["machine"])
             result.add_row(name, *_phase_cells(phase))
-            result.data[name] = phase.to_dict()
+            result.data[name] = {**phase.to_dict(), "in_force_s": in_force_s}
     ratio = _ratio(tails["all on"], tails["hedging off"])
     result.add_aim(
         "hedging lowers the p99", ratio < 1.0, f"p99 with/without: {ratio:.3f}"
