--- a/bench/environment.py
+++ b/bench/environment.py
@@ -1,5 +1,6 @@
 """Fleets under measurement: sizes, phases of load, costs."""
 
+import shutil
 import tempfile
 import time
 
@@ -10,7 +11,15 @@
 from .load import Load, LoadSpec
 from .records import Summary
 
-__all__ = ["SIDES", "BenchFleet", "Phase", "Shape"]
+__all__ = [
+    "SIDES",
+    "BenchFleet",
+    "MachineLoad",
+    "Options",
+    "Phase",
+    "Shape",
+    "is_saturated",
+]
 
 SIDES = {"product": "almondtide.daemon", "baseline": "baseline.daemon"}
 
@@ -22,6 +31,11 @@
 # Small data sets keep the stand-ins' own work far below their service time.
 DATA_SIZE = 100
 WARM_UP_S = 3.0
+CONFIGURATION_TIMEOUT_S = 10.0
+# Shares of the machine's cores: below the first a phase may start, above the
+# second the processes wait for cores and the figures say little.
+QUIET_SHARE = 0.35
+SATURATED_SHARE = 0.8
 WORKLOAD = "advisory"
 
 
@@ -97,6 +111,41 @@
         )
 
 
+class Options:
+    """What the caller of the benchmark chose for all scenarios.
+
+    ``logs`` is a directory that keeps the log files of all processes, or None.
+    ``quiet_wait_s`` is how long a phase waits at most until the machine is quiet.
+    """
+
+    __slots__ = ("logs", "quiet_wait_s", "seconds", "service_time_s", "sides")
+
+    def __init__(
+        self, seconds=10.0, service_time_s=0.06, sides=(), logs=None, quiet_wait_s=0.0
+    ):
+        self.seconds = seconds
+        self.quiet_wait_s = quiet_wait_s
+        self.service_time_s = service_time_s
+        self.sides = list(sides) or list(SIDES)
+        self.logs = logs
+
+    def shape(self, deadline_ms=390, **values):
+        """Return a ``Shape`` with the chosen service time."""
+        return Shape(deadline_ms, service_time_s=self.service_time_s, **values)
+
+    def to_dict(self):
+        """Return what the figures depend on."""
+        return {
+            "seconds": self.seconds,
+            "service_time_s": self.service_time_s,
+            "sides": self.sides,
+        }
+
+    def fleet(self, shape, side):
+        """Return a ``BenchFleet``, not started."""
+        return BenchFleet(shape, side, self.logs, self.quiet_wait_s)
+
+
 class Phase:
     """Records and costs of one load on one fleet."""
 
@@ -132,24 +181,39 @@
 class BenchFleet:
     """A fleet of one side with 18 daemons and 30 servers; a context manager."""
 
-    def __init__(self, shape, side):
+    def __init__(self, shape, side, logs=None, quiet_wait_s=0.0):
         self.shape = shape
         self.side = side
-        self._directory = tempfile.TemporaryDirectory()
-        self.fleet = Fleet(shape.fleet_spec(side), self._directory.name)
+        self._keep = logs is not None
+        self._directory = tempfile.mkdtemp(prefix=f"{side}-", dir=logs)
+        self.fleet = Fleet(shape.fleet_spec(side), self._directory)
+        self._quiet_wait_s = quiet_wait_s
         self._seed = 0
 
     def __enter__(self):
         try:
             self.fleet.__enter__()
         except BaseException:
-            self._directory.cleanup()
+            self._clean_up()
             raise
         return self
 
     def __exit__(self, *details):
         self.fleet.__exit__(*details)
-        self._directory.cleanup()
+        self._clean_up()
+
+    def _clean_up(self):
+        if not self._keep:
+            shutil.rmtree(self._directory, ignore_errors=True)
+
+    def wait_quiet(self):
+        """Wait until other work leaves most cores free, or the limit has passed."""
+        limit = time.monotonic() + self._quiet_wait_s
+        while time.monotonic() < limit:
+            machine = MachineLoad()
+            time.sleep(1.0)
+            if machine.cores() <= QUIET_SHARE * psutil.cpu_count():
+                return
 
     def start_load(self, rate, seconds, workload=WORKLOAD, **options):
         """Start a ``Load`` that knows two of the daemons at first."""
@@ -166,6 +230,7 @@
 
     def measure(self, rate, seconds, **options):
         """Run one load and return its ``Phase``."""
+        self.wait_quiet()
         return self.finish(self.start_load(rate, seconds, **options))
 
     def finish(self, load):
@@ -173,20 +238,39 @@
         load.wait_until(0.0)
         before = self.upstream_counts()
         cpu_before = self.cpu_seconds()
-        started = time.monotonic()
+        machine = MachineLoad()
         load.wait_until(load.spec.seconds)
         cpu_after = self.cpu_seconds()
-        elapsed = time.monotonic() - started
+        elapsed = machine.elapsed_s()
+        machine_cores = machine.cores()
         report = load.result()
         after = self.upstream_counts()
         cores = {
             part: round((cpu_after[part] - cpu_before[part]) / elapsed, 2)
             for part in cpu_after
         }
+        cores["machine"] = machine_cores
         ran = after["ran"] - before["ran"]
         shed = after["shed"] - before["shed"]
         return Phase(report, load.spec.seconds, ran, shed, cores)
 
+    def publish_defaults(self, defaults):
+        """Publish other defaults; returns after how many s all daemons use them.
+
+        Raises TimeoutError when a daemon does not within 10 s.
+        """
+        revision = self.fleet.publish_defaults(defaults)
+        started = time.monotonic()
+        for name in self.fleet.daemons:
+            while self._revision(name) != revision:
+                if time.monotonic() - started > CONFIGURATION_TIMEOUT_S:
+                    raise TimeoutError(f"{name} does not use revision {revision}")
+                time.sleep(0.05)
+        return time.monotonic() - started
+
+    def _revision(self, name):
+        return self.fleet.admin(name, "status")["configuration_revision"]
+
     def upstream_counts(self):
         """Return the counters of all servers that run, summed."""
         totals = {"ran": 0, "shed": 0, "cancelled": 0}
@@ -218,3 +302,32 @@
     def domain_members(self, domain):
         """Return the daemons and the servers of a failure domain."""
         return [item["id"] for item in self.fleet.listed if item["domain"] == domain]
+
+
+class MachineLoad:
+    """Cores in use on the whole machine since the object was made."""
+
+    __slots__ = ("_busy_s", "_started")
+
+    def __init__(self):
+        self._started = time.monotonic()
+        self._busy_s = _busy_s()
+
+    def elapsed_s(self):
+        """Return the seconds since the start."""
+        return time.monotonic() - self._started
+
+    def cores(self):
+        """Return the mean number of cores in use."""
+        return round((_busy_s() - self._busy_s) / self.elapsed_s(), 2)
+
+
+def is_saturated(cores):
+    """Return whether so many cores in use make the figures of a phase doubtful."""
+    return cores > SATURATED_SHARE * psutil.cpu_count()
+
+
+def _busy_s():
+    """Return the CPU time of all processes of the machine, in core seconds."""
+    times = psutil.cpu_times()
+    return sum(times) - times.idle - times.iowait - times.guest - times.guest_nice
