--- a/almondtide/adapters/admin.py
+++ b/almondtide/adapters/admin.py
@@ -1,6 +1,7 @@
 """HTTP API for operators, with a bearer token."""
 
 import hmac
+import inspect
 from urllib.parse import parse_qs
 
 from ..errors import BadRequestError, ResultCode
@@ -15,8 +16,8 @@
 class AdminAPI:
     """Serves reports of the daemon and accepts the drain command.
 
-    ``reports`` maps a path below ``/admin/v1/`` to a function that returns JSON
-    data.
+    ``reports`` maps a path below ``/admin/v1/`` to a function, plain or async,
+    that returns JSON data.
     """
 
     __slots__ = ("_drain", "_events", "_instance", "_metrics", "_reports", "_token")
@@ -50,13 +51,18 @@
         if name == "events":
             return json_response(200, self._event_report(request))
         if name in self._reports:
-            return json_response(200, self._reports[name]())
+            report = self._reports[name]()
+            if inspect.isawaitable(report):
+                report = await report
+            return json_response(200, report)
         raise BadRequestError(f"no resource {request.path}", ResultCode.NOT_FOUND)
 
     def _authorize(self, request):
         given = request.headers.get("authorization", "")
         expected = f"Bearer {self._token}"
-        if not hmac.compare_digest(given.encode(), expected.encode()):
+        if not hmac.compare_digest(
+            given.encode("latin-1", "replace"), expected.encode()
+        ):
             raise BadRequestError("missing or wrong token", ResultCode.UNAUTHORIZED)
 
     def _event_report(self, request):
@@ -64,12 +70,17 @@
         try:
             after = values.get("after", ["0,0"])[0].split(",")
             timestamp = (int(after[0]), int(after[1]))
-            limit = min(MAX_EVENTS, int(values.get("limit", ["1000"])[0]))
+            limit = int(values.get("limit", ["1000"])[0])
+            if not 1 <= limit <= MAX_EVENTS or min(timestamp) < 0:
+                raise ValueError
         except (ValueError, IndexError):
-            raise BadRequestError("invalid after or limit") from None
+            raise BadRequestError(
+                f"after must be milliseconds,counter and limit 1 to {MAX_EVENTS}"
+            ) from None
         events = self._events.since(timestamp, limit)
         return {
             "instance": self._instance,
             "dropped": self._events.dropped,
+            "dropped_requests": self._events.dropped_requests,
             "events": [event.to_dict(self._instance) for event in events],
         }
--- a/almondtide/adapters/caller.py
+++ b/almondtide/adapters/caller.py
@@ -1,20 +1,29 @@
 """HTTP API for callers."""
 
 import itertools
+from urllib.parse import unquote
+
+import curio
 
 from ..coordinator import QueryRequest
 from ..errors import AlmondtideError, BadRequestError, ResultCode, http_status
 from ..executions import ReviseRequest
-from .http import json_response
+from .http import is_request_id, json_response
 
 __all__ = ["CallerAPI"]
 
-MAX_REQUEST_ID_LENGTH = 128
 MAX_DEADLINE_MS = 120_000
+MAX_LOGGED_PATH = 200
+MAX_NAME = 64
+UNKNOWN = "unknown"
 
 
 class CallerAPI:
-    """Routes requests of callers to the coordinator and the executions."""
+    """Routes requests of callers to the coordinator and the executions.
+
+    ``entries`` and ``health`` are functions that return reports; ``is_known``
+    tells whether a workload is in the configuration.
+    """
 
     __slots__ = (
         "_coordinator",
@@ -23,6 +32,7 @@
         "_health",
         "_ids",
         "_instance",
+        "_is_known",
         "_log",
         "_metrics",
         "clock",
@@ -30,13 +40,23 @@
     )
 
     def __init__(
-        self, instance, coordinator, executions, entries, health, clock, log, metrics
+        self,
+        instance,
+        coordinator,
+        executions,
+        entries,
+        health,
+        is_known,
+        clock,
+        log,
+        metrics,
     ):
         self._instance = instance
         self._coordinator = coordinator
         self._executions = executions
         self._entries = entries
         self._health = health
+        self._is_known = is_known
         self.clock = clock
         self._log = log
         self._metrics = metrics
@@ -48,11 +68,25 @@
         self.running += 1
         try:
             return await self._route(request)
+        except BadRequestError as exc:
+            self.count_malformed(exc.code)
+            self._log.warning(
+                "request_refused",
+                request_id=request.id,
+                code=int(exc.code),
+                path=request.path[:MAX_LOGGED_PATH],
+                reason=exc.message[:MAX_LOGGED_PATH],
+            )
+            raise
         finally:
             self.running -= 1
 
+    def count_malformed(self, code):
+        """Count a request that was refused as malformed."""
+        self._metrics.malformed.inc({"code": str(int(code))})
+
     async def _route(self, request):
-        parts = request.path.strip("/").split("/")
+        parts = request.path.removeprefix("/").split("/")
         if request.path == "/v1/entries":
             _require_method(request, "GET")
             return json_response(200, self._entries(), _result_headers(ResultCode.OK))
@@ -63,23 +97,23 @@
         if len(parts) == 4 and parts[:2] == ["v1", "workloads"]:
             if parts[3] == "query":
                 _require_method(request, "POST")
-                return await self._query(request, parts[2])
+                return await self._query(request, unquote(parts[2]))
             if parts[3] == "revise":
                 _require_method(request, "POST")
-                return await self._revise(request, parts[2])
+                return await self._revise(request, unquote(parts[2]))
         raise BadRequestError(f"no resource {request.path}", ResultCode.NOT_FOUND)
 
     def _request_id(self, request):
         given = request.headers.get("almondtide-request-id")
         if given is None:
             return f"{self._instance}-{next(self._ids)}"
-        if not given.isprintable() or not 0 < len(given) <= MAX_REQUEST_ID_LENGTH:
+        if not is_request_id(given):
             raise BadRequestError("invalid almondtide-request-id")
         return given
 
     async def _query(self, request, workload):
-        started = self.clock.monotonic()
         request_id = self._request_id(request)
+        ended = self._begin("query", request, request_id, workload)
         code = ResultCode.INTERNAL
         try:
             req = QueryRequest(
@@ -91,22 +125,18 @@
             return json_response(http_status(code), answer.to_dict(), headers)
         except AlmondtideError as exc:
             code = exc.code
-            request.headers["almondtide-request-id"] = request_id
+            raise
+        except curio.CancelledError:
+            code = ResultCode.CANCELLED
             raise
         finally:
-            elapsed = self.clock.monotonic() - started
-            self._metrics.queries.inc({"workload": workload, "code": str(int(code))})
-            self._metrics.query_seconds.observe({"workload": workload}, elapsed)
-            self._log.debug(
-                "query_ended",
-                request_id=request_id,
-                workload=workload,
-                code=int(code),
-                elapsed_ms=round(elapsed * 1000, 2),
-            )
+            label, elapsed = ended(code)
+            self._metrics.queries.inc({"workload": label, "code": str(int(code))})
+            self._metrics.query_seconds.observe({"workload": label}, elapsed)
 
     async def _revise(self, request, workload):
         request_id = self._request_id(request)
+        ended = self._begin("revise", request, request_id, workload)
         execution_id = request.headers.get("almondtide-execution-id")
         code = ResultCode.INTERNAL
         try:
@@ -124,10 +154,40 @@
             return json_response(http_status(code), body, headers)
         except AlmondtideError as exc:
             code = exc.code
-            request.headers["almondtide-request-id"] = request_id
+            raise
+        except curio.CancelledError:
+            code = ResultCode.CANCELLED
             raise
         finally:
-            self._metrics.revisions.inc({"workload": workload, "code": str(int(code))})
+            label, _ = ended(code)
+            self._metrics.revisions.inc({"workload": label, "code": str(int(code))})
+
+    def _begin(self, kind, request, request_id, workload):
+        """Record the arrival; returns a function that records the end.
+
+        That function takes the result code and returns the workload's label in
+        the metrics and the elapsed time in seconds.
+        """
+        started = self.clock.monotonic()
+        # The error response repeats the id also when the caller gave none.
+        request.headers["almondtide-request-id"] = request_id
+        self._log.trace(
+            f"{kind}_received", request_id=request_id, workload=workload[:MAX_NAME]
+        )
+
+        def ended(code):
+            elapsed = self.clock.monotonic() - started
+            self._log.trace(
+                f"{kind}_answered",
+                request_id=request_id,
+                code=int(code),
+                elapsed_ms=round(elapsed * 1000, 2),
+            )
+            # A label for each name that callers invent would use up the memory.
+            known = code != ResultCode.UNKNOWN_WORKLOAD and self._is_known(workload)
+            return (workload if known else UNKNOWN), elapsed
+
+        return ended
 
 
 def _require_method(request, method):
--- a/almondtide/adapters/http.py
+++ b/almondtide/adapters/http.py
@@ -20,7 +20,9 @@
     "HTTPRequest",
     "HTTPResponse",
     "error_response",
+    "is_request_id",
     "json_response",
+    "refuse_connection",
     "serve_http",
 ]
 
@@ -29,7 +31,13 @@
 DEFAULT_MAX_BODY_BYTES = 256 * 1024
 DEFAULT_MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 DEFAULT_IDLE_TIMEOUT_S = 75.0
-HEADER_TIMEOUT_S = 10.0
+READ_TIMEOUT_S = 10.0
+SEND_TIMEOUT_S = 10.0
+LINGER_TIMEOUT_S = 1.0
+HALF_CLOSE_GRACE_S = 0.05
+HTTP_VERSIONS = (b"1.0", b"1.1")
+MAX_REQUEST_ID_LENGTH = 128
+MAX_JSON_DEPTH = 64
 
 
 class HTTPRequest:
@@ -43,12 +51,52 @@
         self.headers = headers
         self.body = body
 
+    @property
+    def id(self):
+        """The valid request id that the caller gave, or an empty string."""
+        given = self.headers.get("almondtide-request-id", "")
+        return given if is_request_id(given) else ""
+
     def json(self):
-        """Return the decoded body; raises ``BadRequestError``."""
+        """Return the decoded body; raises ``BadRequestError``.
+
+        Bodies are passed on to peers, whose CBOR decoder limits the nesting of a
+        whole frame; a body that exceeds the limit must not reach them.
+        """
         try:
-            return orjson.loads(self.body)
+            value = orjson.loads(self.body)
         except orjson.JSONDecodeError as exc:
             raise BadRequestError(f"the body is not valid JSON: {exc}") from exc
+        brackets = self.body.count(b"[") + self.body.count(b"{")
+        if brackets > MAX_JSON_DEPTH and _depth(value) > MAX_JSON_DEPTH:
+            raise BadRequestError(
+                f"the body is nested more than {MAX_JSON_DEPTH} levels deep"
+            )
+        return value
+
+
+def is_request_id(text):
+    """Return whether ``text`` can be a request id: 1 to 128 printable ASCII."""
+    length = len(text)
+    return 0 < length <= MAX_REQUEST_ID_LENGTH and text.isascii() and text.isprintable()
+
+
+def _depth(value):
+    """Return the nesting depth of decoded JSON, without recursion."""
+    depth = 0
+    level = [value]
+    while level:
+        inner = []
+        for item in level:
+            if isinstance(item, dict):
+                inner.extend(item.values())
+            elif isinstance(item, list):
+                inner.extend(item)
+        if not any(isinstance(item, (dict, list)) for item in level):
+            return depth
+        depth += 1
+        level = inner
+    return depth
 
 
 class HTTPResponse:
@@ -95,14 +143,31 @@
     return {name.decode("latin-1"): value.decode("latin-1") for name, value in pairs}
 
 
+class _CallerGone(curio.TaskCancelled):
+    """Raised in the task of a connection whose other side has closed."""
+
+
 class _ServerConnection:
-    __slots__ = ("conn", "handler", "max_body", "sock")
+    __slots__ = ("conn", "max_body", "method", "sock", "started")
 
-    def __init__(self, sock, handler, max_body, max_header):
+    def __init__(self, sock, max_body, max_header):
         self.sock = sock
-        self.handler = handler
         self.max_body = max_body
         self.conn = h11.Connection(h11.SERVER, max_incomplete_event_size=max_header)
+        self.method = None
+        # Whether a part of a request has arrived that is not answered yet.
+        self.started = False
+
+    async def wait_for_request(self):
+        """Wait for the first bytes of a request; returns False after a close."""
+        if self.conn.trailing_data[0]:
+            # A pipelined request has already been received.
+            self.started = True
+            return True
+        data = await self.sock.recv(RECEIVE_BYTES)
+        self.conn.receive_data(data)
+        self.started = bool(data)
+        return self.started
 
     async def _next_event(self):
         while True:
@@ -115,14 +180,21 @@
             self.conn.receive_data(await self.sock.recv(RECEIVE_BYTES))
 
     async def read_request(self):
-        """Return the next request, or None when the peer has closed."""
+        """Return the next request, or None when the other side has closed."""
         event = await self._next_event()
         if not isinstance(event, h11.Request):
             return None
-        async with curio.timeout_after(HEADER_TIMEOUT_S):
-            body = await self._read_body()
+        self.method = event.method.decode("latin-1")
+        if event.http_version not in HTTP_VERSIONS:
+            raise BadRequestError("the HTTP version must be 1.0 or 1.1")
+        if self.method == "CONNECT":
+            # h11 ends HTTP on a connection whose CONNECT is answered with 200.
+            raise BadRequestError(
+                "CONNECT is not allowed", ResultCode.METHOD_NOT_ALLOWED
+            )
+        body = await self._read_body()
         return HTTPRequest(
-            event.method.decode("latin-1"),
+            self.method,
             event.target.decode("latin-1"),
             _decode_headers(event.headers),
             body,
@@ -145,54 +217,66 @@
             chunks.append(bytes(event.data))
 
     async def send(self, response, close=False):
+        """Send ``response``; raises ``curio.TaskTimeout`` when it is not read."""
         headers = [(name, value) for name, value in response.headers.items()]
         headers.append(("content-length", str(len(response.body))))
         if close:
             headers.append(("connection", "close"))
         parts = [
-            self.conn.send(h11.Response(status_code=response.status, headers=headers)),
-            self.conn.send(h11.Data(data=response.body)),
-            self.conn.send(h11.EndOfMessage()),
+            self.conn.send(h11.Response(status_code=response.status, headers=headers))
         ]
-        await self.sock.sendall(b"".join(parts))
-
-    async def run_handler(self, request):
-        """Run the handler; cancel it and return None when the caller goes away."""
-        task = await curio.spawn(self.handler, request, daemon=True)
+        if self.method != "HEAD":
+            parts.append(self.conn.send(h11.Data(data=response.body)))
+        parts.append(self.conn.send(h11.EndOfMessage()))
+        async with curio.timeout_after(SEND_TIMEOUT_S):
+            await self.sock.sendall(b"".join(parts))
+        self.started = False
+        self.method = None
+
+    async def refuse(self, exc, request_id=""):
+        """Answer with ``exc`` where the protocol still allows it, then close."""
+        if self.conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        try:
+            await self.send(error_response(exc, request_id), close=True)
+            await self._linger()
+        except (OSError, curio.TaskTimeout, h11.LocalProtocolError):
+            pass
+
+    async def _linger(self):
+        """Discard what still arrives, so that a reset does not destroy the answer."""
+        await self.sock.shutdown(stdlib_socket.SHUT_WR)
+        async with curio.ignore_after(LINGER_TIMEOUT_S):
+            while await self.sock.recv(RECEIVE_BYTES):
+                pass
+
+    async def run_handler(self, handler, request):
+        """Return the handler's response.
+
+        Raises ``_CallerGone`` when the other side closes its direction before.
+        """
+        task = await curio.current_task()
         watcher = await curio.spawn(_cancel_on_close, self.sock, task, daemon=True)
         try:
-            return await task.join()
-        except curio.TaskError as exc:
-            if isinstance(exc.__cause__, curio.TaskCancelled):
-                return None
-            raise exc.__cause__ from exc
-        except curio.CancelledError:
-            await task.cancel()
-            raise
+            return await handler(request)
+        except curio.TaskTimeout as exc:
+            # A timeout within the handler is not one of this connection.
+            raise RuntimeError("the handler raised a timeout") from exc
         finally:
             await watcher.cancel()
 
 
 async def _cancel_on_close(sock, task):
-    """Cancel ``task`` when the other side closes the connection."""
+    """Cancel ``task`` when the other side closes its direction."""
     try:
         data = await sock.recv(1, stdlib_socket.MSG_PEEK)
     except OSError:
         data = b""
     if not data:
-        await task.cancel(blocking=False)
-
-
-async def _refuse(connection, exc, status=None):
-    if connection.conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-        return
-    response = error_response(exc)
-    if status is not None:
-        response.status = status
-    try:
-        await connection.send(response, close=True)
-    except (OSError, h11.LocalProtocolError):
-        pass
+        # A caller that closes only its own direction looks the same as one that
+        # is gone; it still gets answers that are ready at once.
+        await curio.sleep(HALF_CLOSE_GRACE_S)
+        await task.cancel(exc=_CallerGone, blocking=False)
 
 
 def _remote_protocol_error(exc):
@@ -203,6 +287,12 @@
     return BadRequestError(f"malformed HTTP: {exc}")
 
 
+async def refuse_connection(sock, exc):
+    """Answer a connection with ``exc`` whatever it asks for, and close it."""
+    connection = _ServerConnection(sock, 0, DEFAULT_MAX_HEADER_BYTES)
+    await connection.refuse(exc)
+
+
 async def serve_http(
     sock,
     handler,
@@ -211,52 +301,79 @@
     max_body=DEFAULT_MAX_BODY_BYTES,
     max_header=DEFAULT_MAX_HEADER_BYTES,
     idle_timeout_s=DEFAULT_IDLE_TIMEOUT_S,
+    read_timeout_s=READ_TIMEOUT_S,
+    on_refused=None,
 ):
     """Serve requests on one connection until it closes.
 
     ``handler`` is an async function from ``HTTPRequest`` to ``HTTPResponse``. An
     ``AlmondtideError`` that it raises becomes a coded response; any other
     exception becomes code 900 and a log line, and the connection is closed.
+
+    A connection may be idle between requests for ``idle_timeout_s``. From its
+    first byte, a request must be complete within ``read_timeout_s``, however
+    slowly its bytes arrive. When the other side closes its direction while the
+    handler runs, the handler is cancelled and the answer has the code CANCELLED.
+    ``on_refused`` is called with the code of each request that is malformed.
     """
-    connection = _ServerConnection(sock, handler, max_body, max_header)
-    while True:
-        try:
-            async with curio.timeout_after(idle_timeout_s):
-                request = await connection.read_request()
-            if request is None:
-                return
-            try:
-                response = await connection.run_handler(request)
-            except AlmondtideError as exc:
-                response = error_response(
-                    exc, request.headers.get("almondtide-request-id", "")
-                )
-            if response is None:
-                return
-            await connection.send(response)
-            if connection.conn.our_state is not h11.DONE:
-                return
-            if connection.conn.their_state is not h11.DONE:
-                return
-            connection.conn.start_next_cycle()
-        except curio.TaskTimeout:
-            return
-        except h11.RemoteProtocolError as exc:
-            log.warning("http_malformed", reason=str(exc))
-            await _refuse(connection, _remote_protocol_error(exc))
-            return
-        except BadRequestError as exc:
-            log.warning("http_refused", code=int(exc.code), reason=exc.message)
-            await _refuse(connection, exc)
-            return
-        except OSError:
-            return
-        except curio.CancelledError:
-            raise
-        except Exception as exc:
-            log.error("http_handler_failed", error=repr(exc))
-            await _refuse(connection, AlmondtideError("internal error"))
-            return
+    connection = _ServerConnection(sock, max_body, max_header)
+    refusal = None
+    try:
+        while await _serve_request(
+            connection, handler, log, idle_timeout_s, read_timeout_s
+        ):
+            pass
+    except h11.RemoteProtocolError as exc:
+        refusal = _remote_protocol_error(exc)
+    except BadRequestError as exc:
+        refusal = exc
+    except curio.TaskTimeout:
+        if connection.started:
+            refusal = BadRequestError(
+                f"the request was not complete in {read_timeout_s:g} s",
+                ResultCode.REQUEST_TIMEOUT,
+            )
+    except (_CallerGone, OSError):
+        return
+    except curio.CancelledError:
+        raise
+    except Exception as exc:
+        log.error("http_handler_failed", error=repr(exc))
+        await connection.refuse(AlmondtideError("internal error"))
+        return
+    if refusal is not None:
+        if on_refused is not None:
+            on_refused(refusal.code)
+        log.warning("http_refused", code=int(refusal.code), reason=refusal.message)
+        await connection.refuse(refusal)
+
+
+async def _serve_request(connection, handler, log, idle_timeout_s, read_timeout_s):
+    """Serve one request; returns whether another may follow."""
+    async with curio.timeout_after(idle_timeout_s):
+        if not await connection.wait_for_request():
+            return False
+    async with curio.timeout_after(read_timeout_s):
+        request = await connection.read_request()
+    if request is None:
+        return False
+    try:
+        response = await connection.run_handler(handler, request)
+    except _CallerGone:
+        log.debug("caller_gone", path=request.path)
+        await connection.refuse(
+            AlmondtideError("the caller closed its side", ResultCode.CANCELLED),
+            request.id,
+        )
+        return False
+    except AlmondtideError as exc:
+        response = error_response(exc, request.id)
+    await connection.send(response)
+    conn = connection.conn
+    if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
+        return False
+    conn.start_next_cycle()
+    return True
 
 
 class HTTPClient:
--- a/almondtide/adapters/listener.py
+++ b/almondtide/adapters/listener.py
@@ -35,13 +35,18 @@
 
 
 class Listener:
-    """Listens on one address and runs ``handler(sock, address)`` per connection."""
+    """Listens on one address and runs ``handler(sock, address)`` per connection.
 
-    __slots__ = ("_connections", "_handler", "_sock", "_task", "address")
+    An exception of the handler ends its connection only; with ``log``, it is
+    written as one line.
+    """
+
+    __slots__ = ("_connections", "_handler", "_log", "_sock", "_task", "address")
 
-    def __init__(self, address, handler):
+    def __init__(self, address, handler, log=None):
         self.address = address
         self._handler = handler
+        self._log = log
         self._connections = set()
         self._sock = None
         self._task = None
@@ -84,6 +89,12 @@
                 await self._handler(client, peer)
         except OSError:
             pass
+        except curio.CancelledError:
+            raise
+        except Exception as exc:
+            if self._log is None:
+                raise
+            self._log.error("connection_failed", peer=peer[0], error=repr(exc))
         finally:
             self._connections.discard(task)
 
--- a/almondtide/cli.py
+++ b/almondtide/cli.py
@@ -1,98 +1,32 @@
 """The command line ``almondtide`` for callers and operators."""
 
-import os
 import sys
-from typing import Literal
 
 import curio
 import defopt
 import orjson
 
-from . import __version__
-from .adapters.listener import parse_address
-from .client import AdminClient, CallerClient, format_address
+from . import __version__, cli_configuration
+from .cli_arguments import (
+    ADMIN_VARIABLE,
+    ENTRIES_VARIABLE,
+    Output,
+    UsageError,
+    get_addresses,
+    get_body,
+    get_token,
+    join_repeated,
+)
+from .client import AdminClient, CallerClient, format_address, read_fleet
 from .errors import AlmondtideError, ClientError, ResultCode, exit_status
 from .presentation import print_error, print_json, print_text, table
 from .timeline import Timeline, format_timeline_event
 
 __all__ = ["main"]
 
-ENTRIES_VARIABLE = "ALMONDTIDE_CLI_ENTRIES"
-ADMIN_VARIABLE = "ALMONDTIDE_CLI_ADMIN"
-TOKEN_VARIABLE = "ALMONDTIDE_CLI_TOKEN"
 USAGE_STATUS = 2
 INTERRUPTED_STATUS = 130
 FOLLOW_INTERVAL_S = 0.5
-REPEATABLE = ("--entry", "--admin")
-
-Output = Literal["text", "json"]
-
-
-class UsageError(Exception):
-    """The command line is incomplete or malformed."""
-
-
-# Arguments
-
-
-def _addresses(flags, variable, flag):
-    """Return the addresses of a flag or of the environment variable."""
-    text = flags if flags is not None else os.environ.get(variable, "")
-    parts = [part.strip() for part in text.split(",") if part.strip()]
-    if not parts:
-        raise UsageError(f"{flag} host:port or {variable} is required")
-    try:
-        return [parse_address(part) for part in parts]
-    except ValueError as exc:
-        raise UsageError(f"{flag}: {exc}") from exc
-
-
-def _token(flag):
-    token = flag if flag is not None else os.environ.get(TOKEN_VARIABLE)
-    if not token:
-        raise UsageError(f"--token or {TOKEN_VARIABLE} is required")
-    return token
-
-
-def _body(text):
-    """Return the JSON bytes of ``--body``: text, @file or standard input."""
-    try:
-        if text is None or text == "-":
-            data = sys.stdin.buffer.read()
-        elif text.startswith("@"):
-            with open(text[1:], "rb") as file:
-                data = file.read()
-        else:
-            data = text.encode()
-        orjson.loads(data)
-    except OSError as exc:
-        raise UsageError(f"--body: {exc}") from exc
-    except orjson.JSONDecodeError as exc:
-        raise UsageError(f"--body is not valid JSON: {exc}") from exc
-    return data
-
-
-def _join_repeated(argv, flags=REPEATABLE):
-    """Merge ``--entry A --entry B`` into ``--entry A,B``; defopt keeps the last."""
-    joined = []
-    position = {}
-    words = iter(argv)
-    for word in words:
-        flag, separator, value = word.partition("=")
-        if flag not in flags:
-            joined.append(word)
-            continue
-        if not separator:
-            value = next(words, None)
-            if value is None:
-                joined.append(word)
-                break
-        if flag in position:
-            joined[position[flag]] += f",{value}"
-        else:
-            position[flag] = len(joined)
-            joined.append(f"{flag}={value}")
-    return joined
 
 
 # Callers
@@ -119,8 +53,8 @@
     :param entry: host:port of an entry, repeatable; default: ALMONDTIDE_CLI_ENTRIES
     :param output: text or json
     """
-    seeds = _addresses(entry, ENTRIES_VARIABLE, "--entry")
-    data = _body(body)
+    seeds = get_addresses(entry, ENTRIES_VARIABLE, "--entry")
+    data = get_body(body)
     return curio.run(_query, seeds, workload, data, deadline_ms, request_id, output)
 
 
@@ -157,8 +91,8 @@
     :param entry: host:port of an entry, repeatable; default: ALMONDTIDE_CLI_ENTRIES
     :param output: text or json
     """
-    seeds = _addresses(entry, ENTRIES_VARIABLE, "--entry")
-    data = _body(body)
+    seeds = get_addresses(entry, ENTRIES_VARIABLE, "--entry")
+    data = get_body(body)
     return curio.run(
         _revise, seeds, workload, data, deadline_ms, execution_id, request_id, output
     )
@@ -235,7 +169,7 @@
     :param entry: host:port of an entry, repeatable; default: ALMONDTIDE_CLI_ENTRIES
     :param output: text or json
     """
-    seeds = _addresses(entry, ENTRIES_VARIABLE, "--entry")
+    seeds = get_addresses(entry, ENTRIES_VARIABLE, "--entry")
     return curio.run(_entries, seeds, output)
 
 
@@ -274,26 +208,12 @@
     :param listed_only: ask only the addresses of --admin
     :param output: text or json
     """
-    addresses = _addresses(admin, ADMIN_VARIABLE, "--admin")
-    return curio.run(_status, addresses, _token(token), listed_only, output)
-
-
-async def _fleet_reports(addresses, token, listed_only, name):
-    """Return a dict from admin address to the report or the error."""
-    client = AdminClient(token)
-    try:
-        if not listed_only:
-            addresses = await client.discover(addresses)
-        reports = await client.call_all(addresses, name)
-    finally:
-        await client.close()
-    if all(isinstance(report, ClientError) for report in reports.values()):
-        raise next(iter(reports.values()))
-    return reports
+    addresses = get_addresses(admin, ADMIN_VARIABLE, "--admin")
+    return curio.run(_status, addresses, get_token(token), listed_only, output)
 
 
 async def _status(addresses, token, listed_only, output):
-    reports = await _fleet_reports(addresses, token, listed_only, "status")
+    reports = await read_fleet(addresses, token, listed_only, "status")
     complete = not any(isinstance(r, ClientError) for r in reports.values())
     if output == "json":
         print_json({format_address(a): _jsonable(r) for a, r in reports.items()})
@@ -364,8 +284,8 @@
     :param listed_only: ask only the addresses of --admin
     :param output: text, or json for one JSON object per line
     """
-    addresses = _addresses(admin, ADMIN_VARIABLE, "--admin")
-    token = _token(token)
+    addresses = get_addresses(admin, ADMIN_VARIABLE, "--admin")
+    token = get_token(token)
     return curio.run(
         _timeline, addresses, token, listed_only, request_id, event, follow, output
     )
@@ -407,6 +327,37 @@
             print_error(f"{instance} has dropped {count} older events")
 
 
+def drain(
+    *, admin: str | None = None, token: str | None = None, output: Output = "text"
+):
+    """Ask one daemon to shut down gracefully.
+
+    The daemon finishes its requests and ends by itself; the status command
+    shows it as leaving until then.
+
+    :param admin: admin host:port of the daemon; default: ALMONDTIDE_CLI_ADMIN
+    :param token: bearer token; default: ALMONDTIDE_CLI_TOKEN
+    :param output: text or json
+    """
+    addresses = get_addresses(admin, ADMIN_VARIABLE, "--admin")
+    if len(addresses) != 1:
+        raise UsageError("drain takes exactly one admin address")
+    return curio.run(_drain, addresses[0], get_token(token), output)
+
+
+async def _drain(address, token, output):
+    client = AdminClient(token)
+    try:
+        report = await client.call(address, "drain", method="POST")
+    finally:
+        await client.close()
+    if output == "json":
+        print_json(report)
+    else:
+        print_text(f"{report['instance']} is leaving")
+    return 0
+
+
 def version(*, output: Output = "text"):
     """Show the version of this program.
 
@@ -424,6 +375,12 @@
     "revise": revise,
     "entries": entries,
     "status": status,
+    "config": {
+        "check": cli_configuration.check,
+        "show": cli_configuration.show,
+        "status": cli_configuration.status,
+    },
+    "drain": drain,
     "timeline": timeline,
     "version": version,
 }
@@ -434,7 +391,7 @@
     try:
         return defopt.run(
             COMMANDS,
-            argv=_join_repeated(argv),
+            argv=join_repeated(argv),
             short={},
             no_negated_flags=True,
             show_defaults=False,
--- /dev/null
+++ b/almondtide/cli_arguments.py
@@ -0,0 +1,99 @@
+"""Arguments that several commands of the command line share."""
+
+import os
+import sys
+from typing import Literal
+
+import orjson
+
+from .adapters.listener import parse_address
+
+__all__ = [
+    "ADMIN_VARIABLE",
+    "ENTRIES_VARIABLE",
+    "TOKEN_VARIABLE",
+    "Output",
+    "UsageError",
+    "get_addresses",
+    "get_body",
+    "get_token",
+    "join_repeated",
+]
+
+ENTRIES_VARIABLE = "ALMONDTIDE_CLI_ENTRIES"
+ADMIN_VARIABLE = "ALMONDTIDE_CLI_ADMIN"
+TOKEN_VARIABLE = "ALMONDTIDE_CLI_TOKEN"
+REPEATABLE = ("--entry", "--admin")
+
+Output = Literal["text", "json"]
+
+
+class UsageError(Exception):
+    """The command line is incomplete or malformed."""
+
+
+def get_addresses(flag_value, variable, flag):
+    """Return the addresses of a flag, or of the environment variable."""
+    text = flag_value if flag_value is not None else os.environ.get(variable, "")
+    parts = [part.strip() for part in text.split(",") if part.strip()]
+    if not parts:
+        raise UsageError(f"{flag} host:port or {variable} is required")
+    try:
+        return [parse_address(part) for part in parts]
+    except ValueError as exc:
+        raise UsageError(f"{flag}: {exc}") from exc
+
+
+def get_token(flag_value):
+    """Return the bearer token of the flag or of the environment variable."""
+    token = flag_value if flag_value is not None else os.environ.get(TOKEN_VARIABLE)
+    if not token:
+        raise UsageError(f"--token or {TOKEN_VARIABLE} is required")
+    if not token.isascii() or not token.isprintable():
+        raise UsageError("the token must be printable ASCII text")
+    return token
+
+
+def get_body(text):
+    """Return the JSON bytes of ``--body``: text, @file or standard input."""
+    try:
+        if text is None or text == "-":
+            data = sys.stdin.buffer.read()
+        elif text.startswith("@"):
+            with open(text[1:], "rb") as file:
+                data = file.read()
+        else:
+            data = text.encode()
+        orjson.loads(data)
+    except OSError as exc:
+        raise UsageError(f"--body: {exc}") from exc
+    except ValueError as exc:
+        raise UsageError(f"--body is not valid JSON: {exc}") from exc
+    return data
+
+
+def join_repeated(argv, flags=REPEATABLE):
+    """Merge ``--entry A --entry B`` into ``--entry=A,B``.
+
+    defopt keeps only the last value of a repeated flag, and its list type takes
+    the positional arguments that follow.
+    """
+    joined = []
+    position = {}
+    words = iter(argv)
+    for word in words:
+        flag, separator, value = word.partition("=")
+        if flag not in flags:
+            joined.append(word)
+            continue
+        if not separator:
+            value = next(words, None)
+            if value is None:
+                joined.append(word)
+                break
+        if flag in position:
+            joined[position[flag]] += f",{value}"
+        else:
+            position[flag] = len(joined)
+            joined.append(f"{flag}={value}")
+    return joined
--- a/almondtide/client.py
+++ b/almondtide/client.py
@@ -12,7 +12,13 @@
 from .clock import SystemClock
 from .errors import ClientError, ResultCode, UpstreamError
 
-__all__ = ["AdminClient", "CallerClient", "ClientAnswer", "format_address"]
+__all__ = [
+    "AdminClient",
+    "CallerClient",
+    "ClientAnswer",
+    "format_address",
+    "read_fleet",
+]
 
 CONNECT_TIMEOUT_S = 1.0
 DEFAULT_TIMEOUT_S = 30.0
@@ -411,3 +417,21 @@
     async def close(self):
         """Close all connections."""
         await self._connections.close()
+
+
+async def read_fleet(addresses, token, listed_only, name):
+    """Return a dict from admin address to the report ``name`` or the error.
+
+    Asks ``addresses`` and, unless ``listed_only``, all members that they know.
+    Raises ``ClientError`` when no daemon answers.
+    """
+    client = AdminClient(token)
+    try:
+        if not listed_only:
+            addresses = await client.discover(addresses)
+        reports = await client.call_all(addresses, name)
+    finally:
+        await client.close()
+    if all(isinstance(report, ClientError) for report in reports.values()):
+        raise next(iter(reports.values()))
+    return reports
--- a/almondtide/configuration.py
+++ b/almondtide/configuration.py
@@ -1,10 +1,20 @@
 """Published configuration: model, validator, defaults and exceptions."""
 
+import orjson
+
 from .errors import ConfigurationError
 from .registry import Registry
 from .shards import KEY_SPACE, KeyRange, Shard, ShardMap
 
-__all__ = ["SETTINGS", "Configuration", "Setting", "Workload", "parse_configuration"]
+__all__ = [
+    "MAX_DOCUMENT_BYTES",
+    "SETTINGS",
+    "Configuration",
+    "Setting",
+    "Workload",
+    "check_document_size",
+    "parse_configuration",
+]
 
 SETTINGS = Registry("configuration setting")
 
@@ -12,6 +22,8 @@
 WORKLOAD = "workload"
 SERVICE = "service"
 
+# The configuration service holds values of up to 1 MB.
+MAX_DOCUMENT_BYTES = 1_000_000
 MAX_SHARD_MAPS = 3
 MIN_REASON_LENGTH = 8
 
@@ -458,3 +470,12 @@
     if reader.problems:
         raise ConfigurationError(reader.problems)
     return cfg
+
+
+def check_document_size(body):
+    """Raise ``ConfigurationError`` when the service cannot hold ``body``."""
+    size = len(orjson.dumps(body))
+    if size > MAX_DOCUMENT_BYTES:
+        raise ConfigurationError(
+            [f"$: {size} bytes of compact JSON are over {MAX_DOCUMENT_BYTES}"]
+        )
--- a/almondtide/coordinator.py
+++ b/almondtide/coordinator.py
@@ -285,6 +285,14 @@
 
     async def _send_all(self, run):
         services = run.plan.shard_map.services()
+        self._log.trace(
+            "query_planned",
+            request_id=run.req.request_id,
+            query_id=run.query_id,
+            version=run.plan.version,
+            epoch=run.plan.epoch,
+            services=len(services),
+        )
         self._reroutes.earn()
         await self._send(run, services)
 
@@ -338,6 +346,13 @@
             self._log.info("peer_call_failed", peer=target, reason=exc.message)
             await self._send(run, services, suspect)
             return
+        self._log.trace(
+            "sub_requests_sent",
+            request_id=run.req.request_id,
+            query_id=run.query_id,
+            owner=target,
+            services=services,
+        )
         run.calls[id(call)] = call
         for service in services:
             run.pending[service] = call
--- a/almondtide/daemon.py
+++ b/almondtide/daemon.py
@@ -8,11 +8,10 @@
 
 import curio
 import defopt
-from absl import logging
 
 from .adapters.admin import AdminAPI
 from .adapters.caller import CallerAPI
-from .adapters.http import serve_http
+from .adapters.http import refuse_connection, serve_http
 from .adapters.listener import Listener
 from .adapters.peer import PeerNetwork
 from .adapters.platform import HTTPPlatform
@@ -25,18 +24,24 @@
 from .errors import AlmondtideError, RefusedError, ResultCode, SettingsError
 from .events import EventRing
 from .executions import Executions
-from .logs import Log
+from .logs import Log, set_up_logging
 from .membership import Membership, parse_instances
 from .messages import Leaving, QuarantineNotice
 from .metrics import Metrics
 from .owners import Owners
 from .quarantine import Quarantine
-from .settings import load_settings
+from .reports import connection_counts, count_tasks, gauge_values, limits_report
+from .settings import daemon_command, load_settings
 
 __all__ = ["Daemon", "main"]
 
 CONFIGURATION = "configuration"
 INSTANCES = "instances"
+# Connections over the limit that are answered before they are closed; those
+# beyond are closed at once, so that refusals cannot use up file descriptors.
+MAX_REFUSALS_AT_ONCE = 64
+MAX_ADMIN_CONNECTIONS = 64
+CONNECTION_RETRY_MS = 1000
 TICK_S = 0.2
 TICKS_PER_SECOND = 5
 
@@ -58,6 +63,7 @@
         "_owners",
         "_peers",
         "_quarantine",
+        "_started",
         "clock",
         "incarnation",
         "log",
@@ -68,6 +74,7 @@
     def __init__(self, settings):
         self.settings = settings
         self.clock = SystemClock()
+        self._started = self.clock.monotonic()
         self.incarnation = secrets.token_hex(6)
         self.metrics = Metrics()
         self._events = EventRing(self.clock, settings.event_capacity)
@@ -151,6 +158,7 @@
             self._executions,
             self._entries_report,
             self._health_report,
+            lambda name: self._cfg is not None and name in self._cfg.workloads,
             self.clock,
             self.log,
             self.metrics,
@@ -161,6 +169,7 @@
             "owners": self._owners.describe,
             "configuration": self._configuration_report,
             "queues": self._queues_report,
+            "limits": lambda: limits_report(self.settings, self._by_name()),
             "quarantine": self._quarantine_report,
         }
         self._admin = AdminAPI(
@@ -172,21 +181,39 @@
             self._drain.requested.set,
         )
         self._listeners = [
-            Listener(settings.peer_address, self._peers.serve),
-            Listener(settings.admin_address, self._serve_admin),
-            Listener(settings.caller_address, self._serve_caller),
+            Listener(settings.peer_address, self._peers.serve, self.log),
+            Listener(settings.admin_address, self._serve_admin, self.log),
+            Listener(settings.caller_address, self._serve_caller, self.log),
         ]
+        self.metrics.source = self._gauges
+
+    def _by_name(self):
+        return dict(zip(("peer", "admin", "caller"), self._listeners, strict=True))
 
     async def _serve_caller(self, sock, address):
+        limit = self.settings.max_connections
+        excess = self._listeners[2].connections - limit
+        if excess > 0:
+            self.metrics.connections_refused.inc({})
+            if excess <= MAX_REFUSALS_AT_ONCE:
+                self.log.warning("connection_refused", peer=address[0], limit=limit)
+                await refuse_connection(sock, _too_many_connections(limit))
+            return
         await serve_http(
             sock,
             self._caller.handle,
             log=self.log,
             max_body=self.settings.max_body_bytes,
             max_header=self.settings.max_header_bytes,
+            on_refused=self._caller.count_malformed,
         )
 
     async def _serve_admin(self, sock, address):
+        if self._listeners[1].connections > MAX_ADMIN_CONNECTIONS:
+            limit = MAX_ADMIN_CONNECTIONS
+            self.log.warning("connection_refused", peer=address[0], limit=limit)
+            await refuse_connection(sock, _too_many_connections(limit))
+            return
         await serve_http(sock, self._admin.handle, log=self.log)
 
     # Documents and view
@@ -197,7 +224,6 @@
             self._cfg = cfg
             self._quarantine.duration_s = cfg.fleet_setting("quarantine_s")
             self._quarantine.limit = cfg.fleet_setting("quarantine_servers")
-            self.metrics.configuration_revision.set({}, document.revision)
             await self._view_changed()
         else:
             await self._membership.update_list(parse_instances(document.body))
@@ -245,7 +271,27 @@
         body = {"ready": ready, "leaving": self._drain.leaving}
         return (200 if ready else 503), body
 
-    def _status_report(self):
+    def _gauges(self):
+        values = gauge_values(
+            self._owners.describe(),
+            self._membership.view(),
+            self._by_name(),
+            self._events,
+        )
+        values.update(
+            running=self._caller.running,
+            peer_links=self._peers.links,
+            quarantined=len(self._quarantine.entries()),
+            suspects=len(self._quarantine.suspects()),
+            executions=self._executions.records,
+            leaving=int(self._drain.leaving),
+        )
+        if self._cfg is not None:
+            values["configuration_revision"] = self._cfg.revision
+        return values
+
+    async def _status_report(self):
+        document = self._dissemination.current(CONFIGURATION)
         return {
             "instance": self.settings.instance,
             "incarnation": self.incarnation,
@@ -254,6 +300,10 @@
             "leaving": self._drain.leaving,
             "running": self._caller.running,
             "configuration_revision": self._cfg.revision if self._cfg else None,
+            "configuration_digest": document.digest if document else None,
+            "connections": connection_counts(self._by_name()),
+            "tasks": await count_tasks(),
+            "uptime_s": round(self.clock.monotonic() - self._started, 1),
             "peer_links": self._peers.links,
             "executions": self._executions.records,
         }
@@ -363,6 +413,12 @@
             self.log.info("leaving_not_told", peer=member.instance, reason=exc.message)
 
 
+def _too_many_connections(limit):
+    return RefusedError(
+        f"more than {limit} connections are open", retry_after_ms=CONNECTION_RETRY_MS
+    )
+
+
 def _format_address(address):
     return None if address is None else f"{address[0]}:{address[1]}"
 
@@ -371,51 +427,15 @@
     """Do nothing; the wakeup socket carries the signal."""
 
 
-def serve(
-    *,
-    instance: str | None = None,
-    domain: str | None = None,
-    caller_address: str | None = None,
-    peer_address: str | None = None,
-    admin_address: str | None = None,
-    admin_token: str | None = None,
-    platform: str | None = None,
-    seeds: str | None = None,
-    max_body_bytes: str | None = None,
-    max_header_bytes: str | None = None,
-    max_connections: str | None = None,
-    drain_timeout_s: str | None = None,
-    event_capacity: str | None = None,
-    verbosity: str | None = None,
-):
-    """Run one almondtide daemon.
-
-    Every flag can be given as an environment variable, for example
-    ``ALMONDTIDE_DOMAIN`` for the domain.
-
-    :param instance: id of this instance in the platform's list
-    :param domain: failure domain of this instance
-    :param caller_address: host:port for callers
-    :param peer_address: host:port for other daemons
-    :param admin_address: host:port for operators
-    :param admin_token: bearer token of the admin API
-    :param platform: host:port of the configuration service
-    :param seeds: peer addresses to ask while the platform is down
-    :param max_body_bytes: largest request body
-    :param max_header_bytes: largest request head
-    :param max_connections: open caller connections
-    :param drain_timeout_s: longest graceful shutdown
-    :param event_capacity: events kept for the time line
-    :param verbosity: log level, 0 info, 1 debug
-    """
+def serve(**flags):
+    """Run one daemon until it is told to stop; returns the exit status."""
     try:
-        settings = load_settings(locals())
+        settings = load_settings(flags)
     except SettingsError as exc:
         for problem in exc.problems:
             print(f"almondtided: {problem}", file=sys.stderr)
         return 2
-    logging.set_verbosity(settings.verbosity)
-    logging.use_absl_handler()
+    set_up_logging(settings.verbosity)
     try:
         curio.run(Daemon(settings).run)
     except OSError as exc:
@@ -426,7 +446,15 @@
 
 def main(argv=None):
     """Entry point of ``almondtided``."""
-    sys.exit(defopt.run(serve, argv=argv))
+    command = daemon_command(serve)
+    status = defopt.run(
+        command,
+        argv=argv,
+        short={},
+        show_defaults=False,
+        argparse_kwargs={"prog": "almondtided"},
+    )
+    sys.exit(status)
 
 
 if __name__ == "__main__":
--- a/almondtide/errors.py
+++ b/almondtide/errors.py
@@ -38,6 +38,7 @@
     UNAUTHORIZED = 105
     NOT_FOUND = 106
     METHOD_NOT_ALLOWED = 107
+    REQUEST_TIMEOUT = 108
     OVERLOADED = 200
     DRAINING = 201
     NOT_READY = 202
@@ -84,10 +85,12 @@
     ResultCode.UNAUTHORIZED: 401,
     ResultCode.NOT_FOUND: 404,
     ResultCode.METHOD_NOT_ALLOWED: 405,
+    ResultCode.REQUEST_TIMEOUT: 408,
     ResultCode.OVERLOADED: 503,
     ResultCode.DRAINING: 503,
     ResultCode.NOT_READY: 503,
     ResultCode.QUARANTINED: 422,
+    ResultCode.CANCELLED: 499,
     ResultCode.OUTCOME_UNKNOWN: 504,
     ResultCode.EXECUTION_ID_INVALID: 400,
     ResultCode.EXECUTION_EXPIRED: 409,
--- a/almondtide/events.py
+++ b/almondtide/events.py
@@ -1,6 +1,8 @@
-"""Bounded ring of events of one daemon, for the time line over all processes."""
+"""Bounded rings of events of one daemon, for the time line over all processes."""
 
+import heapq
 from collections import deque
+from itertools import islice
 
 from .clock import HybridLogicalClock
 
@@ -25,19 +27,36 @@
             "time": list(self.timestamp),
             "instance": instance,
             "event": self.name,
-            "fields": self.fields,
+            "fields": {key: _plain(value) for key, value in self.fields.items()},
         }
 
 
+def _plain(value):
+    """Return ``value`` in a form that JSON can carry."""
+    if isinstance(value, bool | int | float) or value is None:
+        return value
+    if isinstance(value, list | tuple):
+        return [_plain(item) for item in value]
+    # Surrogates cannot be encoded as UTF-8.
+    return str(value).encode("utf-8", "replace").decode("utf-8")
+
+
 class EventRing:
-    """Keeps the newest events; older ones are dropped and counted."""
+    """Keeps the newest events; older ones are dropped and counted.
+
+    Events of single requests have a ring of their own with the same capacity, so
+    that a busy second does not push out the rare events of the daemon itself.
+    ``dropped`` counts the daemon's own events, ``dropped_requests`` the others.
+    """
 
-    __slots__ = ("_events", "clock", "dropped")
+    __slots__ = ("_events", "_requests", "clock", "dropped", "dropped_requests")
 
     def __init__(self, clock, capacity=DEFAULT_CAPACITY):
         self.clock = HybridLogicalClock(clock)
         self._events = deque(maxlen=capacity)
+        self._requests = deque(maxlen=capacity)
         self.dropped = 0
+        self.dropped_requests = 0
 
     def record(self, name, **fields):
         """Append an event and return it."""
@@ -47,7 +66,28 @@
         self._events.append(event)
         return event
 
+    def record_request(self, name, fields):
+        """Append an event of a single request."""
+        if len(self._requests) == self._requests.maxlen:
+            self.dropped_requests += 1
+        self._requests.append(Event(self.clock.now(), name, fields))
+
     def since(self, timestamp=(0, 0), limit=1000):
         """Return up to ``limit`` events newer than ``timestamp``, oldest first."""
-        newer = [event for event in self._events if event.timestamp > timestamp]
-        return newer[:limit]
+        newer = heapq.merge(
+            _newer(self._events, timestamp),
+            _newer(self._requests, timestamp),
+            key=lambda event: event.timestamp,
+        )
+        return list(islice(newer, limit))
+
+
+def _newer(events, timestamp):
+    """Return the events after ``timestamp``, looking from the newest back."""
+    newer = []
+    for event in reversed(events):
+        if event.timestamp <= timestamp:
+            break
+        newer.append(event)
+    newer.reverse()
+    return newer
--- a/almondtide/logs.py
+++ b/almondtide/logs.py
@@ -1,59 +1,132 @@
 """One key=value line per event through absl.logging."""
 
-from absl import logging
+import re
+import time
 
-__all__ = ["Log", "format_event"]
+from absl import flags, logging
+
+__all__ = ["Log", "format_event", "set_up_logging"]
+
+# Lines of one event name within one second; more are counted and left out, so
+# that callers cannot keep a daemon busy with logging.
+MAX_LINES_PER_SECOND = 100
+
+_BARE = re.compile(r"[!#-<>-\[\]-~]+")
+_ESCAPES = {"\\": "\\\\", '"': '\\"', "\n": "\\n", "\r": "\\r", "\t": "\\t"}
+
+
+def _escape(char):
+    if char in _ESCAPES:
+        return _ESCAPES[char]
+    if char.isprintable():
+        return char
+    # Line separators such as U+0085 and U+2028 end a line for some readers.
+    return char.encode("unicode_escape").decode("ascii")
 
 
 def _quote(value):
-    text = str(value)
-    if text and not any(char in text for char in ' "=\n\r\t'):
+    text = value if isinstance(value, str) else str(value)
+    if _BARE.fullmatch(text):
         return text
-    escaped = text.replace("\\", "\\\\").replace('"', '\\"')
-    escaped = escaped.replace("\n", "\\n").replace("\r", "\\r").replace("\t", "\\t")
-    return f'"{escaped}"'
+    return '"' + "".join(map(_escape, text)) + '"'
 
 
 def format_event(name, fields):
-    """Return ``event=name key=value ...``; values with spaces are quoted.
+    """Return ``event=name key=value ...`` as one line.
+
+    A value is quoted unless it consists of printable ASCII without spaces,
+    quotes, backslashes and equals signs. Within quotes, backslash escapes stand
+    for quotes, backslashes and everything that is not printable.
 
     >>> format_event("start", {"port": 80, "note": "a b"})
     'event=start port=80 note="a b"'
     """
     parts = [f"event={_quote(name)}"]
-    parts.extend(f"{key}={_quote(value)}" for key, value in fields.items())
+    parts.extend(f"{_quote(key)}={_quote(value)}" for key, value in fields.items())
     return " ".join(parts)
 
 
+def set_up_logging(verbosity):
+    """Send log lines to standard error; 0 logs events, 1 also details."""
+    if not flags.FLAGS.is_parsed():
+        # absl prints a warning with each process that does not parse its flags.
+        flags.FLAGS.mark_as_parsed()
+    logging.use_absl_handler()
+    logging.set_verbosity(verbosity)
+
+
+class _LineLimit:
+    """Counts lines by event name in windows of one second."""
+
+    __slots__ = ("_counts", "_second")
+
+    def __init__(self):
+        self._second = 0
+        self._counts = {}
+
+    def admit(self, name):
+        """Return (whether to write the line, lines left out in the last window)."""
+        second = int(time.monotonic())
+        suppressed = {}
+        if second != self._second:
+            suppressed = {
+                key: count - MAX_LINES_PER_SECOND
+                for key, count in self._counts.items()
+                if count > MAX_LINES_PER_SECOND
+            }
+            self._second = second
+            self._counts = {}
+        count = self._counts.get(name, 0) + 1
+        self._counts[name] = count
+        return count <= MAX_LINES_PER_SECOND, suppressed
+
+
 class Log:
-    """Writes events with fields that are common to one process or component."""
+    """Writes events with fields that are common to one process or component.
 
-    __slots__ = ("_common", "_ring")
+    ``trace`` events explain single requests. They go only to the ring buffer,
+    because a line for each query would cost more than it is worth.
+    """
+
+    __slots__ = ("_common", "_limit", "_ring")
 
     def __init__(self, ring=None, **common):
         self._ring = ring
         self._common = common
+        self._limit = _LineLimit()
+
+    def trace(self, name, **fields):
+        """Add an event of a single request to the ring buffer."""
+        if self._ring is not None:
+            self._ring.record_request(name, fields)
 
+    @logging.skip_log_prefix
     def info(self, name, **fields):
         """Log an ordinary event and add it to the ring."""
-        self._record(name, fields)
-        logging.info("%s", format_event(name, {**fields, **self._common}))
+        self._write(logging.INFO, name, fields)
 
+    @logging.skip_log_prefix
     def warning(self, name, **fields):
         """Log an event that an operator should see and add it to the ring."""
-        self._record(name, fields)
-        logging.warning("%s", format_event(name, {**fields, **self._common}))
+        self._write(logging.WARNING, name, fields)
 
+    @logging.skip_log_prefix
     def error(self, name, **fields):
         """Log a failure of the daemon itself and add it to the ring."""
-        self._record(name, fields)
-        logging.error("%s", format_event(name, {**fields, **self._common}))
+        self._write(logging.ERROR, name, fields)
 
     def debug(self, name, **fields):
         """Log a detail that is useful only while debugging."""
         if logging.vlog_is_on(1):
             logging.vlog(1, "%s", format_event(name, {**fields, **self._common}))
 
-    def _record(self, name, fields):
+    @logging.skip_log_prefix
+    def _write(self, level, name, fields):
         if self._ring is not None:
             self._ring.record(name, **fields)
+        admitted, suppressed = self._limit.admit(name)
+        for other, count in suppressed.items():
+            line = {"suppressed": other, "count": count, **self._common}
+            logging.warning("%s", format_event("lines_suppressed", line))
+        if admitted:
+            logging.log(level, "%s", format_event(name, {**fields, **self._common}))
--- a/almondtide/owner.py
+++ b/almondtide/owner.py
@@ -401,6 +401,8 @@
             self.hedges.earn()
             self.retries.earn()
             self._metrics.queue_seconds.observe({}, now - item.arrived)
+        else:
+            self._metrics.retries.inc({"service": self.service})
         self._metrics.sends.inc({"service": self.service})
         await worker.wake.set()
         if item.sub.idempotent and not item.hedged and not item.sub.suspect:
--- a/almondtide/owners.py
+++ b/almondtide/owners.py
@@ -117,6 +117,12 @@
 
     async def _handle_batch(self, sender, message, reply):
         deadline = self._clock.monotonic() + message.remaining_ms / 1000.0
+        self._log.trace(
+            "sub_requests_received",
+            query_id=message.query_id,
+            coordinator=sender,
+            services=len(message.items),
+        )
         for item in message.items:
             service, ranges = _parse_item(item)
             sub = SubRequest(
--- a/almondtide/settings.py
+++ b/almondtide/settings.py
@@ -1,16 +1,25 @@
 """Process settings from flags and environment variables."""
 
+import inspect
 import os
 import re
 
 from .adapters.listener import parse_address
 from .errors import SettingsError
 
-__all__ = ["DaemonSettings", "SettingSpec", "load_settings", "setting_specs"]
+__all__ = [
+    "DaemonSettings",
+    "SettingSpec",
+    "daemon_command",
+    "load_settings",
+    "setting_specs",
+]
 
 ENVIRONMENT_PREFIX = "ALMONDTIDE_"
 _NAME = re.compile(r"[A-Za-z0-9._-]{1,64}")
 MIN_TOKEN_LENGTH = 8
+LISTENERS = ("caller_address", "peer_address", "admin_address")
+ANY_HOST = "0.0.0.0"
 
 
 class SettingSpec:
@@ -56,13 +65,20 @@
 
 
 def _parse_token(spec, text):
+    # The value is not repeated in the message, because it is a secret.
     if len(text) < MIN_TOKEN_LENGTH:
         raise ValueError(f"must have at least {MIN_TOKEN_LENGTH} characters")
+    if not text.isascii() or not text.isprintable() or " " in text:
+        raise ValueError("must be printable ASCII text without spaces")
     return text
 
 
 def _parse_number(spec, text):
-    value = int(text) if spec.kind == "int" else float(text)
+    kind = int if spec.kind == "int" else float
+    try:
+        value = kind(text)
+    except ValueError:
+        raise ValueError(f"{text!r} is not of type {kind.__name__}") from None
     if not spec.low <= value <= spec.high:
         raise ValueError(f"{value} is not within {spec.low} and {spec.high}")
     return value
@@ -133,7 +149,7 @@
     for spec in _SPECS:
         text = flags.get(spec.name)
         source = spec.flag
-        if text is None and spec.environment in environ:
+        if text is None and environ.get(spec.environment):
             text = environ[spec.environment]
             source = spec.environment
         if text is None:
@@ -158,10 +174,61 @@
 
 
 def _check_distinct(values, problems):
-    names = ("caller_address", "peer_address", "admin_address")
+    """Report addresses that clash, also by way of the address of all interfaces."""
     seen = {}
-    for name in names:
-        address = values.get(name)
-        if address is not None and address in seen:
-            problems.append(f"{name} and {seen[address]} are the same address")
-        seen[address] = name
+    for name in LISTENERS:
+        if name not in values:
+            continue
+        host, port = values[name]
+        if port == 0:
+            # The operating system chooses the port.
+            continue
+        for other, (other_host, other_port) in seen.items():
+            if port == other_port and (
+                host == other_host or ANY_HOST in (host, other_host)
+            ):
+                problems.append(f"{name} and {other} clash: {host}:{port}")
+        seen[name] = (host, port)
+    if values.get("platform") in seen.values():
+        problems.append("platform is an address of this daemon")
+
+
+def daemon_command(run):
+    """Return a command for defopt with a flag for each setting.
+
+    The command calls ``run`` with the texts of the flags as keyword arguments,
+    None for those that are not given.
+    """
+
+    def command(**flags):
+        return run(**flags)
+
+    parameters = [
+        inspect.Parameter(
+            spec.name,
+            inspect.Parameter.KEYWORD_ONLY,
+            default=None,
+            annotation=str | None,
+        )
+        for spec in _SPECS
+    ]
+    command.__signature__ = inspect.Signature(parameters)
+    command.__annotations__ = {spec.name: str | None for spec in _SPECS}
+    command.__name__ = run.__name__
+    lines = [
+        "Run one almondtide daemon.",
+        "",
+        "A flag wins over its environment variable, which wins over the default.",
+        "",
+    ]
+    lines.extend(f":param {spec.name}: {_describe(spec)}" for spec in _SPECS)
+    command.__doc__ = "\n".join(lines)
+    return command
+
+
+def _describe(spec):
+    text = spec.help.rstrip(".")
+    if spec.low is not None:
+        text += f", {spec.low} to {spec.high}"
+    default = "required" if spec.default is None else f"default: {spec.default or '-'}"
+    return f"{text} ({spec.environment}; {default})"
--- a/almondtide/timeline.py
+++ b/almondtide/timeline.py
@@ -17,12 +17,23 @@
     left its ring buffer.
     """
 
-    __slots__ = ("_after", "_client", "_event", "_request_id", "dropped", "failures")
+    __slots__ = (
+        "_after",
+        "_client",
+        "_event",
+        "_ids",
+        "_request_id",
+        "dropped",
+        "failures",
+    )
 
     def __init__(self, client, addresses, request_id=None, event=None):
         self._client = client
         self._after = dict.fromkeys(addresses, (0, 0))
         self._request_id = request_id
+        # The request id and the ids of the queries that were planned for it, which
+        # is what owners know the request by.
+        self._ids = {request_id}
         self._event = event
         self.failures = {}
         self.dropped = {}
@@ -42,6 +53,10 @@
         if len(self.failures) == len(self._after):
             raise next(iter(self.failures.values()))
         events.sort(key=lambda item: (item["time"], item["instance"]))
+        for item in events:
+            fields = item["fields"]
+            if fields.get("request_id") == self._request_id and "query_id" in fields:
+                self._ids.add(fields["query_id"])
         return [item for item in events if self._matches(item)]
 
     async def _read(self, address):
@@ -65,7 +80,10 @@
         if self._request_id is None:
             return True
         fields = item["fields"]
-        return any(fields.get(name) == self._request_id for name in ID_FIELDS)
+        return any(
+            isinstance(fields.get(name), str) and fields[name] in self._ids
+            for name in ID_FIELDS
+        )
 
 
 def format_timeline_event(item):
