--- a/almondtide/adapters/http.py
+++ b/almondtide/adapters/http.py
@@ -303,6 +303,7 @@
     idle_timeout_s=DEFAULT_IDLE_TIMEOUT_S,
     read_timeout_s=READ_TIMEOUT_S,
     on_refused=None,
+    closing=lambda: False,
 ):
     """Serve requests on one connection until it closes.
 
@@ -314,13 +315,14 @@
     first byte, a request must be complete within ``read_timeout_s``, however
     slowly its bytes arrive. When the other side closes its direction while the
     handler runs, the handler is cancelled and the answer has the code CANCELLED.
-    ``on_refused`` is called with the code of each request that is malformed.
+    ``on_refused`` is called with the code of each request that is malformed. While
+    ``closing()`` is true, each response ends its connection.
     """
     connection = _ServerConnection(sock, max_body, max_header)
     refusal = None
     try:
         while await _serve_request(
-            connection, handler, log, idle_timeout_s, read_timeout_s
+            connection, handler, log, idle_timeout_s, read_timeout_s, closing
         ):
             pass
     except h11.RemoteProtocolError as exc:
@@ -348,7 +350,9 @@
         await connection.refuse(refusal)
 
 
-async def _serve_request(connection, handler, log, idle_timeout_s, read_timeout_s):
+async def _serve_request(
+    connection, handler, log, idle_timeout_s, read_timeout_s, closing
+):
     """Serve one request; returns whether another may follow."""
     async with curio.timeout_after(idle_timeout_s):
         if not await connection.wait_for_request():
@@ -368,7 +372,7 @@
         return False
     except AlmondtideError as exc:
         response = error_response(exc, request.id)
-    await connection.send(response)
+    await connection.send(response, close=closing())
     conn = connection.conn
     if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
         return False
--- a/almondtide/cli_configuration.py
+++ b/almondtide/cli_configuration.py
@@ -123,7 +123,7 @@
         raise UsageError("--workload and --service exclude each other")
     addresses = get_addresses(admin, ADMIN_VARIABLE, "--admin")
     report = curio.run(_first_report, addresses, get_token(token), "configuration")
-    if report is None:
+    if report["body"] is None:
         raise ClientError("the daemon has no configuration yet", ResultCode.NOT_READY)
     if document:
         print_json(report["body"])
--- a/almondtide/errors.py
+++ b/almondtide/errors.py
@@ -3,10 +3,12 @@
 import enum
 
 __all__ = [
+    "DEFAULT_RETRY_AFTER_MS",
     "AlmondtideError",
     "BadRequestError",
     "ClientError",
     "ConfigurationError",
+    "DocumentError",
     "ExecutionError",
     "PeerError",
     "PlatformError",
@@ -19,6 +21,10 @@
 ]
 
 
+# When a caller may come back after a refusal that has no estimate of its own.
+DEFAULT_RETRY_AFTER_MS = 100
+
+
 class ResultCode(enum.IntEnum):
     """Outcome of a request, a sub-request or an operation.
 
@@ -67,6 +73,7 @@
     CONFIGURATION_INVALID = 600
     SETTINGS_INVALID = 601
     PLATFORM_UNAVAILABLE = 602
+    DOCUMENT_MISMATCH = 603
     NO_ANSWER = 700
     CONNECTION_LOST = 701
     WAIT_TIMEOUT = 702
@@ -158,6 +165,8 @@
     code = ResultCode.OVERLOADED
 
     def __init__(self, message, code=None, *, retry_after_ms=None):
+        if retry_after_ms is None:
+            retry_after_ms = DEFAULT_RETRY_AFTER_MS
         super().__init__(message, code, not_run=True, retry_after_ms=retry_after_ms)
 
 
@@ -185,6 +194,12 @@
     code = ResultCode.PLATFORM_UNAVAILABLE
 
 
+class DocumentError(AlmondtideError):
+    """A received document or change does not have the content it states."""
+
+    code = ResultCode.DOCUMENT_MISMATCH
+
+
 class ClientError(AlmondtideError):
     """The command line got no usable answer from any daemon it asked."""
 
