Check every field of frames and every place of a configuration

Cause, found by Hypothesis and by reading: - An exception with a value of a wrong type raised TypeError in the check of the deadlines instead of ConfigurationError, so that a daemon could not report the revision as invalid. - A reply of a type that a daemon does not know was turned into an error that says "not run". The reply may report a run, and the home would have allowed a second one. - One invalid field ended the whole link and with it all calls on it. An upstream that states no version (null) made its owner send such a field. - NaN and infinity passed as remaining times, result codes of a newer version raised ValueError in the coordinator, a timestamp of 2**60 moved the clocks of all daemons for good, and rows nested deeper than 400 levels ended the link. - A port over 65535 or an impossible host raised OverflowError or UnicodeError from connect, where callers expect OSError. - Names of the configuration with line ends or quotes reached paths of problems, metric labels and log lines.

Change: messages declare a check for each field; an invalid message becomes an error reply with "not run" false for its own call; frames are decoded up to 1,100 levels. Names are 1 to 64 letters, digits, '.', '_' or '-'. addresses are checked by one pattern.

The fake reply of test_replies_reach_their_own_request had rows of one value; the documented row has four, and the test now sends those.

Ruled out: a bound on the drift of the hybrid logical clock, which would lose the order of events of a daemon whose clock runs ahead.

--- a/almondtide/adapters/listener.py
+++ b/almondtide/adapters/listener.py
@@ -1,5 +1,6 @@
 """Accept loop of a TCP server with one task for each connection."""
 
+import re
 import socket as stdlib_socket
 
 import curio
@@ -8,14 +9,16 @@
 __all__ = ["Listener", "connect", "parse_address"]
 
 BACKLOG = 512
+MAX_PORT = 65535
+_ADDRESS = re.compile(r"(?P<host>[A-Za-z0-9._-]+):(?P<port>[0-9]{1,5})")
 
 
 def parse_address(text):
     """Return ``(host, port)`` of ``"host:port"``; raises ValueError."""
-    host, separator, port = text.rpartition(":")
-    if not separator or not host or not port.isdigit() or int(port) > 65535:
+    match = _ADDRESS.fullmatch(text)
+    if match is None or int(match["port"]) > MAX_PORT:
         raise ValueError(f"{text!r} is not of the form host:port")
-    return host, int(port)
+    return match["host"], int(match["port"])
 
 
 async def connect(address, timeout_s):
@@ -28,6 +31,10 @@
         sock.setsockopt(stdlib_socket.IPPROTO_TCP, stdlib_socket.TCP_NODELAY, 1)
         async with curio.timeout_after(timeout_s):
             await sock.connect(address)
+    except (OverflowError, ValueError, TypeError) as exc:
+        # Addresses come from documents; a port or a name may be impossible.
+        await sock.close()
+        raise OSError(f"invalid address {address!r}: {exc}") from exc
     except BaseException:
         await sock.close()
         raise
--- a/almondtide/configuration.py
+++ b/almondtide/configuration.py
@@ -1,5 +1,8 @@
 """Published configuration: model, validator, defaults and exceptions."""
 
+import json
+import re
+
 import orjson
 
 from .errors import ConfigurationError
@@ -26,6 +29,12 @@
 MAX_DOCUMENT_BYTES = 1_000_000
 MAX_SHARD_MAPS = 3
 MIN_REASON_LENGTH = 8
+MAX_SHOWN = 60
+# Epochs are part of messages, whose integers have 64 bits.
+MAX_EPOCH = 1 << 53
+NAME_RULE = "must be 1 to 64 letters, digits, '.', '_' or '-'"
+# Names become labels of metrics, fields of log lines and parts of paths.
+_NAME = re.compile(r"[A-Za-z0-9._-]{1,64}")
 
 
 class Setting:
@@ -53,19 +62,26 @@
     def problem(self, value):
         """Return what is wrong with ``value``, or None."""
         allowed = (int, float) if self.kind is float else self.kind
-        if isinstance(value, bool) and self.kind is not bool:
-            return f"{value!r} is not of type {self.kind.__name__}"
-        if not isinstance(value, allowed):
-            return f"{value!r} is not of type {self.kind.__name__}"
+        is_bool = isinstance(value, bool) and self.kind is not bool
+        if is_bool or not isinstance(value, allowed):
+            return f"{_shown(value)} is not of type {self.kind.__name__}"
         if self.low is not None and not value >= self.low:
-            return f"{value!r} is below the minimum {self.low}"
+            return f"{_shown(value)} is below the minimum {self.low}"
         if self.high is not None and not value <= self.high:
-            return f"{value!r} is above the maximum {self.high}"
+            return f"{_shown(value)} is above the maximum {self.high}"
         if self.choices is not None and value not in self.choices:
-            return f"{value!r} is not one of {', '.join(sorted(self.choices))}"
+            return f"{_shown(value)} is not one of {', '.join(sorted(self.choices))}"
         return None
 
 
+def _shown(value):
+    """Return ``value`` for a message: on one line and not longer than the line."""
+    text = ascii(value)
+    if len(text) > MAX_SHOWN:
+        text = f"{text[:MAX_SHOWN]}..."
+    return text
+
+
 Setting(
     "entries_max_age_ms",
     FLEET,
@@ -266,6 +282,13 @@
         return list(names)
 
 
+def _child(path, key):
+    """Return the path of ``key`` in the object at ``path``."""
+    if _NAME.fullmatch(key):
+        return f"{path}.{key}"
+    return f"{path}[{json.dumps(key)}]"
+
+
 class _Reader:
     """Collects problems, each with the path of the bad value."""
 
@@ -287,14 +310,22 @@
     def unknown(self, container, known, path):
         for key in container:
             if key not in known:
-                self.add(f"{path}.{key}", "unknown field")
+                self.add(_child(path, key), "unknown field")
+
+    def name(self, container, key, path):
+        """Return a value that must be a name, or None."""
+        value = self.typed(container, key, str, path)
+        if value is not None and not _NAME.fullmatch(value):
+            self.add(f"{path}.{key}", f"{_shown(value)} {NAME_RULE}")
+            return None
+        return value
 
 
 def _read_defaults(reader, body):
     values = {name: SETTINGS.get(name).default for name in SETTINGS.names()}
     given = reader.typed(body, "defaults", dict, "$", {})
     for name, value in (given or {}).items():
-        path = f"$.defaults.{name}"
+        path = _child("$.defaults", name)
         if name not in SETTINGS:
             reader.add(path, "unknown setting")
             continue
@@ -311,10 +342,10 @@
         reader.add(path, "must be an object")
         return None
     reader.unknown(item, ("name", "low", "high", "service"), path)
-    name = reader.typed(item, "name", str, path)
+    name = reader.name(item, "name", path)
     low = reader.typed(item, "low", int, path)
     high = reader.typed(item, "high", int, path)
-    service = reader.typed(item, "service", str, path)
+    service = reader.name(item, "service", path)
     if None in (name, low, high, service):
         return None
     if not 0 <= low < high <= KEY_SPACE:
@@ -330,6 +361,9 @@
     reader.unknown(item, ("epoch", "shards"), path)
     epoch = reader.typed(item, "epoch", int, path)
     shards = reader.typed(item, "shards", list, path)
+    if epoch is not None and not 0 <= epoch <= MAX_EPOCH:
+        reader.add(f"{path}.epoch", f"{_shown(epoch)} is not within 0 and {MAX_EPOCH}")
+        return None
     if epoch is None or shards is None:
         return None
     known = len(reader.problems)
@@ -352,7 +386,10 @@
 
 
 def _read_workload(reader, name, item):
-    path = f"$.workloads.{name}"
+    path = _child("$.workloads", name)
+    if not _NAME.fullmatch(name):
+        reader.add(path, f"the name {NAME_RULE}")
+        return None
     if not isinstance(item, dict):
         reader.add(path, "must be an object")
         return None
@@ -384,6 +421,8 @@
 
 
 def _read_exception(reader, item, path, known_targets):
+    """Return the exception as a dict, or None when it has a problem."""
+    known_problems = len(reader.problems)
     if not isinstance(item, dict):
         reader.add(path, "must be an object")
         return None
@@ -398,9 +437,9 @@
     if scope is None or target is None or name is None:
         return None
     if target not in known_targets[scope]:
-        reader.add(f"{path}.{scope}", f"{target!r} is not in the configuration")
+        reader.add(f"{path}.{scope}", f"{_shown(target)} is not in the configuration")
     if name not in SETTINGS:
-        reader.add(f"{path}.setting", f"unknown setting {name!r}")
+        reader.add(f"{path}.setting", f"unknown setting {_shown(name)}")
         return None
     setting = SETTINGS.get(name)
     if setting.scope != scope:
@@ -408,6 +447,8 @@
     problem = setting.problem(item.get("value"))
     if problem:
         reader.add(f"{path}.value", problem)
+    if len(reader.problems) > known_problems:
+        return None
     return {
         "scope": scope,
         "target": target,
@@ -466,7 +507,9 @@
             workloads[name] = workload
     exceptions = _read_exceptions(reader, body, workloads)
     cfg = Configuration(revision, defaults, exceptions, workloads)
-    _check_deadlines(reader, cfg)
+    if not reader.problems:
+        # The deadlines can be compared only where all values are valid.
+        _check_deadlines(reader, cfg)
     if reader.problems:
         raise ConfigurationError(reader.problems)
     return cfg
--- a/almondtide/events.py
+++ b/almondtide/events.py
@@ -9,6 +9,8 @@
 __all__ = ["Event", "EventRing"]
 
 DEFAULT_CAPACITY = 4096
+# The JSON codec refuses larger integers.
+MAX_INTEGER = 1 << 63
 
 
 class Event:
@@ -33,6 +35,8 @@
 
 def _plain(value):
     """Return ``value`` in a form that JSON can carry."""
+    if isinstance(value, int) and abs(value) >= MAX_INTEGER:
+        return str(value)
     if isinstance(value, bool | int | float) or value is None:
         return value
     if isinstance(value, list | tuple):
--- a/almondtide/messages.py
+++ b/almondtide/messages.py
@@ -1,5 +1,7 @@
 """Typed messages between daemons and their CBOR encoding."""
 
+import math
+
 import cbor2
 
 from .errors import PeerError, ResultCode
@@ -35,10 +37,71 @@
 PROTOCOL_VERSION = 1
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 
-_NUMBER = (int, float)
-_OPTIONAL_STR = (str, type(None))
-_OPTIONAL_NUMBER = (int, float, type(None))
-_ANY = object
+# 2100-01-01; a frame beyond it would move the clocks of all daemons for good.
+MAX_TIMESTAMP_MS = 4_102_444_800_000
+MAX_COUNTER = 1 << 32
+MAX_INTEGER = 1 << 63
+# Above the 1024 levels that the JSON decoder accepts from upstreams, whose rows
+# are part of a frame; a deeper frame would end the link.
+MAX_DEPTH = 1100
+
+
+# Checks of fields: functions from a received value to whether it is allowed.
+
+
+def _any(value):
+    return True
+
+
+def _bool(value):
+    return isinstance(value, bool)
+
+
+def _int(value):
+    return type(value) is int and -MAX_INTEGER <= value < MAX_INTEGER
+
+
+def _number(value):
+    return _int(value) or (type(value) is float and math.isfinite(value))
+
+
+def _str(value):
+    return isinstance(value, str)
+
+
+def _optional(check):
+    return lambda value: value is None or check(value)
+
+
+def _list_of(check):
+    return lambda value: isinstance(value, list) and all(map(check, value))
+
+
+def _row(*checks):
+    """Return the check of a list with one value for each of ``checks``."""
+
+    def check_row(value):
+        return (
+            isinstance(value, list)
+            and len(value) == len(checks)
+            and all(check(item) for check, item in zip(checks, value, strict=True))
+        )
+
+    return check_row
+
+
+def _dict(value):
+    return isinstance(value, dict) and all(map(_str, value))
+
+
+_INTS = _list_of(_int)
+_STRS = _list_of(_str)
+_RANGES = _list_of(_row(_int, _int))
+
+
+def _code(value):
+    return _int(value)
+
 
 messages = Registry("message type")
 
@@ -46,7 +109,7 @@
 class Message:
     """Base of all peer messages.
 
-    A subclass lists its fields in ``FIELDS`` as name to (type, default); a field
+    A subclass lists its fields in ``FIELDS`` as name to (check, default); a field
     whose default is ``REQUIRED`` must be present. ``seq`` matches replies to
     requests on one connection and is 0 for one-way messages.
     """
@@ -85,15 +148,14 @@
     def from_dict(cls, encoded):
         """Build the message from a received map; unknown fields are ignored."""
         values = {}
-        for name, (kind, default) in cls.FIELDS.items():
+        for name, (check, default) in cls.FIELDS.items():
             if name in encoded:
                 value = encoded[name]
-                if not isinstance(value, kind):
+                if not check(value):
                     raise PeerError(
-                        f"{cls.TYPE}.{name}: {type(value).__name__} is not allowed",
-                        ResultCode.PEER_PROTOCOL,
+                        f"{cls.TYPE}.{name}: invalid value", ResultCode.PEER_PROTOCOL
                     )
-                values[name] = value
+                values[name] = _known_code(value) if check is _code else value
             elif default is Message.REQUIRED:
                 raise PeerError(
                     f"{cls.TYPE}.{name} is missing", ResultCode.PEER_PROTOCOL
@@ -101,6 +163,14 @@
         return cls(encoded["seq"], **values)
 
 
+def _known_code(number):
+    """Return the result code, INTERNAL for one of a newer version."""
+    try:
+        return ResultCode(number)
+    except ValueError:
+        return ResultCode.INTERNAL
+
+
 def _message(type_name):
     def decorate(cls):
         cls.TYPE = type_name
@@ -115,9 +185,9 @@
 
     __slots__ = ("incarnation", "instance", "version")
     FIELDS = {
-        "instance": (str, Message.REQUIRED),
-        "incarnation": (str, Message.REQUIRED),
-        "version": (int, PROTOCOL_VERSION),
+        "instance": (_str, Message.REQUIRED),
+        "incarnation": (_str, Message.REQUIRED),
+        "version": (_int, PROTOCOL_VERSION),
     }
 
 
@@ -133,7 +203,7 @@
     """Answer to ``Ping``."""
 
     __slots__ = ("incarnation",)
-    FIELDS = {"incarnation": (str, Message.REQUIRED)}
+    FIELDS = {"incarnation": (_str, Message.REQUIRED)}
 
 
 @_message("error")
@@ -142,10 +212,10 @@
 
     __slots__ = ("code", "message", "not_run", "retry_after_ms")
     FIELDS = {
-        "code": (int, Message.REQUIRED),
-        "message": (str, ""),
-        "not_run": (bool, False),
-        "retry_after_ms": (_OPTIONAL_NUMBER, None),
+        "code": (_code, Message.REQUIRED),
+        "message": (_str, ""),
+        "not_run": (_bool, False),
+        "retry_after_ms": (_optional(_number), None),
     }
 
 
@@ -173,16 +243,16 @@
         "workload",
     )
     FIELDS = {
-        "query_id": (str, Message.REQUIRED),
-        "workload": (str, Message.REQUIRED),
-        "version": (int, Message.REQUIRED),
-        "epoch": (int, Message.REQUIRED),
-        "remaining_ms": (_NUMBER, Message.REQUIRED),
-        "items": (list, Message.REQUIRED),
-        "body": (_ANY, None),
-        "fingerprint": (str, ""),
-        "suspect": (bool, False),
-        "avoid": (list, list),
+        "query_id": (_str, Message.REQUIRED),
+        "workload": (_str, Message.REQUIRED),
+        "version": (_int, Message.REQUIRED),
+        "epoch": (_int, Message.REQUIRED),
+        "remaining_ms": (_number, Message.REQUIRED),
+        "items": (_list_of(_row(_str, _RANGES)), Message.REQUIRED),
+        "body": (_any, None),
+        "fingerprint": (_str, ""),
+        "suspect": (_bool, False),
+        "avoid": (_STRS, list),
     }
 
 
@@ -210,19 +280,19 @@
         "wait_ms",
     )
     FIELDS = {
-        "service": (str, Message.REQUIRED),
-        "code": (int, Message.REQUIRED),
-        "not_run": (bool, False),
-        "version": (int, 0),
-        "epoch": (int, 0),
-        "ranges": (list, list),
-        "payload": (_ANY, None),
-        "server": (str, ""),
-        "attempts": (int, 0),
-        "wait_ms": (_NUMBER, 0),
-        "versions": (list, list),
-        "epochs": (list, list),
-        "retry_after_ms": (_OPTIONAL_NUMBER, None),
+        "service": (_str, Message.REQUIRED),
+        "code": (_code, Message.REQUIRED),
+        "not_run": (_bool, False),
+        "version": (_int, 0),
+        "epoch": (_int, 0),
+        "ranges": (_RANGES, list),
+        "payload": (_any, None),
+        "server": (_str, ""),
+        "attempts": (_int, 0),
+        "wait_ms": (_number, 0),
+        "versions": (_INTS, list),
+        "epochs": (_INTS, list),
+        "retry_after_ms": (_optional(_number), None),
     }
 
 
@@ -231,7 +301,7 @@
     """The coordinator no longer needs the answers of a query."""
 
     __slots__ = ("query_id",)
-    FIELDS = {"query_id": (str, Message.REQUIRED)}
+    FIELDS = {"query_id": (_str, Message.REQUIRED)}
 
 
 @_message("service_status_request")
@@ -239,7 +309,7 @@
     """Asks an owner what its services can serve."""
 
     __slots__ = ("services",)
-    FIELDS = {"services": (list, Message.REQUIRED)}
+    FIELDS = {"services": (_STRS, Message.REQUIRED)}
 
 
 @_message("service_status")
@@ -247,7 +317,9 @@
     """For each service ``[service, versions, epochs, wait_ms]``."""
 
     __slots__ = ("services",)
-    FIELDS = {"services": (list, Message.REQUIRED)}
+    FIELDS = {
+        "services": (_list_of(_row(_str, _INTS, _INTS, _number)), Message.REQUIRED)
+    }
 
 
 @_message("prefix_request")
@@ -262,7 +334,7 @@
     """The current execution id prefix of the sender."""
 
     __slots__ = ("prefix",)
-    FIELDS = {"prefix": (str, Message.REQUIRED)}
+    FIELDS = {"prefix": (_str, Message.REQUIRED)}
 
 
 @_message("forward_revise")
@@ -271,11 +343,11 @@
 
     __slots__ = ("body", "execution_id", "remaining_ms", "request_id", "workload")
     FIELDS = {
-        "workload": (str, Message.REQUIRED),
-        "execution_id": (str, Message.REQUIRED),
-        "request_id": (str, ""),
-        "remaining_ms": (_NUMBER, Message.REQUIRED),
-        "body": (_ANY, None),
+        "workload": (_str, Message.REQUIRED),
+        "execution_id": (_str, Message.REQUIRED),
+        "request_id": (_str, ""),
+        "remaining_ms": (_number, Message.REQUIRED),
+        "body": (_any, None),
     }
 
 
@@ -294,14 +366,14 @@
         "workload",
     )
     FIELDS = {
-        "workload": (str, Message.REQUIRED),
-        "service": (str, Message.REQUIRED),
-        "execution_id": (str, Message.REQUIRED),
-        "remaining_ms": (_NUMBER, Message.REQUIRED),
-        "fingerprint": (str, ""),
-        "suspect": (bool, False),
-        "avoid": (list, list),
-        "body": (_ANY, None),
+        "workload": (_str, Message.REQUIRED),
+        "service": (_str, Message.REQUIRED),
+        "execution_id": (_str, Message.REQUIRED),
+        "remaining_ms": (_number, Message.REQUIRED),
+        "fingerprint": (_str, ""),
+        "suspect": (_bool, False),
+        "avoid": (_STRS, list),
+        "body": (_any, None),
     }
 
 
@@ -311,12 +383,12 @@
 
     __slots__ = ("code", "message", "not_run", "payload", "retry_after_ms", "server")
     FIELDS = {
-        "code": (int, Message.REQUIRED),
-        "not_run": (bool, False),
-        "message": (str, ""),
-        "payload": (_ANY, None),
-        "server": (str, ""),
-        "retry_after_ms": (_OPTIONAL_NUMBER, None),
+        "code": (_code, Message.REQUIRED),
+        "not_run": (_bool, False),
+        "message": (_str, ""),
+        "payload": (_any, None),
+        "server": (_str, ""),
+        "retry_after_ms": (_optional(_number), None),
     }
 
 
@@ -341,13 +413,13 @@
         "ready",
     )
     FIELDS = {
-        "instance": (str, Message.REQUIRED),
-        "incarnation": (str, Message.REQUIRED),
-        "documents": (dict, dict),
-        "ready": (bool, False),
-        "leaving": (bool, False),
-        "quarantined": (list, list),
-        "address": ((list, type(None)), None),
+        "instance": (_str, Message.REQUIRED),
+        "incarnation": (_str, Message.REQUIRED),
+        "documents": (_dict, dict),
+        "ready": (_bool, False),
+        "leaving": (_bool, False),
+        "quarantined": (_list_of(_row(_str, _number)), list),
+        "address": (_optional(_row(_str, _int)), None),
     }
 
     def stated(self):
@@ -368,9 +440,9 @@
 
     __slots__ = ("digest", "have", "name")
     FIELDS = {
-        "name": (str, Message.REQUIRED),
-        "have": (int, 0),
-        "digest": (_OPTIONAL_STR, None),
+        "name": (_str, Message.REQUIRED),
+        "have": (_int, 0),
+        "digest": (_optional(_str), None),
     }
 
 
@@ -385,11 +457,11 @@
 
     __slots__ = ("digest", "name", "patches", "revision", "snapshot")
     FIELDS = {
-        "name": (str, Message.REQUIRED),
-        "revision": (int, Message.REQUIRED),
-        "digest": (str, Message.REQUIRED),
-        "patches": (list, list),
-        "snapshot": (_ANY, None),
+        "name": (_str, Message.REQUIRED),
+        "revision": (_int, Message.REQUIRED),
+        "digest": (_str, Message.REQUIRED),
+        "patches": (_list_of(_row(_int, _any, _str)), list),
+        "snapshot": (_any, None),
     }
 
 
@@ -399,8 +471,8 @@
 
     __slots__ = ("incarnation", "instance")
     FIELDS = {
-        "instance": (str, Message.REQUIRED),
-        "incarnation": (str, Message.REQUIRED),
+        "instance": (_str, Message.REQUIRED),
+        "incarnation": (_str, Message.REQUIRED),
     }
 
 
@@ -414,9 +486,9 @@
 
     __slots__ = ("fingerprint", "remaining_ms", "servers")
     FIELDS = {
-        "fingerprint": (str, Message.REQUIRED),
-        "remaining_ms": (_NUMBER, Message.REQUIRED),
-        "servers": (list, list),
+        "fingerprint": (_str, Message.REQUIRED),
+        "remaining_ms": (_number, Message.REQUIRED),
+        "servers": (_STRS, list),
     }
 
 
@@ -432,39 +504,41 @@
 
 
 def _decode_message(encoded):
-    if not isinstance(encoded, dict) or not isinstance(encoded.get("seq"), int):
+    if not isinstance(encoded, dict) or not _int(encoded.get("seq")):
         raise PeerError("a message must be a map with seq", ResultCode.PEER_PROTOCOL)
     name = encoded.get("t")
-    if not isinstance(name, str) or name not in messages:
-        # A newer peer may send types that this version does not know.
-        return ErrorReply(
-            encoded["seq"],
-            code=ResultCode.PEER_PROTOCOL,
-            message=f"unknown message type {name!r}",
-            not_run=True,
-        )
-    return messages.get(name).from_dict(encoded)
+    try:
+        if not isinstance(name, str) or name not in messages:
+            # A newer peer may send types that this version does not know.
+            raise PeerError(f"unknown message type {name!r}", ResultCode.PEER_PROTOCOL)
+        return messages.get(name).from_dict(encoded)
+    except PeerError as exc:
+        # "Not run" stays False: a reply that cannot be read may report a run.
+        return ErrorReply(encoded["seq"], code=exc.code, message=exc.message)
+
+
+def _check_timestamp(timestamp):
+    if not _row(_int, _int)(timestamp):
+        raise PeerError("invalid frame timestamp", ResultCode.PEER_PROTOCOL)
+    millis, counter = timestamp
+    if not (0 <= millis <= MAX_TIMESTAMP_MS and 0 <= counter <= MAX_COUNTER):
+        raise PeerError("frame timestamp out of range", ResultCode.PEER_PROTOCOL)
 
 
 def decode_frame(frame):
     """Decode a frame into ``(timestamp, messages)``.
 
     Raises ``PeerError`` for anything that is not a well-formed frame. A message
-    of an unknown type is returned as an ``ErrorReply`` that carries its ``seq``.
+    that is invalid or of an unknown type is returned as an ``ErrorReply`` that
+    carries its ``seq``, so that it ends one call and not the link.
     """
     if len(frame) > MAX_FRAME_BYTES:
         raise PeerError("frame is too large", ResultCode.MESSAGE_TOO_LARGE)
     try:
-        decoded = cbor2.loads(frame)
+        decoded = cbor2.loads(frame, max_depth=MAX_DEPTH, strict_hashable_types=True)
     except (cbor2.CBORError, ValueError, TypeError, RecursionError) as exc:
         raise PeerError(f"invalid CBOR: {exc}", ResultCode.PEER_PROTOCOL) from exc
     if not isinstance(decoded, list) or not decoded:
         raise PeerError("a frame must be a CBOR array", ResultCode.PEER_PROTOCOL)
-    timestamp = decoded[0]
-    if (
-        not isinstance(timestamp, list)
-        or len(timestamp) != 2
-        or not all(isinstance(part, int) for part in timestamp)
-    ):
-        raise PeerError("invalid frame timestamp", ResultCode.PEER_PROTOCOL)
-    return tuple(timestamp), [_decode_message(encoded) for encoded in decoded[1:]]
+    _check_timestamp(decoded[0])
+    return tuple(decoded[0]), [_decode_message(encoded) for encoded in decoded[1:]]
--- a/almondtide/owners.py
+++ b/almondtide/owners.py
@@ -177,13 +177,15 @@
 
     def _answer(self, owner, sub, result):
         versions, epochs = owner.served()
+        # Without a result, these may repeat anything that an upstream stated.
+        usable = result.ok
         return SubAnswer(
             service=result.service,
             code=int(result.code),
             not_run=result.not_run,
-            version=result.version,
-            epoch=result.epoch,
-            ranges=result.ranges,
+            version=result.version if usable else 0,
+            epoch=result.epoch if usable else 0,
+            ranges=result.ranges if usable else [],
             payload=result.payload,
             server=result.server,
             attempts=result.attempts,
--- a/tests/adapters/test_peer.py
+++ b/tests/adapters/test_peer.py
@@ -75,7 +75,8 @@
             async def later():
                 # Earlier requests are answered later.
                 await curio.sleep(0.05 - 0.005 * int(message.services[0]))
-                await reply(ServiceStatus(services=[[message.services[0]]]))
+                row = [message.services[0], [1], [1], 0]
+                await reply(ServiceStatus(services=[row]))
 
             await curio.spawn(later, daemon=True)
 
