Refuse execution ids and list entries that fail later

Cause, found by Hypothesis: - An execution id whose window is a character such as U+00B2, which str.isdigit accepts and int refuses, ended in code 900 and a closed connection. A suffix outside ASCII passed the entry and failed in the header to the upstream. Ids that differ in leading zeros named one execution. - An entry of the instance list with a port over 65535, a missing domain or a weight of 0 or NaN was accepted and failed when it was used.

--- a/almondtide/adapters/listener.py
+++ b/almondtide/adapters/listener.py
@@ -1,24 +1,13 @@
 """Accept loop of a TCP server with one task for each connection."""
 
-import re
 import socket as stdlib_socket
 
 import curio
 from curio import socket
 
-__all__ = ["Listener", "connect", "parse_address"]
+__all__ = ["Listener", "connect"]
 
 BACKLOG = 512
-MAX_PORT = 65535
-_ADDRESS = re.compile(r"(?P<host>[A-Za-z0-9._-]+):(?P<port>[0-9]{1,5})")
-
-
-def parse_address(text):
-    """Return ``(host, port)`` of ``"host:port"``; raises ValueError."""
-    match = _ADDRESS.fullmatch(text)
-    if match is None or int(match["port"]) > MAX_PORT:
-        raise ValueError(f"{text!r} is not of the form host:port")
-    return match["host"], int(match["port"])
 
 
 async def connect(address, timeout_s):
--- a/almondtide/cli.py
+++ b/almondtide/cli.py
@@ -7,6 +7,7 @@
 import orjson
 
 from . import __version__, cli_configuration
+from .addresses import format_address
 from .cli_arguments import (
     ADMIN_VARIABLE,
     ENTRIES_VARIABLE,
@@ -17,7 +18,7 @@
     get_token,
     join_repeated,
 )
-from .client import AdminClient, CallerClient, format_address, read_fleet
+from .client import AdminClient, CallerClient, read_fleet
 from .errors import AlmondtideError, ClientError, ResultCode, exit_status
 from .presentation import print_error, print_json, print_text, table
 from .timeline import Timeline, format_timeline_event
--- a/almondtide/cli_arguments.py
+++ b/almondtide/cli_arguments.py
@@ -6,7 +6,7 @@
 
 import orjson
 
-from .adapters.listener import parse_address
+from .addresses import parse_address
 
 __all__ = [
     "ADMIN_VARIABLE",
--- a/almondtide/cli_configuration.py
+++ b/almondtide/cli_configuration.py
@@ -5,6 +5,7 @@
 
 import curio
 
+from .addresses import format_address
 from .cli_arguments import (
     ADMIN_VARIABLE,
     Output,
@@ -12,7 +13,7 @@
     get_addresses,
     get_token,
 )
-from .client import AdminClient, format_address, read_fleet
+from .client import AdminClient, read_fleet
 from .configuration import (
     FLEET,
     SERVICE,
--- a/almondtide/client.py
+++ b/almondtide/client.py
@@ -8,7 +8,7 @@
 import h11
 
 from .adapters.http import HTTPClient
-from .adapters.listener import parse_address
+from .addresses import format_address, parse_address
 from .clock import SystemClock
 from .errors import ClientError, ResultCode, UpstreamError
 
@@ -33,11 +33,6 @@
 )
 
 
-def format_address(address):
-    """Return ``"host:port"`` of ``(host, port)``."""
-    return f"{address[0]}:{address[1]}"
-
-
 class ClientAnswer:
     """The last response to a request, with the entry that gave it.
 
--- a/almondtide/daemon.py
+++ b/almondtide/daemon.py
@@ -17,6 +17,7 @@
 from .adapters.peer import PeerNetwork
 from .adapters.platform import HTTPPlatform
 from .adapters.upstream import HTTPUpstreams
+from .addresses import format_address
 from .clock import SystemClock
 from .configuration import parse_configuration
 from .coordinator import Coordinator
@@ -569,7 +570,7 @@
 
 
 def _format_address(address):
-    return None if address is None else f"{address[0]}:{address[1]}"
+    return None if address is None else format_address(address)
 
 
 def _leave_to_wakeup_socket(number, frame):
--- a/almondtide/executions.py
+++ b/almondtide/executions.py
@@ -1,5 +1,7 @@
 """Non-idempotent requests: execution ids, their home, remembered outcomes."""
 
+import re
+
 import curio
 
 from .errors import (
@@ -26,6 +28,12 @@
 MAX_RECORDS = 100_000
 MAX_SUFFIX_LENGTH = 64
 SEPARATOR = "~"
+# The id is a header of the request to the upstream, so it is ASCII without spaces.
+# The window has one spelling, so that two texts never name the same execution.
+_EXECUTION_ID = re.compile(
+    r"([A-Za-z0-9._-]+)~([A-Za-z0-9]+)~(0|[1-9][0-9]{0,8})~"
+    rf"([!-}}]{{1,{MAX_SUFFIX_LENGTH}}})"
+)
 # Extra time for the reply of the home or the owner to travel back, in s.
 REPLY_MARGIN_S = 0.1
 PREFIX_TIMEOUT_S = 0.5
@@ -56,21 +64,15 @@
     @classmethod
     def parse(cls, text):
         """Return the parsed id; raises ``BadRequestError``."""
-        parts = (text or "").split(SEPARATOR)
-        if (
-            len(parts) != 4
-            or not all(parts)
-            or not parts[2].isdigit()
-            or len(parts[2]) > 9
-            or len(parts[3]) > MAX_SUFFIX_LENGTH
-            or not parts[3].isprintable()
-        ):
+        match = _EXECUTION_ID.fullmatch(text or "")
+        if match is None:
             raise BadRequestError(
                 "the execution id must be a prefix from /v1/entries, '~' and a suffix "
-                f"of 1 to {MAX_SUFFIX_LENGTH} characters",
+                f"of 1 to {MAX_SUFFIX_LENGTH} ASCII characters without spaces",
                 ResultCode.EXECUTION_ID_INVALID,
             )
-        return cls(parts[0], parts[1], int(parts[2]), parts[3])
+        instance, incarnation, window, suffix = match.groups()
+        return cls(instance, incarnation, int(window), suffix)
 
 
 class ReviseRequest:
--- a/almondtide/membership.py
+++ b/almondtide/membership.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 
+from .addresses import parse_address
 from .rendezvous import rank
 
 __all__ = ["ENTRY", "UPSTREAM", "Member", "Membership", "View", "parse_instances"]
@@ -20,6 +21,7 @@
 # exceed the lag of the list, or a daemon that left would be taken as live again.
 FORGET_S = 600.0
 MAX_FORMER = 8
+MAX_WEIGHT = 1e6
 
 
 class Member:
@@ -67,14 +69,17 @@
 
 
 def _address(value):
+    """Return (host, port) or None; raises ``ValueError``, also for port 0."""
     if value is None:
         return None
-    host, _, port = value.rpartition(":")
-    return host, int(port)
+    address = parse_address(value)
+    if address[1] == 0:
+        raise ValueError(f"{value!r} has no port")
+    return address
 
 
 def _check_item(item, names):
-    """Note the id of an entry; raises ``ValueError`` for a bad id or role."""
+    """Note the id of an entry; raises ``ValueError`` for a bad field."""
     name = item["id"]
     if not isinstance(name, str) or name in names:
         raise ValueError(f"id {name!r} is not a string or appears twice")
@@ -82,6 +87,13 @@
         raise ValueError(f"unknown role {item['role']!r}")
     if item["role"] == ENTRY and item.get("peer") is None:
         raise ValueError("an entry needs a peer address")
+    if item["role"] == UPSTREAM and not isinstance(item.get("service"), str):
+        raise ValueError("an upstream needs a service")
+    if not isinstance(item["domain"], str) or item["address"] is None:
+        raise ValueError("domain and address must be strings")
+    weight = item.get("weight", 1.0)
+    if type(weight) not in (int, float) or not 0 < weight <= MAX_WEIGHT:
+        raise ValueError(f"weight {weight!r} is not a number above 0")
     names.add(name)
 
 
@@ -105,7 +117,7 @@
                     item["domain"],
                     peer=_address(item.get("peer")),
                     admin=_address(item.get("admin")),
-                    service=item.get("service"),
+                    service=item["service"] if item["role"] == UPSTREAM else None,
                     leaving=item.get("state") == "leaving",
                     weight=float(item.get("weight", 1.0)),
                 )
--- a/almondtide/settings.py
+++ b/almondtide/settings.py
@@ -4,7 +4,7 @@
 import os
 import re
 
-from .adapters.listener import parse_address
+from .addresses import parse_address
 from .errors import SettingsError
 
 __all__ = [
