Answer wrong websocket handshakes, pings and close frames

Cause: malformed handshakes got no answer, refused ones were logged as timeouts, because the server waited for the client's close within the time limit of the handshake; pongs and close frames of the library stayed in its buffer until the next message; text messages were dropped silently.

Change: a refusal is sent and followed by a lingering close outside the time limit; replies of the library are written after each read unless a sender holds the lock; a text message is a protocol error. Each has a test that failed before.

Ruled out: waiting for the lock before writing a pong, which could stop both directions when both sides wait for buffer space.

--- a/almondtide/adapters/http.py
+++ b/almondtide/adapters/http.py
@@ -13,7 +13,7 @@
     UpstreamError,
     http_status,
 )
-from .listener import connect
+from .listener import connect, linger
 
 __all__ = [
     "HTTPClient",
@@ -33,7 +33,6 @@
 DEFAULT_IDLE_TIMEOUT_S = 75.0
 READ_TIMEOUT_S = 10.0
 SEND_TIMEOUT_S = 10.0
-LINGER_TIMEOUT_S = 1.0
 HALF_CLOSE_GRACE_S = 0.05
 HTTP_VERSIONS = (b"1.0", b"1.1")
 MAX_REQUEST_ID_LENGTH = 128
@@ -239,17 +238,10 @@
             return
         try:
             await self.send(error_response(exc, request_id), close=True)
-            await self._linger()
+            await linger(self.sock)
         except (OSError, curio.TaskTimeout, h11.LocalProtocolError):
             pass
 
-    async def _linger(self):
-        """Discard what still arrives, so that a reset does not destroy the answer."""
-        await self.sock.shutdown(stdlib_socket.SHUT_WR)
-        async with curio.ignore_after(LINGER_TIMEOUT_S):
-            while await self.sock.recv(RECEIVE_BYTES):
-                pass
-
     async def run_handler(self, handler, request):
         """Return the handler's response.
 
--- a/almondtide/adapters/listener.py
+++ b/almondtide/adapters/listener.py
@@ -5,9 +5,11 @@
 import curio
 from curio import socket
 
-__all__ = ["Listener", "connect"]
+__all__ = ["Listener", "connect", "linger"]
 
 BACKLOG = 512
+LINGER_TIMEOUT_S = 1.0
+RECEIVE_BYTES = 65536
 
 
 async def connect(address, timeout_s):
@@ -30,6 +32,18 @@
     return sock
 
 
+async def linger(sock):
+    """Close our direction and discard what still arrives, for up to a second.
+
+    Closing a socket that holds unread bytes resets the connection, and a reset
+    destroys an answer that the other side has not read yet.
+    """
+    await sock.shutdown(stdlib_socket.SHUT_WR)
+    async with curio.ignore_after(LINGER_TIMEOUT_S):
+        while await sock.recv(RECEIVE_BYTES):
+            pass
+
+
 class Listener:
     """Listens on one address and runs ``handler(sock, address)`` per connection.
 
--- a/almondtide/adapters/websocket.py
+++ b/almondtide/adapters/websocket.py
@@ -9,18 +9,30 @@
 from websockets.server import ServerProtocol
 from websockets.uri import parse_uri
 
-from ..errors import PeerError, ResultCode
+from ..errors import BadRequestError, PeerError, ResultCode
 from ..messages import MAX_FRAME_BYTES
-from .listener import connect
+from .http import refuse_connection
+from .listener import connect, linger
 
 __all__ = ["WebSocket", "accept_websocket", "open_websocket"]
 
 RECEIVE_BYTES = 65536
+ACCEPTED_STATUS = 101
 # A query may wait for a dial, so it ends well before the usual deadline. Regions
 # are less than 200 ms apart.
 HANDSHAKE_TIMEOUT_S = 0.5
 
 
+class _HandshakeError(PeerError):
+    """The other side does not speak websocket; ``answered`` when it was told."""
+
+    code = ResultCode.PEER_PROTOCOL
+
+    def __init__(self, reason, answered):
+        super().__init__(f"handshake refused: {reason}")
+        self.answered = answered
+
+
 class WebSocket:
     """An open websocket that carries binary messages.
 
@@ -66,6 +78,7 @@
                 return None
             self._protocol.receive_data(data)
             self._collect()
+            await self._flush_replies()
             if self._protocol.parser_exc is not None:
                 raise PeerError(
                     f"websocket protocol error: {self._protocol.parser_exc}",
@@ -75,10 +88,22 @@
                 return None
         return self._messages.pop(0)
 
+    async def _flush_replies(self):
+        """Send what the library answers by itself: pongs and close frames.
+
+        While another task sends, they follow with its next message, because
+        waiting for it here could stop both directions.
+        """
+        if not self._lock.locked():
+            async with self._lock:
+                await self._flush()
+
     def _collect(self):
         for event in self._protocol.events_received():
             if not hasattr(event, "opcode"):
                 continue
+            if event.opcode is Opcode.TEXT:
+                raise PeerError("text message", ResultCode.PEER_PROTOCOL)
             if event.opcode in (Opcode.BINARY, Opcode.CONT):
                 self._fragments.append(event.data)
                 if event.fin:
@@ -142,6 +167,10 @@
     try:
         async with curio.timeout_after(timeout_s):
             return await _server_handshake(sock, protocol)
+    except _HandshakeError as exc:
+        # Outside the time limit, which would replace the reason by a timeout.
+        await _end_refused(sock, exc)
+        raise
     except curio.TaskTimeout as exc:
         raise PeerError("handshake timed out") from exc
     except OSError as exc:
@@ -150,6 +179,27 @@
         raise PeerError(f"handshake failed: {exc}", ResultCode.PEER_PROTOCOL) from exc
 
 
+async def _end_refused(sock, exc):
+    try:
+        if exc.answered:
+            await linger(sock)
+        else:
+            await refuse_connection(sock, BadRequestError(exc.message))
+    except OSError:
+        pass
+
+
+async def _answer_handshake(sock, protocol, request):
+    """Accept the handshake, or answer with the library's refusal and raise."""
+    response = protocol.accept(request)
+    protocol.send_response(response)
+    for out in protocol.data_to_send():
+        if out:
+            await sock.sendall(out)
+    if response.status_code != ACCEPTED_STATUS:
+        raise _HandshakeError(str(protocol.handshake_exc), answered=True)
+
+
 async def _server_handshake(sock, protocol):
     websocket = WebSocket(sock, protocol)
     while protocol.state is State.CONNECTING:
@@ -158,16 +208,9 @@
             raise PeerError("connection closed during the handshake")
         protocol.receive_data(data)
         if protocol.handshake_exc is not None:
-            raise PeerError(
-                f"handshake failed: {protocol.handshake_exc}", ResultCode.PEER_PROTOCOL
-            )
+            raise _HandshakeError(str(protocol.handshake_exc), answered=False)
         for event in protocol.events_received():
             if isinstance(event, Request):
-                protocol.send_response(protocol.accept(event))
-        for out in protocol.data_to_send():
-            if out:
-                await sock.sendall(out)
-        if protocol.state is State.CLOSED:
-            raise PeerError("handshake refused", ResultCode.PEER_PROTOCOL)
+                await _answer_handshake(sock, protocol, event)
     websocket._collect()
     return websocket
