--- a/almondtide/adapters/admin.py
+++ b/almondtide/adapters/admin.py
@@ -1,7 +1,6 @@
 """HTTP API for operators, with a bearer token."""
 
 import hmac
-import inspect
 from urllib.parse import parse_qs
 
 from ..errors import BadRequestError, ResultCode
@@ -16,8 +15,8 @@
 class AdminAPI:
     """Serves reports of the daemon and accepts the drain command.
 
-    ``reports`` maps a path below ``/admin/v1/`` to a function, plain or async,
-    that returns JSON data.
+    ``reports`` maps a path below ``/admin/v1/`` to a function that returns JSON
+    data.
     """
 
     __slots__ = ("_drain", "_events", "_instance", "_metrics", "_reports", "_token")
@@ -51,10 +50,7 @@
         if name == "events":
             return json_response(200, self._event_report(request))
         if name in self._reports:
-            report = self._reports[name]()
-            if inspect.isawaitable(report):
-                report = await report
-            return json_response(200, report)
+            return json_response(200, self._reports[name]())
         raise BadRequestError(f"no resource {request.path}", ResultCode.NOT_FOUND)
 
     def _authorize(self, request):
--- a/almondtide/daemon.py
+++ b/almondtide/daemon.py
@@ -41,7 +41,7 @@
 from .owners import Owners
 from .pauses import PauseGuard
 from .quarantine import Quarantine
-from .reports import connection_counts, count_tasks, gauge_values, limits_report
+from .reports import connection_counts, gauge_values, get_task_table, limits_report
 from .settings import daemon_command, load_settings
 from .startup import StartupGuard
 
@@ -85,6 +85,7 @@
         "_startup",
         "_state",
         "_store",
+        "_tasks",
         "clock",
         "incarnation",
         "log",
@@ -96,6 +97,7 @@
         self.settings = settings
         self.clock = SystemClock()
         self._started = self.clock.monotonic()
+        self._tasks = {}
         self.incarnation = secrets.token_hex(6)
         self.metrics = Metrics()
         self._events = EventRing(self.clock, settings.event_capacity)
@@ -388,12 +390,13 @@
             suspects=len(self._quarantine.suspects()),
             executions=self._executions.records,
             leaving=int(self._drain.leaving),
+            tasks=len(self._tasks),
         )
         if self._cfg is not None:
             values["configuration_revision"] = self._cfg.revision
         return values
 
-    async def _status_report(self):
+    def _status_report(self):
         document = self._dissemination.current(CONFIGURATION)
         return {
             "instance": self.settings.instance,
@@ -406,7 +409,7 @@
             "configuration_revision": self._cfg.revision if self._cfg else None,
             "configuration_digest": document.digest if document else None,
             "connections": connection_counts(self._by_name()),
-            "tasks": await count_tasks(),
+            "tasks": len(self._tasks),
             "uptime_s": round(self.clock.monotonic() - self._started, 1),
             "instances_revision": self._store.revision(INSTANCES),
             "watches": [
@@ -465,6 +468,7 @@
 
     async def run(self):
         """Serve until SIGTERM, SIGINT or the drain command, then shut down."""
+        self._tasks = await get_task_table()
         for listener in self._listeners[:2]:
             await listener.start()
         await self._dissemination.start_exchange()
@@ -585,7 +589,7 @@
         for problem in exc.problems:
             print(f"almondtided: {problem}", file=sys.stderr)
         return 2
-    set_up_logging(settings.verbosity)
+    set_up_logging(settings.verbosity, instance=settings.instance)
     try:
         curio.run(Daemon(settings).run)
     except OSError as exc:
--- a/almondtide/logs.py
+++ b/almondtide/logs.py
@@ -1,5 +1,6 @@
 """One key=value line per event through absl.logging."""
 
+import logging as stdlib_logging
 import re
 import time
 
@@ -46,13 +47,40 @@
     return " ".join(parts)
 
 
-def set_up_logging(verbosity):
-    """Send log lines to standard error; 0 logs events, 1 also details."""
+class _LineFormatter(logging.PythonFormatter):
+    """Writes messages of libraries as key=value lines too.
+
+    Without it, a library's message or traceback takes several lines.
+    """
+
+    def __init__(self, common):
+        super().__init__()
+        self._common = common
+
+    def format(self, record):
+        """Return the line of a record."""
+        prefix = logging.get_absl_log_prefix(record)
+        if record.name == logging.get_absl_logger().name:
+            return prefix + record.getMessage()
+        fields = {"logger": record.name, "message": record.getMessage()}
+        if record.exc_info:
+            fields["traceback"] = self.formatException(record.exc_info)
+        return prefix + format_event("library_message", {**fields, **self._common})
+
+
+def set_up_logging(verbosity, **common):
+    """Send log lines to standard error; 0 logs events, 1 also details.
+
+    ``common`` are fields for the messages of libraries.
+    """
     if not flags.FLAGS.is_parsed():
         # absl prints a warning with each process that does not parse its flags.
         flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
+    logging.get_absl_handler().setFormatter(_LineFormatter(common))
     logging.set_verbosity(verbosity)
+    # It reports each connection, and with its frames at the level of details.
+    stdlib_logging.getLogger("websockets").setLevel(stdlib_logging.WARNING)
 
 
 class _LineLimit:
--- a/almondtide/reports.py
+++ b/almondtide/reports.py
@@ -4,18 +4,18 @@
 
 from curio.traps import _get_kernel
 
-__all__ = ["connection_counts", "count_tasks", "gauge_values", "limits_report"]
+__all__ = ["connection_counts", "gauge_values", "get_task_table", "limits_report"]
 
 KIB = 1024
 
 
-async def count_tasks():
-    """Return the number of tasks of this process.
+async def get_task_table():
+    """Return the live dict of the tasks of this process.
 
     curio shows its task table only in its own monitor, which needs a console.
     """
     kernel = await _get_kernel()
-    return len(kernel._tasks)
+    return kernel._tasks
 
 
 def connection_counts(listeners):
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -2,6 +2,7 @@
 
 import io
 import logging as stdlib_logging
+import sys
 
 import orjson
 import testtools
@@ -11,7 +12,12 @@
 
 from almondtide.clock import MemoryClock
 from almondtide.events import EventRing
-from almondtide.logs import MAX_LINES_PER_SECOND, Log, format_event
+from almondtide.logs import (
+    MAX_LINES_PER_SECOND,
+    Log,
+    _LineFormatter,
+    format_event,
+)
 
 ANY = st.text(st.characters(exclude_categories=())) | st.integers() | st.none()
 
@@ -66,6 +72,23 @@
         self.assertIn("event=flood path=/x instance=i", stream.getvalue())
 
 
+class LibraryMessageTest(testtools.TestCase):
+    """Guards log readers against tracebacks of libraries on several lines."""
+
+    def test_traceback_is_one_line(self):
+        try:
+            raise ValueError("a\nb")
+        except ValueError:
+            record = stdlib_logging.LogRecord(
+                "curio", stdlib_logging.ERROR, "f.py", 1, "crash\n", (), sys.exc_info()
+            )
+        line = _LineFormatter({"instance": "i"}).format(record)
+        self.assertEqual(1, len(line.splitlines()))
+        self.assertIn("] event=library_message logger=curio", line)
+        self.assertIn("ValueError", line)
+        self.assertTrue(line.endswith(" instance=i"))
+
+
 class EventRingTest(testtools.TestCase):
     """Guards the time line against lost, unordered or unreadable events."""
 
