--- a/almondtide/cli.py
+++ b/almondtide/cli.py
@@ -13,6 +13,7 @@
     ENTRIES_VARIABLE,
     Output,
     UsageError,
+    check_header,
     get_addresses,
     get_body,
     get_token,
@@ -55,6 +56,7 @@
     :param output: text or json
     """
     seeds = get_addresses(entry, ENTRIES_VARIABLE, "--entry")
+    check_header(request_id, "--request-id")
     data = get_body(body)
     return curio.run(_query, seeds, workload, data, deadline_ms, request_id, output)
 
@@ -93,6 +95,8 @@
     :param output: text or json
     """
     seeds = get_addresses(entry, ENTRIES_VARIABLE, "--entry")
+    check_header(request_id, "--request-id")
+    check_header(execution_id, "--execution-id")
     data = get_body(body)
     return curio.run(
         _revise, seeds, workload, data, deadline_ms, execution_id, request_id, output
--- a/almondtide/cli_arguments.py
+++ b/almondtide/cli_arguments.py
@@ -6,6 +6,7 @@
 
 import orjson
 
+from .adapters.http import is_request_id
 from .addresses import parse_address
 
 __all__ = [
@@ -14,6 +15,7 @@
     "TOKEN_VARIABLE",
     "Output",
     "UsageError",
+    "check_header",
     "get_addresses",
     "get_body",
     "get_token",
@@ -54,6 +56,12 @@
     return token
 
 
+def check_header(value, flag):
+    """Raise ``UsageError`` for an id that cannot be sent as a header."""
+    if value is not None and not is_request_id(value):
+        raise UsageError(f"{flag} must be 1 to 128 printable ASCII characters")
+
+
 def get_body(text):
     """Return the JSON bytes of ``--body``: text, @file or standard input."""
     try:
