--- a/almondtide/adapters/upstream.py
+++ b/almondtide/adapters/upstream.py
@@ -1,5 +1,7 @@
 """Upstream servers over HTTP/1.1."""
 
+import re
+
 import curio
 import orjson
 
@@ -10,6 +12,8 @@
 __all__ = ["HTTPUpstreams"]
 
 STATUS_TIMEOUT_S = 1.0
+# Up to 18 digits fit the integers of messages between daemons.
+_NUMBER = re.compile(r"[0-9]{1,18}")
 
 _REFUSALS = {
     "shed": ResultCode.UPSTREAM_SHED,
@@ -24,7 +28,8 @@
 def _numbers(text):
     if text is None:
         return None
-    return [int(part) for part in text.split(",") if part.strip().isdigit()]
+    parts = [part.strip() for part in text.split(",")]
+    return [int(part) for part in parts if _NUMBER.fullmatch(part)]
 
 
 def _reply(response):
@@ -40,7 +45,10 @@
     not_run = False
     if response.status != 200:
         refusal = body if isinstance(body, dict) else {}
-        code = _REFUSALS.get(refusal.get("code"), ResultCode.UPSTREAM_ERROR)
+        name = refusal.get("code")
+        code = ResultCode.UPSTREAM_ERROR
+        if isinstance(name, str):
+            code = _REFUSALS.get(name, code)
         not_run = refusal.get("not_run") is True
     return UpstreamReply(
         code,
--- a/almondtide/settings.py
+++ b/almondtide/settings.py
@@ -107,7 +107,7 @@
         "seeds", "addresses", "", "Peer addresses to ask while the platform is down."
     ),
     SettingSpec(
-        "max_body_bytes", "int", "262144", "Largest request body.", 1024, 1 << 26
+        "max_body_bytes", "int", "262144", "Largest request body.", 1024, 1 << 21
     ),
     SettingSpec(
         "max_header_bytes", "int", "16384", "Largest request head.", 1024, 1 << 20
@@ -118,7 +118,14 @@
     SettingSpec(
         "drain_timeout_s", "float", "30", "Longest graceful shutdown.", 0.1, 3600
     ),
-    SettingSpec("event_capacity", "int", "4096", "Events kept.", 16, 1_000_000),
+    SettingSpec(
+        "event_capacity",
+        "int",
+        "4096",
+        "Events kept in each of the two rings.",
+        16,
+        1_000_000,
+    ),
     SettingSpec("verbosity", "int", "0", "Log level: 0 info, 1 debug.", -1, 1),
 ]
 
