Bound the connections of commands over a large fleet

Cause: status and timeline opened one connection for each daemon at once, which exceeds the usual limit of 1,024 descriptors at 4,000 daemons; timeline asked the daemons one after another, so that each silent one delayed it by 3 s.

Change: 64 calls at a time, 256 idle connections; timeline polls concurrently. Not measured on a fleet of that size.

--- a/almondtide/cli.py
+++ b/almondtide/cli.py
@@ -281,6 +281,9 @@
 ):
     """Show the events of all daemons in the order of the hybrid logical clock.
 
+    The events of a daemon are lost with its process. With --follow, the order
+    holds within each poll (0.5 s), and daemons that join later are left out.
+
     :param request_id: only events of this request, query or execution id
     :param event: only events with this name
     :param follow: go on with new events until interrupted
--- a/almondtide/client.py
+++ b/almondtide/client.py
@@ -25,6 +25,9 @@
 # Time for the answer to travel back after the deadline, in s.
 ANSWER_MARGIN_S = 1.0
 MAX_TRIES = 4
+# Connections of one command to daemons at the same time.
+MAX_CONCURRENT_CALLS = 64
+MAX_IDLE = 256
 SUFFIX_BYTES = 8
 
 # Refusals after which another try makes sense when the tier says "not run".
@@ -137,7 +140,7 @@
         return await HTTPClient.open(address, timeout_s)
 
     async def _release(self, address, client):
-        if client.usable:
+        if client.usable and sum(map(len, self._idle.values())) < MAX_IDLE:
             self._idle.setdefault(address, []).append(client)
         else:
             await client.close()
@@ -355,11 +358,12 @@
 class AdminClient:
     """Reads the admin reports of daemons."""
 
-    __slots__ = ("_connections", "_timeout_s", "_token")
+    __slots__ = ("_connections", "_gate", "_timeout_s", "_token")
 
     def __init__(self, token, timeout_s=3.0):
         self._token = token
         self._timeout_s = timeout_s
+        self._gate = curio.Semaphore(MAX_CONCURRENT_CALLS)
         self._connections = _Connections()
 
     async def call(self, address, name, method="GET"):
@@ -368,9 +372,10 @@
         Raises ``ClientError`` when the daemon does not answer or refuses.
         """
         headers = {"authorization": f"Bearer {self._token}"}
-        response = await self._connections.exchange(
-            address, method, f"/admin/v1/{name}", headers, b"", self._timeout_s
-        )
+        async with self._gate:
+            response = await self._connections.exchange(
+                address, method, f"/admin/v1/{name}", headers, b"", self._timeout_s
+            )
         answer = _decode(response, address)
         if answer.status >= 300:
             reason = f"status {answer.status}"
@@ -381,17 +386,7 @@
 
     async def call_all(self, addresses, name):
         """Return a dict from address to report or ``ClientError``."""
-        tasks = {
-            address: await curio.spawn(self._call_caught, address, name)
-            for address in addresses
-        }
-        return {address: await task.join() for address, task in tasks.items()}
-
-    async def _call_caught(self, address, name):
-        try:
-            return await self.call(address, name)
-        except ClientError as exc:
-            return exc
+        return await gather(addresses, self.call, name)
 
     async def discover(self, addresses):
         """Return ``addresses`` and the admin addresses of all their members.
@@ -414,6 +409,22 @@
         await self._connections.close()
 
 
+async def gather(addresses, function, *args):
+    """Return a dict from address to the result of ``function(address, *args)``.
+
+    The calls run concurrently; a ``ClientError`` is the result of its address.
+    """
+
+    async def caught(address):
+        try:
+            return await function(address, *args)
+        except ClientError as exc:
+            return exc
+
+    tasks = {address: await curio.spawn(caught, address) for address in addresses}
+    return {address: await task.join() for address, task in tasks.items()}
+
+
 async def read_fleet(addresses, token, listed_only, name):
     """Return a dict from admin address to the report ``name`` or the error.
 
--- a/almondtide/timeline.py
+++ b/almondtide/timeline.py
@@ -1,5 +1,6 @@
 """One time line of the events of all daemons."""
 
+from .client import gather
 from .errors import ClientError
 from .logs import format_event
 
@@ -43,15 +44,18 @@
 
         Raises ``ClientError`` when no daemon answers.
         """
-        events = []
-        self.failures = {}
-        for address in self._after:
-            try:
-                events.extend(await self._read(address))
-            except ClientError as exc:
-                self.failures[address] = exc
+        results = await gather(list(self._after), self._read)
+        self.failures = {
+            address: result
+            for address, result in results.items()
+            if isinstance(result, ClientError)
+        }
         if len(self.failures) == len(self._after):
             raise next(iter(self.failures.values()))
+        events = []
+        for address, result in results.items():
+            if address not in self.failures:
+                events.extend(result)
         events.sort(key=lambda item: (item["time"], item["instance"]))
         for item in events:
             fields = item["fields"]
