--- a/almondtide/coordinator.py
+++ b/almondtide/coordinator.py
@@ -304,6 +304,14 @@
         services = run.plan.shard_map.services()
         for _ in services:
             self._silence_hedges.earn()
+        self._log.trace(
+            "query_planned",
+            request_id=run.req.request_id,
+            query_id=run.query_id,
+            version=run.plan.version,
+            epoch=run.plan.epoch,
+            services=len(services),
+        )
         await self._send(run, services)
 
     async def _send(self, run, services, suspect=False):
@@ -351,6 +359,13 @@
             suspect=suspect,
             avoid=avoid if suspect else [],
         )
+        self._log.trace(
+            "sub_requests_sent",
+            request_id=run.req.request_id,
+            query_id=run.query_id,
+            owner=target,
+            services=services,
+        )
         try:
             call = await self._peers.call(target, batch, run.inbox)
         except PeerError as exc:
--- a/baseline/daemon.py
+++ b/baseline/daemon.py
@@ -1,6 +1,5 @@
 """The naive daemon: same settings and interfaces, no cooperation."""
 
-import functools
 import os
 import secrets
 import signal
@@ -9,9 +8,7 @@
 
 import curio
 import defopt
-from absl import logging
 
-from almondtide import daemon as tier
 from almondtide.adapters.admin import AdminAPI
 from almondtide.adapters.caller import CallerAPI
 from almondtide.adapters.http import serve_http
@@ -29,10 +26,10 @@
     SettingsError,
 )
 from almondtide.events import EventRing
-from almondtide.logs import Log
+from almondtide.logs import Log, set_up_logging
 from almondtide.membership import Membership, parse_instances
 from almondtide.metrics import Metrics
-from almondtide.settings import load_settings
+from almondtide.settings import daemon_command, load_settings
 
 from .coordinator import NaiveCoordinator, NaiveExecutions
 
@@ -97,6 +94,7 @@
             self._executions,
             self._entries_report,
             self._health_report,
+            lambda name: self._cfg is not None and name in self._cfg.workloads,
             self.clock,
             self.log,
             self.metrics,
@@ -231,7 +229,6 @@
         await self._drain.requested.set()
 
 
-@functools.wraps(tier.serve)
 def serve(**flags):
     """Run one naive daemon with the settings of ``almondtided``."""
     try:
@@ -240,8 +237,7 @@
         for problem in exc.problems:
             print(f"baseline: {problem}", file=sys.stderr)
         return 2
-    logging.set_verbosity(settings.verbosity)
-    logging.use_absl_handler()
+    set_up_logging(settings.verbosity, instance=settings.instance)
     try:
         curio.run(NaiveDaemon(settings).run)
     except OSError as exc:
@@ -252,7 +248,7 @@
 
 def main(argv=None):
     """Entry point of the naive daemon."""
-    sys.exit(defopt.run(serve, argv=argv))
+    sys.exit(defopt.run(daemon_command(serve), argv=argv, short={}))
 
 
 if __name__ == "__main__":
