Start with a full budget for hedges around silent daemons

Cause: the budget started with one token, so in the first seconds most queries at a paused owner waited 0.5 s (longest 1,023 ms with a deadline of 1,000 ms). Change: the budget starts full, with 40 tokens instead of 20. Measured, owner paused for 4 s, 6 daemons, two runs on the shared machine: longest query 384 and 364 ms, all answers with full coverage.

--- a/almondtide/coordinator.py
+++ b/almondtide/coordinator.py
@@ -34,7 +34,7 @@
 # Sub-requests that also go to a standby because their owner is silent, as a share
 # of all. More would multiply the load of a fleet whose daemons are slow, not gone.
 SILENCE_HEDGE_RATIO = 0.02
-SILENCE_HEDGE_BURST = 20.0
+SILENCE_HEDGE_BURST = 40.0
 STATUS_TIMEOUT_S = 0.3
 MAX_TARGETS = 3
 
@@ -193,7 +193,9 @@
         self._metrics = metrics
         self._catalog = SnapshotCatalog()
         self._loads = LoadTable(clock)
-        self._silence_hedges = TokenBudget(SILENCE_HEDGE_RATIO, SILENCE_HEDGE_BURST)
+        self._silence_hedges = TokenBudget(
+            SILENCE_HEDGE_RATIO, SILENCE_HEDGE_BURST, initial=SILENCE_HEDGE_BURST
+        )
         self._ids = itertools.count(1)
         self.running = 0
 
