Refuse whole queries by the wait of their busiest service

Cause: at twice the capacity the queues stood at the deadline. Each owner refused by itself, so almost every query lacked some service, and admitted work finished late. The reported wait was kept per service, so one workload's queue also refused others.

Change: owners report wait and service time per workload; a coordinator refuses a growing share of queries as the wait of the busiest service grows from 20 to 60 % of the time that is left; an owner drops work that has less time than the fastest quarter of its service before it takes a slot.

Ruled out: a fixed limit at the coordinator, which refuses all and then none, because 18 coordinators see reports of different age.

--- a/almondtide/admission.py
+++ b/almondtide/admission.py
@@ -1,11 +1,17 @@
 """Refusal of work that cannot finish in time."""
 
-__all__ = ["Estimate", "LoadTable", "admit"]
+__all__ = ["Estimate", "LoadTable", "admit", "refusal_share"]
 
 # Share of the remaining time that waiting and running may take together. The
 # rest covers the way back and the spread of the service time.
 USABLE_SHARE = 0.85
 MIN_RETRY_AFTER_MS = 20
+# Shares of the time a query can wait at which coordinators begin to refuse queries
+# and refuse all of them. A query needs all its services, so the queues must stay
+# short enough for the slowest of them; a gradual start keeps many coordinators with
+# reports of different age from refusing all at once and then none.
+REFUSE_FROM_SHARE = 0.2
+REFUSE_ALL_SHARE = 0.6
 
 
 class Estimate:
@@ -28,12 +34,27 @@
     return max(MIN_RETRY_AFTER_MS, int(excess_ms))
 
 
+def refusal_share(estimate, remaining_s):
+    """Return the share of new queries to refuse, 0.0 to 1.0.
+
+    ``estimate`` is that of the busiest service. The share grows linearly with the
+    wait, so that a standing queue settles where the load that is let in equals
+    the capacity.
+    """
+    slack_s = remaining_s - estimate.service_s
+    if slack_s <= 0:
+        return 1.0
+    begin_s = REFUSE_FROM_SHARE * slack_s
+    end_s = REFUSE_ALL_SHARE * slack_s
+    return min(1.0, max(0.0, (estimate.wait_s - begin_s) / (end_s - begin_s)))
+
+
 class LoadTable:
-    """What a coordinator knows about the queueing time of each service.
+    """What a coordinator knows about the load of each service, by workload.
 
-    Owners report their wait with each answer. A report shrinks as real time
-    passes, because the queue it describes drains; a service that is refused is
-    therefore asked again when its queue must have emptied.
+    Owners report the wait and the service time with each answer. The wait
+    shrinks as real time passes, because the queue it describes drains; a service
+    that is refused is therefore asked again when its queue must have emptied.
     """
 
     __slots__ = ("_clock", "_reports")
@@ -42,14 +63,21 @@
         self._clock = clock
         self._reports = {}
 
-    def report(self, service, wait_s):
-        """Store the wait that an owner reported now."""
-        self._reports[service] = (self._clock.monotonic(), wait_s)
+    def report(self, workload, service, estimate):
+        """Store the ``Estimate`` that an owner reported now."""
+        now = self._clock.monotonic()
+        self._reports[workload, service] = (now, estimate)
 
-    def wait_s(self, service):
-        """Return the wait expected now in seconds."""
-        report = self._reports.get(service)
+    def estimate(self, workload, service):
+        """Return the ``Estimate`` expected now; zero while nothing is known."""
+        report = self._reports.get((workload, service))
         if report is None:
-            return 0.0
-        reported_at, wait_s = report
-        return max(0.0, wait_s - (self._clock.monotonic() - reported_at))
+            return Estimate(0.0, 0.0)
+        reported_at, estimate = report
+        age_s = self._clock.monotonic() - reported_at
+        return Estimate(max(0.0, estimate.wait_s - age_s), estimate.service_s)
+
+    def busiest(self, workload, services):
+        """Return the ``Estimate`` of the service with the longest total time."""
+        estimates = [self.estimate(workload, service) for service in services]
+        return max(estimates, key=lambda item: item.wait_s + item.service_s)
--- a/almondtide/coordinator.py
+++ b/almondtide/coordinator.py
@@ -1,10 +1,11 @@
 """One query from its arrival to its answer."""
 
 import itertools
+import random
 
 import curio
 
-from .admission import Estimate, LoadTable, admit
+from .admission import MIN_RETRY_AFTER_MS, Estimate, LoadTable, refusal_share
 from .budgets import TokenBudget
 from .errors import (
     DEFAULT_RETRY_AFTER_MS,
@@ -176,6 +177,7 @@
         "_metrics",
         "_peers",
         "_quarantine",
+        "_random",
         "_silence_hedges",
         "running",
     )
@@ -193,6 +195,7 @@
         self._metrics = metrics
         self._catalog = SnapshotCatalog()
         self._loads = LoadTable(clock)
+        self._random = random.Random()
         self._silence_hedges = TokenBudget(
             SILENCE_HEDGE_RATIO, SILENCE_HEDGE_BURST, initial=SILENCE_HEDGE_BURST
         )
@@ -252,11 +255,14 @@
 
     def _refuse_overload(self, run):
         remaining_s = run.deadline - self._clock.monotonic()
-        wait_s = max(self._loads.wait_s(name) for name in run.workload.services())
-        retry_after_ms = admit(Estimate(wait_s, 0.0), remaining_s)
-        if retry_after_ms is not None:
+        workload = run.workload
+        estimate = self._loads.busiest(workload.name, workload.services())
+        share = refusal_share(estimate, remaining_s)
+        if share > 0.0 and self._random.random() < share:
+            self._metrics.refused.inc({"service": ""})
             raise RefusedError(
-                "the services cannot answer in time", retry_after_ms=retry_after_ms
+                "the services cannot answer in time",
+                retry_after_ms=max(MIN_RETRY_AFTER_MS, int(estimate.wait_s * 1000)),
             )
 
     async def _learn_snapshots(self, run):
@@ -296,9 +302,8 @@
             self._log.info("service_status_failed", peer=instance, reason=exc.message)
             return
         if isinstance(reply, ServiceStatus):
-            for service, versions, epochs, wait_ms in reply.services:
+            for service, versions, epochs, _ in reply.services:
                 self._catalog.update(service, versions, epochs)
-                self._loads.report(service, wait_ms / 1000.0)
 
     # Sending
 
@@ -426,7 +431,8 @@
     async def _take_answer(self, run, call, reply):
         service = reply.service
         self._catalog.update(service, reply.versions, reply.epochs)
-        self._loads.report(service, reply.wait_ms / 1000.0)
+        estimate = Estimate(reply.wait_ms / 1000.0, reply.service_ms / 1000.0)
+        self._loads.report(run.workload.name, service, estimate)
         if call not in run.pending.get(service, ()):
             return
         run.sends += reply.attempts
--- a/almondtide/messages.py
+++ b/almondtide/messages.py
@@ -260,7 +260,8 @@
 class SubAnswer(Message):
     """Result of one item of a ``SubQueryBatch``.
 
-    ``wait_ms`` is the owner's estimate of the queueing time of the service;
+    ``wait_ms`` is the owner's estimate of the queueing time for the workload and
+    ``service_ms`` that of the time on a server;
     ``versions`` and ``epochs`` are what the service can serve now.
     """
 
@@ -275,6 +276,7 @@
         "retry_after_ms",
         "server",
         "service",
+        "service_ms",
         "version",
         "versions",
         "wait_ms",
@@ -290,6 +292,7 @@
         "server": (_str, ""),
         "attempts": (_int, 0),
         "wait_ms": (_number, 0),
+        "service_ms": (_number, 0),
         "versions": (_INTS, list),
         "epochs": (_INTS, list),
         "retry_after_ms": (_optional(_number), None),
--- a/almondtide/owner.py
+++ b/almondtide/owner.py
@@ -6,7 +6,7 @@
 
 import curio
 
-from .admission import Estimate, admit
+from .admission import MIN_RETRY_AFTER_MS, Estimate, admit
 from .budgets import RetryBudget, TokenBudget
 from .errors import DEFAULT_RETRY_AFTER_MS, ExecutionError, ResultCode
 from .hedging import LatencyWindow, hedge_policies
@@ -18,6 +18,8 @@
 
 DEFAULT_SERVICE_TIME_S = 0.01
 SERVICE_TIME_MEMORY = 0.95
+# A request that has less time left than this quantile of the service is late.
+LATE_QUANTILE = 0.25
 MIN_SHED_PAUSE_S = 0.005
 MAX_SHED_PAUSE_S = 0.05
 FIRST_STATEMENT_S = 0.2
@@ -291,6 +293,10 @@
 
     # Submission
 
+    def tail_s(self):
+        """Return the 0.9 quantile of the time on a server, in seconds."""
+        return self.latencies.quantile(0.9) or 0.0
+
     @property
     def running(self):
         """Number of queries and executions that have work here."""
@@ -352,7 +358,7 @@
         service_s = self._service_time_s or DEFAULT_SERVICE_TIME_S
         slots = self.usable_slots()
         waiting, share = self._queue.backlog(workload)
-        waiting += len(self._front)
+        waiting += sum(not is_hedge for _, is_hedge in self._front)
         if slots == 0:
             return Estimate(0.0, service_s)
         busy = sum(len(server.in_flight) for server in self.servers.values())
@@ -381,6 +387,7 @@
 
     async def _dispatch(self):
         """Give waiting work to idle workers until nothing fits."""
+        await self._drop_late()
         while self._idle:
             found = self._next_work()
             if found is None:
@@ -390,6 +397,19 @@
             item.waiting = False
             await self._start(item, worker, is_hedge)
 
+    async def _drop_late(self):
+        """Refuse waiting work that can hardly finish before its deadline.
+
+        Running it would take a slot from work that can.
+        """
+        least_s = self.latencies.quantile(LATE_QUANTILE) or 0.0
+        for item in self._queue.take_before(self.clock.monotonic() + least_s):
+            item.waiting = False
+            wait_s = self.estimate(item.workload).wait_s
+            retry_after_ms = max(MIN_RETRY_AFTER_MS, int(wait_s * 1000))
+            code = ResultCode.OVERLOADED
+            await self._finish(item, self._failure(item, code, retry_after_ms))
+
     def _next_work(self):
         for index, (item, is_hedge) in enumerate(self._front):
             if item.done:
--- a/almondtide/owners.py
+++ b/almondtide/owners.py
@@ -179,6 +179,7 @@
         versions, epochs = owner.served()
         # Without a result, these may repeat anything that an upstream stated.
         usable = result.ok
+        estimate = owner.estimate(sub.workload)
         return SubAnswer(
             service=result.service,
             code=int(result.code),
@@ -189,7 +190,8 @@
             payload=result.payload,
             server=result.server,
             attempts=result.attempts,
-            wait_ms=owner.estimate(sub.workload).wait_s * 1000.0,
+            wait_ms=estimate.wait_s * 1000.0,
+            service_ms=owner.tail_s() * 1000.0,
             versions=versions,
             epochs=epochs,
             retry_after_ms=result.retry_after_ms,
--- a/almondtide/workqueue.py
+++ b/almondtide/workqueue.py
@@ -55,6 +55,17 @@
         """Stop counting ``item``, which is done and still waits."""
         self._lanes[item.workload].live -= 1
 
+    def take_before(self, deadline):
+        """Remove and return the items whose deadline is before ``deadline``."""
+        taken = []
+        for lane in self._lanes.values():
+            while lane.heap and lane.heap[0][0] < deadline:
+                item = heapq.heappop(lane.heap)[2]
+                if not item.done:
+                    lane.live -= 1
+                    taken.append(item)
+        return taken
+
     def pop(self, accept=lambda item: True, lookahead=8):
         """Remove and return the first acceptable item, or None.
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from almondtide.admission import Estimate, LoadTable, admit
+from almondtide.admission import Estimate, LoadTable, admit, refusal_share
 from almondtide.clock import MemoryClock
 
 
@@ -17,17 +17,54 @@
         self.assertTrue(500 < retry_after_ms < 1000, retry_after_ms)
 
 
+class RefusalShareTest(testtools.TestCase):
+    """Guards against coordinators that refuse everything and then nothing."""
+
+    def share(self, wait_s):
+        return refusal_share(Estimate(wait_s, 0.09), 0.39)
+
+    def test_short_queue_lets_everything_in(self):
+        self.assertEqual(0.0, self.share(0.05))
+
+    def test_long_queue_refuses_everything(self):
+        self.assertEqual(1.0, self.share(0.2))
+
+    def test_share_grows_with_the_wait(self):
+        shares = [self.share(step / 1000.0) for step in range(60, 180, 10)]
+        self.assertEqual(sorted(shares), shares)
+        self.assertTrue(0.4 < self.share(0.12) < 0.6)
+
+    def test_no_time_left_refuses(self):
+        self.assertEqual(1.0, refusal_share(Estimate(0.0, 0.5), 0.39))
+
+
 class LoadTableTest(testtools.TestCase):
     """Guards against a service that stays refused for lack of newer reports."""
 
+    def setUp(self):
+        super().setUp()
+        self.clock = MemoryClock()
+        self.loads = LoadTable(self.clock)
+
+    def wait_s(self, workload="advisory", service="advisory-0"):
+        return self.loads.estimate(workload, service).wait_s
+
     def test_report_decays_with_time(self):
-        clock = MemoryClock()
-        loads = LoadTable(clock)
-        loads.report("advisory-0", 0.5)
-        clock.advance(0.2)
-        self.assertAlmostEqual(0.3, loads.wait_s("advisory-0"))
-        clock.advance(1.0)
-        self.assertEqual(0.0, loads.wait_s("advisory-0"))
+        self.loads.report("advisory", "advisory-0", Estimate(0.5, 0.1))
+        self.clock.advance(0.2)
+        self.assertAlmostEqual(0.3, self.wait_s())
+        self.clock.advance(1.0)
+        self.assertEqual(0.0, self.wait_s())
 
     def test_unknown_service_is_not_refused(self):
-        self.assertEqual(0.0, LoadTable(MemoryClock()).wait_s("advisory-9"))
+        self.assertEqual(0.0, self.wait_s(service="advisory-9"))
+
+    def test_queue_of_one_workload_says_nothing_about_another(self):
+        self.loads.report("advisory", "advisory-0", Estimate(0.5, 0.1))
+        self.assertEqual(0.0, self.wait_s(workload="billing"))
+
+    def test_busiest_service_counts(self):
+        self.loads.report("advisory", "advisory-0", Estimate(0.1, 0.1))
+        self.loads.report("advisory", "advisory-1", Estimate(0.3, 0.1))
+        busiest = self.loads.busiest("advisory", ["advisory-0", "advisory-1"])
+        self.assertEqual(0.3, busiest.wait_s)
--- a/tests/test_workqueue.py
+++ b/tests/test_workqueue.py
@@ -59,6 +59,16 @@
         self.assertIs(second, queue.pop())
         self.assertEqual(0, len(queue))
 
+    def test_late_items_are_taken_from_all_workloads(self):
+        queue = WorkQueue()
+        for workload in ("advisory", "billing"):
+            for deadline in (1.0, 2.0, 3.0):
+                queue.push(Item(workload, deadline))
+        late = queue.take_before(2.5)
+        self.assertEqual([1.0, 1.0, 2.0, 2.0], sorted(item.deadline for item in late))
+        self.assertEqual(2, len(queue))
+        self.assertEqual(3.0, queue.pop().deadline)
+
     def test_item_that_fits_nowhere_does_not_block_the_next(self):
         queue = WorkQueue()
         queue.push(Item("advisory", 1.0))
