--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -3,6 +3,7 @@
 import http.client
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -13,6 +14,7 @@
 
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 10.0
+PORT_RANGE = (10_000, 32_000)
 ADMIN_TOKEN = "operator-token"
 
 _given_ports = set()
@@ -21,24 +23,25 @@
 def free_ports(count):
     """Return ``count`` TCP ports that were free a moment ago.
 
-    No port is returned twice, because the process that gets it may bind it only
-    after the next call.
+    The ports are below the range from which the system takes the local ports of
+    outgoing connections, because such a connection could take the port between
+    this check and the start of the process that listens on it. No port is
+    returned twice, because the process that gets it may bind it only after the
+    next call.
     """
-    sockets = []
     ports = []
-    try:
-        while len(ports) < count:
-            sock = socket.socket()
-            sockets.append(sock)
-            sock.bind(("127.0.0.1", 0))
-            port = sock.getsockname()[1]
-            if port not in _given_ports:
-                _given_ports.add(port)
-                ports.append(port)
-        return ports
-    finally:
-        for sock in sockets:
-            sock.close()
+    while len(ports) < count:
+        port = random.randrange(*PORT_RANGE)
+        if port in _given_ports:
+            continue
+        _given_ports.add(port)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        ports.append(port)
+    return ports
 
 
 def http_call(address, method, path, body=None, headers=None, timeout_s=5.0):
@@ -61,7 +64,9 @@
 
     ``workloads`` maps a name to a dict with ``services``, ``servers``, ``slots``,
     ``kind`` (data set) and optionally ``settings`` (workload settings).
-    ``upstream`` holds fields of ``UpstreamSpec`` that apply to all servers.
+    A workload with ``shares`` (the name of another workload) has no servers of its
+    own; its shard map names the services of that workload. ``upstream`` holds
+    fields of ``UpstreamSpec`` that apply to all servers.
     ``pack_servers`` runs the servers of one failure domain in one process, so
     that they can only be killed together.
     ``links`` tells which connections pass through a forwarding link that tests
@@ -249,8 +254,15 @@
     def services(self):
         """Return (service, workload, shape) for all services."""
         for workload, shape in self.spec.workloads.items():
-            for number in range(shape["services"]):
-                yield f"{workload}-{number}", workload, shape
+            if "shares" not in shape:
+                for service in self.workload_services(workload):
+                    yield service, workload, shape
+
+    def workload_services(self, workload):
+        """Return the names of the services that a workload uses."""
+        workload = self.spec.workloads[workload].get("shares", workload)
+        count = self.spec.workloads[workload]["services"]
+        return [f"{workload}-{number}" for number in range(count)]
 
     def start_upstreams(self):
         """Start the servers, in one process each or in one for each domain."""
@@ -358,11 +370,16 @@
         """Return the address at which other daemons reach ``name``."""
         return self.link_addresses.get(f"peer/{name}", self.daemons[name]["peer"])
 
-    def start_daemon(self, name):
-        """Start the process of a daemon, also after it has ended."""
+    def start_daemon(self, name, argv=None, environ=None):
+        """Start the process of a daemon, also after it has ended.
+
+        ``argv`` replaces the command line of the spec; ``environ`` is added to
+        the environment.
+        """
         info = self.daemons[name]
         seeds = [self._peer_address(key) for key in self.daemons if key != name]
         environ = {
+            **(environ or {}),
             "ALMONDTIDE_INSTANCE": name,
             "ALMONDTIDE_DOMAIN": info["domain"],
             "ALMONDTIDE_CALLER_ADDRESS": info["caller"],
@@ -374,7 +391,7 @@
             ),
             "ALMONDTIDE_SEEDS": ",".join(seeds[:3]),
         }
-        self.spawn(name, self.spec.daemon_argv, environ)
+        self.spawn(name, argv or self.spec.daemon_argv, environ)
 
     def wait_ready(self, name):
         """Wait until a daemon accepts queries."""
@@ -407,11 +424,17 @@
 
     # Configuration
 
+    def publish_defaults(self, defaults):
+        """Publish the configuration with other defaults; returns the revision."""
+        self.spec.defaults = defaults
+        self.document = self._configuration()
+        return self.publish("configuration", self.document)
+
     def _configuration(self):
         workloads = {}
         exceptions = list(self.spec.exceptions)
         for workload, shape in self.spec.workloads.items():
-            services = [f"{workload}-{n}" for n in range(shape["services"])]
+            services = self.workload_services(workload)
             workloads[workload] = {"shard_maps": [shard_map(1, services)]}
             for setting, value in shape.get("settings", {}).items():
                 exceptions.append(
@@ -422,7 +445,8 @@
                         "reason": "shape of the test fleet",
                     }
                 )
-            if shape.get("slots", 3) != self.spec.defaults.get("slots", 3):
+            slots = shape.get("slots", 3)
+            if "shares" not in shape and slots != self.spec.defaults.get("slots", 3):
                 for service in services:
                     exceptions.append(
                         {
