--- a/almondtide/coordinator.py
+++ b/almondtide/coordinator.py
@@ -208,7 +208,7 @@
         try:
             await self._learn_snapshots(run)
             self._refuse_overload(run)
-            run.plan = self._catalog.choose(run.workload)
+            run.plan = await self._choose(run.workload)
             await self._send_all(run)
             await self._collect(run)
             return self._answer(run)
@@ -260,10 +260,24 @@
     async def _learn_snapshots(self, run):
         """Ask the owners of services that have made no statement so far."""
         unknown = self._catalog.unknown(run.workload.services())
-        if not unknown:
-            return
+        if unknown:
+            await self._ask_owners(unknown)
+
+    async def _choose(self, workload):
+        """Return the plan; raises ``RefusedError`` without a common snapshot.
+
+        Statements come with answers, so they would never change while every
+        query is refused; the owners are asked before that.
+        """
+        try:
+            return self._catalog.choose(workload)
+        except RefusedError:
+            await self._ask_owners(workload.services())
+            return self._catalog.choose(workload)
+
+    async def _ask_owners(self, services):
         asked = {}
-        for service in unknown:
+        for service in services:
             ranked = self._membership.view().ranked(service)
             asked.setdefault(ranked[0] if ranked else self._instance, []).append(
                 service
@@ -500,7 +514,11 @@
         run.results = {}
         run.targets = {}
         run.query_id = f"{self._instance}.{next(self._ids)}"
-        await self._send(run, plan.shard_map.services())
+        services = plan.shard_map.services()
+        # Services that lost a server stay held back, so that the request reaches
+        # them only in isolation; the new epoch may have dropped some of them.
+        run.lost = {name: run.lost[name] for name in services if name in run.lost}
+        await self._send(run, [name for name in services if name not in run.lost])
 
     # Lost servers
 
