--- a/almondtide/adapters/caller.py
+++ b/almondtide/adapters/caller.py
@@ -47,11 +47,11 @@
         executions,
         entries,
         health,
-        is_known,
         clock,
         log,
         metrics,
         gate=lambda: None,
+        is_known=lambda workload: True,
     ):
         self._instance = instance
         self._coordinator = coordinator
--- a/almondtide/adapters/listener.py
+++ b/almondtide/adapters/listener.py
@@ -5,7 +5,9 @@
 import curio
 from curio import socket
 
-__all__ = ["Listener", "connect", "linger"]
+from ..addresses import parse_address
+
+__all__ = ["Listener", "connect", "linger", "parse_address"]
 
 BACKLOG = 512
 LINGER_TIMEOUT_S = 1.0
--- a/almondtide/daemon.py
+++ b/almondtide/daemon.py
@@ -227,11 +227,11 @@
             self._executions,
             self._entries_report,
             self._health_report,
-            lambda name: self._cfg is not None and name in self._cfg.workloads,
             self.clock,
             self.log,
             self.metrics,
             self._admit_caller,
+            lambda name: self._cfg is not None and name in self._cfg.workloads,
         )
         reports = {
             "status": self._status_report,
@@ -594,6 +594,7 @@
     """Do nothing; the wakeup socket carries the signal."""
 
 
+@daemon_command
 def serve(**flags):
     """Run one daemon until it is told to stop; returns the exit status."""
     try:
@@ -613,9 +614,8 @@
 
 def main(argv=None):
     """Entry point of ``almondtided``."""
-    command = daemon_command(serve)
     status = defopt.run(
-        command,
+        serve,
         argv=argv,
         short={},
         show_defaults=False,
