Tell events of the daemon from those of requests in the time line

Change: the events report and the timeline command take a kind. Lists in log lines are joined by commas instead of being written as Python lists.

--- a/almondtide/adapters/admin.py
+++ b/almondtide/adapters/admin.py
@@ -4,6 +4,7 @@
 from urllib.parse import parse_qs
 
 from ..errors import BadRequestError, ResultCode
+from ..events import KINDS
 from .http import HTTPResponse, json_response
 
 __all__ = ["AdminAPI"]
@@ -67,13 +68,15 @@
             after = values.get("after", ["0,0"])[0].split(",")
             timestamp = (int(after[0]), int(after[1]))
             limit = int(values.get("limit", ["1000"])[0])
-            if not 1 <= limit <= MAX_EVENTS or min(timestamp) < 0:
+            kind = values.get("kind", ["all"])[0]
+            if kind not in KINDS or not 1 <= limit <= MAX_EVENTS or min(timestamp) < 0:
                 raise ValueError
         except (ValueError, IndexError):
             raise BadRequestError(
-                f"after must be milliseconds,counter and limit 1 to {MAX_EVENTS}"
+                f"after must be milliseconds,counter, limit 1 to {MAX_EVENTS} and "
+                f"kind one of {', '.join(KINDS)}"
             ) from None
-        events = self._events.since(timestamp, limit)
+        events = self._events.since(timestamp, limit, kind)
         return {
             "instance": self._instance,
             "dropped": self._events.dropped,
--- a/almondtide/cli.py
+++ b/almondtide/cli.py
@@ -1,6 +1,7 @@
 """The command line ``almondtide`` for callers and operators."""
 
 import sys
+from typing import Literal
 
 import curio
 import defopt
@@ -273,6 +274,7 @@
     *,
     request_id: str | None = None,
     event: str | None = None,
+    kind: Literal["all", "daemon", "requests"] = "all",
     follow: bool = False,
     admin: str | None = None,
     token: str | None = None,
@@ -286,6 +288,7 @@
 
     :param request_id: only events of this request, query or execution id
     :param event: only events with this name
+    :param kind: events of the daemons, of single requests, or all
     :param follow: go on with new events until interrupted
     :param admin: admin host:port, repeatable; default: ALMONDTIDE_CLI_ADMIN
     :param token: bearer token; default: ALMONDTIDE_CLI_TOKEN
@@ -295,16 +298,26 @@
     addresses = get_addresses(admin, ADMIN_VARIABLE, "--admin")
     token = get_token(token)
     return curio.run(
-        _timeline, addresses, token, listed_only, request_id, event, follow, output
+        _timeline,
+        addresses,
+        token,
+        listed_only,
+        request_id,
+        event,
+        kind,
+        follow,
+        output,
     )
 
 
-async def _timeline(addresses, token, listed_only, request_id, event, follow, output):
+async def _timeline(
+    addresses, token, listed_only, request_id, event, kind, follow, output
+):
     client = AdminClient(token)
     try:
         if not listed_only:
             addresses = await client.discover(addresses)
-        merged = Timeline(client, addresses, request_id, event)
+        merged = Timeline(client, addresses, request_id, event, kind)
         first = True
         while True:
             for item in await merged.poll():
--- a/almondtide/events.py
+++ b/almondtide/events.py
@@ -6,7 +6,9 @@
 
 from .clock import HybridLogicalClock
 
-__all__ = ["Event", "EventRing"]
+__all__ = ["KINDS", "Event", "EventRing"]
+
+KINDS = ("all", "daemon", "requests")
 
 DEFAULT_CAPACITY = 4096
 # The JSON codec refuses larger integers.
@@ -76,11 +78,19 @@
             self.dropped_requests += 1
         self._requests.append(Event(self.clock.now(), name, fields))
 
-    def since(self, timestamp=(0, 0), limit=1000):
-        """Return up to ``limit`` events newer than ``timestamp``, oldest first."""
+    def since(self, timestamp=(0, 0), limit=1000, kind="all"):
+        """Return up to ``limit`` events newer than ``timestamp``, oldest first.
+
+        ``kind`` is one of ``KINDS``: events of the daemon itself, of single
+        requests, or both.
+        """
+        rings = {
+            "all": (self._events, self._requests),
+            "daemon": (self._events,),
+            "requests": (self._requests,),
+        }
         newer = heapq.merge(
-            _newer(self._events, timestamp),
-            _newer(self._requests, timestamp),
+            *(_newer(ring, timestamp) for ring in rings[kind]),
             key=lambda event: event.timestamp,
         )
         return list(islice(newer, limit))
--- a/almondtide/logs.py
+++ b/almondtide/logs.py
@@ -26,6 +26,8 @@
 
 
 def _quote(value):
+    if isinstance(value, list | tuple):
+        value = ",".join(map(str, value))
     text = value if isinstance(value, str) else str(value)
     if _BARE.fullmatch(text):
         return text
--- a/almondtide/timeline.py
+++ b/almondtide/timeline.py
@@ -13,9 +13,9 @@
 class Timeline:
     """Polls the events of daemons and merges them by hybrid logical clock.
 
-    ``failures`` maps the address of each daemon that did not answer the last
-    poll to its error; ``dropped`` maps an instance to the number of events that
-    left its ring buffer.
+    ``kind`` is one of ``events.KINDS``. ``failures`` maps the address of each
+    daemon that did not answer the last poll to its error; ``dropped`` maps an
+    instance to the number of events of the daemon that left its ring buffer.
     """
 
     __slots__ = (
@@ -23,12 +23,13 @@
         "_client",
         "_event",
         "_ids",
+        "_kind",
         "_request_id",
         "dropped",
         "failures",
     )
 
-    def __init__(self, client, addresses, request_id=None, event=None):
+    def __init__(self, client, addresses, request_id=None, event=None, kind="all"):
         self._client = client
         self._after = dict.fromkeys(addresses, (0, 0))
         self._request_id = request_id
@@ -36,6 +37,7 @@
         # is what owners know the request by.
         self._ids = {request_id}
         self._event = event
+        self._kind = kind
         self.failures = {}
         self.dropped = {}
 
@@ -68,7 +70,9 @@
         while True:
             millis, counter = self._after[address]
             report = await self._client.call(
-                address, f"events?after={millis},{counter}&limit={PAGE_EVENTS}"
+                address,
+                f"events?after={millis},{counter}&limit={PAGE_EVENTS}"
+                f"&kind={self._kind}",
             )
             page = report["events"]
             self.dropped[report["instance"]] = report["dropped"]
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -247,6 +247,9 @@
             < names.index("sub_requests_received"),
             names,
         )
+        quiet = self.cli("timeline", "--kind", "daemon").out
+        self.assertIn("event=daemon_started", quiet)
+        self.assertNotIn("event=query_received", quiet)
         times = [tuple(map(float, line.split()[0].split("+"))) for line in lines]
         self.assertEqual(sorted(times), times)
         item = json.loads(
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -165,7 +165,7 @@
         self.assertEqual(405, self.admin("GET", "drain")[0])
         self.assertEqual(405, self.admin("POST", "status")[0])
         self.assertEqual(404, self.admin("GET", "nope")[0])
-        for query in ("after=x", "limit=0", "limit=99999", "after=-1,0"):
+        for query in ("after=x", "limit=0", "limit=99999", "after=-1,0", "kind=x"):
             self.assertEqual(400, self.admin("GET", f"events?{query}")[0])
 
     def test_reports(self):
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -49,6 +49,7 @@
             'event=x a="" b="1 2" c="a\\"\\\\\\n\\u2028" d=None',
             format_event("x", {"a": "", "b": "1 2", "c": 'a"\\\n\u2028', "d": None}),
         )
+        self.assertEqual("event=x a=b,c", format_event("x", {"a": ["b", "c"]}))
 
 
 class LogTest(testtools.TestCase):
@@ -102,6 +103,8 @@
         self.assertEqual("started", events[0].name)
         self.assertEqual(17, len(events))
         self.assertEqual((0, 84), (ring.dropped, ring.dropped_requests))
+        self.assertEqual(1, len(ring.since(kind="daemon")))
+        self.assertEqual(16, len(ring.since(kind="requests")))
 
     def test_order_and_paging(self):
         clock = MemoryClock()
