--- a/almondtide/adapters/listener.py
+++ b/almondtide/adapters/listener.py
@@ -5,9 +5,7 @@
 import curio
 from curio import socket
 
-from ..addresses import parse_address
-
-__all__ = ["Listener", "connect", "linger", "parse_address"]
+__all__ = ["Listener", "connect", "linger"]
 
 BACKLOG = 512
 LINGER_TIMEOUT_S = 1.0
--- a/almondtide/adapters/websocket.py
+++ b/almondtide/adapters/websocket.py
@@ -23,16 +23,6 @@
 HANDSHAKE_TIMEOUT_S = 0.5
 
 
-class _HandshakeError(PeerError):
-    """The other side does not speak websocket; ``answered`` when it was told."""
-
-    code = ResultCode.PEER_PROTOCOL
-
-    def __init__(self, reason, answered):
-        super().__init__(f"handshake refused: {reason}")
-        self.answered = answered
-
-
 class Traffic:
     """Bytes that a process wrote to and read from its websockets."""
 
@@ -47,6 +37,16 @@
 TRAFFIC = Traffic()
 
 
+class _HandshakeError(PeerError):
+    """The other side does not speak websocket; ``answered`` when it was told."""
+
+    code = ResultCode.PEER_PROTOCOL
+
+    def __init__(self, reason, answered):
+        super().__init__(f"handshake refused: {reason}")
+        self.answered = answered
+
+
 class WebSocket:
     """An open websocket that carries binary messages.
 
--- a/almondtide/coordinator.py
+++ b/almondtide/coordinator.py
@@ -34,7 +34,7 @@
 # Sub-requests that also go to a standby because their owner is silent, as a share
 # of all. More would multiply the load of a fleet whose daemons are slow, not gone.
 SILENCE_HEDGE_RATIO = 0.02
-SILENCE_HEDGE_BURST = 20.0
+SILENCE_HEDGE_BURST = 40.0
 STATUS_TIMEOUT_S = 0.3
 MAX_TARGETS = 3
 
@@ -193,7 +193,9 @@
         self._metrics = metrics
         self._catalog = SnapshotCatalog()
         self._loads = LoadTable(clock)
-        self._silence_hedges = TokenBudget(SILENCE_HEDGE_RATIO, SILENCE_HEDGE_BURST)
+        self._silence_hedges = TokenBudget(
+            SILENCE_HEDGE_RATIO, SILENCE_HEDGE_BURST, initial=SILENCE_HEDGE_BURST
+        )
         self._ids = itertools.count(1)
         self.running = 0
 
@@ -302,6 +304,8 @@
 
     async def _send_all(self, run):
         services = run.plan.shard_map.services()
+        for _ in services:
+            self._silence_hedges.earn()
         self._log.trace(
             "query_planned",
             request_id=run.req.request_id,
@@ -310,8 +314,6 @@
             epoch=run.plan.epoch,
             services=len(services),
         )
-        for _ in services:
-            self._silence_hedges.earn()
         await self._send(run, services)
 
     async def _send(self, run, services, suspect=False):
