--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -11,6 +11,8 @@
 from almondtide.messages import DocumentReply, DocumentRequest
 from almondtide.ports import Document
 
+LARGE = {str(n): "text" * 5 for n in range(50)}
+
 
 def _validate(body, revision):
     if "bad" in body:
@@ -55,13 +57,11 @@
         self.assertEqual(1, self.store.revision("configuration"))
         self.assertEqual(2, self.store.highest_seen("configuration"))
         (rejected,) = self.store.report("configuration")["rejected"]
-        self.assertEqual((2, ["$.bad: unknown field"]), self.pick(rejected))
+        self.assertEqual(2, rejected["revision"])
+        self.assertEqual(["$.bad: unknown field"], rejected["problems"])
         self.assertIn("document_rejected", self.event_names())
         self.assertTrue(self.offer(3, {"n": 3}))
 
-    def pick(self, rejected):
-        return rejected["revision"], rejected["problems"]
-
     def test_rejected_revision_is_not_asked_for_again(self):
         """Guards against a fetch from each peer each second."""
         self.offer(1, {"n": 1})
@@ -94,17 +94,16 @@
         self.assertIn("document_apply_failed", self.event_names())
 
     def test_reply_is_a_chain_where_it_reaches(self):
-        large = {str(n): "text" * 5 for n in range(50)}
         for n in range(1, 5):
-            self.offer(n, {**large, "n": n})
-        base = Document("configuration", 2, {**large, "n": 2})
+            self.offer(n, {**LARGE, "n": n})
+        base = Document("configuration", 2, {**LARGE, "n": 2})
         reply = self.request(2, base.digest)
         self.assertEqual([3, 4], [step[0] for step in reply.patches])
         self.assertIsNone(reply.snapshot)
         for have, digest in ((2, "other"), (0, None)):
             reply = self.request(have, digest)
             self.assertEqual([], reply.patches)
-            self.assertEqual({**large, "n": 4}, reply.snapshot)
+            self.assertEqual({**LARGE, "n": 4}, reply.snapshot)
 
     def request(self, have, digest):
         message = DocumentRequest(name="configuration", have=have, digest=digest)
@@ -112,12 +111,11 @@
 
     def test_receiver_follows_chain_and_serves_it(self):
         """Changes are handed on without being computed again."""
-        large = {str(n): "text" * 5 for n in range(50)}
         other = self.make_store()
-        self.offer(1, {**large, "n": 1})
-        self.offer(1, {**large, "n": 1}, other)
+        self.offer(1, {**LARGE, "n": 1})
+        self.offer(1, {**LARGE, "n": 1}, other)
         for n in range(2, 5):
-            self.offer(n, {**large, "n": n})
+            self.offer(n, {**LARGE, "n": n})
         have = other.current("configuration")
         reply = self.request(1, have.digest)
         self.assertTrue(curio.run(other.take, reply, "peer"))
@@ -125,18 +123,12 @@
         message = DocumentRequest(name="configuration", have=1, digest=have.digest)
         self.assertEqual(reply.patches, other.reply(message).patches)
 
-    def test_content_that_is_not_what_was_stated_is_refused(self):
-        """Guards against a corrupted snapshot in force."""
-        reply = DocumentReply(
-            name="configuration", revision=5, digest="0" * 32, snapshot={"n": 5}
-        )
-        with testtools.ExpectedException(DocumentError):
-            curio.run(self.store.take, reply, "peer")
-        self.assertEqual(0, self.store.revision("configuration"))
-
-    def test_changes_without_base_are_refused(self):
-        reply = DocumentReply(
-            name="configuration", revision=5, digest="x", patches=[[5, {}, "x"]]
-        )
-        with testtools.ExpectedException(DocumentError):
-            curio.run(self.store.take, reply, "peer")
+    def test_reply_that_is_not_what_it_states_is_refused(self):
+        """Guards against corrupted content and changes without their base."""
+        for content in ({"snapshot": {"n": 5}}, {"patches": [[5, {}, "0" * 32]]}):
+            reply = DocumentReply(
+                name="configuration", revision=5, digest="0" * 32, **content
+            )
+            with testtools.ExpectedException(DocumentError):
+                curio.run(self.store.take, reply, "peer")
+            self.assertEqual(0, self.store.revision("configuration"))
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -1,13 +1,12 @@
 """Tests of the check after a pause of the process."""
 
-import curio
 import testtools
 
 from almondtide.errors import RefusedError, ResultCode
 from almondtide.logs import Log
 from almondtide.pauses import PauseGuard
 from almondtide.ports import Document
-from tests.memory import MemoryNetwork, make_fleet
+from tests.memory import MemoryNetwork, in_curio, make_fleet
 
 TICK_S = 0.2
 
@@ -15,75 +14,59 @@
 class PauseGuardTest(testtools.TestCase):
     """Guards against work that a resumed process does with outdated state."""
 
-    def run_paused(self, test, platform=True):
+    async def resume(self, cut):
+        """Return (network, daemon, guard) after a pause; others went on meanwhile."""
         network = MemoryNetwork()
+        daemon, *others = await make_fleet(network, 4)
         self.refreshed = []
 
-        async def main():
-            daemons = await make_fleet(network, 4)
-            daemon = daemons[0]
-
-            async def refresh():
-                self.refreshed.append(daemon.revision())
-
-            guard = PauseGuard(
-                TICK_S,
-                daemon.dissemination,
-                daemon.membership,
-                refresh,
-                network.clock,
-                Log(daemon.events),
-            )
-            network.clock.advance(TICK_S)
-            self.assertEqual(0.0, guard.tick())
-            guard.check()
-            for other in daemons[1:]:
-                await other.store.offer(Document("configuration", 2, {}), "test")
-            await test(network, daemon, guard)
-
-        curio.run(main)
-
-    def test_new_work_is_refused_until_documents_were_checked(self):
-        async def test(network, daemon, guard):
-            await daemon.membership.peer_suspected("d1")
-            network.clock.advance(5.0)
-            # Work that arrives before the first tick is refused as well.
-            error = self.assertRaises(RefusedError, guard.check)
-            self.assertEqual(ResultCode.NOT_READY, error.code)
-            self.assertTrue(error.not_run)
-            self.assertIsNotNone(error.retry_after_ms)
-            self.assertGreater(guard.tick(), 4)
-            self.assertRaises(RefusedError, guard.check)
-            await guard.revalidate()
-            guard.check()
-            self.assertEqual([2], self.refreshed)
-            self.assertEqual(frozenset(), daemon.membership.view().gone)
-
-        self.run_paused(test)
-
-    def test_platform_is_read_when_no_peer_answers(self):
-        async def test(network, daemon, guard):
-            network.partition(["d0"], ["d1", "d2", "d3"])
-            network.clock.advance(5.0)
-            guard.tick()
-            calls = network.platform.calls
-            await guard.revalidate()
-            self.assertGreater(network.platform.calls, calls)
-            guard.check()
-
-        self.run_paused(test)
-
-    def test_refusal_is_bounded(self):
+        async def refresh():
+            self.refreshed.append(daemon.revision())
+
+        parts = (daemon.dissemination, daemon.membership, refresh, network.clock)
+        guard = PauseGuard(TICK_S, *parts, Log(daemon.events))
+        network.clock.advance(TICK_S)
+        self.assertEqual(0.0, guard.tick())
+        guard.check()
+        for other in others:
+            await other.store.offer(Document("configuration", 2, {}), "test")
+        if cut:
+            network.partition(["d0"], [other.name for other in others])
+        await daemon.membership.peer_suspected("d1")
+        network.clock.advance(5.0)
+        return network, daemon, guard
+
+    @in_curio
+    async def test_new_work_is_refused_until_documents_were_checked(self):
+        _, daemon, guard = await self.resume(cut=False)
+        # Work that arrives before the first tick is refused as well.
+        error = self.assertRaises(RefusedError, guard.check)
+        self.assertEqual(ResultCode.NOT_READY, error.code)
+        self.assertTrue(error.not_run)
+        self.assertIsNotNone(error.retry_after_ms)
+        self.assertGreater(guard.tick(), 4)
+        self.assertRaises(RefusedError, guard.check)
+        await guard.revalidate()
+        guard.check()
+        self.assertEqual([2], self.refreshed)
+        self.assertEqual(frozenset(), daemon.membership.view().gone)
+
+    @in_curio
+    async def test_platform_is_read_when_no_peer_answers(self):
+        network, _, guard = await self.resume(cut=True)
+        guard.tick()
+        calls = network.platform.calls
+        await guard.revalidate()
+        self.assertGreater(network.platform.calls, calls)
+        guard.check()
+
+    @in_curio
+    async def test_refusal_is_bounded(self):
         """A daemon that reaches nothing serves on with what it has."""
-
-        async def test(network, daemon, guard):
-            network.partition(["d0"], ["d1", "d2", "d3"])
-            network.platform.available = False
-            network.clock.advance(5.0)
-            guard.tick()
-            self.assertRaises(RefusedError, guard.check)
-            await guard.revalidate()
-            guard.check()
-            self.assertIn("documents_not_checked", daemon.event_names())
-
-        self.run_paused(test)
+        network, daemon, guard = await self.resume(cut=True)
+        network.platform.available = False
+        guard.tick()
+        self.assertRaises(RefusedError, guard.check)
+        await guard.revalidate()
+        guard.check()
+        self.assertIn("documents_not_checked", daemon.event_names())
