--- a/almondtide/daemon.py
+++ b/almondtide/daemon.py
@@ -18,6 +18,7 @@
 from .adapters.peer import PeerNetwork
 from .adapters.platform import HTTPPlatform
 from .adapters.upstream import HTTPUpstreams
+from .adapters.websocket import TRAFFIC
 from .clock import SystemClock
 from .configuration import parse_configuration
 from .coordinator import Coordinator
@@ -49,7 +50,7 @@
 CONFIGURATION = "configuration"
 INSTANCES = "instances"
 TICK_S = 0.2
-TICKS_PER_SECOND = 5
+HOUSEKEEPING_S = 1.0
 NOT_READY_RETRY_MS = 500
 # Peers that a starting daemon contacts at once.
 MAX_ANNOUNCED = 64
@@ -74,6 +75,7 @@
         "_owners",
         "_pauses",
         "_peers",
+        "_platform",
         "_quarantine",
         "_startup",
         "_state",
@@ -168,6 +170,7 @@
     def _build_documents(self):
         settings = self.settings
         rng = random.Random()
+        self._platform = HTTPPlatform(settings.platform)
         kinds = [
             DocumentKind(CONFIGURATION, parse_configuration, self._apply_configuration),
             DocumentKind(INSTANCES, _parse_list, self._apply_instances),
@@ -178,7 +181,7 @@
             self._store,
             self._membership,
             self._peers,
-            HTTPPlatform(settings.platform),
+            self._platform,
             self._quarantine,
             settings.seeds,
             self.clock,
@@ -363,9 +366,16 @@
                 for name in self._store.names()
                 if self._dissemination.is_watcher(name)
             ],
+            "platform": self._dissemination.platform_state(),
             "lonely": self._dissemination.is_lonely(),
             "peer_links": self._peers.links,
             "executions": self._executions.records,
+            "traffic": {
+                "peer_sent_bytes": TRAFFIC.sent_bytes,
+                "peer_received_bytes": TRAFFIC.received_bytes,
+                "platform_received_bytes": self._platform.received_bytes,
+                "platform_calls": self._platform.calls,
+            },
         }
 
     def _members_report(self):
@@ -420,6 +430,7 @@
         await self._listeners[2].start()
         await curio.spawn(self._become_ready, daemon=True)
         await curio.spawn(self._tick, daemon=True)
+        await curio.spawn(self._keep_house, daemon=True)
         await curio.spawn(self._watch_signals, daemon=True)
         self.log.info("daemon_started", domain=self.settings.domain)
         await self._drain.requested.wait()
@@ -453,19 +464,20 @@
         await self._drain.requested.set()
 
     async def _tick(self):
-        count = 0
+        """Detect pauses; nothing else may hold up this task."""
         while True:
             await curio.sleep(TICK_S)
             pause_s = self._pauses.tick()
             if pause_s > 0:
                 self.metrics.pauses.inc({})
                 self.log.warning("process_paused", seconds=round(pause_s, 3))
-                # A task of its own, so that the check is not taken for a pause.
                 await curio.spawn(self._pauses.revalidate, daemon=True)
-            count += 1
-            if count % TICKS_PER_SECOND == 0:
-                await self._membership.expire()
-                await self._owners.release_idle()
+
+    async def _keep_house(self):
+        while True:
+            await curio.sleep(HOUSEKEEPING_S)
+            await self._membership.expire()
+            await self._owners.release_idle()
 
     async def _shut_down(self):
         max_age_s = 0.0
@@ -487,6 +499,7 @@
         for listener in reversed(self._listeners):
             await listener.close()
         await self._peers.close()
+        await self._platform.close()
 
     def _other_entries(self):
         entries = self._membership.view().entries
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -25,10 +25,11 @@
     ``POST /control`` takes ``{"publish": {"name": ..., "body": ...}}``, which
     publishes the next revision, ``{"mode": "normal" | "down" | "stale"}``,
     ``{"list_lag_s": seconds}`` and ``{"reads_per_s": rate}``. A stale service
-    serves the documents as they were when the mode began. The document
-    ``instances`` becomes visible ``list_lag_s`` seconds after it was published.
-    Each read counts as one call, a watch also when it waits; calls above
-    ``reads_per_s`` are refused with status 429.
+    serves the documents as they were when the mode began, or at the revisions that
+    ``{"as_of": {name: revision}}`` gives. The document ``instances`` becomes
+    visible ``list_lag_s`` seconds after it was published. Each read counts as one
+    call, a watch also when it waits; calls above ``reads_per_s`` are refused with
+    status 429.
     """
 
     def __init__(self, address, list_lag_s=0.0, reads_per_s=READS_PER_S):
@@ -37,6 +38,7 @@
         self.reads_per_s = reads_per_s
         self.documents = {}
         self.revisions = {}
+        self.history = {}
         self.frozen = None
         self.mode = "normal"
         self.calls = 0
@@ -83,6 +85,7 @@
         # A shorter lag set in between can let a newer revision overtake.
         if revision > self.documents.get(name, (0, None))[0]:
             self.documents[name] = (revision, body)
+            self.history[name, revision] = body
             await self._wake()
 
     async def _wake(self):
@@ -141,6 +144,8 @@
         if "mode" in command:
             self.mode = command["mode"]
             self.frozen = dict(self.documents) if self.mode == "stale" else None
+            for name, revision in command.get("as_of", {}).items():
+                self.frozen[name] = (revision, self.history[name, revision])
             await self._wake()
         self.list_lag_s = command.get("list_lag_s", self.list_lag_s)
         self.reads_per_s = command.get("reads_per_s", self.reads_per_s)
@@ -189,12 +194,14 @@
     """Raise ValueError that says what is wrong with a control command."""
     if not isinstance(command, dict):
         raise ValueError("a command must be a JSON object")
-    known = ("publish", "mode", "list_lag_s", "reads_per_s")
+    known = ("publish", "mode", "as_of", "list_lag_s", "reads_per_s")
     unknown = sorted(set(command) - set(known))
     if unknown:
         raise ValueError(f"unknown command {unknown[0]!r}; known: {', '.join(known)}")
     if command.get("mode", "normal") not in MODES:
         raise ValueError(f"mode must be one of {', '.join(MODES)}")
+    if "as_of" in command and command.get("mode") != "stale":
+        raise ValueError("as_of needs the mode stale")
     for name in ("list_lag_s", "reads_per_s"):
         value = command.get(name, 0)
         if isinstance(value, bool) or not isinstance(value, (int, float)) or value < 0:
