Reserve the ports of a fleet while it runs

Cause: a fleet of 30 servers did not start while fleets of other runs started on the same machine. Two runs that pick ports at the same time can pick the same one, because a process binds its port up to seconds after the choice.

Change: free_ports keeps a bound socket that does not listen on each port. Processes that listen with SO_REUSEADDR bind it all the same; another run that looks for a port does not get it. The error of a failed start names the processes that ended.

Ruled out: holding the port with a listening socket, which the daemon could not replace.

Conclusion: checked by hand that the port is held before, while and after a process listens on it, and that a connect without listener is refused.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -1,5 +1,6 @@
 """Starts daemons and stand-ins as separate processes on loopback."""
 
+import collections
 import http.client
 import json
 import os
@@ -15,32 +16,37 @@
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 10.0
 PORT_RANGE = (10_000, 32_000)
+MAX_RESERVATIONS = 400
 ADMIN_TOKEN = "operator-token"
 
-_given_ports = set()
+# Sockets that hold the ports handed out last; the oldest are closed.
+_reservations = collections.deque()
 
 
 def free_ports(count):
-    """Return ``count`` TCP ports that were free a moment ago.
+    """Return ``count`` TCP ports that are free and stay reserved.
 
     The ports are below the range from which the system takes the local ports of
     outgoing connections, because such a connection could take the port between
-    this check and the start of the process that listens on it. No port is
-    returned twice, because the process that gets it may bind it only after the
-    next call.
+    this check and the start of the process that listens on it. Each port stays
+    bound by a socket that does not listen: processes that listen with
+    SO_REUSEADDR can bind it all the same, while this function, which binds
+    without, does not hand it out again, neither here nor in another process.
     """
     ports = []
     while len(ports) < count:
         port = random.randrange(*PORT_RANGE)
-        if port in _given_ports:
+        sock = socket.socket()
+        try:
+            sock.bind(("127.0.0.1", port))
+        except OSError:
+            sock.close()
             continue
-        _given_ports.add(port)
-        with socket.socket() as sock:
-            try:
-                sock.bind(("127.0.0.1", port))
-            except OSError:
-                continue
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        _reservations.append(sock)
         ports.append(port)
+    while len(_reservations) > MAX_RESERVATIONS:
+        _reservations.popleft().close()
     return ports
 
 
@@ -471,9 +477,14 @@
             except (OSError, http.client.HTTPException):
                 pass
             if time.monotonic() > deadline:
-                raise TimeoutError("the fleet did not start; see its log files")
+                raise TimeoutError(f"the fleet did not start{self._ended()}")
             time.sleep(0.05)
 
+    def _ended(self):
+        """Return the processes that ended, as a part of an error message."""
+        names = [name for name, it in self.processes.items() if it.poll() is not None]
+        return f"; ended: {', '.join(names)}" if names else "; see its log files"
+
 
 def shard_map(epoch, services, key_space=65536):
     """Return a shard map that splits the key space evenly over ``services``."""
