Ignore what a silent server stated last; make two mutations effective

Its last statement named only an older version, so the service had no version in common with the other services although two of its servers held the newest one. Change: versions and epochs of a server become unknown when its status cannot be read. Ruled out: lost config changes; all servers and daemons recovered by themselves. Conclusion: a paused server no longer blocks a version change.

--- a/almondtide/servers.py
+++ b/almondtide/servers.py
@@ -237,6 +237,10 @@
                 self.observe(await conn.status(), owner.clock.monotonic())
                 await owner.server_changed(self)
         except (UpstreamError, curio.TaskTimeout):
+            # What a silent server stated last may be outdated, and one outdated
+            # statement could leave the service without a common version.
+            self.versions = None
+            self.epochs = None
             self._cancels.clear()
             if conn is not None:
                 await conn.close()
--- a/proofs/mutations.py
+++ b/proofs/mutations.py
@@ -22,15 +22,16 @@
 def skip_snapshot_comparison():
     """Search the newest version of each server and label it as the pinned one."""
     search = upstream.HTTPUpstreamConnection.search
+    newest = {}
 
     async def search_newest(conn, request_id, remaining_s, sub):
         pinned = sub.version
-        sub.version = max(getattr(conn, "newest", None) or [pinned])
+        sub.version = max(newest.get(id(conn)) or [pinned])
         try:
             reply = await search(conn, request_id, remaining_s, sub)
         finally:
             sub.version = pinned
-        conn.newest = reply.versions
+        newest[id(conn)] = reply.versions
         if isinstance(reply.body, dict) and "index_version" in reply.body:
             reply.body["index_version"] = pinned
         return reply
--- a/proofs/promises.py
+++ b/proofs/promises.py
@@ -345,8 +345,10 @@
         "hold_peers",
         "delay_peers",
     ]
-    with proof.start_fleet(links=("peer",)):
-        pool = proof.pool(step, callers=16, pause_s=0.03)
+    # Long enough that many requests run when a server is killed.
+    slow = {"service_time_s": 0.05}
+    with proof.start_fleet(links=("peer",), upstream=slow):
+        pool = proof.pool(step, callers=24, pause_s=0.1)
         limit = time.monotonic() + MAX_FACTOR * proof.seconds
         with pool, proof.injector(kinds, gap_s=0.4):
             while pool.sent() < proof.requests and time.monotonic() < limit:
