--- a/almondtide/adapters/http.py
+++ b/almondtide/adapters/http.py
@@ -158,19 +158,27 @@
 
     async def run_handler(self, request):
         """Run the handler; cancel it and return None when the caller goes away."""
-        task = await curio.spawn(self.handler, request, daemon=True)
+        task = await curio.spawn(self._guarded, request, daemon=True)
         watcher = await curio.spawn(_cancel_on_close, self.sock, task, daemon=True)
         try:
-            return await task.join()
-        except curio.TaskError as exc:
-            if isinstance(exc.__cause__, curio.TaskCancelled):
-                return None
-            raise exc.__cause__ from exc
+            response, error = await task.join()
+        except curio.TaskError:
+            return None
         except curio.CancelledError:
             await task.cancel()
             raise
         finally:
             await watcher.cancel()
+        if error is not None:
+            raise error
+        return response
+
+    async def _guarded(self, request):
+        """Return (response, error); curio logs every exception that ends a task."""
+        try:
+            return await self.handler(request), None
+        except Exception as exc:
+            return None, exc
 
 
 async def _cancel_on_close(sock, task):
@@ -211,12 +219,14 @@
     max_body=DEFAULT_MAX_BODY_BYTES,
     max_header=DEFAULT_MAX_HEADER_BYTES,
     idle_timeout_s=DEFAULT_IDLE_TIMEOUT_S,
+    closing=lambda: False,
 ):
     """Serve requests on one connection until it closes.
 
     ``handler`` is an async function from ``HTTPRequest`` to ``HTTPResponse``. An
     ``AlmondtideError`` that it raises becomes a coded response; any other
     exception becomes code 900 and a log line, and the connection is closed.
+    While ``closing()`` is true, each response ends its connection.
     """
     connection = _ServerConnection(sock, handler, max_body, max_header)
     while True:
@@ -233,7 +243,7 @@
                 )
             if response is None:
                 return
-            await connection.send(response)
+            await connection.send(response, close=closing())
             if connection.conn.our_state is not h11.DONE:
                 return
             if connection.conn.their_state is not h11.DONE:
--- a/almondtide/messages.py
+++ b/almondtide/messages.py
@@ -21,6 +21,8 @@
     "Message",
     "Ping",
     "Pong",
+    "PrefixReply",
+    "PrefixRequest",
     "QuarantineNotice",
     "ServiceStatus",
     "ServiceStatusRequest",
@@ -226,10 +228,13 @@
 
 @_message("cancel_query")
 class CancelQuery(Message):
-    """The coordinator no longer needs the answers of a query."""
+    """The coordinator no longer needs answers of a query.
 
-    __slots__ = ("query_id",)
-    FIELDS = {"query_id": (str, Message.REQUIRED)}
+    ``services`` names those whose answers it has; an empty list means all.
+    """
+
+    __slots__ = ("query_id", "services")
+    FIELDS = {"query_id": (str, Message.REQUIRED), "services": (list, list)}
 
 
 @_message("service_status_request")
@@ -248,6 +253,21 @@
     FIELDS = {"services": (list, Message.REQUIRED)}
 
 
+@_message("prefix_request")
+class PrefixRequest(Message):
+    """Asks a daemon for an execution id prefix that callers may use."""
+
+    __slots__ = ()
+
+
+@_message("prefix_reply")
+class PrefixReply(Message):
+    """The current execution id prefix of the sender."""
+
+    __slots__ = ("prefix",)
+    FIELDS = {"prefix": (str, Message.REQUIRED)}
+
+
 @_message("forward_revise")
 class ForwardRevise(Message):
     """A non-idempotent request on its way from the entry to its home."""
@@ -307,19 +327,43 @@
 class Digest(Message):
     """What the sender knows: documents, its own state, quarantined requests.
 
-    ``documents`` maps a document's name to ``[revision, digest]``;
-    ``quarantined`` is a list of ``[fingerprint, remaining_ms]``.
+    ``documents`` maps a document's name to ``[revision, digest]``; ``ready`` tells
+    that the sender serves callers; ``quarantined`` is a list of ``[fingerprint,
+    remaining_ms]``. ``address`` is the sender's peer address, ``[host, port]``, or
+    None when the platform's list names the sender. Suspicion of other daemons is
+    not part of it.
     """
 
-    __slots__ = ("documents", "incarnation", "instance", "leaving", "quarantined")
+    __slots__ = (
+        "address",
+        "documents",
+        "incarnation",
+        "instance",
+        "leaving",
+        "quarantined",
+        "ready",
+    )
     FIELDS = {
         "instance": (str, Message.REQUIRED),
         "incarnation": (str, Message.REQUIRED),
         "documents": (dict, dict),
+        "ready": (bool, False),
         "leaving": (bool, False),
         "quarantined": (list, list),
+        "address": ((list, type(None)), None),
     }
 
+    def stated(self):
+        """Return (name, revision, digest) of all well-formed document entries."""
+        return [
+            (name, stated[0], stated[1])
+            for name, stated in self.documents.items()
+            if isinstance(stated, list)
+            and len(stated) == 2
+            and type(stated[0]) is int
+            and isinstance(stated[1], str)
+        ]
+
 
 @_message("document_request")
 class DocumentRequest(Message):
@@ -338,7 +382,8 @@
     """A newer document, either as a snapshot or as a chain of changes.
 
     ``patches`` is a list of ``[revision, merge patch, digest of the result]`` in
-    order of revision; when it is empty, ``snapshot`` holds the whole body.
+    order of revision, which starts from the revision that the request states; when
+    it is empty, ``snapshot`` holds the whole body.
     """
 
     __slots__ = ("digest", "name", "patches", "revision", "snapshot")
--- a/almondtide/owner.py
+++ b/almondtide/owner.py
@@ -2,6 +2,7 @@
 
 import heapq
 import itertools
+import secrets
 
 import curio
 
@@ -17,7 +18,8 @@
 
 DEFAULT_SERVICE_TIME_S = 0.01
 SERVICE_TIME_MEMORY = 0.95
-STANDBY_SLOTS = 1
+MIN_SHED_PAUSE_S = 0.005
+MAX_SHED_PAUSE_S = 0.05
 FIRST_STATEMENT_S = 0.2
 FIRST_STATEMENT_POLL_S = 0.01
 
@@ -35,9 +37,11 @@
         ResultCode.SNAPSHOT_UNAVAILABLE,
     }
 )
-# Refusals that say nothing about the health of the service and cost no budget.
+# Refusals that say nothing about the health of the service and cost no budget. The
+# pause of the connection bounds how often a server is asked after it shed work.
 _FREE_RETRY = frozenset(
     {
+        ResultCode.UPSTREAM_SHED,
         ResultCode.UPSTREAM_DRAINING,
         ResultCode.UPSTREAM_UNREACHABLE,
         ResultCode.SNAPSHOT_UNAVAILABLE,
@@ -84,7 +88,7 @@
 
     __slots__ = ("is_hedge", "item", "request_id", "server", "started")
 
-    def __init__(self, item, server, started, is_hedge):
+    def __init__(self, item, server, started, is_hedge, number):
         self.item = item
         self.server = server
         self.started = started
@@ -92,7 +96,7 @@
         item.started += 1
         item.ran += 1
         sub = item.sub
-        self.request_id = f"{sub.query_id}.{sub.service}.{item.started}"
+        self.request_id = f"{sub.query_id}.{sub.service}.{number}"
 
 
 class ServiceOwner:
@@ -107,10 +111,13 @@
     """
 
     __slots__ = (
+        "_attempts",
         "_by_query",
         "_cfg",
         "_front",
         "_idle",
+        "_incarnation",
+        "_known",
         "_log",
         "_metrics",
         "_order",
@@ -140,6 +147,7 @@
         self._metrics = metrics
         self.servers = {}
         self.is_owner = False
+        self._known = None
         self.last_used = clock.monotonic()
         self.active_since = clock.monotonic()
         self.latencies = LatencyWindow()
@@ -153,6 +161,10 @@
         self._idle = []
         self._by_query = {}
         self._order = itertools.count()
+        # A standby may run a query that this owner still cancels on the same
+        # server, so request ids must not repeat between owners.
+        self._incarnation = secrets.token_hex(4)
+        self._attempts = itertools.count(1)
         self._timers = []
         self._timer_wake = curio.Event()
         self._timer_task = None
@@ -170,8 +182,14 @@
         """Take over the servers of the service and whether this daemon owns it.
 
         ``members`` is a list of members with ``instance``, ``address``,
-        ``domain`` and ``leaving``.
+        ``domain`` and ``leaving``. Does nothing when nothing has changed, because
+        every change of the view calls it.
         """
+        listed = [(m.instance, m.address, m.leaving) for m in members]
+        known = (is_owner, self._cfg().revision, listed)
+        if known == self._known:
+            return
+        self._known = known
         self.is_owner = is_owner
         self.hedges.ratio = self._setting("hedge_budget")
         self.retries.ratio = self._setting("retry_budget")
@@ -192,7 +210,8 @@
 
     async def _resize(self, server):
         await server.start_control(self._upstreams, self)
-        share = self._setting("slots") if self.is_owner else STANDBY_SLOTS
+        share = self._setting("slots")
+        server.set_share(share, self.is_owner)
         active = [worker for worker in server.workers if not worker.retired]
         for worker in active[share:]:
             await worker.retire()
@@ -226,7 +245,7 @@
             self._log.warning(
                 "upstream_unreachable", service=self.service, server=server.instance
             )
-            await self._fail_if_unservable()
+            await self._refuse_unservable()
 
     async def server_reachable(self, server):
         """Note that a connect succeeded."""
@@ -238,16 +257,37 @@
 
     async def server_changed(self, server):
         """Use new statements of a server about itself."""
+        await self._refuse_unservable()
         await self._dispatch()
 
-    async def _fail_if_unservable(self):
-        """Refuse waiting work at once when no server can be reached."""
-        if any(server.reachable for server in self.servers.values()):
-            return
-        for items in list(self._by_query.values()):
-            for item in list(items):
-                if not item.running:
-                    await self._finish(item, self._failure(item, ResultCode.NO_SERVER))
+    def _unservable_code(self, item):
+        """Return why no server can take ``item`` now or later, or None."""
+        sub = item.sub
+        candidates = [
+            self.servers[name]
+            for name in self._live_servers()
+            if name not in item.tried
+        ]
+        if not candidates:
+            return ResultCode.NO_SERVER
+        if not sub.idempotent:
+            return None
+        if any(server.serves(sub.version, sub.epoch) for server in candidates):
+            return None
+        return ResultCode.SNAPSHOT_UNAVAILABLE
+
+    async def _refuse_unservable(self):
+        """Refuse at once the waiting work that no server can take any more."""
+        waiting = [
+            item
+            for items in self._by_query.values()
+            for item in items
+            if not item.running
+        ]
+        for item in waiting:
+            code = self._unservable_code(item)
+            if code is not None:
+                await self._finish(item, self._failure(item, code))
 
     # Submission
 
@@ -276,11 +316,9 @@
         remaining_s = item.deadline - now
         if remaining_s <= 0:
             return self._failure(item, ResultCode.DEADLINE_EXCEEDED)
-        if not any(server.reachable for server in self.servers.values()):
-            return self._failure(item, ResultCode.NO_SERVER)
-        if item.sub.idempotent and not self._may_serve(item.sub):
-            # It would wait until its deadline; the coordinator plans again.
-            return self._failure(item, ResultCode.SNAPSHOT_UNAVAILABLE)
+        unservable = self._unservable_code(item)
+        if unservable is not None:
+            return self._failure(item, unservable)
         estimate = self.estimate(item.workload)
         retry_after_ms = admit(estimate, remaining_s)
         if retry_after_ms is None and len(self._queue) >= self._setting("queue_limit"):
@@ -290,10 +328,6 @@
         self._metrics.refused.inc({"service": self.service})
         return self._failure(item, ResultCode.OVERLOADED, retry_after_ms)
 
-    def _may_serve(self, sub):
-        live = [self.servers[name] for name in self._live_servers()]
-        return not live or any(srv.serves(sub.version, sub.epoch) for srv in live)
-
     def _failure(self, item, code, retry_after_ms=None):
         not_run = item.ran == 0
         if not_run and retry_after_ms is None:
@@ -321,7 +355,7 @@
         waiting += len(self._front)
         if slots == 0:
             return Estimate(0.0, service_s)
-        busy = slots - len(self._idle)
+        busy = sum(len(server.in_flight) for server in self.servers.values())
         wait_s = 0.0
         if busy >= slots or waiting:
             wait_s = (waiting + 1) * service_s / (slots * share)
@@ -332,7 +366,7 @@
         """Return the number of slots that take new work."""
         now = self.clock.monotonic()
         return sum(
-            len(server.workers)
+            min(len(server.workers), server.usable_slots())
             for server in self.servers.values()
             if server.reachable and not server.is_draining(now)
         )
@@ -391,6 +425,8 @@
                 or self.servers.get(server.instance) is not server
             ):
                 continue
+            if not server.has_free_slot():
+                continue
             if item.sub.idempotent and not server.serves(
                 item.sub.version, item.sub.epoch
             ):
@@ -404,7 +440,8 @@
     async def _start(self, item, worker, is_hedge):
         now = self.clock.monotonic()
         server = worker.server
-        attempt = _Attempt(item, server, now, is_hedge)
+        number = f"{self._incarnation}.{next(self._attempts)}"
+        attempt = _Attempt(item, server, now, is_hedge, number)
         item.tried.add(server.instance)
         item.running.append(attempt)
         server.in_flight.add(attempt)
@@ -449,6 +486,7 @@
         """Use a complete response of a server."""
         item = attempt.item
         elapsed = self._end(attempt)
+        attempt.server.adapt(reply.code == ResultCode.UPSTREAM_SHED)
         if item.done:
             return
         if reply.code == ResultCode.OK:
@@ -513,14 +551,24 @@
             )
         return elapsed
 
+    def shed_pause_s(self):
+        """Return how long a connection rests after its server shed work."""
+        service_s = self._service_time_s or DEFAULT_SERVICE_TIME_S
+        return min(MAX_SHED_PAUSE_S, max(MIN_SHED_PAUSE_S, service_s / 2))
+
     async def _retry_or_finish(self, attempt, code, not_run):
         item = attempt.item
         if not_run:
             item.ran -= 1
+        if code == ResultCode.UPSTREAM_SHED and not_run:
+            # The server is well; its slot is free for this item a little later.
+            item.tried.discard(attempt.server.instance)
         if item.running:
             # The other attempt is still running and may answer.
             return
         if self._may_retry(item, code, not_run):
+            # A hedge that still waits for the item would be a second retry.
+            self._front = [entry for entry in self._front if entry[0] is not item]
             self._front.append((item, False))
             await self._dispatch()
             return
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -3,6 +3,7 @@
 import http.client
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -13,19 +14,34 @@
 
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 10.0
+PORT_RANGE = (10_000, 32_000)
 ADMIN_TOKEN = "operator-token"
 
+_given_ports = set()
+
 
 def free_ports(count):
-    """Return ``count`` TCP ports that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for sock in sockets:
-            sock.bind(("127.0.0.1", 0))
-        return [sock.getsockname()[1] for sock in sockets]
-    finally:
-        for sock in sockets:
-            sock.close()
+    """Return ``count`` TCP ports that were free a moment ago.
+
+    The ports are below the range from which the system takes the local ports of
+    outgoing connections, because such a connection could take the port between
+    this check and the start of the process that listens on it. No port is
+    returned twice, because the process that gets it may bind it only after the
+    next call.
+    """
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(*PORT_RANGE)
+        if port in _given_ports:
+            continue
+        _given_ports.add(port)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        ports.append(port)
+    return ports
 
 
 def http_call(address, method, path, body=None, headers=None, timeout_s=5.0):
@@ -48,7 +64,11 @@
 
     ``workloads`` maps a name to a dict with ``services``, ``servers``, ``slots``,
     ``kind`` (data set) and optionally ``settings`` (workload settings).
-    ``upstream`` holds fields of ``UpstreamSpec`` that apply to all servers.
+    A workload with ``shares`` (the name of another workload) has no servers of its
+    own; its shard map names the services of that workload. ``upstream`` holds
+    fields of ``UpstreamSpec`` that apply to all servers.
+    ``pack_servers`` runs the servers of one failure domain in one process, so
+    that they can only be killed together.
     ``links`` tells which connections pass through a forwarding link that tests
     can cut or delay: any of ``peer``, ``platform`` and ``upstream``.
     ``daemon_argv`` is the command line of a daemon after the interpreter.
@@ -62,6 +82,7 @@
         "exceptions",
         "links",
         "list_lag_s",
+        "pack_servers",
         "upstream",
         "workloads",
     )
@@ -75,6 +96,7 @@
         exceptions=None,
         upstream=None,
         list_lag_s=0.0,
+        pack_servers=False,
         links=(),
         daemon_argv=("-m", "almondtide.daemon"),
     ):
@@ -87,6 +109,7 @@
         self.exceptions = exceptions or []
         self.upstream = upstream or {}
         self.list_lag_s = list_lag_s
+        self.pack_servers = pack_servers
         self.links = frozenset(links)
         self.daemon_argv = list(daemon_argv)
 
@@ -169,8 +192,8 @@
         self._wait_for(lambda: self.control_platform({}) is not None)
 
     def control_platform(self, command):
-        """Send a command to the platform stand-in."""
-        return http_call(self.platform, "POST", "/control", command)[2]
+        """Send a command to the platform stand-in; ValueError for a bad one."""
+        return _control(self.platform, command)
 
     def platform_state(self):
         """Return the counters of the platform stand-in."""
@@ -231,20 +254,29 @@
     def services(self):
         """Return (service, workload, shape) for all services."""
         for workload, shape in self.spec.workloads.items():
-            for number in range(shape["services"]):
-                yield f"{workload}-{number}", workload, shape
+            if "shares" not in shape:
+                for service in self.workload_services(workload):
+                    yield service, workload, shape
+
+    def workload_services(self, workload):
+        """Return the names of the services that a workload uses."""
+        workload = self.spec.workloads[workload].get("shares", workload)
+        count = self.spec.workloads[workload]["services"]
+        return [f"{workload}-{number}" for number in range(count)]
 
     def start_upstreams(self):
-        """Start one process for each server."""
+        """Start the servers, in one process each or in one for each domain."""
         for service, _, shape in self.services():
             for number in range(shape["servers"]):
                 self.add_upstream(service, shape, number)
+        if self.spec.pack_servers:
+            self._start_packed_upstreams()
         self._wait_for(
             lambda: all(_answers(address) for address in self.upstreams.values())
         )
 
     def add_upstream(self, service, shape, number):
-        """Start one server and add it to the list."""
+        """Add one server to the list and start it, unless servers are packed."""
         instance = f"{service}-s{number}"
         (port,) = free_ports(1)
         domain = self.spec.domains[number % len(self.spec.domains)]
@@ -273,16 +305,27 @@
             }
         )
         self.upstream_specs[instance] = spec
-        self.start_upstream(instance)
+        if not self.spec.pack_servers:
+            self.start_upstream(instance)
 
     def start_upstream(self, instance):
         """Start the process of a server, also after it has ended."""
-        spec = self.upstream_specs[instance]
-        self.spawn(instance, ["-m", "standins.upstream", "--specs", json.dumps([spec])])
+        specs = json.dumps([self.upstream_specs[instance]])
+        self.spawn(instance, ["-m", "standins.upstream", "--specs", specs])
+
+    def _start_packed_upstreams(self):
+        packed = {}
+        for item in self.listed:
+            if item["role"] == "upstream":
+                spec = self.upstream_specs[item["id"]]
+                packed.setdefault(item["domain"], []).append(spec)
+        for domain, specs in packed.items():
+            argv = ["-m", "standins.upstream", "--specs", json.dumps(specs)]
+            self.spawn(f"upstreams-{domain}", argv)
 
     def control_upstream(self, instance, command):
-        """Send a command to a server."""
-        return http_call(self.upstreams[instance], "POST", "/control", command)[2]
+        """Send a command to a server; raises ValueError for a bad one."""
+        return _control(self.upstreams[instance], command)
 
     def read_records(self):
         """Return what all servers ran, as a list of dicts."""
@@ -327,11 +370,16 @@
         """Return the address at which other daemons reach ``name``."""
         return self.link_addresses.get(f"peer/{name}", self.daemons[name]["peer"])
 
-    def start_daemon(self, name):
-        """Start the process of a daemon, also after it has ended."""
+    def start_daemon(self, name, argv=None, environ=None):
+        """Start the process of a daemon, also after it has ended.
+
+        ``argv`` replaces the command line of the spec; ``environ`` is added to
+        the environment.
+        """
         info = self.daemons[name]
         seeds = [self._peer_address(key) for key in self.daemons if key != name]
         environ = {
+            **(environ or {}),
             "ALMONDTIDE_INSTANCE": name,
             "ALMONDTIDE_DOMAIN": info["domain"],
             "ALMONDTIDE_CALLER_ADDRESS": info["caller"],
@@ -343,7 +391,7 @@
             ),
             "ALMONDTIDE_SEEDS": ",".join(seeds[:3]),
         }
-        self.spawn(name, self.spec.daemon_argv, environ)
+        self.spawn(name, argv or self.spec.daemon_argv, environ)
 
     def wait_ready(self, name):
         """Wait until a daemon accepts queries."""
@@ -376,11 +424,17 @@
 
     # Configuration
 
+    def publish_defaults(self, defaults):
+        """Publish the configuration with other defaults; returns the revision."""
+        self.spec.defaults = defaults
+        self.document = self._configuration()
+        return self.publish("configuration", self.document)
+
     def _configuration(self):
         workloads = {}
         exceptions = list(self.spec.exceptions)
         for workload, shape in self.spec.workloads.items():
-            services = [f"{workload}-{n}" for n in range(shape["services"])]
+            services = self.workload_services(workload)
             workloads[workload] = {"shard_maps": [shard_map(1, services)]}
             for setting, value in shape.get("settings", {}).items():
                 exceptions.append(
@@ -391,7 +445,8 @@
                         "reason": "shape of the test fleet",
                     }
                 )
-            if shape.get("slots", 3) != self.spec.defaults.get("slots", 3):
+            slots = shape.get("slots", 3)
+            if "shares" not in shape and slots != self.spec.defaults.get("slots", 3):
                 for service in services:
                     exceptions.append(
                         {
@@ -436,5 +491,12 @@
     return {"epoch": epoch, "shards": shards}
 
 
+def _control(address, command):
+    status, _, answer = http_call(address, "POST", "/control", command)
+    if status != 200:
+        raise ValueError(f"the command was refused: {answer}")
+    return answer
+
+
 def _answers(address):
     return http_call(address, "GET", "/v1/status")[0] == 200
