--- a/almondtide/client.py
+++ b/almondtide/client.py
@@ -8,17 +8,26 @@
 import h11
 
 from .adapters.http import HTTPClient
-from .adapters.listener import parse_address
+from .addresses import format_address, parse_address
 from .clock import SystemClock
 from .errors import ClientError, ResultCode, UpstreamError
 
-__all__ = ["AdminClient", "CallerClient", "ClientAnswer", "format_address"]
+__all__ = [
+    "AdminClient",
+    "CallerClient",
+    "ClientAnswer",
+    "format_address",
+    "read_fleet",
+]
 
 CONNECT_TIMEOUT_S = 1.0
 DEFAULT_TIMEOUT_S = 30.0
 # Time for the answer to travel back after the deadline, in s.
 ANSWER_MARGIN_S = 1.0
 MAX_TRIES = 4
+# Connections of one command to daemons at the same time.
+MAX_CONCURRENT_CALLS = 64
+MAX_IDLE = 256
 SUFFIX_BYTES = 8
 
 # Refusals after which another try makes sense when the tier says "not run".
@@ -27,11 +36,6 @@
 )
 
 
-def format_address(address):
-    """Return ``"host:port"`` of ``(host, port)``."""
-    return f"{address[0]}:{address[1]}"
-
-
 class ClientAnswer:
     """The last response to a request, with the entry that gave it.
 
@@ -136,7 +140,7 @@
         return await HTTPClient.open(address, timeout_s)
 
     async def _release(self, address, client):
-        if client.usable:
+        if client.usable and sum(map(len, self._idle.values())) < MAX_IDLE:
             self._idle.setdefault(address, []).append(client)
         else:
             await client.close()
@@ -354,11 +358,12 @@
 class AdminClient:
     """Reads the admin reports of daemons."""
 
-    __slots__ = ("_connections", "_timeout_s", "_token")
+    __slots__ = ("_connections", "_gate", "_timeout_s", "_token")
 
     def __init__(self, token, timeout_s=3.0):
         self._token = token
         self._timeout_s = timeout_s
+        self._gate = curio.Semaphore(MAX_CONCURRENT_CALLS)
         self._connections = _Connections()
 
     async def call(self, address, name, method="GET"):
@@ -367,9 +372,10 @@
         Raises ``ClientError`` when the daemon does not answer or refuses.
         """
         headers = {"authorization": f"Bearer {self._token}"}
-        response = await self._connections.exchange(
-            address, method, f"/admin/v1/{name}", headers, b"", self._timeout_s
-        )
+        async with self._gate:
+            response = await self._connections.exchange(
+                address, method, f"/admin/v1/{name}", headers, b"", self._timeout_s
+            )
         answer = _decode(response, address)
         if answer.status >= 300:
             reason = f"status {answer.status}"
@@ -380,17 +386,7 @@
 
     async def call_all(self, addresses, name):
         """Return a dict from address to report or ``ClientError``."""
-        tasks = {
-            address: await curio.spawn(self._call_caught, address, name)
-            for address in addresses
-        }
-        return {address: await task.join() for address, task in tasks.items()}
-
-    async def _call_caught(self, address, name):
-        try:
-            return await self.call(address, name)
-        except ClientError as exc:
-            return exc
+        return await gather(addresses, self.call, name)
 
     async def discover(self, addresses):
         """Return ``addresses`` and the admin addresses of all their members.
@@ -411,3 +407,37 @@
     async def close(self):
         """Close all connections."""
         await self._connections.close()
+
+
+async def gather(addresses, function, *args):
+    """Return a dict from address to the result of ``function(address, *args)``.
+
+    The calls run concurrently; a ``ClientError`` is the result of its address.
+    """
+
+    async def caught(address):
+        try:
+            return await function(address, *args)
+        except ClientError as exc:
+            return exc
+
+    tasks = {address: await curio.spawn(caught, address) for address in addresses}
+    return {address: await task.join() for address, task in tasks.items()}
+
+
+async def read_fleet(addresses, token, listed_only, name):
+    """Return a dict from admin address to the report ``name`` or the error.
+
+    Asks ``addresses`` and, unless ``listed_only``, all members that they know.
+    Raises ``ClientError`` when no daemon answers.
+    """
+    client = AdminClient(token)
+    try:
+        if not listed_only:
+            addresses = await client.discover(addresses)
+        reports = await client.call_all(addresses, name)
+    finally:
+        await client.close()
+    if all(isinstance(report, ClientError) for report in reports.values()):
+        raise next(iter(reports.values()))
+    return reports
