--- a/almondtide/coordinator.py
+++ b/almondtide/coordinator.py
@@ -35,6 +35,8 @@
 REROUTE_RATIO = 0.2
 STATUS_TIMEOUT_S = 0.3
 MAX_TARGETS = 3
+# A service answered that it does not hold the snapshot of the plan.
+_OTHER_SNAPSHOT = (ResultCode.SNAPSHOT_UNAVAILABLE, ResultCode.SNAPSHOT_MISMATCH)
 
 coverage_policies = Registry("coverage policy")
 
@@ -206,7 +208,7 @@
         try:
             await self._learn_snapshots(run)
             self._refuse_overload(run)
-            run.plan = self._catalog.choose(run.workload)
+            run.plan = await self._choose(run)
             await self._send_all(run)
             await self._collect(run)
             return self._answer(run)
@@ -258,22 +260,38 @@
     async def _learn_snapshots(self, run):
         """Ask the owners of services that have made no statement so far."""
         unknown = self._catalog.unknown(run.workload.services())
-        if not unknown:
-            return
+        if unknown:
+            await self._ask_owners(run, unknown)
+
+    async def _choose(self, run):
+        """Return the plan, with new statements when the old ones do not fit.
+
+        Statements come with answers, so those of a service that gets no
+        sub-requests stay as they were.
+        """
+        try:
+            return self._catalog.choose(run.workload)
+        except RefusedError:
+            await self._ask_owners(run, run.workload.services())
+            return self._catalog.choose(run.workload)
+
+    async def _ask_owners(self, run, services):
+        """Ask the owners of ``services`` what these can serve."""
         asked = {}
-        for service in unknown:
+        for service in services:
             ranked = self._membership.view().ranked(service)
             asked.setdefault(ranked[0] if ranked else self._instance, []).append(
                 service
             )
         async with curio.TaskGroup() as group:
             for instance, services in asked.items():
-                await group.spawn(self._ask_status, instance, services)
+                await group.spawn(self._ask_status, run, instance, services)
 
-    async def _ask_status(self, instance, services):
+    async def _ask_status(self, run, instance, services):
+        timeout_s = min(STATUS_TIMEOUT_S, max(0.0, self._remaining_s(run)))
         request = ServiceStatusRequest(services=services)
         try:
-            reply = await self._peers.request(instance, request, STATUS_TIMEOUT_S)
+            reply = await self._peers.request(instance, request, timeout_s)
         except PeerError as exc:
             self._log.info("service_status_failed", peer=instance, reason=exc.message)
             return
@@ -354,12 +372,13 @@
         policy = coverage_policies.get(cfg.workload_setting(name, "coverage_policy"))
         limit_s = policy(cfg, name, self._remaining_s(run))
         async with curio.ignore_after(max(0.0, limit_s)):
-            while run.pending or self._has_held_back(run):
+            while True:
                 await self._release_held_back(run)
-                if not run.pending:
+                if run.pending:
+                    call, reply = await run.inbox.get()
+                    await self._take(run, call, reply)
+                elif not await self._replan_refused(run):
                     break
-                call, reply = await run.inbox.get()
-                await self._take(run, call, reply)
 
     async def _take(self, run, call, reply):
         if isinstance(reply, SubAnswer):
@@ -406,10 +425,7 @@
                 self._quarantine.clear(run.mark)
         elif result.code == ResultCode.UPSTREAM_LOST:
             await self._note_loss(run, result)
-        elif result.code in (
-            ResultCode.SNAPSHOT_UNAVAILABLE,
-            ResultCode.SNAPSHOT_MISMATCH,
-        ):
+        elif result.code in _OTHER_SNAPSHOT:
             await self._replan(run, result)
         elif result.code == ResultCode.DRAINING:
             await self._reroute(run, [result.service], result.code)
@@ -428,6 +444,19 @@
             self._metrics.reroutes.add({}, len(again))
             await self._send(run, again)
 
+    async def _replan_refused(self, run):
+        """Plan again with what the last answers stated; returns whether it did.
+
+        A refusal that arrives before them may find no snapshot in common.
+        """
+        replans = run.replans
+        refused = [r for r in run.results.values() if r.code in _OTHER_SNAPSHOT]
+        if not refused or replans >= MAX_REPLANS:
+            return False
+        await self._ask_owners(run, run.workload.services())
+        await self._replan(run, refused[0])
+        return run.replans > replans
+
     async def _replan(self, run, result):
         """Choose another snapshot and ask all services again."""
         if run.replans >= MAX_REPLANS:
@@ -466,9 +495,6 @@
 
     # Lost servers
 
-    def _has_held_back(self, run):
-        return any(service not in run.results for service in run.lost)
-
     async def _note_loss(self, run, result):
         """Hold the sub-request back after a server was lost under it."""
         run.uncertain = True
--- a/almondtide/owner.py
+++ b/almondtide/owner.py
@@ -34,6 +34,7 @@
         ResultCode.UPSTREAM_ERROR,
         ResultCode.BAD_RESPONSE,
         ResultCode.SNAPSHOT_UNAVAILABLE,
+        ResultCode.SNAPSHOT_MISMATCH,
     }
 )
 # Refusals that say nothing about the health of the service and cost no budget.
@@ -475,9 +476,13 @@
         if item.done:
             return
         if reply.code == ResultCode.OK:
-            self.retries.record(False)
+            result = self._success(attempt, reply)
+            self.retries.record(not result.ok)
             self.latencies.add(elapsed)
-            await self._finish(item, self._success(attempt, reply))
+            if result.ok:
+                await self._finish(item, result)
+            else:
+                await self._retry_or_finish(attempt, result.code, False)
             return
         self.retries.record(reply.code == ResultCode.UPSTREAM_ERROR)
         await self._retry_or_finish(attempt, reply.code, reply.not_run)
