Give neighbouring services the same owner

Cause: a query over 10 services reached about 8 of 18 daemons, each with a message and its replies; at the target a query would reach 180. The profile shows the sends, the frames and the wake-ups beside h11 as the largest part of the cost.

Change: services form cells of cell_size in the order of the shard maps, and daemons are ranked for cells. An idle connection is checked for a close once, right before its use, and is then opened again; services are looked up without building a list.

--- a/almondtide/configuration.py
+++ b/almondtide/configuration.py
@@ -91,6 +91,15 @@
     60_000,
     help="How long a caller may use an answer of the entries call, in ms.",
 )
+Setting(
+    "cell_size",
+    FLEET,
+    int,
+    4,
+    1,
+    64,
+    help="Services that have the same owner.",
+)
 Setting(
     "quarantine_s",
     FLEET,
@@ -250,7 +259,14 @@
     0.05
     """
 
-    __slots__ = ("_defaults", "_overrides", "exceptions", "revision", "workloads")
+    __slots__ = (
+        "_defaults",
+        "_overrides",
+        "_services",
+        "exceptions",
+        "revision",
+        "workloads",
+    )
 
     def __init__(self, revision, defaults, exceptions, workloads):
         self.revision = revision
@@ -261,6 +277,9 @@
             (item["scope"], item["target"], item["setting"]): item["value"]
             for item in exceptions
         }
+        self._services = {}
+        for name in sorted(workloads):
+            self._services.update(dict.fromkeys(workloads[name].services()))
 
     def fleet_setting(self, name):
         """Return the fleet-wide value of ``name``."""
@@ -276,10 +295,22 @@
 
     def services(self):
         """Return all services of all workloads, each once."""
-        names = {}
-        for workload in self.workloads.values():
-            names.update(dict.fromkeys(workload.services()))
-        return list(names)
+        return list(self._services)
+
+    def has_service(self, service):
+        """Return whether some workload uses ``service``."""
+        return service in self._services
+
+    def cells(self):
+        """Return a dict from service to its cell.
+
+        The services of a cell have the same owner, so a query sends one message
+        per cell. A cell holds ``cell_size`` services in the order of the shard
+        maps and is named after the first of them.
+        """
+        size = self.fleet_setting("cell_size")
+        names = self.services()
+        return {name: names[index - index % size] for index, name in enumerate(names)}
 
 
 def _child(path, key):
--- a/almondtide/daemon.py
+++ b/almondtide/daemon.py
@@ -293,6 +293,7 @@
         self._cfg = cfg
         self._quarantine.duration_s = cfg.fleet_setting("quarantine_s")
         self._quarantine.limit = cfg.fleet_setting("quarantine_servers")
+        await self._membership.set_cells(cfg.cells())
         await self._view_changed()
 
     async def _apply_instances(self, document, members):
--- a/almondtide/membership.py
+++ b/almondtide/membership.py
@@ -128,11 +128,15 @@
 
 
 class View:
-    """Immutable picture of the fleet at one moment."""
+    """Immutable picture of the fleet at one moment.
 
-    __slots__ = ("_ranks", "_upstreams", "entries", "gone", "leaving")
+    ``cells`` maps a service to its cell; daemons are ranked for cells.
+    """
+
+    __slots__ = ("_cells", "_ranks", "_upstreams", "entries", "gone", "leaving")
 
-    def __init__(self, members, leaving, gone):
+    def __init__(self, members, leaving, gone, cells=None):
+        self._cells = cells or {}
         self.entries = {m.instance: m for m in members if m.role == ENTRY}
         self._upstreams = {}
         for member in members:
@@ -156,11 +160,12 @@
 
     def ranked(self, service):
         """Return the ids of the live daemons for ``service``, the owner first."""
-        ranked = self._ranks.get(service)
+        cell = self._cells.get(service, service)
+        ranked = self._ranks.get(cell)
         if ranked is None:
             candidates = self.live_entries()
-            ranked = [member.instance for member in rank(service, candidates)]
-            self._ranks[service] = ranked
+            ranked = [member.instance for member in rank(cell, candidates)]
+            self._ranks[cell] = ranked
         return ranked
 
 
@@ -209,6 +214,7 @@
     """
 
     __slots__ = (
+        "_cells",
         "_clock",
         "_contacts",
         "_kept",
@@ -225,6 +231,7 @@
         self.instance = instance
         self._clock = clock
         self._members = []
+        self._cells = {}
         self._listed = set()
         self._leaving = False
         # Daemons that the list no longer names.
@@ -348,6 +355,12 @@
             contact.leaving = incarnation
             await self._rebuild()
 
+    async def set_cells(self, cells):
+        """Take over the cells of a new configuration."""
+        if cells != self._cells:
+            self._cells = cells
+            await self._rebuild()
+
     async def set_leaving(self):
         """Note that this daemon itself is shutting down."""
         self._leaving = True
@@ -414,6 +427,6 @@
             del self._suspected[name]
         leaving = {m.instance for m in members if self._is_leaving(m)}
         gone = {name for name, item in self._suspected.items() if item.until > now}
-        self._view = View(members, frozenset(leaving), frozenset(gone))
+        self._view = View(members, frozenset(leaving), frozenset(gone), self._cells)
         if self.on_change is not None:
             await self.on_change()
--- a/almondtide/owners.py
+++ b/almondtide/owners.py
@@ -120,7 +120,7 @@
         return [owner.describe() for owner in self._owners.values()]
 
     def _known(self, service):
-        return service in self._cfg().services()
+        return self._cfg().has_service(service)
 
     async def _handle_batch(self, sender, message, reply):
         deadline = self._clock.monotonic() + message.remaining_ms / 1000.0
--- a/almondtide/servers.py
+++ b/almondtide/servers.py
@@ -63,16 +63,22 @@
             owner.worker_gone(self)
 
     async def _ensure_connected(self, owner):
-        if self.conn is not None and self.conn.usable and not self.conn.is_stale():
+        if self.conn is not None and self.conn.usable:
             return True
+        if await self._connect(owner):
+            return True
+        async with curio.ignore_after(self.server.next_backoff()):
+            await self.wake.wait()
+        return False
+
+    async def _connect(self, owner):
+        """Open a new connection; returns whether it succeeded."""
         await self._disconnect()
         server = self.server
         try:
             self.conn = await self._upstreams.connect(server.address, CONNECT_TIMEOUT_S)
         except UpstreamError:
             await owner.server_unreachable(server)
-            async with curio.ignore_after(server.next_backoff()):
-                await self.wake.wait()
             return False
         await owner.server_reachable(server)
         return True
@@ -104,9 +110,11 @@
                 await curio.sleep(owner.shed_pause_s())
 
     async def _exchange(self, owner, attempt):
-        if self.conn.is_stale():
+        # The server may have closed the connection while it was idle, for example
+        # because it was restarted.
+        if self.conn.is_stale() and not await self._connect(owner):
             raise UpstreamError(
-                "the server closed the idle connection",
+                f"{self.server.instance} cannot be reached",
                 ResultCode.UPSTREAM_UNREACHABLE,
                 not_run=True,
             )
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -142,3 +142,18 @@
         for items in bad:
             error = self.assertRaises(ValueError, parse_instances, {"instances": items})
             self.assertIn("$.instances[", str(error))
+
+
+class CellTest(testtools.TestCase):
+    """Guards the number of messages of a query against the number of services."""
+
+    def test_services_of_a_cell_have_the_same_ranks(self):
+        membership = Membership("d0", MemoryClock())
+        members = parse_instances({"instances": [entry(f"d{n}") for n in range(9)]})
+        cells = {f"advisory-{n}": f"advisory-{n - n % 4}" for n in range(12)}
+        curio.run(membership.update_list, members)
+        curio.run(membership.set_cells, cells)
+        view = membership.view()
+        ranks = [tuple(view.ranked(f"advisory-{n}")) for n in range(12)]
+        self.assertEqual(3, len(set(ranks)))
+        self.assertEqual(1, len(set(ranks[4:8])))
