Let only trusted documents count as evidence after a pause

Cause: daemons of one host that resume at the same time asked each other, and an answer of one that is as outdated was taken for a confirmation.

Change: a daemon that checks its documents says in its digests that it is not ready. Its documents are still taken by others when their revision is higher, so a daemon that starts meanwhile loses nothing.

--- a/almondtide/daemon.py
+++ b/almondtide/daemon.py
@@ -206,6 +206,7 @@
             self.clock,
             self.log,
         )
+        self._dissemination.is_serving = self._is_serving
         self._peers.resolve = self._dissemination.resolve
         self._peers.admit = self._admit_message
 
@@ -298,6 +299,9 @@
             )
         self._pauses.check()
 
+    def _is_serving(self):
+        return self._state.ready and not self._pauses.is_checking()
+
     def _admit_message(self, sender, message):
         if isinstance(message, WORK) and sender != self.settings.instance:
             self._admit_caller()
--- a/almondtide/dissemination.py
+++ b/almondtide/dissemination.py
@@ -79,6 +79,7 @@
         "_seeds",
         "_state",
         "_tasks",
+        "is_serving",
         "store",
     )
 
@@ -97,6 +98,9 @@
         rng,
     ):
         self._state = state
+        # Whether the documents of this daemon are evidence for others. Daemons
+        # that resume at the same time must not confirm each other's documents.
+        self.is_serving = lambda: state.ready
         self.store = store
         self._membership = membership
         self._peers = peers
@@ -271,7 +275,7 @@
             instance=state.instance,
             incarnation=state.incarnation,
             documents=self.store.known(),
-            ready=state.ready,
+            ready=self.is_serving(),
             leaving=state.leaving,
             quarantined=[
                 [mark, left_s * 1000.0]
--- a/almondtide/messages.py
+++ b/almondtide/messages.py
@@ -328,10 +328,10 @@
     """What the sender knows: documents, its own state, quarantined requests.
 
     ``documents`` maps a document's name to ``[revision, digest]``; ``ready`` tells
-    that the sender serves callers; ``quarantined`` is a list of ``[fingerprint,
-    remaining_ms]``. ``address`` is the sender's peer address, ``[host, port]``, or
-    None when the platform's list names the sender. Suspicion of other daemons is
-    not part of it.
+    that the sender serves callers and trusts its documents; ``quarantined`` is a
+    list of ``[fingerprint, remaining_ms]``. ``address`` is the sender's peer
+    address, ``[host, port]``, or None when the platform's list names the sender.
+    Suspicion of other daemons is not part of it.
     """
 
     __slots__ = (
--- a/almondtide/pauses.py
+++ b/almondtide/pauses.py
@@ -47,11 +47,15 @@
         self._last_tick = clock.monotonic()
         self._until = 0.0
 
-    def check(self):
-        """Raise ``RefusedError`` while new work must wait for the check."""
+    def is_checking(self):
+        """Return whether the documents may be outdated because of a pause."""
         now = self._clock.monotonic()
         late_s = now - self._last_tick - self.interval_s
-        if now < self._until or late_s > self._detector.threshold:
+        return now < self._until or late_s > self._detector.threshold
+
+    def check(self):
+        """Raise ``RefusedError`` while new work must wait for the check."""
+        if self.is_checking():
             raise RefusedError(
                 "the process was paused and checks its documents",
                 ResultCode.NOT_READY,
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -60,6 +60,19 @@
         self.assertGreater(network.platform.calls, calls)
         guard.check()
 
+    @in_curio
+    async def test_daemons_that_resume_together_do_not_confirm_each_other(self):
+        network, daemon, guard = await self.resume(cut=False)
+        guard.tick()
+        daemon.dissemination.is_serving = lambda: not guard.is_checking()
+        self.assertFalse(daemon.dissemination.digest().ready)
+        for other in list(network.daemons.values())[1:]:
+            other.dissemination.is_serving = lambda: False
+        calls = network.platform.calls
+        await guard.revalidate()
+        self.assertGreater(network.platform.calls, calls)
+        self.assertTrue(daemon.dissemination.digest().ready)
+
     @in_curio
     async def test_refusal_is_bounded(self):
         """A daemon that reaches nothing serves on with what it has."""
