--- a/almondtide/adapters/admin.py
+++ b/almondtide/adapters/admin.py
@@ -4,6 +4,7 @@
 from urllib.parse import parse_qs
 
 from ..errors import BadRequestError, ResultCode
+from ..events import KINDS
 from .http import HTTPResponse, json_response
 
 __all__ = ["AdminAPI"]
@@ -56,7 +57,9 @@
     def _authorize(self, request):
         given = request.headers.get("authorization", "")
         expected = f"Bearer {self._token}"
-        if not hmac.compare_digest(given.encode(), expected.encode()):
+        if not hmac.compare_digest(
+            given.encode("latin-1", "replace"), expected.encode()
+        ):
             raise BadRequestError("missing or wrong token", ResultCode.UNAUTHORIZED)
 
     def _event_report(self, request):
@@ -64,12 +67,19 @@
         try:
             after = values.get("after", ["0,0"])[0].split(",")
             timestamp = (int(after[0]), int(after[1]))
-            limit = min(MAX_EVENTS, int(values.get("limit", ["1000"])[0]))
+            limit = int(values.get("limit", ["1000"])[0])
+            kind = values.get("kind", ["all"])[0]
+            if kind not in KINDS or not 1 <= limit <= MAX_EVENTS or min(timestamp) < 0:
+                raise ValueError
         except (ValueError, IndexError):
-            raise BadRequestError("invalid after or limit") from None
-        events = self._events.since(timestamp, limit)
+            raise BadRequestError(
+                f"after must be milliseconds,counter, limit 1 to {MAX_EVENTS} and "
+                f"kind one of {', '.join(KINDS)}"
+            ) from None
+        events = self._events.since(timestamp, limit, kind)
         return {
             "instance": self._instance,
             "dropped": self._events.dropped,
+            "dropped_requests": self._events.dropped_requests,
             "events": [event.to_dict(self._instance) for event in events],
         }
--- a/almondtide/adapters/upstream.py
+++ b/almondtide/adapters/upstream.py
@@ -1,5 +1,7 @@
 """Upstream servers over HTTP/1.1."""
 
+import re
+
 import curio
 import orjson
 
@@ -10,6 +12,8 @@
 __all__ = ["HTTPUpstreams"]
 
 STATUS_TIMEOUT_S = 1.0
+# Up to 18 digits fit the integers of messages between daemons.
+_NUMBER = re.compile(r"[0-9]{1,18}")
 
 _REFUSALS = {
     "shed": ResultCode.UPSTREAM_SHED,
@@ -24,7 +28,8 @@
 def _numbers(text):
     if text is None:
         return None
-    return [int(part) for part in text.split(",") if part.strip().isdigit()]
+    parts = [part.strip() for part in text.split(",")]
+    return [int(part) for part in parts if _NUMBER.fullmatch(part)]
 
 
 def _reply(response):
@@ -40,7 +45,10 @@
     not_run = False
     if response.status != 200:
         refusal = body if isinstance(body, dict) else {}
-        code = _REFUSALS.get(refusal.get("code"), ResultCode.UPSTREAM_ERROR)
+        name = refusal.get("code")
+        code = ResultCode.UPSTREAM_ERROR
+        if isinstance(name, str):
+            code = _REFUSALS.get(name, code)
         not_run = refusal.get("not_run") is True
     return UpstreamReply(
         code,
@@ -87,12 +95,19 @@
         }
         response = await self._client.request("POST", "/v1/search", headers, body)
         reply = _reply(response)
-        if reply.code == ResultCode.OK:
-            self._check_identity(reply.body, request_id)
+        self._check_identity(response, reply, "request_id", request_id)
         return reply
 
-    def _check_identity(self, body, request_id):
-        if not isinstance(body, dict) or body.get("request_id") != request_id:
+    def _check_identity(self, response, reply, field, wanted):
+        """Raise ``UpstreamError`` for the response to another request.
+
+        A full answer repeats the id in its body, a refusal in the header
+        X-Request-Id where the server sends it.
+        """
+        stated = response.headers.get("x-request-id", wanted)
+        if reply.code == ResultCode.OK:
+            stated = reply.body.get(field) if isinstance(reply.body, dict) else None
+        if stated != wanted:
             self._client.usable = False
             raise UpstreamError(
                 "the response belongs to another request", ResultCode.BAD_RESPONSE
@@ -109,7 +124,9 @@
         response = await self._client.request(
             "POST", "/v1/revise", headers, body, before_write
         )
-        return _reply(response)
+        reply = _reply(response)
+        self._check_identity(response, reply, "execution_id", sub.execution_id)
+        return reply
 
     async def cancel(self, request_id):
         """Ask the server to stop the exchange with ``request_id``."""
--- a/almondtide/owner.py
+++ b/almondtide/owner.py
@@ -2,10 +2,11 @@
 
 import heapq
 import itertools
+import secrets
 
 import curio
 
-from .admission import Estimate, admit
+from .admission import MIN_RETRY_AFTER_MS, Estimate, admit
 from .budgets import RetryBudget, TokenBudget
 from .errors import DEFAULT_RETRY_AFTER_MS, ExecutionError, ResultCode
 from .hedging import LatencyWindow, hedge_policies
@@ -17,6 +18,8 @@
 
 DEFAULT_SERVICE_TIME_S = 0.01
 SERVICE_TIME_MEMORY = 0.95
+# A request that has less time left than this quantile of the service is late.
+LATE_QUANTILE = 0.25
 MIN_SHED_PAUSE_S = 0.005
 MAX_SHED_PAUSE_S = 0.05
 FIRST_STATEMENT_S = 0.2
@@ -34,6 +37,7 @@
         ResultCode.UPSTREAM_ERROR,
         ResultCode.BAD_RESPONSE,
         ResultCode.SNAPSHOT_UNAVAILABLE,
+        ResultCode.SNAPSHOT_MISMATCH,
     }
 )
 # Refusals that say nothing about the health of the service and cost no budget. The
@@ -87,7 +91,7 @@
 
     __slots__ = ("is_hedge", "item", "request_id", "server", "started")
 
-    def __init__(self, item, server, started, is_hedge):
+    def __init__(self, item, server, started, is_hedge, number):
         self.item = item
         self.server = server
         self.started = started
@@ -95,7 +99,7 @@
         item.started += 1
         item.ran += 1
         sub = item.sub
-        self.request_id = f"{sub.query_id}.{sub.service}.{item.started}"
+        self.request_id = f"{sub.query_id}.{sub.service}.{number}"
 
 
 class ServiceOwner:
@@ -110,10 +114,12 @@
     """
 
     __slots__ = (
+        "_attempts",
         "_by_query",
         "_cfg",
         "_front",
         "_idle",
+        "_incarnation",
         "_known",
         "_log",
         "_metrics",
@@ -158,6 +164,10 @@
         self._idle = []
         self._by_query = {}
         self._order = itertools.count()
+        # A standby may run a query that this owner still cancels on the same
+        # server, so request ids must not repeat between owners.
+        self._incarnation = secrets.token_hex(4)
+        self._attempts = itertools.count(1)
         self._timers = []
         self._timer_wake = curio.Event()
         self._timer_task = None
@@ -284,6 +294,10 @@
 
     # Submission
 
+    def tail_s(self):
+        """Return the 0.9 quantile of the time on a server, in seconds."""
+        return self.latencies.quantile(0.9) or 0.0
+
     @property
     def running(self):
         """Number of queries and executions that have work here."""
@@ -345,7 +359,7 @@
         service_s = self._service_time_s or DEFAULT_SERVICE_TIME_S
         slots = self.usable_slots()
         waiting, share = self._queue.backlog(workload)
-        waiting += len(self._front)
+        waiting += sum(not is_hedge for _, is_hedge in self._front)
         if slots == 0:
             return Estimate(0.0, service_s)
         busy = sum(len(server.in_flight) for server in self.servers.values())
@@ -374,6 +388,7 @@
 
     async def _dispatch(self):
         """Give waiting work to idle workers until nothing fits."""
+        await self._drop_late()
         while self._idle:
             found = self._next_work()
             if found is None:
@@ -383,6 +398,19 @@
             item.waiting = False
             await self._start(item, worker, is_hedge)
 
+    async def _drop_late(self):
+        """Refuse waiting work that can hardly finish before its deadline.
+
+        Running it would take a slot from work that can.
+        """
+        least_s = self.latencies.quantile(LATE_QUANTILE) or 0.0
+        for item in self._queue.take_before(self.clock.monotonic() + least_s):
+            item.waiting = False
+            wait_s = self.estimate(item.workload).wait_s
+            retry_after_ms = max(MIN_RETRY_AFTER_MS, int(wait_s * 1000))
+            code = ResultCode.OVERLOADED
+            await self._finish(item, self._failure(item, code, retry_after_ms))
+
     def _next_work(self):
         for index, (item, is_hedge) in enumerate(self._front):
             if item.done:
@@ -433,7 +461,8 @@
     async def _start(self, item, worker, is_hedge):
         now = self.clock.monotonic()
         server = worker.server
-        attempt = _Attempt(item, server, now, is_hedge)
+        number = f"{self._incarnation}.{next(self._attempts)}"
+        attempt = _Attempt(item, server, now, is_hedge, number)
         item.tried.add(server.instance)
         item.running.append(attempt)
         server.in_flight.add(attempt)
@@ -445,6 +474,8 @@
             self.hedges.earn()
             self.retries.earn()
             self._metrics.queue_seconds.observe({}, now - item.arrived)
+        else:
+            self._metrics.retries.inc({"service": self.service})
         self._metrics.sends.inc({"service": self.service})
         await worker.wake.set()
         if item.sub.idempotent and not item.hedged and not item.sub.suspect:
@@ -482,9 +513,13 @@
         if item.done:
             return
         if reply.code == ResultCode.OK:
-            self.retries.record(False)
+            result = self._success(attempt, reply)
+            self.retries.record(not result.ok)
             self.latencies.add(elapsed)
-            await self._finish(item, self._success(attempt, reply))
+            if result.ok:
+                await self._finish(item, result)
+            else:
+                await self._retry_or_finish(attempt, result.code, False)
             return
         self.retries.record(reply.code == ResultCode.UPSTREAM_ERROR)
         await self._retry_or_finish(attempt, reply.code, reply.not_run)
--- a/almondtide/owners.py
+++ b/almondtide/owners.py
@@ -124,6 +124,12 @@
 
     async def _handle_batch(self, sender, message, reply):
         deadline = self._clock.monotonic() + message.remaining_ms / 1000.0
+        self._log.trace(
+            "sub_requests_received",
+            query_id=message.query_id,
+            coordinator=sender,
+            services=len(message.items),
+        )
         for item in message.items:
             service, ranges = _parse_item(item)
             sub = SubRequest(
@@ -171,17 +177,21 @@
 
     def _answer(self, owner, sub, result):
         versions, epochs = owner.served()
+        # Without a result, these may repeat anything that an upstream stated.
+        usable = result.ok
+        estimate = owner.estimate(sub.workload)
         return SubAnswer(
             service=result.service,
             code=int(result.code),
             not_run=result.not_run,
-            version=result.version,
-            epoch=result.epoch,
-            ranges=result.ranges,
+            version=result.version if usable else 0,
+            epoch=result.epoch if usable else 0,
+            ranges=result.ranges if usable else [],
             payload=result.payload,
             server=result.server,
             attempts=result.attempts,
-            wait_ms=owner.estimate(sub.workload).wait_s * 1000.0,
+            wait_ms=estimate.wait_s * 1000.0,
+            service_ms=owner.tail_s() * 1000.0,
             versions=versions,
             epochs=epochs,
             retry_after_ms=result.retry_after_ms,
--- a/bench/load.py
+++ b/bench/load.py
@@ -2,6 +2,7 @@
 
 import itertools
 import json
+import logging
 import os
 import random
 import subprocess
@@ -13,7 +14,7 @@
 import orjson
 
 from almondtide.adapters.http import HTTPClient
-from almondtide.adapters.listener import parse_address
+from almondtide.addresses import parse_address
 from almondtide.errors import UpstreamError
 from standins.dataset import make_query
 
@@ -140,7 +141,7 @@
         self._avoided[address] = time.monotonic() + AVOID_S
 
     async def refresh(self):
-        """Ask one entry for the list of entries."""
+        """Ask one entry for the list of entries; returns whether it answered."""
         address = self.pick()
         client = None
         try:
@@ -148,13 +149,15 @@
                 client = await HTTPClient.open(address)
                 response = await client.request("GET", "/v1/entries")
             if response.status != 200:
-                return
+                return False
             value = response.json()
             stated = [parse_address(item["address"]) for item in value["entries"]]
             self.addresses = stated or self.addresses
             self.max_age_s = max(REFRESH_MIN_S, value["max_age_ms"] / 1000.0)
+            return True
         except (OSError, UpstreamError, curio.TaskTimeout):
             self.avoid(address)
+            return False
         finally:
             if client is not None:
                 await client.close()
@@ -174,8 +177,8 @@
 
     async def run(self, start_at):
         """Send all requests; ``start_at`` is the start in Unix time."""
-        refresher = await curio.spawn(self._refresh_loop, daemon=True)
         await self._warm_up()
+        refresher = await curio.spawn(self._refresh_loop, daemon=True)
         begin = time.monotonic() + start_at - time.time()
         cpu_before = time.process_time()
         bodies = self.spec.bodies(self.number)
@@ -193,12 +196,17 @@
 
     async def _refresh_loop(self):
         while True:
-            await self.entries.refresh()
             await curio.sleep(self.entries.max_age_s)
+            await self.entries.refresh()
 
     async def _warm_up(self):
-        """Open one connection to each entry before the first request."""
-        await self.entries.refresh()
+        """Open one connection to each entry before the first request.
+
+        Without the list the load would silently go to the few entries that are
+        known at first.
+        """
+        if not await self.entries.refresh() and not await self.entries.refresh():
+            raise RuntimeError("no daemon answers GET /v1/entries")
         for address in self.entries.addresses:
             try:
                 client = await HTTPClient.open(address, CONNECT_TIMEOUT_S)
@@ -274,7 +282,7 @@
     coverage = body.get("coverage")
     if coverage is not None:
         record.covered = len(coverage["covered"])
-        record.missing = len(coverage["missing"])
+        record.missing = [item["code"] for item in coverage["missing"]]
     record.sends = body.get("sends", 0)
 
 
@@ -360,6 +368,9 @@
     :param output: file for the records
     """
     if spec is not None:
+        # A timeout that fires late is part of the figures; curio's log line for
+        # each of them would add to the load.
+        logging.getLogger("curio").setLevel(logging.ERROR)
         process = LoadProcess(LoadSpec.from_json(spec), number)
         write_report(output, curio.run(process.run, start_at))
         return
