--- a/almondtide/adapters/listener.py
+++ b/almondtide/adapters/listener.py
@@ -5,17 +5,11 @@
 import curio
 from curio import socket
 
-__all__ = ["Listener", "connect", "parse_address"]
+__all__ = ["Listener", "connect", "linger"]
 
 BACKLOG = 512
-
-
-def parse_address(text):
-    """Return ``(host, port)`` of ``"host:port"``; raises ValueError."""
-    host, separator, port = text.rpartition(":")
-    if not separator or not host or not port.isdigit() or int(port) > 65535:
-        raise ValueError(f"{text!r} is not of the form host:port")
-    return host, int(port)
+LINGER_TIMEOUT_S = 1.0
+RECEIVE_BYTES = 65536
 
 
 async def connect(address, timeout_s):
@@ -28,20 +22,41 @@
         sock.setsockopt(stdlib_socket.IPPROTO_TCP, stdlib_socket.TCP_NODELAY, 1)
         async with curio.timeout_after(timeout_s):
             await sock.connect(address)
+    except (OverflowError, ValueError, TypeError) as exc:
+        # Addresses come from documents; a port or a name may be impossible.
+        await sock.close()
+        raise OSError(f"invalid address {address!r}: {exc}") from exc
     except BaseException:
         await sock.close()
         raise
     return sock
 
 
+async def linger(sock):
+    """Close our direction and discard what still arrives, for up to a second.
+
+    Closing a socket that holds unread bytes resets the connection, and a reset
+    destroys an answer that the other side has not read yet.
+    """
+    await sock.shutdown(stdlib_socket.SHUT_WR)
+    async with curio.ignore_after(LINGER_TIMEOUT_S):
+        while await sock.recv(RECEIVE_BYTES):
+            pass
+
+
 class Listener:
-    """Listens on one address and runs ``handler(sock, address)`` per connection."""
+    """Listens on one address and runs ``handler(sock, address)`` per connection.
 
-    __slots__ = ("_connections", "_handler", "_sock", "_task", "address")
+    An exception of the handler ends its connection only; with ``log``, it is
+    written as one line.
+    """
 
-    def __init__(self, address, handler):
+    __slots__ = ("_connections", "_handler", "_log", "_sock", "_task", "address")
+
+    def __init__(self, address, handler, log=None):
         self.address = address
         self._handler = handler
+        self._log = log
         self._connections = set()
         self._sock = None
         self._task = None
@@ -84,6 +99,12 @@
                 await self._handler(client, peer)
         except OSError:
             pass
+        except curio.CancelledError:
+            raise
+        except Exception as exc:
+            if self._log is None:
+                raise
+            self._log.error("connection_failed", peer=peer[0], error=repr(exc))
         finally:
             self._connections.discard(task)
 
--- a/almondtide/coordinator.py
+++ b/almondtide/coordinator.py
@@ -1,10 +1,11 @@
 """One query from its arrival to its answer."""
 
 import itertools
+import random
 
 import curio
 
-from .admission import Estimate, LoadTable, admit
+from .admission import MIN_RETRY_AFTER_MS, Estimate, LoadTable, refusal_share
 from .budgets import TokenBudget
 from .errors import (
     DEFAULT_RETRY_AFTER_MS,
@@ -34,9 +35,11 @@
 # Sub-requests that also go to a standby because their owner is silent, as a share
 # of all. More would multiply the load of a fleet whose daemons are slow, not gone.
 SILENCE_HEDGE_RATIO = 0.02
-SILENCE_HEDGE_BURST = 20.0
+SILENCE_HEDGE_BURST = 40.0
 STATUS_TIMEOUT_S = 0.3
 MAX_TARGETS = 3
+# A service answered that it does not hold the snapshot of the plan.
+_OTHER_SNAPSHOT = (ResultCode.SNAPSHOT_UNAVAILABLE, ResultCode.SNAPSHOT_MISMATCH)
 
 coverage_policies = Registry("coverage policy")
 
@@ -176,6 +179,7 @@
         "_metrics",
         "_peers",
         "_quarantine",
+        "_random",
         "_silence_hedges",
         "running",
     )
@@ -193,7 +197,10 @@
         self._metrics = metrics
         self._catalog = SnapshotCatalog()
         self._loads = LoadTable(clock)
-        self._silence_hedges = TokenBudget(SILENCE_HEDGE_RATIO, SILENCE_HEDGE_BURST)
+        self._random = random.Random()
+        self._silence_hedges = TokenBudget(
+            SILENCE_HEDGE_RATIO, SILENCE_HEDGE_BURST, initial=SILENCE_HEDGE_BURST
+        )
         self._ids = itertools.count(1)
         self.running = 0
 
@@ -208,7 +215,7 @@
         try:
             await self._learn_snapshots(run)
             self._refuse_overload(run)
-            run.plan = self._catalog.choose(run.workload)
+            run.plan = await self._choose(run)
             await self._send_all(run)
             await self._collect(run)
             return self._answer(run)
@@ -250,39 +257,57 @@
 
     def _refuse_overload(self, run):
         remaining_s = run.deadline - self._clock.monotonic()
-        wait_s = max(self._loads.wait_s(name) for name in run.workload.services())
-        retry_after_ms = admit(Estimate(wait_s, 0.0), remaining_s)
-        if retry_after_ms is not None:
+        workload = run.workload
+        estimate = self._loads.busiest(workload.name, workload.services())
+        share = refusal_share(estimate, remaining_s)
+        if share > 0.0 and self._random.random() < share:
+            self._metrics.refused.inc({"service": ""})
             raise RefusedError(
-                "the services cannot answer in time", retry_after_ms=retry_after_ms
+                "the services cannot answer in time",
+                retry_after_ms=max(MIN_RETRY_AFTER_MS, int(estimate.wait_s * 1000)),
             )
 
     async def _learn_snapshots(self, run):
         """Ask the owners of services that have made no statement so far."""
         unknown = self._catalog.unknown(run.workload.services())
-        if not unknown:
-            return
+        if unknown:
+            await self._ask_owners(run, unknown)
+
+    async def _choose(self, run):
+        """Return the plan, with new statements when the old ones do not fit.
+
+        Statements come with answers, so those of a service that gets no
+        sub-requests stay as they were.
+        """
+        try:
+            return self._catalog.choose(run.workload)
+        except RefusedError:
+            await self._ask_owners(run, run.workload.services())
+            return self._catalog.choose(run.workload)
+
+    async def _ask_owners(self, run, services):
+        """Ask the owners of ``services`` what these can serve."""
         asked = {}
-        for service in unknown:
+        for service in services:
             ranked = self._membership.view().ranked(service)
             asked.setdefault(ranked[0] if ranked else self._instance, []).append(
                 service
             )
         async with curio.TaskGroup() as group:
             for instance, services in asked.items():
-                await group.spawn(self._ask_status, instance, services)
+                await group.spawn(self._ask_status, run, instance, services)
 
-    async def _ask_status(self, instance, services):
+    async def _ask_status(self, run, instance, services):
+        timeout_s = min(STATUS_TIMEOUT_S, max(0.0, self._remaining_s(run)))
         request = ServiceStatusRequest(services=services)
         try:
-            reply = await self._peers.request(instance, request, STATUS_TIMEOUT_S)
+            reply = await self._peers.request(instance, request, timeout_s)
         except PeerError as exc:
             self._log.info("service_status_failed", peer=instance, reason=exc.message)
             return
         if isinstance(reply, ServiceStatus):
-            for service, versions, epochs, wait_ms in reply.services:
+            for service, versions, epochs, _ in reply.services:
                 self._catalog.update(service, versions, epochs)
-                self._loads.report(service, wait_ms / 1000.0)
 
     # Sending
 
@@ -290,6 +315,14 @@
         services = run.plan.shard_map.services()
         for _ in services:
             self._silence_hedges.earn()
+        self._log.trace(
+            "query_planned",
+            request_id=run.req.request_id,
+            query_id=run.query_id,
+            version=run.plan.version,
+            epoch=run.plan.epoch,
+            services=len(services),
+        )
         await self._send(run, services)
 
     async def _send(self, run, services, suspect=False):
@@ -337,6 +370,13 @@
             suspect=suspect,
             avoid=avoid if suspect else [],
         )
+        self._log.trace(
+            "sub_requests_sent",
+            request_id=run.req.request_id,
+            query_id=run.query_id,
+            owner=target,
+            services=services,
+        )
         try:
             call = await self._peers.call(target, batch, run.inbox)
         except PeerError as exc:
@@ -358,12 +398,13 @@
         policy = coverage_policies.get(cfg.workload_setting(name, "coverage_policy"))
         limit_s = policy(cfg, name, self._remaining_s(run))
         async with curio.ignore_after(max(0.0, limit_s)):
-            while run.pending or self._has_held_back(run):
+            while True:
                 await self._release_held_back(run)
-                if not run.pending:
+                if run.pending:
+                    call, reply = await run.inbox.get()
+                    await self._take(run, call, reply)
+                elif not await self._replan_refused(run):
                     break
-                call, reply = await run.inbox.get()
-                await self._take(run, call, reply)
 
     async def _take(self, run, call, reply):
         if isinstance(reply, SubAnswer):
@@ -395,7 +436,8 @@
     async def _take_answer(self, run, call, reply):
         service = reply.service
         self._catalog.update(service, reply.versions, reply.epochs)
-        self._loads.report(service, reply.wait_ms / 1000.0)
+        estimate = Estimate(reply.wait_ms / 1000.0, reply.service_ms / 1000.0)
+        self._loads.report(run.workload.name, service, estimate)
         if call not in run.pending.get(service, ()):
             return
         run.sends += reply.attempts
@@ -433,10 +475,7 @@
                 self._quarantine.clear(run.mark)
         elif result.code == ResultCode.UPSTREAM_LOST:
             await self._note_loss(run, result)
-        elif result.code in (
-            ResultCode.SNAPSHOT_UNAVAILABLE,
-            ResultCode.SNAPSHOT_MISMATCH,
-        ):
+        elif result.code in _OTHER_SNAPSHOT:
             await self._replan(run, result)
         elif result.code == ResultCode.DRAINING:
             await self._reroute(run, [result.service], result.code)
@@ -455,6 +494,19 @@
             self._metrics.reroutes.add({}, len(again))
             await self._send(run, again)
 
+    async def _replan_refused(self, run):
+        """Plan again with what the last answers stated; returns whether it did.
+
+        A refusal that arrives before them may find no snapshot in common.
+        """
+        replans = run.replans
+        refused = [r for r in run.results.values() if r.code in _OTHER_SNAPSHOT]
+        if not refused or replans >= MAX_REPLANS:
+            return False
+        await self._ask_owners(run, run.workload.services())
+        await self._replan(run, refused[0])
+        return run.replans > replans
+
     async def _replan(self, run, result):
         """Choose another snapshot and ask all services again."""
         if run.replans >= MAX_REPLANS:
@@ -485,13 +537,14 @@
         run.results = {}
         run.targets = {}
         run.query_id = f"{self._instance}.{next(self._ids)}"
-        await self._send(run, plan.shard_map.services())
+        services = plan.shard_map.services()
+        # Services that lost a server stay held back, so that the request reaches
+        # them only in isolation; the new epoch may have dropped some of them.
+        run.lost = {name: run.lost[name] for name in services if name in run.lost}
+        await self._send(run, [name for name in services if name not in run.lost])
 
     # Lost servers
 
-    def _has_held_back(self, run):
-        return any(service not in run.results for service in run.lost)
-
     async def _note_loss(self, run, result):
         """Hold the sub-request back after a server was lost under it."""
         run.uncertain = True
--- a/bench/load.py
+++ b/bench/load.py
@@ -14,7 +14,7 @@
 import orjson
 
 from almondtide.adapters.http import HTTPClient
-from almondtide.adapters.listener import parse_address
+from almondtide.addresses import parse_address
 from almondtide.errors import UpstreamError
 from standins.dataset import make_query
 
--- a/proofs/promises.py
+++ b/proofs/promises.py
@@ -29,6 +29,9 @@
 SAMPLE_INTERVAL_S = 0.2
 REVISION_REQUESTS = 5000
 MAX_FACTOR = 4
+ENTRIES_MAX_AGE_MS = 3000
+# Events of an upstream's record that stand for a request that arrived.
+ARRIVALS = ("search", "revise", "refused")
 
 
 class Result:
@@ -46,7 +49,8 @@
     """One seeded run of a fleet for one promise.
 
     ``seconds`` bounds the load. ``requests`` is the number of revision requests
-    of ``at-most-once``. ``mutation`` names a broken daemon of ``mutations``.
+    of ``at-most-once``, ``entries_max_age_ms`` the age of address answers in
+    ``planned-stop``. ``mutation`` names a broken daemon of ``mutations``.
     """
 
     def __init__(
@@ -57,6 +61,7 @@
         *,
         requests=REVISION_REQUESTS,
         daemons=5,
+        entries_max_age_ms=ENTRIES_MAX_AGE_MS,
         mutation=None,
     ):
         self.directory = directory
@@ -64,6 +69,7 @@
         self.seconds = seconds
         self.requests = requests
         self.daemons = daemons
+        self.entries_max_age_ms = entries_max_age_ms
         self.mutation = mutation
         self.rng = random.Random(f"{seed}/proof")
         self.fleet = None
@@ -144,7 +150,7 @@
     def executions(self):
         """Return what the upstreams ran."""
         lines = self.fleet.read_records()
-        return [Execution(**line) for line in lines if line["event"] != "crash"]
+        return [Execution(**line) for line in lines if line["event"] in ARRIVALS]
 
     def result(self, pool, violations, **notes):
         """Return the ``Result`` and keep the calls for the history file."""
@@ -194,7 +200,7 @@
                 rng.shuffle(servers)
                 for server in servers:
                     proof.change_upstream(server, versions=held)
-                    if stop.wait(0.05):
+                    if stop.wait(0.1):
                         return
             if version == 3:
                 proof.publish_epochs([1, 2])
@@ -271,6 +277,9 @@
             for kind in ("duplicate", "truncate", "cross")
         }
         violations = checks.check_answers(pool.calls(), proof.oracle())
+        # A crossed refusal could pass as the refusal of another request.
+        violations += checks.check_not_run(pool.calls(), proof.executions())
+        violations += checks.check_executions(pool.calls(), proof.executions())
     return proof.result(pool, violations, replies=kinds_moved)
 
 
@@ -342,8 +351,10 @@
         "hold_peers",
         "delay_peers",
     ]
-    with proof.start_fleet(links=("peer",)):
-        pool = proof.pool(step, callers=16, pause_s=0.03)
+    # Long enough that many requests run when a server is killed.
+    slow = {"service_time_s": 0.05}
+    with proof.start_fleet(links=("peer",), upstream=slow):
+        pool = proof.pool(step, callers=24, pause_s=0.1)
         limit = time.monotonic() + MAX_FACTOR * proof.seconds
         with pool, proof.injector(kinds, gap_s=0.4):
             while pool.sent() < proof.requests and time.monotonic() < limit:
@@ -415,7 +426,8 @@
         else:
             caller.query(make(caller), 5.0)
 
-    with proof.start_fleet(defaults={"entries_max_age_ms": 1000}) as fleet:
+    defaults = {"entries_max_age_ms": proof.entries_max_age_ms}
+    with proof.start_fleet(defaults=defaults) as fleet:
         pool = proof.pool(step)
         with pool:
             time.sleep(SETTLE_S)
@@ -510,10 +522,13 @@
             stack.enter_context(_background(platform_faults))
             stack.enter_context(injector)
             time.sleep(proof.seconds)
-        deadline = time.monotonic() + checks.CONFIGURATION_LIMIT_S + 2.0
+        highest = max(revision for revision, _ in operators.published)
+        deadline = time.monotonic() + checks.CONFIGURATION_LIMIT_S + SETTLE_S
         while time.monotonic() < deadline:
-            for name in proof.fleet.daemons:
-                samples.extend(_sample(proof.fleet, name))
+            now = [_sample(proof.fleet, name) for name in proof.fleet.daemons]
+            samples.extend(sample for found in now for sample in found)
+            if all(found and found[0].revision == highest for found in now):
+                break
             time.sleep(SAMPLE_INTERVAL_S)
         for interval in injector.log:
             name = interval.name.split()[1]
