Read a server's status before its first work

The list lagged by 8 s and the new owner had not heard the server's own statement yet. Change: a server gets no work until its first status was read or could not be read. The proof also pauses daemons for up to 6 s. Ruled out: counting such a server as draining, which would refuse work while the status is on its way.

--- a/almondtide/owner.py
+++ b/almondtide/owner.py
@@ -421,7 +421,7 @@
             if worker.retired or server.instance in item.tried:
                 continue
             if (
-                server.is_draining(now)
+                not server.accepts_work(now)
                 or self.servers.get(server.instance) is not server
             ):
                 continue
--- a/almondtide/servers.py
+++ b/almondtide/servers.py
@@ -135,6 +135,7 @@
 
     __slots__ = (
         "_adaptive",
+        "_asked",
         "_backoff_s",
         "_cancels",
         "_control_task",
@@ -164,6 +165,8 @@
         self.workers = set()
         self.in_flight = set()
         self._draining_until = 0.0
+        # Whether the first status was read, or could not be read.
+        self._asked = False
         self._share = 1
         self._limit = 1.0
         self._adaptive = True
@@ -212,6 +215,14 @@
         """Return whether the server must get no new work."""
         return self.listed_leaving or now < self._draining_until
 
+    def accepts_work(self, now):
+        """Return whether the server may get new work now.
+
+        A new owner waits for the first status: the server may have stated to the
+        owner before it that it is leaving, and the list may lag.
+        """
+        return self._asked and not self.is_draining(now)
+
     def serves(self, version, epoch):
         """Return whether the server may hold the snapshot, as far as known."""
         if self.versions is not None and version not in self.versions:
@@ -228,7 +239,7 @@
             self.epochs = set(reply.epochs)
 
     def _statement(self, now):
-        return self.is_draining(now), self.versions, self.epochs
+        return self.accepts_work(now), self.versions, self.epochs
 
     def next_backoff(self):
         """Return the pause before the next connect in seconds."""
@@ -284,6 +295,7 @@
             else:
                 before = self._statement(owner.clock.monotonic())
                 self.observe(await conn.status(), owner.clock.monotonic())
+                self._asked = True
                 if self._statement(owner.clock.monotonic()) != before:
                     await owner.server_changed(self)
         except (UpstreamError, curio.TaskTimeout):
@@ -295,6 +307,9 @@
             if conn is not None:
                 await conn.close()
             conn = None
+            if not self._asked:
+                self._asked = True
+                await owner.server_changed(self)
         return conn
 
     async def stop(self):
--- a/proofs/mutations.py
+++ b/proofs/mutations.py
@@ -90,6 +90,7 @@
 def ignore_draining():
     """Give work to servers that are leaving."""
     Server.is_draining = lambda server, now: False
+    Server.accepts_work = lambda server, now: True
 
 
 @mutations.register("planned-stop")
--- a/proofs/promises.py
+++ b/proofs/promises.py
@@ -407,7 +407,8 @@
 
     with proof.start_fleet():
         pool = proof.pool(proof.query_step())
-        injector = proof.injector(["kill_daemon"], gap_s=2.5, threads=1)
+        kinds = ["kill_daemon", "pause_daemon"]
+        injector = proof.injector(kinds, gap_s=1.5, max_pause_s=6.0, threads=1)
         with pool, injector, _background(leave):
             time.sleep(proof.seconds)
         violations = checks.check_leaving(leavings, proof.executions())
