Send revisions twice at once, pause longer, test the link

Cause: resends came one after the other only, pauses ended after 3 s, and the misbehaviour of the link itself was not tested.

--- a/proofs/callers.py
+++ b/proofs/callers.py
@@ -64,6 +64,7 @@
     """One caller: it keeps an address answer up to its age and connects directly.
 
     ``addresses`` are the addresses that it knows before its first answer.
+    ``twin`` is a caller that sends the same request at the same moment, or None.
     """
 
     def __init__(self, number, seed, addresses, workload):
@@ -71,6 +72,7 @@
         self.rng = random.Random(f"{seed}/caller/{number}")
         self.workload = workload
         self.calls = []
+        self.twin = None
         self._known = list(addresses)
         self._entries = []
         self._prefix = None
@@ -112,17 +114,21 @@
         """Send a query and return its ``Call``."""
         return self._send("query", body, deadline_s, None)
 
+    def execution_id(self, body):
+        """Return a new execution id for a revision request."""
+        self.refresh()
+        return f"{self._prefix}~{body['marker']}"
+
     def revise(self, body, deadline_s, execution_id=None):
         """Send a revision request and return its ``Call``."""
-        self.refresh()
         if execution_id is None:
-            execution_id = f"{self._prefix}~{body['marker']}"
+            execution_id = self.execution_id(body)
         return self._send("revise", body, deadline_s, execution_id)
 
     def _send(self, kind, body, deadline_s, execution_id):
         self.refresh()
         call = Call(
-            f"{body['marker']}/{len(self.calls)}",
+            f"{body['marker']}/{self.number}.{len(self.calls)}",
             kind,
             body,
             self.rng.choice(self._entries),
@@ -204,6 +210,8 @@
             thread.join()
         for caller in self.callers:
             caller.close()
+            if caller.twin is not None:
+                caller.twin.close()
         if self.failures and details[0] is None:
             raise self.failures[0]
 
@@ -214,11 +222,15 @@
         except Exception as exc:
             self.failures.append(exc)
 
+    def _senders(self):
+        twins = [caller.twin for caller in self.callers if caller.twin is not None]
+        return [*self.callers, *twins]
+
     def sent(self):
         """Return how many requests were sent so far."""
-        return sum(len(caller.calls) for caller in self.callers)
+        return sum(len(caller.calls) for caller in self._senders())
 
     def calls(self):
         """Return all calls in the order of their sending."""
-        merged = [call for caller in self.callers for call in caller.calls]
+        merged = [call for caller in self._senders() for call in caller.calls]
         return sorted(merged, key=lambda call: call.sent)
--- a/proofs/faults.py
+++ b/proofs/faults.py
@@ -16,6 +16,8 @@
 faults = Registry("fault")
 
 MIN_PAUSE_S = 0.3
+SHORT_PAUSE_S = 1.5
+LONG_PAUSE_SHARE = 0.3
 READY_TIMEOUT_S = 8.0
 MAX_DAEMONS_AT_ONCE = 2
 
@@ -102,7 +104,10 @@
         if name is None:
             return
         injector.fleet.signal(name, signal.SIGSTOP)
-        injector.wait(rng.uniform(MIN_PAUSE_S, injector.max_pause_s))
+        longest_s = injector.max_pause_s
+        if rng.random() > LONG_PAUSE_SHARE:
+            longest_s = min(SHORT_PAUSE_S, longest_s)
+        injector.wait(rng.uniform(MIN_PAUSE_S, longest_s))
         injector.fleet.signal(name, signal.SIGCONT)
 
 
--- a/proofs/promises.py
+++ b/proofs/promises.py
@@ -30,6 +30,8 @@
 REVISION_REQUESTS = 5000
 MAX_FACTOR = 4
 ENTRIES_MAX_AGE_MS = 3000
+# Share of the revision requests that two callers send at the same moment.
+TWIN_SHARE = 0.1
 # Events of an upstream's record that stand for a request that arrived.
 ARRIVALS = ("search", "revise", "refused")
 
@@ -217,7 +219,13 @@
 
     with proof.start_fleet() as fleet:
         del fleet
-        kinds = ["pause_daemon", "kill_daemon", "kill_upstream", "pause_upstream"]
+        kinds = [
+            "pause_daemon",
+            "kill_daemon",
+            "kill_upstream",
+            "pause_upstream",
+            "platform_stale",
+        ]
         pool = proof.pool(proof.query_step())
         with pool, proof.injector(kinds, gap_s=1.5), _background(change):
             time.sleep(proof.seconds)
@@ -238,7 +246,13 @@
         caller.query(make(caller), caller.rng.choice((0.4, 0.8)))
 
     with proof.start_fleet(links=("peer",)):
-        kinds = ["kill_service", "pause_upstream", "cut_peers", "pause_daemon"]
+        kinds = [
+            "kill_service",
+            "pause_upstream",
+            "cut_peers",
+            "pause_daemon",
+            "platform_down",
+        ]
         pool = proof.pool(step)
         with pool, proof.injector(kinds, gap_s=0.8, max_pause_s=2.0):
             time.sleep(proof.seconds)
@@ -334,13 +348,17 @@
 
     def step(caller):
         body = revision_bodies(caller)
-        call = caller.revise(body, 1.0)
+        execution_id = caller.execution_id(body)
+        if caller.rng.random() < TWIN_SHARE:
+            call = _revise_twice(caller, body, execution_id)
+        else:
+            call = caller.revise(body, 1.0, execution_id)
         for _ in range(2):
             unsure = call.code != ResultCode.OK
             if not unsure and caller.rng.random() > 0.1:
                 return
             caller.forget_entries()
-            call = caller.revise(body, 1.0, call.execution_id)
+            call = caller.revise(body, 1.0, execution_id)
 
     kinds = [
         "kill_daemon",
@@ -350,13 +368,19 @@
         "cut_peers",
         "hold_peers",
         "delay_peers",
+        "platform_down",
+        "platform_stale",
     ]
     # Long enough that many requests run when a server is killed.
     slow = {"service_time_s": 0.05}
     with proof.start_fleet(links=("peer",), upstream=slow):
         pool = proof.pool(step, callers=24, pause_s=0.1)
+        twins = proof.pool(step, callers=len(pool.callers))
+        for caller, twin in zip(pool.callers, twins.callers, strict=True):
+            twin.number += len(pool.callers)
+            caller.twin = twin
         limit = time.monotonic() + MAX_FACTOR * proof.seconds
-        with pool, proof.injector(kinds, gap_s=0.4):
+        with pool, proof.injector(kinds, gap_s=0.4, max_pause_s=10.0):
             while pool.sent() < proof.requests and time.monotonic() < limit:
                 time.sleep(0.1)
         time.sleep(SETTLE_S)
@@ -374,6 +398,17 @@
     return proof.result(pool, violations, **shares)
 
 
+def _revise_twice(caller, body, execution_id):
+    """Send one execution id through two connections at the same moment."""
+    args = (body, 1.0, execution_id)
+    thread = threading.Thread(target=caller.twin.revise, args=args, daemon=True)
+    thread.start()
+    try:
+        return caller.revise(*args)
+    finally:
+        thread.join()
+
+
 @promises.register("leaving-upstream")
 def prove_leaving_upstream(proof):
     """Servers leave by the list, by their own statement, or by both."""
