Let a stale platform serve an older revision in the configuration proof

Change: the outages follow each other in a fixed order, rotated by the seed, and a stale platform shows the revision before the last one; the mutation also watches the platform from the first revision on.

--- a/proofs/mutations.py
+++ b/proofs/mutations.py
@@ -3,7 +3,7 @@
 import sys
 
 from almondtide import daemon
-from almondtide.adapters import upstream
+from almondtide.adapters import platform, upstream
 from almondtide.coordinator import Coordinator
 from almondtide.documents import DocumentStore
 from almondtide.merging import Coverage
@@ -106,11 +106,16 @@
 
 @mutations.register("configuration")
 def accept_lower_revisions():
-    """Take every revision of a peer that differs, also a lower one."""
+    """Take every revision that differs, also a lower one."""
+    watch = platform.HTTPPlatform.watch
+
+    async def watch_any(self, name, after, wait_s):
+        return await watch(self, name, -1, wait_s)
 
     def wants(store, name, revision, digest, source):
         return revision != store.revision(name)
 
+    platform.HTTPPlatform.watch = watch_any
     DocumentStore.wants = wants
 
 
--- a/proofs/promises.py
+++ b/proofs/promises.py
@@ -30,6 +30,10 @@
 REVISION_REQUESTS = 5000
 MAX_FACTOR = 4
 ENTRIES_MAX_AGE_MS = 3000
+# Ways in which the platform fails; "cut" leaves one daemon that reads it, and
+# "partition" also separates all daemons from each other.
+OUTAGES = ("cut", "partition", "down", "stale")
+READ_TIME_S = 2.0
 # Share of the revision requests that two callers send at the same moment.
 TWIN_SHARE = 0.1
 # Events of an upstream's record that stand for a request that arrived.
@@ -504,6 +508,11 @@
         while not stop.wait(rng.uniform(0.5, 3.0)):
             self.publish(rng)
 
+    def older(self):
+        """Return the valid revision before the last one, or the first."""
+        revisions = [1, *sorted(revision for revision, _ in self.published)]
+        return revisions[-2] if len(revisions) > 1 else revisions[0]
+
     def accepted(self):
         """Return (revision, time); what was published in an outage counts later.
 
@@ -533,14 +542,17 @@
 
     def platform_faults(stop):
         rng = random.Random(f"{proof.seed}/platform")
-        while not stop.wait(rng.uniform(2.0, 4.0)):
-            kind = rng.choice(("down", "stale", "cut", "partition"))
-            # A revision published just before an outage must be readable.
+        kinds = itertools.cycle(OUTAGES)
+        for _ in range(proof.seed % len(OUTAGES)):
+            next(kinds)
+        while not stop.wait(rng.uniform(1.0, 2.0)):
+            kind = next(kinds)
+            # A revision published just before an outage must be read by a daemon.
             with operators.lock:
-                stop.wait(1.0)
+                stop.wait(READ_TIME_S)
                 begun = time.monotonic()
-                _begin_outage(proof, kind, rng)
-            stop.wait(rng.uniform(2.0, 10.0))
+                _begin_outage(proof, kind, rng, operators.older())
+            stop.wait(rng.uniform(2.0, 8.0))
             _end_outage(proof, kind)
             if kind == "partition":
                 excuses.append(Interval(None, begun, time.monotonic()))
@@ -589,10 +601,14 @@
     return [name for name in proof.fleet.link_addresses if name.startswith(prefix)]
 
 
-def _begin_outage(proof, kind, rng):
-    if kind in ("down", "stale"):
+def _begin_outage(proof, kind, rng, older):
+    if kind == "down":
         proof.fleet.control_platform({"mode": kind})
         return
+    if kind == "stale":
+        as_of = {"configuration": older}
+        proof.fleet.control_platform({"mode": kind, "as_of": as_of})
+        return
     links = _links(proof, "platform/")
     if kind == "cut":
         # One daemon still reads the platform; the others must learn from it.
