Keep refused requests out of the daemon's ring of events

Change: bad input is logged as before and recorded with the events of requests. The new test fails without the change.

--- a/almondtide/adapters/caller.py
+++ b/almondtide/adapters/caller.py
@@ -74,7 +74,7 @@
             return await self._route(request)
         except BadRequestError as exc:
             self.count_malformed(exc.code)
-            self._log.warning(
+            self._log.refusal(
                 "request_refused",
                 request_id=request.id,
                 code=int(exc.code),
--- a/almondtide/adapters/http.py
+++ b/almondtide/adapters/http.py
@@ -338,7 +338,7 @@
     if refusal is not None:
         if on_refused is not None:
             on_refused(refusal.code)
-        log.warning("http_refused", code=int(refusal.code), reason=refusal.message)
+        log.refusal("http_refused", code=int(refusal.code), reason=refusal.message)
         await connection.refuse(refusal)
 
 
--- a/almondtide/daemon.py
+++ b/almondtide/daemon.py
@@ -266,7 +266,7 @@
         if excess > 0:
             self.metrics.connections_refused.inc({})
             if excess <= MAX_REFUSALS_AT_ONCE:
-                self.log.warning("connection_refused", peer=address[0], limit=limit)
+                self.log.refusal("connection_refused", peer=address[0], limit=limit)
                 await refuse_connection(sock, _too_many_connections(limit))
             return
         await serve_http(
@@ -282,7 +282,7 @@
     async def _serve_admin(self, sock, address):
         if self._listeners[1].connections > MAX_ADMIN_CONNECTIONS:
             limit = MAX_ADMIN_CONNECTIONS
-            self.log.warning("connection_refused", peer=address[0], limit=limit)
+            self.log.refusal("connection_refused", peer=address[0], limit=limit)
             await refuse_connection(sock, _too_many_connections(limit))
             return
         await serve_http(sock, self._admin.handle, log=self.log)
--- a/almondtide/logs.py
+++ b/almondtide/logs.py
@@ -140,6 +140,15 @@
         """Log an event that an operator should see and add it to the ring."""
         self._write(logging.WARNING, name, fields)
 
+    @logging.skip_log_prefix
+    def refusal(self, name, **fields):
+        """Log bad input of a caller and add it to the events of requests.
+
+        It must not push the rare events of the daemon out of their ring.
+        """
+        self.trace(name, **fields)
+        self._write_line(logging.WARNING, name, fields)
+
     @logging.skip_log_prefix
     def error(self, name, **fields):
         """Log a failure of the daemon itself and add it to the ring."""
@@ -154,6 +163,10 @@
     def _write(self, level, name, fields):
         if self._ring is not None:
             self._ring.record(name, **fields)
+        self._write_line(level, name, fields)
+
+    @logging.skip_log_prefix
+    def _write_line(self, level, name, fields):
         admitted, suppressed = self._limit.admit(name)
         for other, count in suppressed.items():
             line = {"suppressed": other, "count": count, **self._common}
--- a/tests/support.py
+++ b/tests/support.py
@@ -19,7 +19,7 @@
     def _record(self, name, **fields):
         self.events.append((name, fields))
 
-    info = warning = error = debug = trace = _record
+    info = warning = refusal = error = debug = trace = _record
 
     def names(self):
         return [name for name, _ in self.events]
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -106,6 +106,15 @@
         self.assertEqual(1, len(ring.since(kind="daemon")))
         self.assertEqual(16, len(ring.since(kind="requests")))
 
+    def test_bad_input_does_not_push_out_events_of_the_daemon(self):
+        ring = EventRing(MemoryClock(), 16)
+        log = Log(ring)
+        ring.record("started")
+        for _ in range(100):
+            log.refusal("request_refused", reason="x")
+        self.assertEqual(["started"], [e.name for e in ring.since(kind="daemon")])
+        self.assertEqual("request_refused", ring.since()[-1].name)
+
     def test_order_and_paging(self):
         clock = MemoryClock()
         ring = EventRing(clock, 100)
