--- a/standins/platform.py
+++ b/standins/platform.py
@@ -168,7 +168,7 @@
             if self.mode == "down":
                 return _refusal(503, "unavailable", "the service is down")
             revision, body = self._visible().get(name, (0, None))
-            if revision > after:
+            if revision and revision > after:
                 return json_response(200, {"revision": revision, "body": body})
             remaining_s = limit - self._clock.monotonic()
             if remaining_s <= 0:
