Leave a restarted daemon out until it is ready; keep ranks in a table

A new incarnation counted as live on its first message.

Change: a restarted daemon is left out of address answers and ranks until a digest says that it is ready; it tells its peers at that moment. Daemons are ranked by a table that scores only new members. One message that is too large no longer fails the other messages of its frame, and an unexpected failure of an exchange no longer costs a slot.

Ruled out: retries by the caller, which a plain HTTP client does not do; treating a check after a pause as a start, which would move its load for a moment's check.

--- a/almondtide/adapters/peer.py
+++ b/almondtide/adapters/peer.py
@@ -82,18 +82,23 @@
             while self._messages:
                 batch = self._messages[:MAX_BATCH]
                 del self._messages[:MAX_BATCH]
-                await self._websocket.send(self._encode(batch))
+                for frame in self._encode(batch):
+                    await self._websocket.send(frame)
 
     def _encode(self, batch):
         try:
-            return encode_frame(self._clock.now(), batch)
+            return [encode_frame(self._clock.now(), batch)]
+        except AlmondtideError:
+            return [self._encode_alone(message) for message in batch]
+
+    def _encode_alone(self, message):
+        """Encode a message of a batch that is too large for one frame."""
+        try:
+            return encode_frame(self._clock.now(), [message])
         except AlmondtideError as exc:
-            # One message is too large; its receiver gets the error instead.
-            errors = [
-                ErrorReply(message.seq, code=int(exc.code), message=exc.message)
-                for message in batch
-            ]
-            return encode_frame(self._clock.now(), errors)
+            # The receiver gets the error in place of the message.
+            error = ErrorReply(message.seq, code=int(exc.code), message=exc.message)
+            return encode_frame(self._clock.now(), [error])
 
 
 class _OutboundLink:
--- a/almondtide/daemon.py
+++ b/almondtide/daemon.py
@@ -34,7 +34,6 @@
     Execute,
     ForwardRevise,
     Leaving,
-    Ping,
     QuarantineNotice,
     SubQueryBatch,
 )
@@ -298,21 +297,17 @@
         await self._view_changed()
 
     async def _apply_instances(self, document, members):
-        first = not self._membership.view().entries
         await self._membership.update_list(members)
-        if first:
-            await self._announce()
 
     async def _announce(self):
-        """Make the peers learn this incarnation.
+        """Make the peers learn that this incarnation is ready.
 
-        Peers that saw an earlier incarnation leave would leave this one out until
-        it contacts them. In a large fleet the rest learns it by digests.
+        Peers that saw an earlier incarnation leave this one out until then. In a
+        large fleet the rest learns it by digests.
         """
-        others = self._other_entries()
-        sample = random.sample(others, min(len(others), MAX_ANNOUNCED))
-        for member in sample:
-            await curio.spawn(self._tell, member, Ping(), daemon=True)
+        others = [member.instance for member in self._other_entries()]
+        count = min(len(others), MAX_ANNOUNCED)
+        await self._dissemination.announce(random.sample(others, count))
 
     async def _view_changed(self):
         if self._cfg is not None:
@@ -506,6 +501,7 @@
             instances=self._store.revision(INSTANCES),
         )
         await self._dissemination.start_watches()
+        await self._announce()
 
     async def _watch_signals(self):
         """Request the shutdown on SIGTERM or SIGINT.
--- a/almondtide/dissemination.py
+++ b/almondtide/dissemination.py
@@ -314,6 +314,10 @@
                 targets.extend(self._seeds)
             await self._exchange_all(targets)
 
+    async def announce(self, instances):
+        """Tell daemons that this one is ready, without waiting for them."""
+        await self._exchange_all(instances)
+
     async def _push(self):
         await self._exchange_all(self._sample.pick(PUSH_PEERS))
 
@@ -342,7 +346,7 @@
         if digest.address is not None:
             address = _parse_address(digest.address)
         known = await self._membership.peer_seen(
-            digest.instance, digest.incarnation, address
+            digest.instance, digest.incarnation, address, digest.ready
         )
         if not known:
             return False
--- a/almondtide/membership.py
+++ b/almondtide/membership.py
@@ -3,7 +3,7 @@
 from collections import deque
 
 from .addresses import parse_address
-from .rendezvous import rank
+from .rendezvous import RankTable
 
 __all__ = ["ENTRY", "UPSTREAM", "Member", "Membership", "View", "parse_instances"]
 
@@ -130,13 +130,24 @@
 class View:
     """Immutable picture of the fleet at one moment.
 
-    ``cells`` maps a service to its cell; daemons are ranked for cells.
+    ``cells`` maps a service to its cell; daemons are ranked for cells by
+    ``table``.
     """
 
-    __slots__ = ("_cells", "_ranks", "_upstreams", "entries", "gone", "leaving")
+    __slots__ = (
+        "_cells",
+        "_ranks",
+        "_table",
+        "_upstreams",
+        "entries",
+        "gone",
+        "leaving",
+        "starting",
+    )
 
-    def __init__(self, members, leaving, gone, cells=None):
-        self._cells = cells or {}
+    def __init__(self, members, leaving, gone, starting, cells, table):
+        self._cells = cells
+        self._table = table
         self.entries = {m.instance: m for m in members if m.role == ENTRY}
         self._upstreams = {}
         for member in members:
@@ -144,14 +155,13 @@
                 self._upstreams.setdefault(member.service, []).append(member)
         self.leaving = leaving
         self.gone = gone
+        self.starting = starting
         self._ranks = {}
 
     def live_entries(self):
-        """Return the daemons that are neither gone nor leaving."""
+        """Return the daemons that are neither gone nor leaving nor starting."""
         return [
-            member
-            for member in self.entries.values()
-            if member.instance not in self.leaving and member.instance not in self.gone
+            member for member in self.entries.values() if self._is_live(member.instance)
         ]
 
     def upstreams(self, service):
@@ -163,11 +173,18 @@
         cell = self._cells.get(service, service)
         ranked = self._ranks.get(cell)
         if ranked is None:
-            candidates = self.live_entries()
-            ranked = [member.instance for member in rank(cell, candidates)]
+            candidates = self._table.ranked(cell, self._is_live)
+            ranked = [member.instance for member in candidates]
             self._ranks[cell] = ranked
         return ranked
 
+    def _is_live(self, instance):
+        return (
+            instance not in self.leaving
+            and instance not in self.gone
+            and instance not in self.starting
+        )
+
 
 class _Contact:
     """Direct evidence of one daemon.
@@ -178,13 +195,23 @@
     that calls the instance leaving is then out of date until it says live once.
     """
 
-    __slots__ = ("address", "former", "heard", "incarnation", "leaving", "restarted")
+    __slots__ = (
+        "address",
+        "former",
+        "heard",
+        "incarnation",
+        "leaving",
+        "restarted",
+        "starting",
+    )
 
     def __init__(self):
         self.incarnation = None
         self.heard = None
         self.leaving = None
         self.restarted = False
+        # Whether the incarnation has not said yet that it is ready.
+        self.starting = False
         self.former = deque(maxlen=MAX_FORMER)
         self.address = None
 
@@ -222,6 +249,7 @@
         "_listed",
         "_members",
         "_suspected",
+        "_table",
         "_view",
         "instance",
         "on_change",
@@ -238,7 +266,9 @@
         self._kept = {}
         self._contacts = {}
         self._suspected = {}
-        self._view = View([], frozenset(), frozenset())
+        self._table = RankTable()
+        nobody = frozenset()
+        self._view = View([], nobody, nobody, nobody, self._cells, self._table)
         self.on_change = None
 
     def view(self):
@@ -276,11 +306,12 @@
     def doubtful(self):
         """Return the daemons whose state needs direct contact to be settled.
 
-        These are the suspected ones and those that only contact keeps in the
-        view.
+        These are the suspected ones, those that only contact keeps in the view,
+        and those that are starting.
         """
         leaving = self._view.leaving
-        return [name for name in (*self._suspected, *self._kept) if name not in leaving]
+        names = (*self._suspected, *self._kept, *self._view.starting)
+        return [name for name in names if name not in leaving]
 
     async def update_list(self, members):
         """Take over a new list of the platform."""
@@ -300,10 +331,12 @@
                 contact.restarted = False
         await self._rebuild()
 
-    async def peer_seen(self, instance, incarnation, address=None):
+    async def peer_seen(self, instance, incarnation, address=None, ready=None):
         """Note a message of a peer; returns False for an ended incarnation.
 
-        ``address`` is the peer address that an unlisted daemon states.
+        ``address`` is the peer address that an unlisted daemon states, ``ready``
+        whether the peer serves callers, or None when the message does not tell. A
+        restarted daemon is left out until it has said once that it is ready.
         """
         if instance == self.instance:
             return True
@@ -315,18 +348,22 @@
             contact.address = address
         changed = self._suspected.pop(instance, None) is not None
         if contact.incarnation != incarnation:
-            changed = self._note_incarnation(contact, incarnation) or changed
+            changed = self._note_incarnation(contact, incarnation, ready) or changed
+        if ready and contact.starting:
+            contact.starting = False
+            changed = True
         if changed:
             await self._rebuild()
         return True
 
-    def _note_incarnation(self, contact, incarnation):
+    def _note_incarnation(self, contact, incarnation, ready):
+        contact.starting = ready is False or contact.incarnation is not None
         if contact.incarnation is not None:
             contact.former.append(contact.incarnation)
             contact.restarted = True
         contact.incarnation = incarnation
         contact.leaving = None
-        return contact.restarted
+        return contact.restarted or contact.starting
 
     async def peer_recovered(self, instance):
         """Note that a suspected peer answers again."""
@@ -427,6 +464,19 @@
             del self._suspected[name]
         leaving = {m.instance for m in members if self._is_leaving(m)}
         gone = {name for name, item in self._suspected.items() if item.until > now}
-        self._view = View(members, frozenset(leaving), frozenset(gone), self._cells)
+        self._table.update([m for m in members if m.role == ENTRY])
+        starting = {
+            name
+            for name, contact in self._contacts.items()
+            if contact.starting and name != self.instance
+        }
+        self._view = View(
+            members,
+            frozenset(leaving),
+            frozenset(gone),
+            frozenset(starting),
+            self._cells,
+            self._table,
+        )
         if self.on_change is not None:
             await self.on_change()
--- a/almondtide/servers.py
+++ b/almondtide/servers.py
@@ -97,7 +97,12 @@
             return
         try:
             reply = await self._exchange(owner, attempt)
-        except AlmondtideError as exc:
+        except curio.CancelledError:
+            raise
+        except Exception as exc:
+            if not isinstance(exc, AlmondtideError):
+                # The slot must not be lost with the task.
+                exc = UpstreamError(f"unexpected failure: {exc!r}")
             await self._disconnect()
             server.in_flight.discard(attempt)
             await owner.attempt_failed(attempt, exc)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -42,17 +42,29 @@
         self.tell("peer_seen", "d1", "a")
         self.assertThat(self.live(), Not(Contains("d1")))
 
-    def test_restarted_daemon_is_live_at_once(self):
+    def ready(self, instance, incarnation):
+        """Tell that a digest stated that the daemon is ready."""
+        return self.tell("peer_seen", instance, incarnation, None, True)
+
+    def test_restarted_daemon_is_live_once_it_is_ready(self):
+        """Callers that get its address earlier would be refused."""
         self.tell("peer_leaving", "d1", "a")
         self.tell("peer_lost", "d1")
         self.tell("peer_seen", "d1", "b")
+        self.assertThat(self.live(), Not(Contains("d1")))
+        self.ready("d1", "b")
+        self.assertThat(self.live(), Contains("d1"))
+
+    def test_check_after_a_pause_is_not_a_start(self):
+        self.ready("d1", "a")
+        self.tell("peer_seen", "d1", "a", None, False)
         self.assertThat(self.live(), Contains("d1"))
 
     def test_restart_overrides_a_list_that_still_says_leaving(self):
         self.tell("peer_seen", "d1", "a")
         self.list_all(d1="leaving")
         self.assertThat(self.live(), Not(Contains("d1")))
-        self.tell("peer_seen", "d1", "b")
+        self.ready("d1", "b")
         self.assertThat(self.live(), Contains("d1"))
         self.list_all(d1="leaving")
         self.assertThat(self.live(), Contains("d1"))
@@ -69,7 +81,7 @@
 
     def test_messages_of_an_ended_incarnation_are_ignored(self):
         self.tell("peer_seen", "d1", "a")
-        self.tell("peer_seen", "d1", "b")
+        self.ready("d1", "b")
         self.assertFalse(self.tell("peer_seen", "d1", "a"))
         self.tell("peer_leaving", "d1", "a")
         self.assertThat(self.live(), Contains("d1"))
--- a/tests/test_rendezvous.py
+++ b/tests/test_rendezvous.py
@@ -3,8 +3,10 @@
 import collections
 
 import testtools
+from hypothesis import given
+from hypothesis import strategies as st
 
-from almondtide.rendezvous import Candidate, rank
+from almondtide.rendezvous import Candidate, RankTable, rank
 
 
 def members(count, weight=1.0):
@@ -43,3 +45,37 @@
             rank(f"s-{n}", candidates)[0].instance for n in range(2000)
         )
         self.assertTrue(0.70 < owners["large"] / 2000 < 0.80, owners)
+
+
+class RankTableTest(testtools.TestCase):
+    """Guards against daemons that disagree because of their history."""
+
+    @given(st.lists(st.sets(st.integers(0, 11)), min_size=1, max_size=6))
+    def test_small_table_equals_full_ranking(self, steps):
+        everyone = members(12)
+        table = RankTable()
+        for step in steps:
+            present = [everyone[n] for n in sorted(step)]
+            table.update(present)
+            ranked = table.ranked("advisory-1", lambda instance: True)
+            self.assertEqual(rank("advisory-1", present), ranked)
+
+    def test_large_table_keeps_the_best_through_changes(self):
+        everyone = members(300)
+        table = RankTable()
+        present = everyone[:200]
+        table.update(present)
+        for number in range(100):
+            present = [*present[1:], everyone[200 + number]]
+            table.update(present)
+            for key in ("advisory-1", "billing-7"):
+                best = rank(key, present)[:3]
+                ranked = table.ranked(key, lambda instance: True)
+                self.assertEqual(best, ranked[:3])
+
+    def test_members_that_are_not_live_are_left_out(self):
+        table = RankTable()
+        table.update(members(5))
+        owner = table.ranked("advisory-1", lambda instance: True)[0].instance
+        ranked = table.ranked("advisory-1", lambda instance: instance != owner)
+        self.assertNotIn(owner, [c.instance for c in ranked])
