Scale the deadlines of the benchmark with the service time

Cause: at 60 ms the fleet needs more cores than the other work on the machine leaves, and processes that wait for a core miss a deadline of 390 ms.

--- a/bench/environment.py
+++ b/bench/environment.py
@@ -30,6 +30,7 @@
 CONNECTIONS = 65
 # Small data sets keep the stand-ins' own work far below their service time.
 DATA_SIZE = 100
+SERVICE_TIME_S = 0.06
 WARM_UP_S = 3.0
 CONFIGURATION_TIMEOUT_S = 10.0
 # Shares of the machine's cores: below the first a phase may start, above the
@@ -63,7 +64,7 @@
         deadline_ms=390,
         straggler_share=0.0,
         straggler_factor=20.0,
-        service_time_s=0.06,
+        service_time_s=SERVICE_TIME_S,
         daemons=DAEMONS,
         defaults=None,
         settings=None,
@@ -121,7 +122,12 @@
     __slots__ = ("logs", "quiet_wait_s", "seconds", "service_time_s", "sides")
 
     def __init__(
-        self, seconds=10.0, service_time_s=0.06, sides=(), logs=None, quiet_wait_s=0.0
+        self,
+        seconds=10.0,
+        service_time_s=SERVICE_TIME_S,
+        sides=(),
+        logs=None,
+        quiet_wait_s=0.0,
     ):
         self.seconds = seconds
         self.quiet_wait_s = quiet_wait_s
@@ -130,8 +136,12 @@
         self.logs = logs
 
     def shape(self, deadline_ms=390, **values):
-        """Return a ``Shape`` with the chosen service time."""
-        return Shape(deadline_ms, service_time_s=self.service_time_s, **values)
+        """Return a ``Shape`` with the chosen service time.
+
+        ``deadline_ms`` holds for the default service time and grows with it.
+        """
+        scaled_ms = round(deadline_ms * self.service_time_s / SERVICE_TIME_S)
+        return Shape(scaled_ms, service_time_s=self.service_time_s, **values)
 
     def to_dict(self):
         """Return what the figures depend on."""
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -195,7 +195,7 @@
 def run_shares(options):
     """Overload a service with one workload while another stays in its share."""
     shape = options.shape(workloads={"field": {"shares": WORKLOAD}})
-    shape.workloads["field"]["settings"] = {"deadline_ms": 390}
+    shape.workloads["field"]["settings"] = {"deadline_ms": shape.deadline_ms}
     columns = ["side", "workload", "offered/s", "goodput/s", "p99 ms", "codes"]
     result = Result("shares", "Two workloads on the same services", columns)
     result.notes.append(
@@ -317,7 +317,7 @@
     name = f"fault-{fault.name.replace(' ', '-')}"
     result = Result(name, f"Fault: {fault.name}", [*columns, "recovery s"])
     result.notes.append(
-        f"Load: {FAULT_LOAD:.0%} of the slot capacity, deadline {FAULT_DEADLINE_MS} "
+        f"Load: {FAULT_LOAD:.0%} of the slot capacity, deadline {shape.deadline_ms} "
         "ms. The platform's list goes on naming what was killed. A request to a "
         "daemon that is gone counts as uncovered. Recovery: end of the last half "
         "second in which more than 5 % of the requests had no full answer within "
