--- a/almondtide/daemon.py
+++ b/almondtide/daemon.py
@@ -216,6 +216,7 @@
             self.clock,
             self.log,
         )
+        self._dissemination.is_serving = self._is_serving
         self._peers.resolve = self._dissemination.resolve
         self._peers.admit = self._admit_message
 
@@ -266,7 +267,7 @@
         if excess > 0:
             self.metrics.connections_refused.inc({})
             if excess <= MAX_REFUSALS_AT_ONCE:
-                self.log.warning("connection_refused", peer=address[0], limit=limit)
+                self.log.refusal("connection_refused", peer=address[0], limit=limit)
                 await refuse_connection(sock, _too_many_connections(limit))
             return
         await serve_http(
@@ -282,7 +283,7 @@
     async def _serve_admin(self, sock, address):
         if self._listeners[1].connections > MAX_ADMIN_CONNECTIONS:
             limit = MAX_ADMIN_CONNECTIONS
-            self.log.warning("connection_refused", peer=address[0], limit=limit)
+            self.log.refusal("connection_refused", peer=address[0], limit=limit)
             await refuse_connection(sock, _too_many_connections(limit))
             return
         await serve_http(sock, self._admin.handle, log=self.log)
@@ -293,6 +294,7 @@
         self._cfg = cfg
         self._quarantine.duration_s = cfg.fleet_setting("quarantine_s")
         self._quarantine.limit = cfg.fleet_setting("quarantine_servers")
+        await self._membership.set_cells(cfg.cells())
         await self._view_changed()
 
     async def _apply_instances(self, document, members):
@@ -327,6 +329,9 @@
             )
         self._pauses.check()
 
+    def _is_serving(self):
+        return self._state.ready and not self._pauses.is_checking()
+
     def _admit_message(self, sender, message):
         if isinstance(message, WORK) and sender != self.settings.instance:
             self._admit_caller()
--- a/almondtide/messages.py
+++ b/almondtide/messages.py
@@ -260,7 +260,8 @@
 class SubAnswer(Message):
     """Result of one item of a ``SubQueryBatch``.
 
-    ``wait_ms`` is the owner's estimate of the queueing time of the service;
+    ``wait_ms`` is the owner's estimate of the queueing time for the workload and
+    ``service_ms`` that of the time on a server;
     ``versions`` and ``epochs`` are what the service can serve now.
     """
 
@@ -275,6 +276,7 @@
         "retry_after_ms",
         "server",
         "service",
+        "service_ms",
         "version",
         "versions",
         "wait_ms",
@@ -290,6 +292,7 @@
         "server": (_str, ""),
         "attempts": (_int, 0),
         "wait_ms": (_number, 0),
+        "service_ms": (_number, 0),
         "versions": (_INTS, list),
         "epochs": (_INTS, list),
         "retry_after_ms": (_optional(_number), None),
@@ -400,10 +403,10 @@
     """What the sender knows: documents, its own state, quarantined requests.
 
     ``documents`` maps a document's name to ``[revision, digest]``; ``ready`` tells
-    that the sender serves callers; ``quarantined`` is a list of ``[fingerprint,
-    remaining_ms]``. ``address`` is the sender's peer address, ``[host, port]``, or
-    None when the platform's list names the sender. Suspicion of other daemons is
-    not part of it.
+    that the sender serves callers and trusts its documents; ``quarantined`` is a
+    list of ``[fingerprint, remaining_ms]``. ``address`` is the sender's peer
+    address, ``[host, port]``, or None when the platform's list names the sender.
+    Suspicion of other daemons is not part of it.
     """
 
     __slots__ = (
