Ask the next owner when one is not ready; read statuses after a pause

The owner had just been restarted, its startup guard refused the execution, and the home passed the refusal on although it says "not run". Change: the home asks the next owner after NOT_READY as after DRAINING; a pause makes the daemon read each server's status before it sends work there.

--- a/almondtide/executions.py
+++ b/almondtide/executions.py
@@ -39,6 +39,10 @@
 PREFIX_TIMEOUT_S = 0.5
 
 
+# Refusals of a daemon that does not work for others now; the next in rank may.
+_ASK_NEXT_OWNER = frozenset({ResultCode.DRAINING, ResultCode.NOT_READY})
+
+
 class ExecutionId:
     """Id of one non-idempotent request, bound to one incarnation of a daemon.
 
@@ -485,7 +489,7 @@
                     continue
                 return self._unknown(f"the owner was lost: {exc.message}")
             outcome = Outcome.from_message(reply)
-            if outcome.not_run and outcome.code == ResultCode.DRAINING:
+            if outcome.not_run and outcome.code in _ASK_NEXT_OWNER:
                 continue
             return await self._settle(outcome, message)
         raise RefusedError(
--- a/almondtide/owners.py
+++ b/almondtide/owners.py
@@ -107,6 +107,12 @@
         for owner in list(self._owners.values()):
             await self._update(owner)
 
+    async def ask_servers_again(self):
+        """Read the status of all servers before new work, as after a pause."""
+        for owner in list(self._owners.values()):
+            for server in list(owner.servers.values()):
+                await server.ask_again()
+
     async def release_idle(self):
         """Stop services that are neither owned nor used."""
         now = self._clock.monotonic()
--- a/almondtide/servers.py
+++ b/almondtide/servers.py
@@ -231,6 +231,11 @@
         """
         return self._asked and not self.is_draining(now)
 
+    async def ask_again(self):
+        """Read the status before the next work, because the last may be outdated."""
+        self._asked = False
+        await self._control_wake.set()
+
     def serves(self, version, epoch):
         """Return whether the server may hold the snapshot, as far as known."""
         if self.versions is not None and version not in self.versions:
