Let early callers of a restarted daemon wait for it again

Cause: without the wait, a caller that still holds the address from before a restart is refused in the first milliseconds; FirstRequestTest saw NOT_READY 3 of 3 times. Conclusion: the wait serves such callers, leaving the daemon out of new answers serves the others; both stay.

--- a/almondtide/daemon.py
+++ b/almondtide/daemon.py
@@ -57,6 +57,8 @@
 TICK_S = 0.2
 HOUSEKEEPING_S = 1.0
 NOT_READY_RETRY_MS = 500
+# How long a new connection of a caller waits for a daemon that is starting.
+READY_GRACE_S = 0.1
 # Peers that a starting daemon contacts at once.
 MAX_ANNOUNCED = 64
 # Messages that bring new work to this daemon.
@@ -82,6 +84,7 @@
         "_peers",
         "_platform",
         "_quarantine",
+        "_ready",
         "_started",
         "_startup",
         "_state",
@@ -113,6 +116,7 @@
             settings.peer_address,
         )
         self._drain = Drain(self.clock)
+        self._ready = curio.Event()
         self._quarantine = Quarantine(self.clock)
         self._membership = Membership(settings.instance, self.clock)
         self._membership.on_change = self._view_changed
@@ -261,6 +265,9 @@
         return dict(zip(("peer", "admin", "caller"), self._listeners, strict=True))
 
     async def _serve_caller(self, sock, address):
+        # A caller may use an address from before a restart as soon as it listens.
+        async with curio.ignore_after(READY_GRACE_S):
+            await self._ready.wait()
         limit = self.settings.max_connections
         excess = self._listeners[2].connections - limit
         if excess > 0:
@@ -494,6 +501,7 @@
     async def _become_ready(self):
         reason = await self._startup.wait()
         self._state.ready = True
+        await self._ready.set()
         self.log.info(
             "daemon_ready",
             reason=reason,
