Call a restarted daemon live only once it serves

Cause: tests/proofs PromisesTest.test_planned_stop failed once in 6 runs of the whole suite with "code 202 the documents are not current yet". A new incarnation was live from its first contact on, which the startup guard makes before the daemon is ready, so callers were sent to a daemon that refused them.

Change: a restarted daemon is left out until a digest of its incarnation says ready; a later not-ready, as after a pause, does not count. On becoming ready a daemon sends its digest to 64 peers, and daemons that are not known to serve are probed each second. test_restarted_daemon_is_live_at_once asserted the fault; its replacement asserts both states.

--- a/almondtide/daemon.py
+++ b/almondtide/daemon.py
@@ -504,6 +504,7 @@
             configuration=self._store.revision(CONFIGURATION),
             instances=self._store.revision(INSTANCES),
         )
+        await self._dissemination.announce()
         await self._dissemination.start_watches()
 
     async def _watch_signals(self):
--- a/almondtide/dissemination.py
+++ b/almondtide/dissemination.py
@@ -15,6 +15,8 @@
 # An epidemic with 4 targets reaches 98 % of a fleet at once; the periodic digests
 # reach the rest.
 PUSH_PEERS = 4
+# Peers that a daemon contacts when it becomes ready.
+ANNOUNCE_PEERS = 64
 EXCHANGE_TIMEOUT_S = 1.0
 FETCH_TIMEOUT_S = 2.0
 WATCHERS_PER_DOMAIN = 2
@@ -314,6 +316,13 @@
                 targets.extend(self._seeds)
             await self._exchange_all(targets)
 
+    async def announce(self):
+        """Send the digest to many peers at once, so that they see this daemon."""
+        view = self._membership.view()
+        others = [name for name in view.entries if name != self._state.instance]
+        count = min(ANNOUNCE_PEERS, len(others))
+        await self._exchange_all(self._rng.sample(others, count))
+
     async def _push(self):
         await self._exchange_all(self._sample.pick(PUSH_PEERS))
 
@@ -342,7 +351,7 @@
         if digest.address is not None:
             address = _parse_address(digest.address)
         known = await self._membership.peer_seen(
-            digest.instance, digest.incarnation, address
+            digest.instance, digest.incarnation, address, digest.ready
         )
         if not known:
             return False
--- a/almondtide/membership.py
+++ b/almondtide/membership.py
@@ -173,13 +173,23 @@
     that calls the instance leaving is then out of date until it says live once.
     """
 
-    __slots__ = ("address", "former", "heard", "incarnation", "leaving", "restarted")
+    __slots__ = (
+        "address",
+        "former",
+        "heard",
+        "incarnation",
+        "leaving",
+        "restarted",
+        "starting",
+    )
 
     def __init__(self):
         self.incarnation = None
         self.heard = None
         self.leaving = None
         self.restarted = False
+        # None until it is known whether the incarnation has served.
+        self.starting = None
         self.former = deque(maxlen=MAX_FORMER)
         self.address = None
 
@@ -198,11 +208,11 @@
     The list tells who belongs to the fleet; direct evidence, which is keyed by
     (instance, incarnation), tells what state a daemon is in, because the list
     lags. A daemon that said that it is leaving stays so until a new incarnation
-    of it is seen, which is live at once. A daemon that the list no longer names
-    is kept while it is in contact. A daemon that the list does not name yet is
-    answered and can be asked for documents, but it is not ranked and not given to
-    callers: only the list tells which processes belong to the fleet and under
-    which addresses callers reach them.
+    of it is seen, which is live as soon as it serves. A daemon that the list no
+    longer names is kept while it is in contact. A daemon that the list does not
+    name yet is answered and can be asked for documents, but it is not ranked and
+    not given to callers: only the list tells which processes belong to the fleet
+    and under which addresses callers reach them.
 
     A peer that cannot be reached is left out by this daemon alone; suspicion is
     not sent to others, because it may be due to this daemon's own network.
@@ -272,8 +282,17 @@
         These are the suspected ones and those that only contact keeps in the
         view.
         """
+        names = (*self._suspected, *self._kept, *self._starting())
         leaving = self._view.leaving
-        return [name for name in (*self._suspected, *self._kept) if name not in leaving]
+        return [name for name in dict.fromkeys(names) if name not in leaving]
+
+    def _starting(self):
+        """Return the daemons in the view that are not known to serve yet."""
+        return [
+            name
+            for name, contact in self._contacts.items()
+            if contact.starting and name in self._view.entries
+        ]
 
     async def update_list(self, members):
         """Take over a new list of the platform."""
@@ -293,10 +312,12 @@
                 contact.restarted = False
         await self._rebuild()
 
-    async def peer_seen(self, instance, incarnation, address=None):
+    async def peer_seen(self, instance, incarnation, address=None, ready=None):
         """Note a message of a peer; returns False for an ended incarnation.
 
-        ``address`` is the peer address that an unlisted daemon states.
+        ``address`` is the peer address that an unlisted daemon states. ``ready``
+        is what a digest says; a restarted daemon is live from its first ready
+        digest on, because callers sent to it earlier would be refused.
         """
         if instance == self.instance:
             return True
@@ -309,6 +330,9 @@
         changed = self._suspected.pop(instance, None) is not None
         if contact.incarnation != incarnation:
             changed = self._note_incarnation(contact, incarnation) or changed
+        if ready is not None and contact.starting is not False:
+            changed = changed or contact.starting is not (not ready)
+            contact.starting = not ready
         if changed:
             await self._rebuild()
         return True
@@ -317,6 +341,7 @@
         if contact.incarnation is not None:
             contact.former.append(contact.incarnation)
             contact.restarted = True
+            contact.starting = True
         contact.incarnation = incarnation
         contact.leaving = None
         return contact.restarted
@@ -414,6 +439,7 @@
             del self._suspected[name]
         leaving = {m.instance for m in members if self._is_leaving(m)}
         gone = {name for name, item in self._suspected.items() if item.until > now}
+        gone.update(name for name, item in self._contacts.items() if item.starting)
         self._view = View(members, frozenset(leaving), frozenset(gone))
         if self.on_change is not None:
             await self.on_change()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -42,17 +42,25 @@
         self.tell("peer_seen", "d1", "a")
         self.assertThat(self.live(), Not(Contains("d1")))
 
-    def test_restarted_daemon_is_live_at_once(self):
+    def test_restarted_daemon_is_live_once_it_serves(self):
+        """A caller sent to a daemon that still starts would be refused."""
         self.tell("peer_leaving", "d1", "a")
         self.tell("peer_lost", "d1")
         self.tell("peer_seen", "d1", "b")
+        self.tell("peer_seen", "d1", "b", None, False)
+        self.assertThat(self.live(), Not(Contains("d1")))
+        self.assertEqual(["d1"], self.membership.doubtful())
+        self.tell("peer_seen", "d1", "b", None, True)
+        self.assertThat(self.live(), Contains("d1"))
+        # A check after a pause is no start.
+        self.tell("peer_seen", "d1", "b", None, False)
         self.assertThat(self.live(), Contains("d1"))
 
     def test_restart_overrides_a_list_that_still_says_leaving(self):
         self.tell("peer_seen", "d1", "a")
         self.list_all(d1="leaving")
         self.assertThat(self.live(), Not(Contains("d1")))
-        self.tell("peer_seen", "d1", "b")
+        self.tell("peer_seen", "d1", "b", None, True)
         self.assertThat(self.live(), Contains("d1"))
         self.list_all(d1="leaving")
         self.assertThat(self.live(), Contains("d1"))
@@ -69,7 +77,7 @@
 
     def test_messages_of_an_ended_incarnation_are_ignored(self):
         self.tell("peer_seen", "d1", "a")
-        self.tell("peer_seen", "d1", "b")
+        self.tell("peer_seen", "d1", "b", None, True)
         self.assertFalse(self.tell("peer_seen", "d1", "a"))
         self.tell("peer_leaving", "d1", "a")
         self.assertThat(self.live(), Contains("d1"))
