--- a/almondtide/daemon.py
+++ b/almondtide/daemon.py
@@ -59,8 +59,6 @@
 NOT_READY_RETRY_MS = 500
 # How long a new connection of a caller waits for a daemon that is starting.
 READY_GRACE_S = 0.1
-# Peers that a starting daemon contacts at once.
-MAX_ANNOUNCED = 64
 # Messages that bring new work to this daemon.
 WORK = (SubQueryBatch, Execute, ForwardRevise)
 
@@ -306,16 +304,6 @@
     async def _apply_instances(self, document, members):
         await self._membership.update_list(members)
 
-    async def _announce(self):
-        """Make the peers learn that this incarnation is ready.
-
-        Peers that saw an earlier incarnation leave this one out until then. In a
-        large fleet the rest learns it by digests.
-        """
-        others = [member.instance for member in self._other_entries()]
-        count = min(len(others), MAX_ANNOUNCED)
-        await self._dissemination.announce(random.sample(others, count))
-
     async def _view_changed(self):
         if self._cfg is not None:
             await self._owners.refresh()
@@ -508,8 +496,8 @@
             configuration=self._store.revision(CONFIGURATION),
             instances=self._store.revision(INSTANCES),
         )
+        await self._dissemination.announce()
         await self._dissemination.start_watches()
-        await self._announce()
 
     async def _watch_signals(self):
         """Request the shutdown on SIGTERM or SIGINT.
--- a/almondtide/membership.py
+++ b/almondtide/membership.py
@@ -210,8 +210,8 @@
         self.heard = None
         self.leaving = None
         self.restarted = False
-        # Whether the incarnation has not said yet that it is ready.
-        self.starting = False
+        # None until it is known whether the incarnation has served.
+        self.starting = None
         self.former = deque(maxlen=MAX_FORMER)
         self.address = None
 
@@ -230,11 +230,11 @@
     The list tells who belongs to the fleet; direct evidence, which is keyed by
     (instance, incarnation), tells what state a daemon is in, because the list
     lags. A daemon that said that it is leaving stays so until a new incarnation
-    of it is seen, which is live at once. A daemon that the list no longer names
-    is kept while it is in contact. A daemon that the list does not name yet is
-    answered and can be asked for documents, but it is not ranked and not given to
-    callers: only the list tells which processes belong to the fleet and under
-    which addresses callers reach them.
+    of it is seen, which is live as soon as it serves. A daemon that the list no
+    longer names is kept while it is in contact. A daemon that the list does not
+    name yet is answered and can be asked for documents, but it is not ranked and
+    not given to callers: only the list tells which processes belong to the fleet
+    and under which addresses callers reach them.
 
     A peer that cannot be reached is left out by this daemon alone; suspicion is
     not sent to others, because it may be due to this daemon's own network.
@@ -309,9 +309,17 @@
         These are the suspected ones, those that only contact keeps in the view,
         and those that are starting.
         """
+        names = (*self._suspected, *self._kept, *self._starting())
         leaving = self._view.leaving
-        names = (*self._suspected, *self._kept, *self._view.starting)
-        return [name for name in names if name not in leaving]
+        return [name for name in dict.fromkeys(names) if name not in leaving]
+
+    def _starting(self):
+        """Return the daemons in the view that are not known to serve yet."""
+        return [
+            name
+            for name, contact in self._contacts.items()
+            if contact.starting and name in self._view.entries
+        ]
 
     async def update_list(self, members):
         """Take over a new list of the platform."""
@@ -334,9 +342,9 @@
     async def peer_seen(self, instance, incarnation, address=None, ready=None):
         """Note a message of a peer; returns False for an ended incarnation.
 
-        ``address`` is the peer address that an unlisted daemon states, ``ready``
-        whether the peer serves callers, or None when the message does not tell. A
-        restarted daemon is left out until it has said once that it is ready.
+        ``address`` is the peer address that an unlisted daemon states. ``ready``
+        is what a digest says; a restarted daemon is live from its first ready
+        digest on, because callers sent to it earlier would be refused.
         """
         if instance == self.instance:
             return True
@@ -348,22 +356,22 @@
             contact.address = address
         changed = self._suspected.pop(instance, None) is not None
         if contact.incarnation != incarnation:
-            changed = self._note_incarnation(contact, incarnation, ready) or changed
-        if ready and contact.starting:
-            contact.starting = False
-            changed = True
+            changed = self._note_incarnation(contact, incarnation) or changed
+        if ready is not None and contact.starting is not False:
+            changed = changed or contact.starting is not (not ready)
+            contact.starting = not ready
         if changed:
             await self._rebuild()
         return True
 
-    def _note_incarnation(self, contact, incarnation, ready):
-        contact.starting = ready is False or contact.incarnation is not None
+    def _note_incarnation(self, contact, incarnation):
         if contact.incarnation is not None:
             contact.former.append(contact.incarnation)
             contact.restarted = True
+            contact.starting = True
         contact.incarnation = incarnation
         contact.leaving = None
-        return contact.restarted or contact.starting
+        return contact.restarted
 
     async def peer_recovered(self, instance):
         """Note that a suspected peer answers again."""
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -42,29 +42,25 @@
         self.tell("peer_seen", "d1", "a")
         self.assertThat(self.live(), Not(Contains("d1")))
 
-    def ready(self, instance, incarnation):
-        """Tell that a digest stated that the daemon is ready."""
-        return self.tell("peer_seen", instance, incarnation, None, True)
-
-    def test_restarted_daemon_is_live_once_it_is_ready(self):
-        """Callers that get its address earlier would be refused."""
+    def test_restarted_daemon_is_live_once_it_serves(self):
+        """A caller sent to a daemon that still starts would be refused."""
         self.tell("peer_leaving", "d1", "a")
         self.tell("peer_lost", "d1")
         self.tell("peer_seen", "d1", "b")
+        self.tell("peer_seen", "d1", "b", None, False)
         self.assertThat(self.live(), Not(Contains("d1")))
-        self.ready("d1", "b")
+        self.assertEqual(["d1"], self.membership.doubtful())
+        self.tell("peer_seen", "d1", "b", None, True)
         self.assertThat(self.live(), Contains("d1"))
-
-    def test_check_after_a_pause_is_not_a_start(self):
-        self.ready("d1", "a")
-        self.tell("peer_seen", "d1", "a", None, False)
+        # A check after a pause is no start.
+        self.tell("peer_seen", "d1", "b", None, False)
         self.assertThat(self.live(), Contains("d1"))
 
     def test_restart_overrides_a_list_that_still_says_leaving(self):
         self.tell("peer_seen", "d1", "a")
         self.list_all(d1="leaving")
         self.assertThat(self.live(), Not(Contains("d1")))
-        self.ready("d1", "b")
+        self.tell("peer_seen", "d1", "b", None, True)
         self.assertThat(self.live(), Contains("d1"))
         self.list_all(d1="leaving")
         self.assertThat(self.live(), Contains("d1"))
@@ -81,7 +77,7 @@
 
     def test_messages_of_an_ended_incarnation_are_ignored(self):
         self.tell("peer_seen", "d1", "a")
-        self.ready("d1", "b")
+        self.tell("peer_seen", "d1", "b", None, True)
         self.assertFalse(self.tell("peer_seen", "d1", "a"))
         self.tell("peer_leaving", "d1", "a")
         self.assertThat(self.live(), Contains("d1"))
