Say "not run" of a resent revision only where that is certain

Cause: docs/proofs.md listed one open fault: an entry or home that was not ready refused a resent revision as "not run" although an earlier try had run. The refusal comes before the home looks for the id. Change: only the home that remembers its ids says "not run" at the entry; a refusal of the home before that is passed on without it. The check of at-most-once counts such an answer as a violation now. Probes of lost peers become rarer with time. Ruled out: letting a daemon that is not ready look up ids, because a home that was paused must check first.

--- a/almondtide/adapters/caller.py
+++ b/almondtide/adapters/caller.py
@@ -162,6 +162,8 @@
             return json_response(http_status(code), body, headers)
         except AlmondtideError as exc:
             code = exc.code
+            # An earlier try with the same id may have run.
+            exc.not_run = exc.not_run and self._executions.never_ran(execution_id)
             raise
         except curio.CancelledError:
             code = ResultCode.CANCELLED
--- a/almondtide/adapters/peer.py
+++ b/almondtide/adapters/peer.py
@@ -1,6 +1,7 @@
 """Peer links over websockets: calls, replies, coalesced frames, liveness."""
 
 import itertools
+import random
 
 import curio
 
@@ -33,7 +34,11 @@
 MAX_BATCH = 64
 # How long a peer that could not be dialled is refused without another dial.
 REDIAL_AFTER_S = 0.5
+# Every daemon that had contact with a lost peer probes it. A peer that is back makes
+# contact itself, so the probes may become rare.
 PROBE_INTERVAL_S = 0.5
+MAX_PROBE_INTERVAL_S = 5.0
+PROBE_GROWTH = 1.5
 IDLE_LINK_S = 60.0
 
 
@@ -471,9 +476,11 @@
             await self._unreachable("peer_suspected", instance)
 
     async def _probe(self, instance):
+        interval_s = PROBE_INTERVAL_S
         try:
             while True:
-                await curio.sleep(PROBE_INTERVAL_S)
+                await curio.sleep(interval_s * random.uniform(0.8, 1.2))
+                interval_s = min(MAX_PROBE_INTERVAL_S, interval_s * PROBE_GROWTH)
                 if self.resolve(instance) is None:
                     return
                 if await self._answers(instance):
--- a/almondtide/executions.py
+++ b/almondtide/executions.py
@@ -259,6 +259,23 @@
                 return reply.prefix
         return None
 
+    def never_ran(self, text):
+        """Return whether it is certain that no try with this id was ever run.
+
+        Only the home of an id knows, as long as it remembers the outcome; an id
+        that is not valid is never run.
+        """
+        try:
+            execution_id = ExecutionId.parse(text)
+            self._check_window(execution_id)
+        except BadRequestError:
+            return True
+        except AlmondtideError:
+            return False
+        home = (execution_id.instance, execution_id.incarnation)
+        is_home = home == (self.instance, self.incarnation)
+        return is_home and str(execution_id) not in self._records
+
     # At the entry
 
     async def revise(self, req):
@@ -319,7 +336,11 @@
         except PeerError as exc:
             # An earlier try may have reached the home, so this is no "not run".
             return self._unknown(f"the home cannot be reached: {exc.message}")
-        return Outcome.from_message(reply)
+        outcome = Outcome.from_message(reply)
+        if isinstance(reply, ErrorReply):
+            # The home refused before it looked for an earlier try.
+            outcome.not_run = False
+        return outcome
 
     def _unknown(self, message):
         self._metrics.unknown_outcomes.inc({})
--- a/baseline/coordinator.py
+++ b/baseline/coordinator.py
@@ -307,6 +307,10 @@
         """Return a prefix for execution ids; it has no meaning here."""
         return "naive~0~0"
 
+    def never_ran(self, execution_id):
+        """Return False: nothing is known of earlier tries."""
+        return False
+
     async def revise(self, req):
         """Return the ``Outcome`` of ``req``."""
         workload, deadline = self._coordinator.admit(req)
--- a/proofs/checks.py
+++ b/proofs/checks.py
@@ -234,14 +234,18 @@
                 violations.append(
                     Violation(value, f"ran {count} times, on {', '.join(servers)}")
                 )
-    ran = {run.execution_id for run in runs}
+    ran_at = {run.execution_id: run.at for run in runs}
     for call in calls:
-        if call.kind != "revise" or call.code != ResultCode.OK:
+        if call.kind != "revise":
             continue
-        if call.execution_id not in ran:
+        if call.code == ResultCode.OK and call.execution_id not in ran_at:
             violations.append(
                 Violation(call.request_id, "was answered OK, but no upstream ran it")
             )
+        if call.not_run and ran_at.get(call.execution_id, call.sent) < call.sent:
+            violations.append(
+                Violation(call.request_id, "was not run, but an earlier try ran")
+            )
     return violations
 
 
--- a/proofs/promises.py
+++ b/proofs/promises.py
@@ -390,17 +390,12 @@
         time.sleep(SETTLE_S)
         executions = proof.executions()
         violations = checks.check_executions(pool.calls(), executions)
-    ran_at = {run.execution_id: run.at for run in executions if run.execution_id}
     last = {call.execution_id: call for call in pool.calls()}
     unknown = sum(c.code == ResultCode.OUTCOME_UNKNOWN for c in last.values())
     refused = sum(call.not_run for call in last.values())
     silent = sum(call.status is None for call in last.values())
     shares = {
         "ids": len(last),
-        "refused_after_run": sum(
-            call.not_run and ran_at.get(call.execution_id, call.received) < call.sent
-            for call in pool.calls()
-        ),
         "unknown_share": round(unknown / max(1, len(last)), 4),
         "refused_share": round(refused / max(1, len(last)), 4),
         "no_answer_share": round(silent / max(1, len(last)), 4),
--- a/tests/proofs/test_checks.py
+++ b/tests/proofs/test_checks.py
@@ -225,6 +225,12 @@
         ]
         self.assertEqual(1, len(checks.check_executions([], runs)))
 
+    def test_refusal_of_a_resend_that_ran_before(self):
+        runs = [Execution("revise", "s0", 0.5, marker="m1", execution_id="x1")]
+        body = {"code": 202, "not_run": True}
+        call = make_call(body, "revise", execution_id="x1", sent=1.0)
+        self.assertEqual(1, len(checks.check_executions([call], runs)))
+
     def test_outcome_without_a_run(self):
         call = make_call({"code": 0}, "revise", execution_id="x1")
         self.assertEqual(1, len(checks.check_executions([call], [])))
--- a/tests/test_executions.py
+++ b/tests/test_executions.py
@@ -7,7 +7,7 @@
 from almondtide.errors import AlmondtideError, BadRequestError, ResultCode
 from almondtide.executions import ExecutionId, Executions, ReviseRequest
 from almondtide.logs import Log
-from almondtide.messages import Execute, ExecuteResult, ForwardRevise
+from almondtide.messages import ErrorReply, Execute, ExecuteResult, ForwardRevise
 from almondtide.quarantine import Quarantine
 from tests.fakes import (
     Outage,
@@ -181,6 +181,31 @@
         self.assertEqual(ResultCode.OUTCOME_UNKNOWN, outcome.code)
         self.assertFalse(outcome.not_run)
 
+    def test_refusal_of_a_home_that_starts_is_not_called_not_run(self):
+        # It refuses before it looks for the outcome of an earlier try.
+        async def refuse(message):
+            return ErrorReply(code=int(ResultCode.NOT_READY), not_run=True)
+
+        async def scenario(executions):
+            request = self.request(executions, execution_id="entry-1~cccc~0~one")
+            return await executions.revise(request)
+
+        outcome = self.run_with({"entry-1": refuse}, scenario)
+        self.assertEqual(ResultCode.NOT_READY, outcome.code)
+        self.assertFalse(outcome.not_run)
+
+    def test_only_the_home_knows_that_an_id_never_ran(self):
+        async def scenario(executions):
+            request = self.request(executions)
+            before = executions.never_ran(request.execution_id)
+            await executions.revise(request)
+            after = executions.never_ran(request.execution_id)
+            elsewhere = executions.never_ran("entry-1~cccc~0~one")
+            return before, after, elsewhere, executions.never_ran("no id")
+
+        known = self.run_with(self.everywhere(answer()), scenario)
+        self.assertEqual((True, False, False, True), known)
+
     def test_same_id_for_another_body_is_refused(self):
         async def scenario(executions):
             await executions.revise(self.request(executions))
