--- a/almondtide/adapters/peer.py
+++ b/almondtide/adapters/peer.py
@@ -35,9 +35,9 @@
 # How long a peer that could not be dialled is refused without another dial.
 REDIAL_AFTER_S = 0.5
 # Every daemon that had contact with a lost peer probes it. A peer that is back makes
-# contact itself, so the probes may become rare.
+# contact itself; the longest interval stays below the shortest suspicion.
 PROBE_INTERVAL_S = 0.5
-MAX_PROBE_INTERVAL_S = 5.0
+MAX_PROBE_INTERVAL_S = 1.5
 PROBE_GROWTH = 1.5
 IDLE_LINK_S = 60.0
 
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -15,12 +15,12 @@
 from almondtide.errors import ResultCode
 from almondtide.logs import Log
 from almondtide.membership import UPSTREAM, Member, Membership, parse_instances
+from almondtide.memory import MemoryServer, MemoryUpstreams
 from almondtide.merging import Coverage, merges
 from almondtide.messages import SubAnswer, SubQueryBatch, decode_frame, encode_frame
 from almondtide.metrics import Metrics
 from almondtide.owner import ServiceOwner
 from almondtide.planning import SnapshotCatalog
-from almondtide.ports import MemoryServer, MemoryUpstreams
 from almondtide.registry import Registry
 from almondtide.rendezvous import Candidate, RankTable, rank
 from almondtide.subrequests import SubRequest, SubResult
--- a/tests/memory.py
+++ b/tests/memory.py
@@ -12,9 +12,10 @@
 from almondtide.events import EventRing
 from almondtide.logs import Log
 from almondtide.membership import Membership, parse_instances
+from almondtide.memory import MemoryPlatform
 from almondtide.messages import ErrorReply, decode_frame, encode_frame
 from almondtide.metrics import Metrics
-from almondtide.ports import BasePeers, MemoryPlatform
+from almondtide.ports import BasePeers
 from almondtide.quarantine import Quarantine
 from almondtide.startup import StartupGuard
 
--- a/tests/test_differential.py
+++ b/tests/test_differential.py
@@ -19,16 +19,16 @@
 from almondtide.errors import AlmondtideError, ResultCode
 from almondtide.logs import Log
 from almondtide.membership import ENTRY, UPSTREAM, Member, Membership
-from almondtide.messages import QuarantineNotice
-from almondtide.metrics import Metrics
-from almondtide.owners import Owners
-from almondtide.ports import (
+from almondtide.memory import (
     MemoryFault,
     MemoryNetwork,
     MemoryPeers,
     MemoryServer,
     MemoryUpstreams,
 )
+from almondtide.messages import QuarantineNotice
+from almondtide.metrics import Metrics
+from almondtide.owners import Owners
 from almondtide.quarantine import Quarantine
 from almondtide.shards import KEY_SPACE
 from standins.dataset import (
--- a/tests/test_dissemination.py
+++ b/tests/test_dissemination.py
@@ -3,8 +3,9 @@
 import curio
 import testtools
 
+from almondtide.memory import MemoryPlatform
 from almondtide.messages import DocumentReply
-from almondtide.ports import Document, MemoryPlatform
+from almondtide.ports import Document
 from tests.memory import MemoryDaemon, MemoryNetwork, in_curio, make_fleet
 
 
