--- a/proofs/promises.py
+++ b/proofs/promises.py
@@ -374,6 +374,8 @@
         "delay_peers",
         "platform_down",
         "platform_stale",
+        # Most likely to make a request run twice, so four of twelve faults.
+        *["kill_upstream"] * 3,
     ]
     # Long enough that many requests run when a server is killed.
     slow = {"service_time_s": 0.05}
