Admit work that need not wait; bound the wait of the rest

A service whose first exchanges were slow, as after the restart of a failure domain, was refused without any wait, and then nothing corrected its measurement.

Change: the wait may take 60 % of the time that waiting can have; 100 ms are assumed until the first exchange ends; the first exchanges are averaged; work that need not wait is always admitted; sending is inside the time limit of a query.

Ruled out: a shorter queue_limit, which is not a time.

--- a/almondtide/admission.py
+++ b/almondtide/admission.py
@@ -2,9 +2,9 @@
 
 __all__ = ["Estimate", "LoadTable", "admit", "refusal_share"]
 
-# Share of the remaining time that waiting and running may take together. The
-# rest covers the way back and the spread of the service time.
-USABLE_SHARE = 0.85
+# Share of the time a sub-request can wait up to which an owner takes it. The rest
+# covers the way back and the spread of the service time.
+USABLE_SHARE = 0.6
 MIN_RETRY_AFTER_MS = 20
 # Shares of the time a query can wait at which coordinators begin to refuse queries
 # and refuse all of them. A query needs all its services, so the queues must stay
@@ -25,13 +25,15 @@
 
 
 def admit(estimate, remaining_s):
-    """Return None to admit, or after how many milliseconds to come back."""
-    needed = estimate.wait_s + estimate.service_s
-    usable = remaining_s * USABLE_SHARE
-    if needed <= usable:
+    """Return None to admit, or after how many milliseconds to come back.
+
+    Work that need not wait is always admitted, however slow the service seems:
+    nothing else would bring newer measurements.
+    """
+    usable_s = max(0.0, remaining_s - estimate.service_s) * USABLE_SHARE
+    if estimate.wait_s <= usable_s:
         return None
-    excess_ms = (needed - usable) * 1000.0
-    return max(MIN_RETRY_AFTER_MS, int(excess_ms))
+    return max(MIN_RETRY_AFTER_MS, int((estimate.wait_s - usable_s) * 1000.0))
 
 
 def refusal_share(estimate, remaining_s):
@@ -39,8 +41,10 @@
 
     ``estimate`` is that of the busiest service. The share grows linearly with the
     wait, so that a standing queue settles where the load that is let in equals
-    the capacity.
+    the capacity. Without a wait nothing is refused, as in ``admit``.
     """
+    if estimate.wait_s <= 0:
+        return 0.0
     slack_s = remaining_s - estimate.service_s
     if slack_s <= 0:
         return 1.0
--- a/almondtide/coordinator.py
+++ b/almondtide/coordinator.py
@@ -219,7 +219,6 @@
             await self._learn_snapshots(run)
             self._refuse_overload(run)
             run.plan = await self._choose(run)
-            await self._send_all(run)
             await self._collect(run)
             return self._answer(run)
         finally:
@@ -400,8 +399,11 @@
         name = run.workload.name
         policy = coverage_policies.get(cfg.workload_setting(name, "coverage_policy"))
         limit_s = policy(cfg, name, self._remaining_s(run))
-        async with curio.ignore_after(max(0.0, limit_s)):
+        async with curio.ignore_after(max(0.0, limit_s)) as limit:
+            await self._send_all(run)
             await self._gather(run)
+        # A message that was being sent at the limit may have left.
+        run.uncertain = run.uncertain or limit.expired
         remaining_s = self._remaining_s(run)
         if run.pending and remaining_s > 0 and not self._has_result(run):
             # Without any result the query would fail at the soft deadline.
--- a/almondtide/owner.py
+++ b/almondtide/owner.py
@@ -16,7 +16,9 @@
 
 __all__ = ["ServiceOwner"]
 
-DEFAULT_SERVICE_TIME_S = 0.01
+# Assumed until the first exchange ends. Too low a value would let the first burst
+# build a queue that cannot be served in time.
+DEFAULT_SERVICE_TIME_S = 0.1
 SERVICE_TIME_MEMORY = 0.95
 # A request that has less time left than this quantile of the service is late.
 LATE_QUANTILE = 0.25
@@ -117,6 +119,7 @@
         "_attempts",
         "_by_query",
         "_cfg",
+        "_ended",
         "_front",
         "_idle",
         "_incarnation",
@@ -156,7 +159,8 @@
         self.latencies = LatencyWindow()
         self.hedges = TokenBudget(self._setting("hedge_budget"))
         self.retries = RetryBudget(self._setting("retry_budget"))
-        self._service_time_s = None
+        self._service_time_s = DEFAULT_SERVICE_TIME_S
+        self._ended = 0
         self._queue = WorkQueue(
             lambda workload: self._cfg().workload_setting(workload, "weight")
         )
@@ -356,7 +360,7 @@
 
     def estimate(self, workload):
         """Return the ``Estimate`` for new work of ``workload``."""
-        service_s = self._service_time_s or DEFAULT_SERVICE_TIME_S
+        service_s = self._service_time_s
         slots = self.usable_slots()
         waiting, share = self._queue.backlog(workload)
         waiting += sum(not is_hedge for _, is_hedge in self._front)
@@ -569,18 +573,16 @@
         elapsed = self.clock.monotonic() - attempt.started
         if attempt in attempt.item.running:
             attempt.item.running.remove(attempt)
-        previous = self._service_time_s
-        if previous is None:
-            self._service_time_s = elapsed
-        else:
-            self._service_time_s = (
-                SERVICE_TIME_MEMORY * previous + (1 - SERVICE_TIME_MEMORY) * elapsed
-            )
+        # A plain average at first, so that one slow first exchange is outweighed
+        # soon, then a moving one.
+        self._ended += 1
+        weight = max(1.0 - SERVICE_TIME_MEMORY, 1.0 / self._ended)
+        self._service_time_s += weight * (elapsed - self._service_time_s)
         return elapsed
 
     def shed_pause_s(self):
         """Return how long a connection rests after its server shed work."""
-        service_s = self._service_time_s or DEFAULT_SERVICE_TIME_S
+        service_s = self._service_time_s
         return min(MAX_SHED_PAUSE_S, max(MIN_SHED_PAUSE_S, service_s / 2))
 
     async def _retry_or_finish(self, attempt, code, not_run):
