--- a/almondtide/adapters/caller.py
+++ b/almondtide/adapters/caller.py
@@ -5,9 +5,9 @@
 
 import curio
 
-from ..coordinator import QueryRequest
 from ..errors import AlmondtideError, BadRequestError, ResultCode, http_status
 from ..executions import ReviseRequest
+from ..queries import QueryRequest
 from .http import is_request_id, json_response
 
 __all__ = ["CallerAPI"]
--- a/almondtide/coordinator.py
+++ b/almondtide/coordinator.py
@@ -19,24 +19,22 @@
     CancelQuery,
     ErrorReply,
     QuarantineNotice,
-    ServiceStatus,
-    ServiceStatusRequest,
     SubAnswer,
     SubQueryBatch,
 )
-from .planning import SnapshotCatalog
 from .quarantine import fingerprint
+from .queries import Answer, QueryRun
 from .registry import Registry
+from .snapshots import SnapshotSource
 from .subrequests import SubResult
 
-__all__ = ["Answer", "Coordinator", "QueryRequest", "coverage_policies"]
+__all__ = ["Coordinator", "coverage_policies"]
 
 MAX_REPLANS = 2
 # Sub-requests that also go to a standby because their owner is silent, as a share
 # of all. More would multiply the load of a fleet whose daemons are slow, not gone.
 SILENCE_HEDGE_RATIO = 0.02
 SILENCE_HEDGE_BURST = 40.0
-STATUS_TIMEOUT_S = 0.3
 MAX_TARGETS = 3
 # A service answered that it does not hold the snapshot of the plan.
 _OTHER_SNAPSHOT = (ResultCode.SNAPSHOT_UNAVAILABLE, ResultCode.SNAPSHOT_MISMATCH)
@@ -59,119 +57,10 @@
     return min(hard_s, cfg.workload_setting(workload, "soft_deadline_ms") / 1000.0)
 
 
-class QueryRequest:
-    """A caller's query. ``deadline_ms`` is None for the workload's default."""
-
-    __slots__ = ("body", "deadline_ms", "request_id", "workload")
-
-    def __init__(self, request_id, workload, body, deadline_ms=None):
-        self.request_id = request_id
-        self.workload = workload
-        self.body = body
-        self.deadline_ms = deadline_ms
-
-
-class Answer:
-    """The answer to a query.
-
-    ``covered`` holds shard names, ``missing`` pairs of shard name and result
-    code. ``sends`` counts the exchanges with upstreams.
-    """
-
-    __slots__ = (
-        "code",
-        "covered",
-        "epoch",
-        "missing",
-        "not_run",
-        "request_id",
-        "result",
-        "retry_after_ms",
-        "sends",
-        "version",
-    )
-
-    def __init__(self, request_id, code):
-        self.request_id = request_id
-        self.code = code
-        self.not_run = False
-        self.retry_after_ms = None
-        self.version = 0
-        self.epoch = 0
-        self.covered = []
-        self.missing = []
-        self.result = None
-        self.sends = 0
-
-    def to_dict(self):
-        """Return the JSON body of the response."""
-        return {
-            "request_id": self.request_id,
-            "code": int(self.code),
-            "name": self.code.name,
-            "not_run": self.not_run,
-            "retry_after_ms": self.retry_after_ms,
-            "snapshot": {"version": self.version, "epoch": self.epoch},
-            "coverage": {
-                "covered": self.covered,
-                "missing": [
-                    {"shard": name, "code": int(code), "name": code.name}
-                    for name, code in self.missing
-                ],
-            },
-            "result": self.result,
-            "sends": self.sends,
-        }
-
-
-class _Run:
-    """State of one query under way."""
-
-    __slots__ = (
-        "calls",
-        "deadline",
-        "inbox",
-        "lost",
-        "mark",
-        "pending",
-        "plan",
-        "query_id",
-        "replans",
-        "req",
-        "results",
-        "sends",
-        "targets",
-        "uncertain",
-        "workload",
-    )
-
-    def __init__(self, req, query_id, workload, deadline, mark):
-        self.req = req
-        self.query_id = query_id
-        self.workload = workload
-        self.deadline = deadline
-        self.mark = mark
-        self.plan = None
-        self.inbox = curio.Queue()
-        self.calls = {}
-        # service -> the calls that may answer it, more than one after a silence
-        self.pending = {}
-        self.results = {}
-        # service -> daemons that were already asked
-        self.targets = {}
-        # service -> servers lost under the request
-        self.lost = {}
-        # Whether a server may have run a part whose result is not known.
-        self.uncertain = False
-        self.replans = 0
-        self.sends = 0
-
-
 class Coordinator:
     """Plans queries, sends them to the owners and merges the answers."""
 
     __slots__ = (
-        "_catalog",
         "_cfg",
         "_clock",
         "_ids",
@@ -184,6 +73,7 @@
         "_quarantine",
         "_random",
         "_silence_hedges",
+        "_snapshots",
         "running",
     )
 
@@ -198,7 +88,7 @@
         self._clock = clock
         self._log = log
         self._metrics = metrics
-        self._catalog = SnapshotCatalog()
+        self._snapshots = SnapshotSource(instance, membership, peers, log)
         self._loads = LoadTable(clock)
         self._random = random.Random()
         self._silence_hedges = TokenBudget(
@@ -216,9 +106,10 @@
         run = self._admit(req)
         self.running += 1
         try:
-            await self._learn_snapshots(run)
+            await self._snapshots.learn(run.workload, self._remaining_s(run))
             self._refuse_overload(run)
-            run.plan = await self._choose(run)
+            remaining_s = self._remaining_s(run)
+            run.plan = await self._snapshots.plan(run.workload, remaining_s)
             await self._collect(run)
             return self._answer(run)
         finally:
@@ -245,7 +136,7 @@
         self.refuse_quarantined(mark)
         deadline = self._clock.monotonic() + deadline_ms / 1000.0
         query_id = f"{self._instance}.{next(self._ids)}"
-        return _Run(req, query_id, workload, deadline, mark)
+        return QueryRun(req, query_id, workload, deadline, mark)
 
     def refuse_quarantined(self, mark):
         """Raise ``RefusedError`` when the request is in quarantine."""
@@ -269,48 +160,6 @@
                 retry_after_ms=max(MIN_RETRY_AFTER_MS, int(estimate.wait_s * 1000)),
             )
 
-    async def _learn_snapshots(self, run):
-        """Ask the owners of services that have made no statement so far."""
-        unknown = self._catalog.unknown(run.workload.services())
-        if unknown:
-            await self._ask_owners(run, unknown)
-
-    async def _choose(self, run):
-        """Return the plan, with new statements when the old ones do not fit.
-
-        Statements come with answers, so those of a service that gets no
-        sub-requests stay as they were.
-        """
-        try:
-            return self._catalog.choose(run.workload)
-        except RefusedError:
-            await self._ask_owners(run, run.workload.services())
-            return self._catalog.choose(run.workload)
-
-    async def _ask_owners(self, run, services):
-        """Ask the owners of ``services`` what these can serve."""
-        asked = {}
-        for service in services:
-            ranked = self._membership.view().ranked(service)
-            asked.setdefault(ranked[0] if ranked else self._instance, []).append(
-                service
-            )
-        async with curio.TaskGroup() as group:
-            for instance, services in asked.items():
-                await group.spawn(self._ask_status, run, instance, services)
-
-    async def _ask_status(self, run, instance, services):
-        timeout_s = min(STATUS_TIMEOUT_S, max(0.0, self._remaining_s(run)))
-        request = ServiceStatusRequest(services=services)
-        try:
-            reply = await self._peers.request(instance, request, timeout_s)
-        except PeerError as exc:
-            self._log.info("service_status_failed", peer=instance, reason=exc.message)
-            return
-        if isinstance(reply, ServiceStatus):
-            for service, versions, epochs, _ in reply.services:
-                self._catalog.update(service, versions, epochs)
-
     # Sending
 
     async def _send_all(self, run):
@@ -453,7 +302,7 @@
 
     async def _take_answer(self, run, call, reply):
         service = reply.service
-        self._catalog.update(service, reply.versions, reply.epochs)
+        self._snapshots.update(service, reply.versions, reply.epochs)
         estimate = Estimate(reply.wait_ms / 1000.0, reply.service_ms / 1000.0)
         self._loads.report(run.workload.name, service, estimate)
         if call not in run.pending.get(service, ()):
@@ -521,7 +370,7 @@
         refused = [r for r in run.results.values() if r.code in _OTHER_SNAPSHOT]
         if not refused or replans >= MAX_REPLANS:
             return False
-        await self._ask_owners(run, run.workload.services())
+        await self._snapshots.refresh(run.workload, self._remaining_s(run))
         await self._replan(run, refused[0])
         return run.replans > replans
 
@@ -531,7 +380,7 @@
             run.results[result.service] = result
             return
         try:
-            plan = self._catalog.choose(run.workload)
+            plan = self._snapshots.choose(run.workload)
         except RefusedError:
             run.results[result.service] = result
             return
--- a/almondtide/owner.py
+++ b/almondtide/owner.py
@@ -1,17 +1,18 @@
 """The owner of a service: slots, queue, attempts, hedges, retries."""
 
-import heapq
 import itertools
 import secrets
 
 import curio
 
 from .admission import MIN_RETRY_AFTER_MS, Estimate, admit
+from .attempts import Attempt, WorkItem
 from .budgets import RetryBudget, TokenBudget
 from .errors import DEFAULT_RETRY_AFTER_MS, ExecutionError, ResultCode
 from .hedging import LatencyWindow, hedge_policies
 from .servers import Server, Worker
 from .subrequests import SubResult
+from .timers import Timers
 from .workqueue import WorkQueue
 
 __all__ = ["ServiceOwner"]
@@ -54,56 +55,6 @@
 )
 
 
-class _Item:
-    """A sub-request from its arrival to its result."""
-
-    __slots__ = (
-        "arrived",
-        "deadline",
-        "deliver",
-        "done",
-        "hedged",
-        "ran",
-        "running",
-        "started",
-        "sub",
-        "tried",
-        "waiting",
-        "workload",
-    )
-
-    def __init__(self, sub, deliver, arrived):
-        self.sub = sub
-        self.deliver = deliver
-        self.arrived = arrived
-        self.workload = sub.workload
-        self.deadline = sub.deadline
-        self.done = False
-        self.hedged = False
-        self.waiting = False
-        # Exchanges that were started, and those that a server may have run.
-        self.started = 0
-        self.ran = 0
-        self.running = []
-        self.tried = set(sub.avoid)
-
-
-class _Attempt:
-    """One exchange with one server for an item."""
-
-    __slots__ = ("is_hedge", "item", "request_id", "server", "started")
-
-    def __init__(self, item, server, started, is_hedge, number):
-        self.item = item
-        self.server = server
-        self.started = started
-        self.is_hedge = is_hedge
-        item.started += 1
-        item.ran += 1
-        sub = item.sub
-        self.request_id = f"{sub.query_id}.{sub.service}.{number}"
-
-
 class ServiceOwner:
     """Runs the sub-requests of one service on its servers.
 
@@ -126,11 +77,8 @@
         "_known",
         "_log",
         "_metrics",
-        "_order",
         "_queue",
         "_service_time_s",
-        "_timer_task",
-        "_timer_wake",
         "_timers",
         "_upstreams",
         "active_since",
@@ -167,14 +115,11 @@
         self._front = []
         self._idle = []
         self._by_query = {}
-        self._order = itertools.count()
         # A standby may run a query that this owner still cancels on the same
         # server, so request ids must not repeat between owners.
         self._incarnation = secrets.token_hex(4)
         self._attempts = itertools.count(1)
-        self._timers = []
-        self._timer_wake = curio.Event()
-        self._timer_task = None
+        self._timers = Timers(clock, self._timer_fired)
 
     def _setting(self, name):
         return self._cfg().service_setting(self.service, name)
@@ -183,7 +128,7 @@
 
     async def start(self):
         """Start the timer of hedges and deadlines."""
-        self._timer_task = await curio.spawn(self._timer_loop, daemon=True)
+        await self._timers.start()
 
     async def update(self, members, is_owner):
         """Take over the servers of the service and whether this daemon owns it.
@@ -232,8 +177,7 @@
         for server in self.servers.values():
             await server.stop()
         self.servers.clear()
-        if self._timer_task is not None:
-            await self._timer_task.cancel()
+        await self._timers.stop()
 
     async def worker_idle(self, worker):
         """Take a connected worker that can run an attempt."""
@@ -311,7 +255,7 @@
         """Run ``sub``; ``deliver`` is called once with its ``SubResult``."""
         now = self.clock.monotonic()
         self.last_used = now
-        item = _Item(sub, deliver, now)
+        item = WorkItem(sub, deliver, now)
         refusal = self._refusal(item, now)
         if refusal is not None:
             item.done = True
@@ -319,7 +263,7 @@
             return
         self._by_query.setdefault(sub.query_id, []).append(item)
         self._enqueue(item)
-        await self._schedule(sub.deadline, _EXPIRE, item)
+        await self._timers.schedule(sub.deadline, _EXPIRE, item)
         await self._dispatch()
 
     def _refusal(self, item, now):
@@ -466,7 +410,7 @@
         now = self.clock.monotonic()
         server = worker.server
         number = f"{self._incarnation}.{next(self._attempts)}"
-        attempt = _Attempt(item, server, now, is_hedge, number)
+        attempt = Attempt(item, server, now, is_hedge, number)
         item.tried.add(server.instance)
         item.running.append(attempt)
         server.in_flight.add(attempt)
@@ -487,7 +431,7 @@
                 self.latencies, self._cfg(), self.service
             )
             if delay is not None and now + delay < item.deadline:
-                await self._schedule(now + delay, _HEDGE, item)
+                await self._timers.schedule(now + delay, _HEDGE, item)
 
     def dispatch_check(self, attempt):
         """Return the check that runs right before a non-idempotent write.
@@ -637,28 +581,9 @@
 
     # Timers
 
-    async def _schedule(self, when, kind, item):
-        earliest = not self._timers or when < self._timers[0][0]
-        heapq.heappush(self._timers, (when, next(self._order), kind, item))
-        if earliest:
-            await self._timer_wake.set()
-
-    async def _timer_loop(self):
-        while True:
-            now = self.clock.monotonic()
-            while self._timers and self._timers[0][0] <= now:
-                _, _, kind, item = heapq.heappop(self._timers)
-                if not item.done:
-                    await self._timer_fired(kind, item)
-            delay = self._timers[0][0] - now if self._timers else None
-            self._timer_wake.clear()
-            if delay is None:
-                await self._timer_wake.wait()
-            else:
-                async with curio.ignore_after(delay):
-                    await self._timer_wake.wait()
-
     async def _timer_fired(self, kind, item):
+        if item.done:
+            return
         if kind == _EXPIRE:
             await self._finish(item, self._failure(item, ResultCode.DEADLINE_EXCEEDED))
         elif item.running and not item.hedged:
--- /dev/null
+++ b/almondtide/queries.py
@@ -0,0 +1,113 @@
+"""Requests and answers of callers, and the state of a query under way."""
+
+import curio
+
+__all__ = ["Answer", "QueryRequest", "QueryRun"]
+
+
+class QueryRequest:
+    """A caller's query. ``deadline_ms`` is None for the workload's default."""
+
+    __slots__ = ("body", "deadline_ms", "request_id", "workload")
+
+    def __init__(self, request_id, workload, body, deadline_ms=None):
+        self.request_id = request_id
+        self.workload = workload
+        self.body = body
+        self.deadline_ms = deadline_ms
+
+
+class Answer:
+    """The answer to a query.
+
+    ``covered`` holds shard names, ``missing`` pairs of shard name and result
+    code. ``sends`` counts the exchanges with upstreams.
+    """
+
+    __slots__ = (
+        "code",
+        "covered",
+        "epoch",
+        "missing",
+        "not_run",
+        "request_id",
+        "result",
+        "retry_after_ms",
+        "sends",
+        "version",
+    )
+
+    def __init__(self, request_id, code):
+        self.request_id = request_id
+        self.code = code
+        self.not_run = False
+        self.retry_after_ms = None
+        self.version = 0
+        self.epoch = 0
+        self.covered = []
+        self.missing = []
+        self.result = None
+        self.sends = 0
+
+    def to_dict(self):
+        """Return the JSON body of the response."""
+        return {
+            "request_id": self.request_id,
+            "code": int(self.code),
+            "name": self.code.name,
+            "not_run": self.not_run,
+            "retry_after_ms": self.retry_after_ms,
+            "snapshot": {"version": self.version, "epoch": self.epoch},
+            "coverage": {
+                "covered": self.covered,
+                "missing": [
+                    {"shard": name, "code": int(code), "name": code.name}
+                    for name, code in self.missing
+                ],
+            },
+            "result": self.result,
+            "sends": self.sends,
+        }
+
+
+class QueryRun:
+    """State of one query under way."""
+
+    __slots__ = (
+        "calls",
+        "deadline",
+        "inbox",
+        "lost",
+        "mark",
+        "pending",
+        "plan",
+        "query_id",
+        "replans",
+        "req",
+        "results",
+        "sends",
+        "targets",
+        "uncertain",
+        "workload",
+    )
+
+    def __init__(self, req, query_id, workload, deadline, mark):
+        self.req = req
+        self.query_id = query_id
+        self.workload = workload
+        self.deadline = deadline
+        self.mark = mark
+        self.plan = None
+        self.inbox = curio.Queue()
+        self.calls = {}
+        # service -> the calls that may answer it, more than one after a silence
+        self.pending = {}
+        self.results = {}
+        # service -> daemons that were already asked
+        self.targets = {}
+        # service -> servers lost under the request
+        self.lost = {}
+        # Whether a server may have run a part whose result is not known.
+        self.uncertain = False
+        self.replans = 0
+        self.sends = 0
--- /dev/null
+++ b/almondtide/timers.py
@@ -0,0 +1,60 @@
+"""Timers of one component, run by one task."""
+
+import heapq
+import itertools
+
+import curio
+
+__all__ = ["Timers"]
+
+
+class Timers:
+    """Calls ``await fired(kind, item)`` at the times that were scheduled.
+
+    Times are in seconds on the monotonic clock. A timer is not cancelled; the
+    receiver ignores it when its item needs it no more.
+    """
+
+    __slots__ = ("_clock", "_fired", "_heap", "_order", "_task", "_wake")
+
+    def __init__(self, clock, fired):
+        self._clock = clock
+        self._fired = fired
+        self._heap = []
+        self._order = itertools.count()
+        self._wake = curio.Event()
+        self._task = None
+
+    async def start(self):
+        """Start the task."""
+        self._task = await curio.spawn(self._run, daemon=True)
+
+    async def stop(self):
+        """End the task; timers that are left do not fire."""
+        if self._task is not None:
+            await self._task.cancel()
+            self._task = None
+
+    async def schedule(self, when, kind, item):
+        """Add a timer."""
+        earliest = not self._heap or when < self._heap[0][0]
+        heapq.heappush(self._heap, (when, next(self._order), kind, item))
+        if earliest:
+            await self._wake.set()
+
+    async def _run(self):
+        while True:
+            await self._fire_due()
+            self._wake.clear()
+            if not self._heap:
+                await self._wake.wait()
+                continue
+            delay_s = max(0.0, self._heap[0][0] - self._clock.monotonic())
+            async with curio.ignore_after(delay_s):
+                await self._wake.wait()
+
+    async def _fire_due(self):
+        now = self._clock.monotonic()
+        while self._heap and self._heap[0][0] <= now:
+            _, _, kind, item = heapq.heappop(self._heap)
+            await self._fired(kind, item)
--- a/baseline/coordinator.py
+++ b/baseline/coordinator.py
@@ -5,7 +5,7 @@
 
 import curio
 
-from almondtide.coordinator import Answer, coverage_policies
+from almondtide.coordinator import coverage_policies
 from almondtide.errors import (
     AlmondtideError,
     BadRequestError,
@@ -17,6 +17,7 @@
 from almondtide.executions import Outcome
 from almondtide.merging import Coverage, merges
 from almondtide.planning import SnapshotCatalog
+from almondtide.queries import Answer
 from almondtide.subrequests import SubRequest, SubResult
 
 from .pool import ConnectionPool
--- a/tests/baseline/test_coordinator.py
+++ b/tests/baseline/test_coordinator.py
@@ -4,10 +4,10 @@
 import testtools
 
 from almondtide.clock import SystemClock
-from almondtide.coordinator import QueryRequest
 from almondtide.errors import ResultCode
 from almondtide.logs import Log
 from almondtide.membership import UPSTREAM, Member
+from almondtide.queries import QueryRequest
 from baseline.coordinator import NaiveCoordinator
 from tests.fakes import (
     ScriptedServer,
--- a/tests/test_differential.py
+++ b/tests/test_differential.py
@@ -15,7 +15,7 @@
 from almondtide import servers
 from almondtide.clock import SystemClock
 from almondtide.configuration import parse_configuration
-from almondtide.coordinator import Coordinator, QueryRequest
+from almondtide.coordinator import Coordinator
 from almondtide.errors import AlmondtideError, ResultCode
 from almondtide.logs import Log
 from almondtide.membership import ENTRY, UPSTREAM, Member, Membership
@@ -30,6 +30,7 @@
 from almondtide.metrics import Metrics
 from almondtide.owners import Owners
 from almondtide.quarantine import Quarantine
+from almondtide.queries import QueryRequest
 from almondtide.shards import KEY_SPACE
 from standins.dataset import (
     DISTRICTS,
