Revert the probe after a failed digest exchange

Cause: tried to keep a paused daemon out of address answers sooner. Conclusion: reverted. A probe waits 1.5 s for an answer and repeats after up to 1.8 s, longer than the first suspicion of 2 s, and callers keep an address for 3 s; both have to change together.

--- a/almondtide/dissemination.py
+++ b/almondtide/dissemination.py
@@ -298,9 +298,6 @@
             )
         except PeerError:
             await self._membership.peer_suspected(instance)
-            # Probes keep the suspicion up until the peer answers; without them a
-            # paused daemon comes back into the address answers again and again.
-            await self._peers.check(instance)
             raise
         if not isinstance(reply, Digest):
             raise PeerError(f"{instance} refused a digest")
--- a/tests/memory.py
+++ b/tests/memory.py
@@ -46,9 +46,6 @@
     def register(self, message_class, handler):
         self.handlers[message_class] = handler
 
-    async def check(self, instance):
-        """Do nothing: a test scripts who can be reached."""
-
     async def request(self, instance, message, timeout_s):
         address = self.resolve(instance)
         node = self.network.find(address)
