--- a/almondtide/coordinator.py
+++ b/almondtide/coordinator.py
@@ -133,21 +133,11 @@
                 "the deadline has passed", ResultCode.DEADLINE_EXCEEDED
             )
         mark = fingerprint(req.workload, "query", req.body)
-        self.refuse_quarantined(mark)
+        self._quarantine.refuse(mark)
         deadline = self._clock.monotonic() + deadline_ms / 1000.0
         query_id = f"{self._instance}.{next(self._ids)}"
         return QueryRun(req, query_id, workload, deadline, mark)
 
-    def refuse_quarantined(self, mark):
-        """Raise ``RefusedError`` when the request is in quarantine."""
-        left_s = self._quarantine.remaining_s(mark)
-        if left_s > 0:
-            raise RefusedError(
-                "the request crashed upstreams and is in quarantine",
-                ResultCode.QUARANTINED,
-                retry_after_ms=int(left_s * 1000),
-            )
-
     def _refuse_overload(self, run):
         remaining_s = run.deadline - self._clock.monotonic()
         workload = run.workload
--- a/almondtide/daemon.py
+++ b/almondtide/daemon.py
@@ -3,12 +3,8 @@
 import os
 import random
 import secrets
-import signal
-import socket as stdlib_socket
-import sys
 
 import curio
-import defopt
 
 from .adapters.admin import AdminAPI
 from .adapters.caller import CallerAPI
@@ -25,10 +21,10 @@
 from .dissemination import Dissemination, LocalState
 from .documents import DocumentKind, DocumentStore
 from .draining import Drain
-from .errors import AlmondtideError, RefusedError, ResultCode, SettingsError
+from .errors import AlmondtideError, RefusedError, ResultCode
 from .events import EventRing
 from .executions import Executions
-from .logs import Log, set_up_logging
+from .logs import Log
 from .membership import Membership, parse_instances
 from .messages import (
     Execute,
@@ -40,9 +36,9 @@
 from .metrics import Metrics
 from .owners import Owners
 from .pauses import PauseGuard
+from .process import run_daemon, wait_for_signal
 from .quarantine import Quarantine
 from .reports import connection_counts, gauge_values, get_task_table, limits_report
-from .settings import daemon_command, load_settings
 from .startup import StartupGuard
 
 __all__ = ["Daemon", "main"]
@@ -500,19 +496,7 @@
         await self._dissemination.start_watches()
 
     async def _watch_signals(self):
-        """Request the shutdown on SIGTERM or SIGINT.
-
-        curio has no signal queue any more, so the interpreter writes the signal
-        number to a socket that this task reads.
-        """
-        reader, writer = stdlib_socket.socketpair()
-        reader.setblocking(False)
-        writer.setblocking(False)
-        signal.set_wakeup_fd(writer.fileno(), warn_on_full_buffer=False)
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, _leave_to_wakeup_socket)
-        async with curio.io.Socket(reader) as sock:
-            await sock.recv(1)
+        await wait_for_signal()
         await self._drain.requested.set()
 
     async def _tick(self):
@@ -588,38 +572,9 @@
     return None if address is None else format_address(address)
 
 
-def _leave_to_wakeup_socket(number, frame):
-    """Do nothing; the wakeup socket carries the signal."""
-
-
-def serve(**flags):
-    """Run one daemon until it is told to stop; returns the exit status."""
-    try:
-        settings = load_settings(flags)
-    except SettingsError as exc:
-        for problem in exc.problems:
-            print(f"almondtided: {problem}", file=sys.stderr)
-        return 2
-    set_up_logging(settings.verbosity, instance=settings.instance)
-    try:
-        curio.run(Daemon(settings).run)
-    except OSError as exc:
-        print(f"almondtided: {exc}", file=sys.stderr)
-        return 1
-    return 0
-
-
 def main(argv=None):
     """Entry point of ``almondtided``."""
-    command = daemon_command(serve)
-    status = defopt.run(
-        command,
-        argv=argv,
-        short={},
-        show_defaults=False,
-        argparse_kwargs={"prog": "almondtided"},
-    )
-    sys.exit(status)
+    run_daemon("almondtided", Daemon, argv)
 
 
 if __name__ == "__main__":
--- a/almondtide/executions.py
+++ b/almondtide/executions.py
@@ -389,7 +389,7 @@
         if record is not None:
             return await self._await_record(record, digest, deadline)
         self._check_window(execution_id)
-        self._check_quarantine(digest)
+        self._quarantine.refuse(digest)
         self._forget_expired()
         if len(self._records) >= MAX_RECORDS:
             raise RefusedError("too many executions are remembered")
@@ -428,15 +428,6 @@
                 "the execution id is too old", ResultCode.EXECUTION_EXPIRED
             )
 
-    def _check_quarantine(self, mark):
-        left_s = self._quarantine.remaining_s(mark)
-        if left_s > 0:
-            raise RefusedError(
-                "the request crashed upstreams and is in quarantine",
-                ResultCode.QUARANTINED,
-                retry_after_ms=int(left_s * 1000),
-            )
-
     def _forget_expired(self):
         """Drop outcomes whose ids are refused by their window anyway."""
         retention_s = self._cfg().fleet_setting("outcome_retention_s")
--- a/almondtide/owners.py
+++ b/almondtide/owners.py
@@ -211,8 +211,7 @@
     async def _handle_execute(self, sender, message, reply):
         if not self._known(message.service):
             raise RefusedError("unknown service", ResultCode.NO_SERVER)
-        if self._quarantine.remaining_s(message.fingerprint) > 0:
-            raise RefusedError("the request is in quarantine", ResultCode.QUARANTINED)
+        self._quarantine.refuse(message.fingerprint)
         owner = await self.get(message.service)
         sub = SubRequest(
             message.execution_id,
--- a/almondtide/quarantine.py
+++ b/almondtide/quarantine.py
@@ -4,6 +4,8 @@
 
 import orjson
 
+from .errors import RefusedError, ResultCode
+
 __all__ = ["Quarantine", "fingerprint"]
 
 MAX_TRACKED = 4096
@@ -60,6 +62,16 @@
             return 0.0
         return max(0.0, expires - self._clock.monotonic())
 
+    def refuse(self, mark):
+        """Raise ``RefusedError`` when the request is in quarantine."""
+        left_s = self.remaining_s(mark)
+        if left_s > 0:
+            raise RefusedError(
+                "the request crashed upstreams and is in quarantine",
+                ResultCode.QUARANTINED,
+                retry_after_ms=int(left_s * 1000),
+            )
+
     def record_loss(self, mark, server, isolated):
         """Record that ``server`` was lost while it ran the request.
 
--- a/baseline/daemon.py
+++ b/baseline/daemon.py
@@ -2,12 +2,8 @@
 
 import os
 import secrets
-import signal
-import socket as stdlib_socket
-import sys
 
 import curio
-import defopt
 
 from almondtide.adapters.admin import AdminAPI
 from almondtide.adapters.caller import CallerAPI
@@ -23,13 +19,12 @@
     PlatformError,
     RefusedError,
     ResultCode,
-    SettingsError,
 )
 from almondtide.events import EventRing
-from almondtide.logs import Log, set_up_logging
+from almondtide.logs import Log
 from almondtide.membership import Membership, parse_instances
 from almondtide.metrics import Metrics
-from almondtide.settings import daemon_command, load_settings
+from almondtide.process import run_daemon, wait_for_signal
 
 from .coordinator import NaiveCoordinator, NaiveExecutions
 
@@ -218,37 +213,13 @@
             await listener.close()
 
     async def _watch_signals(self):
-        reader, writer = stdlib_socket.socketpair()
-        reader.setblocking(False)
-        writer.setblocking(False)
-        signal.set_wakeup_fd(writer.fileno(), warn_on_full_buffer=False)
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, lambda number, frame: None)
-        async with curio.io.Socket(reader) as sock:
-            await sock.recv(1)
+        await wait_for_signal()
         await self._drain.requested.set()
 
 
-def serve(**flags):
-    """Run one naive daemon with the settings of ``almondtided``."""
-    try:
-        settings = load_settings(flags)
-    except SettingsError as exc:
-        for problem in exc.problems:
-            print(f"baseline: {problem}", file=sys.stderr)
-        return 2
-    set_up_logging(settings.verbosity, instance=settings.instance)
-    try:
-        curio.run(NaiveDaemon(settings).run)
-    except OSError as exc:
-        print(f"baseline: {exc}", file=sys.stderr)
-        return 1
-    return 0
-
-
 def main(argv=None):
     """Entry point of the naive daemon."""
-    sys.exit(defopt.run(daemon_command(serve), argv=argv, short={}))
+    run_daemon("baseline", NaiveDaemon, argv)
 
 
 if __name__ == "__main__":
