--- a/proofs/mutations.py
+++ b/proofs/mutations.py
@@ -6,6 +6,7 @@
 from almondtide.adapters import platform, upstream
 from almondtide.coordinator import Coordinator
 from almondtide.documents import DocumentStore
+from almondtide.executions import Executions
 from almondtide.merging import Coverage
 from almondtide.owner import ServiceOwner
 from almondtide.registry import Registry
@@ -66,14 +67,24 @@
 
 @mutations.register("not-run-is-true")
 def mark_failures_not_run():
-    """Say "not run" of every failed query."""
+    """Say "not run" of every failed query and every unknown outcome.
+
+    Few queries fail without any shard, so the queries alone are no certain test.
+    """
     fill = Coordinator._fill_failure
+    unknown = Executions._unknown
 
     def fill_not_run(coordinator, answer, run):
         fill(coordinator, answer, run)
         answer.not_run = True
 
+    def unknown_not_run(executions, message):
+        outcome = unknown(executions, message)
+        outcome.not_run = True
+        return outcome
+
     Coordinator._fill_failure = fill_not_run
+    Executions._unknown = unknown_not_run
 
 
 @mutations.register("at-most-once")
