Let the budget of silence hedges cover the sub-requests of a cell

Cause: with cells of 4, a paused owner holds six or more sub-requests of each query, and 40 tokens ran out within half a second: 6 of about 140 queries ended partial at 1 s. Change: 120 tokens.

--- a/almondtide/coordinator.py
+++ b/almondtide/coordinator.py
@@ -34,7 +34,7 @@
 # Sub-requests that also go to a standby because their owner is silent, as a share
 # of all. More would multiply the load of a fleet whose daemons are slow, not gone.
 SILENCE_HEDGE_RATIO = 0.02
-SILENCE_HEDGE_BURST = 40.0
+SILENCE_HEDGE_BURST = 120.0
 MAX_TARGETS = 3
 # A service answered that it does not hold the snapshot of the plan.
 _OTHER_SNAPSHOT = (ResultCode.SNAPSHOT_UNAVAILABLE, ResultCode.SNAPSHOT_MISMATCH)
