Hedge all open calls of a peer that stays silent

Cause: calls that found the hedge budget empty waited for the paused owner until their deadline, although new calls already avoided it.

--- a/almondtide/adapters/peer.py
+++ b/almondtide/adapters/peer.py
@@ -5,7 +5,7 @@
 
 import curio
 
-from ..errors import AlmondtideError, PeerError, ResultCode
+from ..errors import AlmondtideError, PeerError, PeerSilentError, ResultCode
 from ..messages import (
     ErrorReply,
     Hello,
@@ -46,15 +46,13 @@
 class PeerCall:
     """A request whose replies arrive in an inbox shared by several calls."""
 
-    __slots__ = ("_link", "inbox", "instance", "seq", "told")
+    __slots__ = ("_link", "inbox", "instance", "seq")
 
     def __init__(self, link, instance, seq, inbox):
         self._link = link
         self.instance = instance
         self.seq = seq
         self.inbox = inbox
-        # Whether the inbox has the news that the peer is silent.
-        self.told = False
 
     def close(self):
         """Forget the call; replies that arrive later are dropped."""
@@ -226,7 +224,7 @@
         if before < PING_AFTER_S <= self.silence_s:
             await self._outbox.put(Ping())
         elif before < TELL_CALLS_AFTER_S <= self.silence_s:
-            await self._tell_calls()
+            await self._tell_calls(lasting=False)
         elif self.silence_s >= SILENT_AFTER_S and not self.silent:
             await self._mark_silent()
         elif before < SUSPECT_AFTER_S <= self.silence_s:
@@ -238,17 +236,12 @@
         self._network.log.info(
             "peer_silent", peer=self.instance, seconds=round(self.silence_s, 3)
         )
-        await self._tell_calls()
+        await self._tell_calls(lasting=True)
 
-    async def _tell_calls(self):
-        error = PeerError(
-            f"{self.instance} is silent for {self.silence_s:.3f} s",
-            ResultCode.PEER_SUSPECT,
-        )
+    async def _tell_calls(self, lasting):
+        text = f"{self.instance} is silent for {self.silence_s:.3f} s"
         for call in list(self.calls.values()):
-            if not call.told:
-                call.told = True
-                await call.inbox.put((call, error))
+            await call.inbox.put((call, PeerSilentError(text, lasting)))
 
     async def _fail_calls(self, error):
         calls, self.calls = self.calls, {}
@@ -643,8 +636,7 @@
     """Return the reply or the loss of the peer; a silent peer may still answer."""
     while True:
         _, reply = await inbox.get()
-        silent = isinstance(reply, PeerError) and reply.code == ResultCode.PEER_SUSPECT
-        if not silent:
+        if not isinstance(reply, PeerSilentError):
             return reply
 
 
--- a/almondtide/coordinator.py
+++ b/almondtide/coordinator.py
@@ -11,6 +11,7 @@
     DEFAULT_RETRY_AFTER_MS,
     BadRequestError,
     PeerError,
+    PeerSilentError,
     RefusedError,
     ResultCode,
 )
@@ -271,16 +272,24 @@
             self._log.info("peer_refused", peer=call.instance, reason=reply.message)
         elif not isinstance(reply, PeerError):
             return
-        silent = isinstance(reply, PeerError) and reply.code == ResultCode.PEER_SUSPECT
         if not reply.not_run:
             run.uncertain = True
         services = [name for name, calls in run.pending.items() if call in calls]
-        if silent:
-            services = [name for name in services if self._silence_hedges.spend()]
+        if isinstance(reply, PeerSilentError):
+            services = [name for name in services if self._may_hedge(run, name, reply)]
         else:
             services = [name for name in services if self._drop(run, name, call)]
         await self._reroute(run, services, ResultCode.PEER_LOST)
 
+    def _may_hedge(self, run, service, silence):
+        """Return whether a sub-request at a silent peer also goes to a standby.
+
+        A lasting silence costs no budget: new calls avoid the peer as well.
+        """
+        if len(run.pending[service]) > 1:
+            return False
+        return silence.lasting or self._silence_hedges.spend()
+
     @staticmethod
     def _drop(run, service, call):
         """Forget a call of a service; returns whether it was the last one."""
--- a/almondtide/errors.py
+++ b/almondtide/errors.py
@@ -11,6 +11,7 @@
     "DocumentError",
     "ExecutionError",
     "PeerError",
+    "PeerSilentError",
     "PlatformError",
     "RefusedError",
     "ResultCode",
@@ -188,6 +189,19 @@
     code = ResultCode.PEER_LOST
 
 
+class PeerSilentError(PeerError):
+    """A peer owes replies and is silent; it may still answer.
+
+    ``lasting`` tells that the silence is so long that the peer gets no new calls.
+    """
+
+    code = ResultCode.PEER_SUSPECT
+
+    def __init__(self, message, lasting):
+        super().__init__(message)
+        self.lasting = lasting
+
+
 class PlatformError(AlmondtideError):
     """The platform's configuration service could not be read."""
 
--- a/tests/adapters/test_peer.py
+++ b/tests/adapters/test_peer.py
@@ -169,6 +169,9 @@
             async with curio.timeout_after(1.5):
                 _, error = await inbox.get()
             self.assertNotIn("suspected", self.client.observer.names())
+            async with curio.timeout_after(1.5):
+                _, lasting = await inbox.get()
+            self.assertEqual([False, True], [error.lasting, lasting.lasting])
             await self.wait_for_event("suspected")
             await resumed.set()
             await self.wait_for_event("recovered")
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -116,8 +116,10 @@
             self.assertTrue(400 <= status < 500 or status == 504, case)
             self.assertTrue(decoded["not_run"], case)
             self.assertEqual(str(int(code)), answered["almondtide-result-code"], case)
-        self.assertEqual(len(cases), len(self.log_lines()) - lines)
         self.assertEqual(ResultCode.OK, self.query()[2]["code"])
+        # The settled daemon has written all lines, and no second one for a request.
+        self.settle()
+        self.assertEqual(len(cases), len(self.log_lines()) - lines)
         self.assertTrue(self.settle()["tasks"] <= before + 2)
 
     def test_bad_json(self):
