--- a/almondtide/coordinator.py
+++ b/almondtide/coordinator.py
@@ -9,7 +9,6 @@
 from .budgets import TokenBudget
 from .errors import (
     DEFAULT_RETRY_AFTER_MS,
-    BadRequestError,
     PeerError,
     PeerSilentError,
     RefusedError,
@@ -24,7 +23,7 @@
     SubQueryBatch,
 )
 from .quarantine import fingerprint
-from .queries import Answer, QueryRun
+from .queries import Answer, QueryRun, resolve_request
 from .registry import Registry
 from .snapshots import SnapshotSource
 from .subrequests import SubResult
@@ -120,19 +119,7 @@
     # Before anything is sent
 
     def _admit(self, req):
-        cfg = self._cfg()
-        workload = cfg.workloads.get(req.workload)
-        if workload is None:
-            raise BadRequestError(
-                f"unknown workload {req.workload!r}", ResultCode.UNKNOWN_WORKLOAD
-            )
-        deadline_ms = req.deadline_ms
-        if deadline_ms is None:
-            deadline_ms = cfg.workload_setting(req.workload, "deadline_ms")
-        if deadline_ms <= 0:
-            raise BadRequestError(
-                "the deadline has passed", ResultCode.DEADLINE_EXCEEDED
-            )
+        workload, deadline_ms = resolve_request(self._cfg(), req)
         mark = fingerprint(req.workload, "query", req.body)
         self._quarantine.refuse(mark)
         deadline = self._clock.monotonic() + deadline_ms / 1000.0
--- a/almondtide/executions.py
+++ b/almondtide/executions.py
@@ -21,6 +21,7 @@
     PrefixRequest,
 )
 from .quarantine import fingerprint
+from .queries import resolve_request
 
 __all__ = ["ExecutionId", "Executions", "Outcome", "ReviseRequest"]
 
@@ -284,14 +285,7 @@
         Raises ``BadRequestError`` or ``RefusedError`` when it was not run.
         """
         execution_id = ExecutionId.parse(req.execution_id)
-        workload = self._workload(req.workload)
-        deadline_ms = req.deadline_ms
-        if deadline_ms is None:
-            deadline_ms = self._cfg().workload_setting(req.workload, "deadline_ms")
-        if deadline_ms <= 0:
-            raise BadRequestError(
-                "the deadline has passed", ResultCode.DEADLINE_EXCEEDED
-            )
+        workload, deadline_ms = resolve_request(self._cfg(), req)
         deadline = self._clock.monotonic() + deadline_ms / 1000.0
         self._shard_of(workload, req.body)
         home = (execution_id.instance, execution_id.incarnation)
--- a/almondtide/queries.py
+++ b/almondtide/queries.py
@@ -2,7 +2,28 @@
 
 import curio
 
-__all__ = ["Answer", "QueryRequest", "QueryRun"]
+from .errors import BadRequestError, ResultCode
+
+__all__ = ["Answer", "QueryRequest", "QueryRun", "resolve_request"]
+
+
+def resolve_request(cfg, req):
+    """Return (workload, deadline in ms) of a query or a revision.
+
+    A request without a deadline has that of its workload. Raises
+    ``BadRequestError`` for an unknown workload or a deadline that has passed.
+    """
+    workload = cfg.workloads.get(req.workload)
+    if workload is None:
+        raise BadRequestError(
+            f"unknown workload {req.workload!r}", ResultCode.UNKNOWN_WORKLOAD
+        )
+    deadline_ms = req.deadline_ms
+    if deadline_ms is None:
+        deadline_ms = cfg.workload_setting(req.workload, "deadline_ms")
+    if deadline_ms <= 0:
+        raise BadRequestError("the deadline has passed", ResultCode.DEADLINE_EXCEEDED)
+    return workload, deadline_ms
 
 
 class QueryRequest:
--- a/baseline/coordinator.py
+++ b/baseline/coordinator.py
@@ -17,7 +17,7 @@
 from almondtide.executions import Outcome
 from almondtide.merging import Coverage, merges
 from almondtide.planning import SnapshotCatalog
-from almondtide.queries import Answer
+from almondtide.queries import Answer, resolve_request
 from almondtide.subrequests import SubRequest, SubResult
 
 from .pool import ConnectionPool
@@ -111,19 +111,7 @@
 
     def admit(self, req):
         """Return (workload, deadline); raises ``BadRequestError``."""
-        cfg = self._cfg()
-        workload = cfg.workloads.get(req.workload)
-        if workload is None:
-            raise BadRequestError(
-                f"unknown workload {req.workload!r}", ResultCode.UNKNOWN_WORKLOAD
-            )
-        deadline_ms = req.deadline_ms
-        if deadline_ms is None:
-            deadline_ms = cfg.workload_setting(req.workload, "deadline_ms")
-        if deadline_ms <= 0:
-            raise BadRequestError(
-                "the deadline has passed", ResultCode.DEADLINE_EXCEEDED
-            )
+        workload, deadline_ms = resolve_request(self._cfg(), req)
         return workload, self._clock.monotonic() + deadline_ms / 1000.0
 
     # Snapshots
