--- /dev/null
+++ b/almondtide/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry daemon of a fleet on the users' platform."""
--- /dev/null
+++ b/almondtide/entry/answers.py
@@ -0,0 +1,81 @@
+"""The answer to a call, from the state of its branches."""
+
+import orjson
+
+from ..errors import ResultCode
+from ..platform import headers as wire
+from .calls import BranchState
+from .merge import merge_records
+
+__all__ = ["Answer", "answer_call", "refusal"]
+
+
+class Answer:
+    """Status, headers and body for the caller, and the code for the log."""
+
+    __slots__ = ("body", "code", "headers", "status")
+
+    def __init__(self, status, headers, body, code):
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.code = code
+
+
+def refusal(status, code, message, retry_after_s=None):
+    """Return an answer of the tier itself.
+
+    A status of 429 or 503 states that the request has not run and never will.
+    """
+    body = orjson.dumps({"code": int(code), "name": code.name, "message": message})
+    return Answer(status, wire.refusal_headers(retry_after_s), body, code)
+
+
+def answer_call(call, is_late, retry_after_s):
+    """Return the final answer of a call.
+
+    ``is_late`` tells that its time is over; ``retry_after_s`` is used where the
+    request has not run.
+    """
+    if call.is_merged:
+        answer = _merged(call)
+    else:
+        answer = _single(call.branches[0])
+    if answer is not None:
+        return answer
+    if not call.may_have_run:
+        code = ResultCode.NO_SERVER
+        if any(branch.sent for branch in call.branches):
+            code = ResultCode.UPSTREAM_SHED
+        return refusal(503, code, "no server took the request", retry_after_s)
+    if is_late:
+        return refusal(504, ResultCode.UPSTREAM_TIMEOUT, "no answer in time")
+    if call.is_merged:
+        return refusal(
+            502,
+            ResultCode.UPSTREAM_ERROR,
+            f"{call.covered} of {len(call.branches)} shards, {call.needed} needed",
+        )
+    return refusal(502, ResultCode.UPSTREAM_LOST, "the server's reply was lost")
+
+
+def _merged(call):
+    if call.covered < call.needed:
+        return None
+    parts = [
+        branch.reply for branch in call.branches if branch.state is BranchState.DONE
+    ]
+    missing = len(call.branches) - len(parts)
+    body = merge_records([part.body for part in parts], call.route.top_records)
+    headers = wire.merged_headers([part.signature for part in parts], missing)
+    code = ResultCode.PARTIAL if missing else ResultCode.OK
+    return Answer(200, headers, body, code)
+
+
+def _single(branch):
+    reply = branch.reply or branch.last_reply
+    if reply is None:
+        return None
+    code = ResultCode.OK if reply.is_success else ResultCode.UPSTREAM_ERROR
+    headers = wire.passed_on_headers(reply)
+    return Answer(reply.status, headers, reply.body, code)
--- /dev/null
+++ b/almondtide/entry/calls.py
@@ -0,0 +1,150 @@
+"""A request under way: its branches, one for each service, and its limits."""
+
+import enum
+
+import curio
+
+__all__ = ["Branch", "BranchState", "Call"]
+
+
+class BranchState(enum.Enum):
+    """What has become of a branch."""
+
+    OPEN = "open"
+    DONE = "done"
+    FAILED = "failed"
+
+
+class Branch:
+    """The part of a call that one service answers."""
+
+    __slots__ = (
+        "call",
+        "failures",
+        "is_probe",
+        "last_reply",
+        "open",
+        "ran",
+        "reply",
+        "retry_at",
+        "sent",
+        "service",
+        "state",
+        "tried",
+        "uncertain",
+    )
+
+    def __init__(self, call, service):
+        self.call = call
+        self.service = service
+        self.state = BranchState.OPEN
+        # Exchanges under way.
+        self.open = []
+        # Ids of servers that it was sent to.
+        self.tried = set()
+        self.sent = 0
+        # Servers on which it runs, ran or may have run.
+        self.ran = 0
+        # Exchanges that were written and of which no server denied the run.
+        self.uncertain = 0
+        self.reply = None
+        # The newest failure that a server itself stated.
+        self.last_reply = None
+        self.failures = []
+        self.retry_at = None
+        # A probe of a service without healthy servers; the call does not wait.
+        self.is_probe = False
+
+    @property
+    def may_have_run(self):
+        """Whether a server ran, runs or may have run it."""
+        return self.uncertain > 0
+
+
+class Call:
+    """A caller's request and the branches that answer it.
+
+    Times are in seconds on the clock of the daemon. ``limit_at`` is the end of the
+    caller's deadline or the route's timeout, ``objective_at`` the time until which
+    the answer has its full value.
+    """
+
+    __slots__ = (
+        "abandoned",
+        "accepts_partial",
+        "arrived",
+        "branches",
+        "changed",
+        "configuration",
+        "covered",
+        "limit_at",
+        "needed",
+        "objective_at",
+        "pending",
+        "request",
+        "route",
+    )
+
+    def __init__(self, request, route, services, configuration, arrived):
+        self.request = request
+        self.route = route
+        self.configuration = configuration
+        self.arrived = arrived
+        allowed_s = route.timeout_s
+        if request.allowed_s is not None:
+            allowed_s = min(allowed_s, request.allowed_s)
+        self.limit_at = arrived + allowed_s
+        self.objective_at = arrived + min(route.objective_s, allowed_s)
+        self.branches = [Branch(self, service) for service in services]
+        self.pending = len(self.branches)
+        self.covered = 0
+        self.needed = needed_parts(len(services), route.min_coverage)
+        self.accepts_partial = False
+        self.abandoned = False
+        self.changed = curio.Event()
+
+    @property
+    def is_merged(self):
+        """Whether the answer is merged from parts."""
+        return bool(self.route.shards)
+
+    @property
+    def may_have_run(self):
+        """Whether a server ran, runs or may have run the request."""
+        return any(branch.may_have_run for branch in self.branches)
+
+    def close_branch(self, branch, state, reply=None):
+        """Record the result of a branch."""
+        branch.state = state
+        branch.reply = reply
+        self.pending -= 1
+        if state is BranchState.DONE:
+            self.covered += 1
+
+    def is_decided(self):
+        """Return whether nothing that may still come changes the answer's kind."""
+        if self.pending == 0 or self.abandoned:
+            return True
+        if self.covered + self.pending < self.needed:
+            return True
+        if self.covered < self.needed:
+            return False
+        if self.accepts_partial:
+            return True
+        return all(
+            branch.is_probe
+            for branch in self.branches
+            if branch.state is BranchState.OPEN
+        )
+
+
+def needed_parts(count, min_coverage):
+    """Return the least number of parts whose share is ``min_coverage``.
+
+    >>> needed_parts(10, 0.89), needed_parts(10, 0.75), needed_parts(1, 0.0)
+    (9, 8, 1)
+    """
+    needed = max(1, int(count * min_coverage))
+    while needed < count and needed / count < min_coverage:
+        needed += 1
+    return needed
--- /dev/null
+++ b/almondtide/entry/codec.py
@@ -0,0 +1,231 @@
+"""Messages between daemons: CBOR arrays in datagrams and bodies."""
+
+import cbor2
+
+from ..errors import DocumentError
+from .members import Member, MemberState
+from .model import Server
+
+__all__ = [
+    "MAX_DATAGRAM",
+    "Beat",
+    "decode_message",
+    "decode_snapshot",
+    "encode_beat",
+    "encode_news",
+    "encode_snapshot",
+]
+
+# Largest datagram, in bytes: it fits one packet with room for headers.
+MAX_DATAGRAM = 1300
+VERSION = 1
+BEAT = 1
+NEWS = 2
+MAX_NEWS = 64
+
+
+class Beat:
+    """A daemon's word about itself, its knowledge and others.
+
+    ``age_s`` is the age of its knowledge of the store, None without any, and
+    ``cursor`` the store's revision up to which it knows all changes.
+    """
+
+    __slots__ = (
+        "age_s",
+        "cursor",
+        "digest",
+        "heard",
+        "sender",
+        "version",
+        "wants_reply",
+    )
+
+    def __init__(self, sender, digest, version, age_s, heard, wants_reply, cursor=0):
+        self.sender = sender
+        self.digest = digest
+        self.version = version
+        self.age_s = age_s
+        self.heard = heard
+        self.wants_reply = wants_reply
+        self.cursor = cursor
+
+
+def _pack_member(member, now):
+    return [
+        member.name,
+        member.incarnation,
+        member.host,
+        member.domain,
+        int(member.state),
+        round(member.strength, 2),
+        member.carries,
+        int(max(0.0, now - member.heard_at) * 1000),
+    ]
+
+
+def _unpack_member(item, now):
+    name, incarnation, host, domain, state, strength, carries, age_ms = item
+    return Member(
+        _text(name),
+        int(incarnation),
+        _text(host),
+        _text(domain),
+        MemberState(state),
+        float(strength),
+        bool(carries),
+        now - max(0.0, float(age_ms) / 1000.0),
+    )
+
+
+def _text(value):
+    if not isinstance(value, str) or not value:
+        raise ValueError(f"{value!r} is not a text")
+    return value
+
+
+def encode_beat(beat, now):
+    """Return the datagram of a ``Beat``."""
+    age_ms = None if beat.age_s is None else int(beat.age_s * 1000)
+    message = [
+        VERSION,
+        BEAT,
+        _pack_member(beat.sender, now),
+        beat.digest,
+        beat.version,
+        age_ms,
+        [_pack_member(member, now) for member in beat.heard],
+        beat.wants_reply,
+        beat.cursor,
+    ]
+    return cbor2.dumps(message)
+
+
+def _pack_server(server):
+    if server is None:
+        return None
+    host, port = server.address
+    return [
+        server.id,
+        server.service,
+        host,
+        port,
+        server.domain,
+        server.slots,
+        server.leaving,
+        server.cold,
+        server.born_ms,
+    ]
+
+
+def _unpack_server(item):
+    if item is None:
+        return None
+    id, service, host, port, domain, slots, leaving, cold, born_ms = item
+    return Server(
+        _text(id),
+        _text(service),
+        (_text(host), int(port)),
+        _text(domain),
+        max(1, int(slots)),
+        bool(leaving),
+        bool(cold),
+        int(born_ms),
+    )
+
+
+def encode_news(facts, configuration=None):
+    """Yield datagrams with facts, and with a configuration that fits.
+
+    ``configuration`` is a pair of revision and the document's bytes, compressed.
+    """
+    if configuration is not None:
+        yield cbor2.dumps([VERSION, NEWS, [], list(configuration)])
+    batch = []
+    size = 0
+    for fact in facts:
+        item = [fact.key, fact.revision, _pack_server(fact.server)]
+        item_size = len(cbor2.dumps(item))
+        if batch and size + item_size > MAX_DATAGRAM - 32:
+            yield cbor2.dumps([VERSION, NEWS, batch, None])
+            batch = []
+            size = 0
+        batch.append(item)
+        size += item_size
+    if batch:
+        yield cbor2.dumps([VERSION, NEWS, batch, None])
+
+
+def decode_message(raw, now):
+    """Return a ``Beat``, or (facts, configuration) of news.
+
+    Facts are triples of key, revision and ``Server`` or None. Raises
+    ``DocumentError`` for anything else.
+    """
+    try:
+        message = cbor2.loads(raw)
+        if message[0] != VERSION:
+            raise ValueError(f"version {message[0]!r} is unknown")
+        if message[1] == BEAT:
+            return _unpack_beat(message, now)
+        if message[1] == NEWS:
+            return _unpack_facts(message[2]), message[3]
+    except (cbor2.CBORDecodeError, ValueError, TypeError, IndexError, KeyError) as exc:
+        raise DocumentError(f"message: {exc}") from exc
+    raise DocumentError(f"message: kind {message[1]!r} is unknown")
+
+
+def _unpack_beat(message, now):
+    _, _, sender, digest, version, age_ms, heard, wants_reply, cursor = message[:9]
+    return Beat(
+        _unpack_member(sender, now),
+        int(digest),
+        int(version),
+        None if age_ms is None else max(0.0, float(age_ms) / 1000.0),
+        [_unpack_member(item, now) for item in heard],
+        bool(wants_reply),
+        int(cursor),
+    )
+
+
+def _unpack_facts(items):
+    return [
+        (_text(key), int(revision), _unpack_server(server))
+        for key, revision, server in items
+    ]
+
+
+def encode_snapshot(knowledge, age_s):
+    """Return all knowledge of a daemon as one body."""
+    return cbor2.dumps(
+        [
+            VERSION,
+            age_s,
+            knowledge.revision,
+            knowledge.configuration_revision,
+            knowledge.configuration_raw,
+            [
+                [fact.key, fact.revision, _pack_server(fact.server)]
+                for fact in knowledge.facts()
+            ],
+        ]
+    )
+
+
+def decode_snapshot(raw):
+    """Return (age in s, revision, configuration revision, raw, facts)."""
+    try:
+        version, age_s, revision, cfg_revision, cfg_raw, facts = cbor2.loads(raw)
+        if version != VERSION:
+            raise ValueError(f"version {version!r} is unknown")
+        if not isinstance(cfg_raw, bytes):
+            raise ValueError("the configuration is not bytes")
+        return (
+            float(age_s),
+            int(revision),
+            int(cfg_revision),
+            cfg_raw,
+            _unpack_facts(facts),
+        )
+    except (cbor2.CBORDecodeError, ValueError, TypeError, IndexError) as exc:
+        raise DocumentError(f"snapshot: {exc}") from exc
--- /dev/null
+++ b/almondtide/entry/connections.py
@@ -0,0 +1,309 @@
+"""Connections to servers: one task each, one exchange at a time."""
+
+import socket as stdlib_socket
+
+import curio
+import h11
+from curio import socket
+
+from ..platform.headers import decode_reply, forwarded_headers
+from .upstreams import Failure
+
+__all__ = ["ConnectionPool"]
+
+RECEIVE_BYTES = 65536
+CONNECT_TIMEOUT_S = 1.0
+# A server that acknowledges nothing for this long, in ms, ends the connection;
+# behind a partition it would hang otherwise.
+USER_TIMEOUT_MS = 2500
+# An idle connection is used only in this part of the time that the server states,
+# and for at most so many seconds where it states none.
+IDLE_PART = 0.7
+IDLE_LIMIT_S = 20.0
+# A request that may run once only takes a connection that was idle for at most
+# this long, in s: a close by the server would leave open whether it ran.
+ONCE_IDLE_LIMIT_S = 1.0
+MAX_BODY_BYTES = 16 * 1024 * 1024
+# Replies to other requests that are skipped while the own one is awaited.
+MAX_STRAY_REPLIES = 4
+MAX_HEADER_BYTES = 65536
+
+
+class _BrokenError(Exception):
+    """The exchange failed on the connection; the argument is the reason."""
+
+
+class Connection:
+    """One connection to a server and the task that drives it."""
+
+    __slots__ = (
+        "_conn",
+        "_sock",
+        "_wake",
+        "exchange",
+        "idle_since",
+        "idle_until",
+        "pool",
+        "task",
+        "upstream",
+    )
+
+    def __init__(self, pool, upstream, exchange):
+        self.pool = pool
+        self.upstream = upstream
+        self.exchange = exchange
+        self.idle_since = 0.0
+        self.idle_until = 0.0
+        self.task = None
+        self._conn = None
+        self._sock = None
+        self._wake = curio.Event()
+
+    async def run(self):
+        """Connect, then run one exchange after the other until one fails."""
+        try:
+            if not await self._connect():
+                return
+            while await self._exchange():
+                self.pool.park(self)
+                await self._wake.wait()
+                self._wake.clear()
+                if self.exchange is None:
+                    return
+        finally:
+            if self._sock is not None:
+                self._sock._socket.close()
+            self.pool.forget(self)
+
+    async def assign(self, exchange):
+        """Give a parked connection its next exchange, or None to close it."""
+        self.exchange = exchange
+        await self._wake.set()
+
+    def is_stale(self):
+        """Return whether the parked connection was closed or holds stray bytes."""
+        try:
+            self._sock._socket.recv(1, stdlib_socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError:
+            return True
+        return True
+
+    async def _connect(self):
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._sock = sock
+        sock.setsockopt(stdlib_socket.IPPROTO_TCP, stdlib_socket.TCP_NODELAY, 1)
+        sock.setsockopt(
+            stdlib_socket.IPPROTO_TCP, stdlib_socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
+        )
+        try:
+            async with curio.timeout_after(CONNECT_TIMEOUT_S):
+                await sock.connect(self.upstream.server.address)
+        except (OSError, curio.TaskTimeout) as exc:
+            reason = f"connect: {exc or 'timeout'}"
+            await self._fail(Failure.NOT_SENT, reason)
+            return False
+        self._conn = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES
+        )
+        return True
+
+    async def _fail(self, failure, reason):
+        exchange, self.exchange = self.exchange, None
+        await exchange.failed(failure, reason, None)
+
+    async def _exchange(self):
+        """Run one exchange; returns whether the connection can be used again."""
+        exchange = self.exchange
+        if exchange is None:
+            return False
+        left_s = exchange.left_s()
+        if left_s <= 0:
+            await self._fail(Failure.NOT_SENT, "no time left")
+            return False
+        try:
+            await self._send(exchange.request, left_s)
+            reply = await self._receive(exchange.request)
+        except (OSError, _BrokenError, h11.RemoteProtocolError) as exc:
+            await self._fail(Failure.BROKEN, str(exc) or type(exc).__name__)
+            return False
+        except h11.LocalProtocolError as exc:
+            # Raised before any byte is written: the request cannot be encoded.
+            await self._fail(Failure.NOT_SENT, f"encode: {exc}")
+            return False
+        keep = self._is_reusable(reply)
+        self.exchange = None
+        await exchange.replied(reply)
+        return keep and not self.upstream.removed
+
+    async def _send(self, request, left_s):
+        conn = self._conn
+        headers = forwarded_headers(request, self.upstream.server.id, left_s)
+        wire = conn.send(
+            h11.Request(method=request.method, target=request.target, headers=headers)
+        )
+        if request.body:
+            wire += conn.send(h11.Data(data=request.body))
+        wire += conn.send(h11.EndOfMessage())
+        self.exchange.writing()
+        await self._sock.sendall(wire)
+
+    async def _receive(self, request):
+        for _ in range(MAX_STRAY_REPLIES):
+            reply = await self._read_reply()
+            if reply.request_id is None or reply.request_id == request.id:
+                return reply
+            # A reply to an earlier request of this connection; the own follows.
+            self._restart_reading(request)
+        raise _BrokenError("replies to other requests")
+
+    def _restart_reading(self, request):
+        stray, closed = self._conn.trailing_data
+        if closed:
+            raise _BrokenError("closed after a reply to another request")
+        conn = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES)
+        conn.send(
+            h11.Request(
+                method=request.method,
+                target=request.target,
+                headers=[("host", request.host or "none")],
+            )
+        )
+        conn.send(h11.EndOfMessage())
+        if stray:
+            conn.receive_data(stray)
+        self._conn = conn
+
+    async def _next_event(self):
+        conn = self._conn
+        while True:
+            event = conn.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            conn.receive_data(await self._sock.recv(RECEIVE_BYTES))
+
+    async def _read_reply(self):
+        event = await self._next_event()
+        while type(event) is h11.InformationalResponse:
+            event = await self._next_event()
+        if type(event) is not h11.Response:
+            raise _BrokenError("closed before a reply")
+        chunks = []
+        size = 0
+        while True:
+            part = await self._next_event()
+            if type(part) is h11.EndOfMessage:
+                break
+            if type(part) is not h11.Data:
+                raise _BrokenError("closed within a reply")
+            size += len(part.data)
+            if size > MAX_BODY_BYTES:
+                raise _BrokenError("reply too large")
+            chunks.append(part.data)
+        return decode_reply(
+            event.status_code, list(event.headers), b"".join(chunks)
+        )
+
+    def _is_reusable(self, reply):
+        conn = self._conn
+        if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
+            return False
+        if conn.trailing_data[0] or conn.trailing_data[1]:
+            return False
+        now = self.pool.now()
+        idle_s = IDLE_LIMIT_S
+        if reply.idle_s is not None:
+            idle_s = min(idle_s, reply.idle_s * IDLE_PART)
+        if idle_s <= 0:
+            return False
+        conn.start_next_cycle()
+        self.idle_since = now
+        self.idle_until = now + idle_s
+        return True
+
+
+class ConnectionPool:
+    """Connections to all servers, kept while they are idle.
+
+    ``exchange`` objects have ``request``, ``upstream``, ``once``, ``left_s()``,
+    ``writing()``, called before the first byte, and the async methods
+    ``replied(reply)`` and ``failed(failure, reason, reply)``, of which one is
+    called once, and ``connection``, set here.
+    """
+
+    __slots__ = ("_idle", "_open", "now", "opened")
+
+    def __init__(self, now):
+        self.now = now
+        self._idle = {}
+        self._open = {}
+        self.opened = 0
+
+    def count(self, upstream):
+        """Return the number of open connections to an upstream."""
+        return self._open.get(upstream, 0)
+
+    async def send(self, exchange):
+        """Start an exchange on a parked connection or a new one."""
+        connection = await self._take(exchange)
+        if connection is not None:
+            exchange.connection = connection
+            await connection.assign(exchange)
+            return
+        upstream = exchange.upstream
+        connection = Connection(self, upstream, exchange)
+        exchange.connection = connection
+        self._open[upstream] = self._open.get(upstream, 0) + 1
+        self.opened += 1
+        connection.task = await curio.spawn(connection.run, daemon=True)
+
+    async def _take(self, exchange):
+        parked = self._idle.get(exchange.upstream)
+        now = self.now()
+        while parked:
+            connection = parked.pop()
+            fresh = now < connection.idle_until and not connection.is_stale()
+            if fresh and not (
+                exchange.once and now - connection.idle_since > ONCE_IDLE_LIMIT_S
+            ):
+                return connection
+            await connection.assign(None)
+        return None
+
+    def park(self, connection):
+        """Keep a connection for the next exchange."""
+        self._idle.setdefault(connection.upstream, []).append(connection)
+
+    def forget(self, connection):
+        """Count a connection that has ended."""
+        upstream = connection.upstream
+        left = self._open.get(upstream, 1) - 1
+        if left:
+            self._open[upstream] = left
+        else:
+            self._open.pop(upstream, None)
+        parked = self._idle.get(upstream)
+        if parked and connection in parked:
+            parked.remove(connection)
+
+    async def close(self, connection):
+        """End a connection and the exchange on it, which gets no result."""
+        connection.exchange = None
+        if connection.task is not None:
+            await connection.task.cancel(blocking=False)
+
+    async def release(self, upstream):
+        """Close the parked connections to an upstream that is not used any more."""
+        for connection in self._idle.pop(upstream, ()):
+            await connection.assign(None)
+
+    async def trim(self):
+        """Close parked connections whose time is over."""
+        now = self.now()
+        for upstream, parked in list(self._idle.items()):
+            for connection in [c for c in parked if c.idle_until <= now]:
+                parked.remove(connection)
+                await connection.assign(None)
+            if not parked:
+                del self._idle[upstream]
--- /dev/null
+++ b/almondtide/entry/dispatch.py
@@ -0,0 +1,328 @@
+"""Runs calls: places exchanges, hedges, retries and collects the result."""
+
+import curio
+
+from ..errors import ResultCode
+from .answers import answer_call, refusal
+from .calls import BranchState
+from .extras import ExtraBudget
+from .pacing import RoutePace
+from .steps import Step, may_hedge, next_step
+from .upstreams import Failure
+
+__all__ = ["Dispatcher"]
+
+HEDGE = "hedge"
+RESEND = "resend"
+REAP = "reap"
+# Time before the objective, in s, at which a merged answer leaves with what is in.
+ANSWER_MARGIN_S = 0.012
+# Part of the objective that the margin takes at most.
+ANSWER_MARGIN_PART = 0.25
+# How long an exchange goes on after its call was answered, in s. A reply in this
+# time keeps the connection; a caller that has left ends exchanges at once.
+LINGER_S = 0.3
+# Wait before a branch whose servers are all full or failing tries again, in s.
+RESEND_S = 0.012
+# Extra sends that hedges leave to retries after failures.
+HEDGE_RESERVE = 4.0
+# Time after which a refused caller comes back, in s.
+RETRY_AFTER_S = 0.05
+
+
+class _Exchange:
+    """One send of a branch to one server."""
+
+    __slots__ = (
+        "_dispatcher",
+        "branch",
+        "connection",
+        "finished",
+        "kind",
+        "started",
+        "upstream",
+        "written",
+    )
+
+    def __init__(self, dispatcher, branch, upstream, kind, started):
+        self._dispatcher = dispatcher
+        self.branch = branch
+        self.upstream = upstream
+        self.kind = kind
+        self.started = started
+        self.connection = None
+        self.finished = False
+        self.written = False
+
+    @property
+    def request(self):
+        return self.branch.call.request
+
+    @property
+    def once(self):
+        return not self.branch.call.route.is_idempotent
+
+    def left_s(self):
+        if self.finished:
+            return 0.0
+        return self.branch.call.limit_at - self._dispatcher.now()
+
+    def writing(self):
+        self.written = True
+        self.branch.uncertain += 1
+
+    async def replied(self, reply):
+        await self._dispatcher.on_reply(self, reply)
+
+    async def failed(self, failure, reason, reply):
+        await self._dispatcher.on_failure(self, failure, reason, reply)
+
+
+class Dispatcher:
+    """Runs the calls of one entry.
+
+    ``timers`` calls ``fired(kind, item)`` of this object. ``share`` is the part of
+    the fleet's extra sends that this entry may use beyond those that its own
+    requests earn.
+    """
+
+    __slots__ = (
+        "_budgets",
+        "_log",
+        "_paces",
+        "_pool",
+        "_settings",
+        "_table",
+        "_timers",
+        "counts",
+        "now",
+        "share",
+    )
+
+    def __init__(self, table, pool, settings, now, log):
+        self._table = table
+        self._pool = pool
+        self._settings = settings
+        self._log = log
+        self._timers = None
+        self._budgets = {}
+        self._paces = {}
+        self.now = now
+        self.share = 1.0
+        self.counts = {"sends": 0, "hedges": 0, "retries": 0, "refused": 0}
+
+    def use_timers(self, timers):
+        """Set the ``Timers`` that call ``fired``."""
+        self._timers = timers
+
+    def budget(self, service):
+        """Return the ``ExtraBudget`` of a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            settings = self._settings
+            budget = self._budgets[service] = ExtraBudget(
+                settings.extra_ratio, settings.extra_slack, settings.extra_window_s
+            )
+        budget.share = self.share
+        return budget
+
+    def pace(self, route):
+        """Return the ``RoutePace`` of a route's exchanges."""
+        key = (route.name, route.services)
+        pace = self._paces.get(key)
+        if pace is None:
+            pace = self._paces[key] = RoutePace(route.objective_s)
+        return pace
+
+    async def run(self, call):
+        """Run a call to its end and return its ``Answer``."""
+        usable = sum(
+            1 for branch in call.branches if self._table.members(branch.service)
+        )
+        if usable < call.needed:
+            self.counts["refused"] += 1
+            return refusal(
+                503,
+                ResultCode.NO_SERVER,
+                f"servers for {usable} of {len(call.branches)} services, "
+                f"{call.needed} needed",
+                RETRY_AFTER_S,
+            )
+        now = self.now()
+        for branch in call.branches:
+            self.budget(branch.service).count_request(now)
+            branch.is_probe = call.is_merged and self._table.is_lost(
+                branch.service, now
+            )
+            await self._send(branch, "first", now)
+        await self._wait(call)
+        is_late = self.now() >= call.limit_at
+        answer = answer_call(call, is_late, RETRY_AFTER_S)
+        await self._finish(call, is_late)
+        return answer
+
+    async def _wait(self, call):
+        if call.is_merged:
+            margin_s = min(
+                ANSWER_MARGIN_S, ANSWER_MARGIN_PART * call.route.objective_s
+            )
+            await self._wait_until(call, call.objective_at - margin_s)
+            call.accepts_partial = True
+        await self._wait_until(call, call.limit_at)
+
+    async def _wait_until(self, call, end):
+        while not call.is_decided():
+            left_s = end - self.now()
+            if left_s <= 0:
+                return
+            call.changed.clear()
+            async with curio.ignore_after(left_s):
+                await call.changed.wait()
+
+    async def _finish(self, call, is_late):
+        """Give up what is still under way."""
+        now = self.now()
+        for branch in call.branches:
+            if branch.state is BranchState.OPEN:
+                branch.state = BranchState.FAILED
+            for exchange in list(branch.open):
+                if call.abandoned or is_late or not exchange.written:
+                    await self._close(exchange)
+                else:
+                    await self._timers.schedule(now + LINGER_S, REAP, exchange)
+
+    async def abandon(self, call):
+        """End a call whose caller has left, and all its exchanges."""
+        call.abandoned = True
+        await call.changed.set()
+        for branch in call.branches:
+            for exchange in list(branch.open):
+                await self._close(exchange)
+
+    async def _close(self, exchange):
+        if exchange.finished:
+            return
+        self._end(exchange)
+        exchange.upstream.drop(exchange, self.now())
+        await self._pool.close(exchange.connection)
+
+    def _end(self, exchange):
+        exchange.finished = True
+        if exchange in exchange.branch.open:
+            exchange.branch.open.remove(exchange)
+
+    async def _send(self, branch, kind, now):
+        """Place an exchange of the branch; returns whether one was sent."""
+        upstream = self._table.choose(branch.service, now, branch.tried)
+        if upstream is None and kind != "hedge":
+            upstream = self._choose_again(branch, now)
+        if upstream is None:
+            await self._no_server(branch, kind, now)
+            return False
+        if kind != "first" and branch.sent:
+            reserve = HEDGE_RESERVE if kind == "hedge" else 0.0
+            if not self.budget(branch.service).spend(now, reserve):
+                if kind != "hedge":
+                    await self._give_up(branch, "no budget for another send")
+                return False
+        pace = self.pace(branch.call.route)
+        exchange = _Exchange(self, branch, upstream, kind, now)
+        branch.tried.add(upstream.server.id)
+        branch.open.append(exchange)
+        branch.sent += 1
+        branch.ran += 1
+        self.counts["sends"] += 1
+        if kind == "hedge":
+            self.counts["hedges"] += 1
+        elif kind == "retry":
+            self.counts["retries"] += 1
+        upstream.start(exchange, now, pace.expected_s)
+        await self._pool.send(exchange)
+        if branch.call.route.is_idempotent and branch.ran < branch.call.route.max_servers:
+            await self._timers.schedule(now + pace.hedge_s, HEDGE, exchange)
+        return True
+
+    def _choose_again(self, branch, now):
+        """Choose among servers that were tried, where nothing ran there."""
+        if branch.open or not branch.tried:
+            return None
+        return self._table.choose(branch.service, now)
+
+    async def _no_server(self, branch, kind, now):
+        if kind == "hedge" or branch.state is not BranchState.OPEN or branch.open:
+            return
+        if self._table.has_room_later(branch.service, now):
+            await self._timers.schedule(now + RESEND_S, RESEND, branch)
+            return
+        await self._give_up(branch, "no server")
+
+    async def _give_up(self, branch, reason):
+        if branch.state is not BranchState.OPEN or branch.open:
+            return
+        branch.failures.append(reason)
+        branch.call.close_branch(branch, BranchState.FAILED)
+        await branch.call.changed.set()
+
+    async def fired(self, kind, item):
+        """Handle a timer."""
+        now = self.now()
+        if kind == HEDGE:
+            exchange = item
+            branch = exchange.branch
+            if not exchange.finished and may_hedge(branch, now):
+                await self._send(branch, "hedge", now)
+        elif kind == RESEND:
+            if item.state is BranchState.OPEN and not item.open:
+                if next_step(item, now) is Step.RETRY:
+                    await self._send(item, "retry", now)
+                else:
+                    await self._give_up(item, "no time left")
+        elif kind == REAP:
+            await self._close(item)
+
+    async def on_reply(self, exchange, reply):
+        """Handle a complete reply of a server."""
+        if exchange.finished:
+            return
+        if reply.misdirected:
+            await self.on_failure(exchange, Failure.MISDIRECTED, "421", reply)
+            return
+        if reply.not_run:
+            await self.on_failure(exchange, Failure.NOT_RUN, "not run", reply)
+            return
+        if not reply.is_success:
+            reason = f"status {reply.status}"
+            await self.on_failure(exchange, Failure.ERROR, reason, reply)
+            return
+        self._end(exchange)
+        now = self.now()
+        latency = exchange.upstream.succeed(exchange, now)
+        branch = exchange.branch
+        call = branch.call
+        if latency is not None:
+            self.pace(call.route).add(latency)
+        if branch.state is BranchState.OPEN:
+            call.close_branch(branch, BranchState.DONE, reply)
+            if call.is_decided():
+                await call.changed.set()
+
+    async def on_failure(self, exchange, failure, reason, reply):
+        """Handle an exchange that failed."""
+        if exchange.finished:
+            return
+        self._end(exchange)
+        now = self.now()
+        upstream = exchange.upstream
+        branch = exchange.branch
+        upstream.fail(exchange, failure, now)
+        branch.failures.append(f"{upstream.server.id}:{failure.value}:{reason}")
+        if failure.certainly_not_run:
+            branch.ran -= 1
+            branch.uncertain -= exchange.written
+        elif failure is Failure.ERROR and not 200 <= reply.status < 300:
+            branch.last_reply = reply
+        step = next_step(branch, now)
+        if step is Step.RETRY:
+            await self._send(branch, "retry", now)
+        elif step is Step.GIVE_UP:
+            await self._give_up(branch, "no more tries")
--- /dev/null
+++ b/almondtide/entry/extras.py
@@ -0,0 +1,74 @@
+"""Budget of sends beyond the first of each request, per service."""
+
+__all__ = ["ExtraBudget"]
+
+BUCKETS = 20
+# Part of the allowance that is used; the rest covers differences between the
+# window here and the windows of those who count.
+USABLE = 0.85
+
+
+class ExtraBudget:
+    """Counts requests and extra sends to one service in a sliding window.
+
+    The fleet as a whole may send ``ratio`` times the requests plus ``slack`` extra
+    requests in each window of ``window_s``. Requests of this entry are its own
+    part of the first term, of the second it takes ``share``, 0.0 to 1.0.
+    """
+
+    __slots__ = (
+        "_bucket_s",
+        "_current",
+        "_extras",
+        "_requests",
+        "ratio",
+        "share",
+        "slack",
+        "spent",
+    )
+
+    def __init__(self, ratio, slack, window_s, share=1.0):
+        self.ratio = ratio
+        self.slack = slack
+        self.share = share
+        self.spent = 0
+        self._bucket_s = window_s / BUCKETS
+        self._current = None
+        self._requests = [0] * BUCKETS
+        # One bucket more, so that a window that begins within one is covered.
+        self._extras = [0] * (BUCKETS + 1)
+
+    def _advance(self, now):
+        bucket = int(now / self._bucket_s)
+        if self._current is None:
+            self._current = bucket
+        for index in range(
+            max(self._current + 1, bucket - BUCKETS), bucket + 1
+        ):
+            self._requests[index % BUCKETS] = 0
+            self._extras[index % (BUCKETS + 1)] = 0
+        self._current = max(bucket, self._current)
+        return self._current
+
+    def count_request(self, now):
+        """Count the first send of a request."""
+        self._requests[self._advance(now) % BUCKETS] += 1
+
+    def left(self, now):
+        """Return how many extra sends are allowed now."""
+        self._advance(now)
+        allowed = USABLE * (
+            self.ratio * sum(self._requests) + self.slack * self.share
+        )
+        return allowed - sum(self._extras)
+
+    def spend(self, now, reserve=0.0):
+        """Count an extra send if it is allowed; returns whether it is.
+
+        ``reserve`` is how many must be left for more important ones.
+        """
+        if self.left(now) < 1.0 + reserve:
+            return False
+        self._extras[self._current % (BUCKETS + 1)] += 1
+        self.spent += 1
+        return True
--- /dev/null
+++ b/almondtide/entry/gossip.py
@@ -0,0 +1,323 @@
+"""Datagrams between daemons: beats, news of the store, and snapshots."""
+
+import random
+import zlib
+
+import curio
+from curio import socket
+
+from ..adapters.http import HTTPClient, HTTPResponse
+from ..errors import DocumentError, UpstreamError
+from .codec import (
+    MAX_DATAGRAM,
+    Beat,
+    decode_message,
+    decode_snapshot,
+    encode_beat,
+    encode_news,
+    encode_snapshot,
+)
+from .members import MemberState, choose_carriers
+
+__all__ = ["Gossip"]
+
+SNAPSHOT_PATH = "/snapshot"
+# Time between two beats, in s; carriers are watched more closely.
+CARRIER_BEAT_S = 0.3
+BEAT_S = 0.6
+# Members that a beat or news goes to at most, and others it tells about.
+FANOUT = 24
+RELAYED = 5
+# Time, in s, for which a differing digest may be news on its way.
+DIFFERENCE_S = 0.25
+PULL_TIMEOUT_S = 1.0
+# Silent members that each beat asks whether they are back.
+LOST_ASKED = 1
+MAX_CONFIGURATION_BYTES = 1 << 20
+
+
+class Gossip:
+    """Keeps the view and the knowledge of one daemon in line with the others.
+
+    ``on_news(facts, configured)`` is an async function called for each change.
+    """
+
+    __slots__ = (
+        "_differs_since",
+        "_feed",
+        "_knowledge",
+        "_log",
+        "_now",
+        "_on_news",
+        "_pulled_at",
+        "_settings",
+        "_sock",
+        "_urgent",
+        "counts",
+        "view",
+    )
+
+    def __init__(self, settings, view, knowledge, feed, on_news, now, log):
+        self._settings = settings
+        self.view = view
+        self._knowledge = knowledge
+        self._feed = feed
+        self._on_news = on_news
+        self._now = now
+        self._log = log
+        self._sock = None
+        self._differs_since = None
+        self._pulled_at = 0.0
+        self._urgent = curio.Event()
+        self.counts = {"datagrams_out": 0, "datagrams_in": 0, "bytes_out": 0}
+
+    async def start(self):
+        """Bind the socket and start the tasks."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock.bind(self._settings.gossip_address)
+        self._sock = sock
+        await curio.spawn(self._receive, daemon=True)
+        await curio.spawn(self._beat_loop, daemon=True)
+
+    async def speak(self):
+        """Send a beat to the members at once."""
+        await self._urgent.set()
+
+    # Sending
+
+    async def _beat_loop(self):
+        while True:
+            await self._send_beats()
+            self._urgent.clear()
+            pause_s = CARRIER_BEAT_S if self.view.me.carries else BEAT_S
+            async with curio.ignore_after(pause_s * random.uniform(0.8, 1.2)):
+                await self._urgent.wait()
+
+    async def _send_beats(self):
+        now = self._now()
+        me = self.view.me
+        me.heard_at = now
+        targets = self._targets(now)
+        wants_reply = not self._knowledge.is_complete or not targets
+        hosts = [member.host for member in targets]
+        if wants_reply or not targets:
+            hosts.extend(host for host, _ in self._settings.seeds)
+        hosts.extend(self._lost(now))
+        raw = encode_beat(self._beat(now, RELAYED, wants_reply), now)
+        for host in dict.fromkeys(hosts):
+            if host != me.host:
+                await self._send(raw, host)
+
+    def _targets(self, now):
+        alive = [member for member in self.view.alive(now) if member is not self.view.me]
+        if len(alive) <= FANOUT:
+            return alive
+        carriers = [member for member in alive if member.carries]
+        return list(
+            {
+                member.name: member
+                for member in [
+                    *random.sample(carriers, min(len(carriers), FANOUT // 2)),
+                    *random.sample(alive, FANOUT // 2),
+                ]
+            }.values()
+        )
+
+    def _lost(self, now):
+        """Return hosts of a few silent members, which may be back."""
+        silent = [
+            member.host
+            for member in self.view.members.values()
+            if not self.view.is_alive(member, now)
+        ]
+        return random.sample(silent, min(len(silent), LOST_ASKED))
+
+    def _beat(self, now, relayed, wants_reply):
+        alive = [member for member in self.view.alive(now) if member is not self.view.me]
+        knowledge = self._knowledge
+        return Beat(
+            self.view.me,
+            knowledge.digest,
+            knowledge.version,
+            knowledge.age_s(now),
+            random.sample(alive, min(len(alive), relayed)),
+            wants_reply,
+            self._feed.cursor or 0,
+        )
+
+    async def _send(self, raw, host):
+        self.counts["datagrams_out"] += 1
+        self.counts["bytes_out"] += len(raw)
+        try:
+            await self._sock.sendto(raw, (host, self._settings.gossip_address[1]))
+        except OSError as exc:
+            # A datagram may be lost anyway; the next beat repeats it.
+            self._log.debug("datagram_not_sent", host=host, error=str(exc))
+
+    async def spread(self, facts, configured, source=None):
+        """Send news to the members, except to the ``source`` host."""
+        now = self._now()
+        hosts = [member.host for member in self._targets(now) if member.host != source]
+        configuration = None
+        if configured:
+            packed = zlib.compress(self._knowledge.configuration_raw)
+            if len(packed) < MAX_DATAGRAM - 64:
+                revision = self._knowledge.configuration_revision
+                configuration = (revision, packed)
+        for raw in encode_news(facts, configuration):
+            for host in hosts:
+                await self._send(raw, host)
+        if configured and configuration is None:
+            # Too large for a datagram: members pull it when a beat names it.
+            await self.speak()
+
+    # Receiving
+
+    async def _receive(self):
+        while True:
+            try:
+                raw, (host, _) = await self._sock.recvfrom(65536)
+            except OSError as exc:
+                self._log.debug("datagram_not_received", error=str(exc))
+                continue
+            self.counts["datagrams_in"] += 1
+            now = self._now()
+            try:
+                message = decode_message(raw, now)
+            except DocumentError as exc:
+                self._log.warning("datagram_invalid", host=host, reason=exc.message)
+                continue
+            if isinstance(message, Beat):
+                await self._on_beat(message, host, now)
+            else:
+                await self._on_facts(*message, host, now)
+
+    async def _on_beat(self, beat, host, now):
+        self._hear(beat.sender, now)
+        for member in beat.heard:
+            self._hear(member, now)
+        if beat.wants_reply:
+            await self._reply(host, now)
+        if beat.age_s is not None:
+            await self._compare(beat, host, now)
+
+    def _hear(self, member, now):
+        was_known = self.view.members.get(member.name)
+        if self.view.hear(member):
+            self._log.info(
+                "member_news",
+                member=member.name,
+                incarnation=member.incarnation,
+                state=member.state.name,
+                carries=member.carries,
+                age_s=round(now - member.heard_at, 2),
+                known=was_known is not None,
+            )
+
+    async def _reply(self, host, now):
+        members = self.view.alive(now)
+        for start in range(0, len(members), 12):
+            beat = self._beat(now, 0, False)
+            beat.heard = members[start : start + 12]
+            await self._send(encode_beat(beat, now), host)
+
+    async def _compare(self, beat, host, now):
+        knowledge = self._knowledge
+        if beat.digest == knowledge.digest and beat.version == knowledge.version:
+            self._differs_since = None
+            knowledge.confirm(now - beat.age_s)
+            self._feed.cursor = max(self._feed.cursor or 0, beat.cursor)
+            return
+        age_s = knowledge.age_s(now)
+        if age_s is not None and beat.age_s >= age_s:
+            return
+        if self._differs_since is None:
+            self._differs_since = now
+        waited = now - self._differs_since >= DIFFERENCE_S
+        if not knowledge.is_complete or waited or beat.version > knowledge.version:
+            await self._pull_later(host, now)
+
+    async def _pull_later(self, host, now):
+        if now - self._pulled_at < DIFFERENCE_S:
+            return
+        self._pulled_at = now
+        await curio.spawn(self._pull, host, daemon=True)
+
+    async def _on_facts(self, facts, configuration, host, now):
+        news = [
+            fact
+            for fact in (
+                self._knowledge.put(key, revision, server, now)
+                for key, revision, server in facts
+            )
+            if fact is not None
+        ]
+        configured = False
+        if configuration is not None:
+            configured = self._unpack_configuration(configuration, host)
+        if news or configured:
+            await self._on_news(news, configured, f"peer {host}")
+            if len(self.view.members) > FANOUT:
+                await self.spread(news, configured, host)
+
+    def _unpack_configuration(self, configuration, host):
+        try:
+            revision, packed = configuration
+            inflater = zlib.decompressobj()
+            raw = inflater.decompress(packed, MAX_CONFIGURATION_BYTES)
+            return self._feed.adopt(raw, int(revision))
+        except (zlib.error, TypeError, ValueError) as exc:
+            self._log.warning("datagram_invalid", host=host, reason=str(exc))
+            return False
+
+    # Snapshots
+
+    async def serve(self, request):
+        """Answer a peer on the control address."""
+        if request.path != SNAPSHOT_PATH or not self._knowledge.is_complete:
+            return HTTPResponse(404)
+        age_s = self._knowledge.age_s(self._now())
+        return HTTPResponse(200, encode_snapshot(self._knowledge, age_s))
+
+    async def _pull(self, host):
+        address = (host, self._settings.control_address[1])
+        try:
+            async with curio.timeout_after(PULL_TIMEOUT_S):
+                client = await HTTPClient.open(address, PULL_TIMEOUT_S)
+                try:
+                    response = await client.request("GET", SNAPSHOT_PATH)
+                finally:
+                    await client.close()
+            if response.status != 200:
+                return
+            snapshot = decode_snapshot(response.body)
+        except (OSError, UpstreamError, DocumentError, curio.TaskTimeout) as exc:
+            self._log.warning("snapshot_failed", host=host, error=str(exc))
+            return
+        await self._apply_snapshot(snapshot, host)
+
+    async def _apply_snapshot(self, snapshot, host):
+        age_s, revision, cfg_revision, cfg_raw, facts = snapshot
+        now = self._now()
+        knowledge = self._knowledge
+        configured = self._feed.adopt(cfg_raw, cfg_revision)
+        keys = {key for key, _, _ in facts}
+        missing = knowledge.missing_from(keys, revision)
+        facts.extend((key, revision, None) for key in missing)
+        news = [
+            fact
+            for fact in (knowledge.put(*fact, now) for fact in facts)
+            if fact is not None
+        ]
+        knowledge.confirm(now - age_s)
+        self._differs_since = None
+        if news or configured:
+            await self._on_news(news, configured, f"snapshot {host}")
+
+    def carriers(self, now):
+        """Return the carriers of each failure domain."""
+        return choose_carriers(self.view.ready(now))
+
+    def set_state(self, state):
+        """Change the state of this daemon."""
+        self.view.me.state = MemberState(state)
--- /dev/null
+++ b/almondtide/entry/upstreams.py
@@ -0,0 +1,298 @@
+"""What this entry knows about each server, and which one to use."""
+
+import enum
+
+__all__ = ["Failure", "Upstream", "UpstreamTable"]
+
+# Weight of a new sample in the moving averages of slowness and failures.
+SAMPLE_WEIGHT = 0.2
+# Time constant, in s, at which an estimate without samples returns to normal, so
+# that a server that recovered is tried again.
+FORGET_S = 3.0
+# A server counts as silent when its oldest exchange takes this many times the
+# expected time, and at least so many seconds, and nothing else came from it.
+SILENT_FACTOR = 2.5
+SILENT_FLOOR_S = 0.02
+# A silence longer than this, in s, is no pause but a lost server.
+LOST_AFTER_S = 0.45
+# First and longest time, in s, for which a failing server is left out.
+EJECT_FIRST_S = 0.25
+EJECT_LONGEST_S = 2.0
+# A server that said it is full is left out for this time, in s.
+FULL_FIRST_S = 0.03
+FULL_LONGEST_S = 0.25
+# Cost of another failure domain in units of the normal time of a request.
+OTHER_DOMAIN_COST = 0.45
+COLD_COST = 0.4
+SILENT_COST = 20.0
+# Requests that one entry may have at a server, as a multiple of its slots. The
+# server queues a few; more would only hide the load from the choice.
+DEPTH = 2.0
+
+
+class Failure(enum.Enum):
+    """How an exchange failed, and so what is known about its effect."""
+
+    # No byte of the request was sent.
+    NOT_SENT = "not_sent"
+    # The server states that it did not run the request.
+    NOT_RUN = "not_run"
+    # Another server has the address; nothing ran.
+    MISDIRECTED = "misdirected"
+    # The connection broke, or the reply is no reply: it may have run.
+    BROKEN = "broken"
+    # The server ran it and answered with a failure.
+    ERROR = "error"
+    # No reply in time: it may have run.
+    TIMEOUT = "timeout"
+
+    @property
+    def certainly_not_run(self):
+        """Whether the request has not run and will not."""
+        return self in (Failure.NOT_SENT, Failure.NOT_RUN, Failure.MISDIRECTED)
+
+
+class Upstream:
+    """Load, speed and health of one life of a server, as seen from here."""
+
+    __slots__ = (
+        "_failing",
+        "_full_in_row",
+        "_lost_in_row",
+        "_pending",
+        "_slowness",
+        "_updated",
+        "ejected_until",
+        "full_until",
+        "heard_at",
+        "probing",
+        "removed",
+        "server",
+    )
+
+    def __init__(self, server):
+        self.server = server
+        self._slowness = 1.0
+        self._failing = 0.0
+        self._updated = 0.0
+        self._full_in_row = 0
+        self._lost_in_row = 0
+        # Exchange -> (start, expected end), in the order of their starts.
+        self._pending = {}
+        self.ejected_until = 0.0
+        self.full_until = 0.0
+        self.heard_at = 0.0
+        self.probing = False
+        self.removed = False
+
+    @property
+    def in_flight(self):
+        """Number of exchanges under way."""
+        return len(self._pending)
+
+    def slowness(self, now):
+        """Return the expected time as a multiple of the normal one."""
+        return 1.0 + (self._slowness - 1.0) * self._memory(now)
+
+    def failing(self, now):
+        """Return the expected share of requests that fail, 0.0 to 1.0."""
+        return self._failing * self._memory(now)
+
+    def _memory(self, now):
+        age = now - self._updated
+        return max(0.0, 1.0 - age / FORGET_S) if age > 0 else 1.0
+
+    def silent_s(self, now):
+        """Return for how long the server has owed an answer, or 0.0."""
+        if not self._pending:
+            return 0.0
+        started, expected_s = next(iter(self._pending.values()))
+        silent = now - max(started, self.heard_at)
+        due = max(SILENT_FLOOR_S, SILENT_FACTOR * expected_s * self.slowness(now))
+        return silent if silent > due else 0.0
+
+    def start(self, exchange, now, expected_s):
+        """Count an exchange that begins; a lost server is probed by it."""
+        self._pending[exchange] = (now, expected_s)
+        self.probing = self._lost_in_row > 0
+
+    def drop(self, exchange, now):
+        """Forget an exchange that was given up; its silence counts."""
+        entry = self._pending.pop(exchange, None)
+        if entry is None:
+            return
+        self.probing = False
+        if now - max(entry[0], self.heard_at) > LOST_AFTER_S:
+            self._eject(now)
+
+    def succeed(self, exchange, now):
+        """Count a good reply; returns its latency in seconds, or None."""
+        entry = self._pending.pop(exchange, None)
+        self.heard_at = now
+        self.probing = False
+        self._full_in_row = 0
+        self._lost_in_row = 0
+        self.ejected_until = 0.0
+        self.full_until = 0.0
+        if entry is None:
+            return None
+        latency = now - entry[0]
+        ratio = min(20.0, latency / max(0.001, entry[1]))
+        self._sample(ratio, 0.0, now)
+        return latency
+
+    def fail(self, exchange, failure, now):
+        """Count an exchange that failed with ``failure``."""
+        self._pending.pop(exchange, None)
+        self.probing = False
+        if failure is Failure.NOT_RUN:
+            self.heard_at = now
+            self._sample(None, 1.0, now)
+            wait = min(FULL_LONGEST_S, FULL_FIRST_S * 2**self._full_in_row)
+            self._full_in_row = min(10, self._full_in_row + 1)
+            self.full_until = now + wait
+        elif failure is Failure.MISDIRECTED:
+            self.removed = True
+        elif failure is Failure.ERROR:
+            self.heard_at = now
+            self._sample(None, 1.0, now)
+        else:
+            self._sample(None, 1.0, now)
+            if failure is not Failure.BROKEN or self._failing > 0.5:
+                self._eject(now)
+
+    def _eject(self, now):
+        wait = min(EJECT_LONGEST_S, EJECT_FIRST_S * 2**self._lost_in_row)
+        self._lost_in_row = min(10, self._lost_in_row + 1)
+        self.ejected_until = now + wait
+
+    def _sample(self, ratio, failed, now):
+        memory = self._memory(now)
+        weight = SAMPLE_WEIGHT
+        failing = self._failing * memory
+        self._failing = failing + weight * (failed - failing)
+        slowness = 1.0 + (self._slowness - 1.0) * memory
+        if ratio is not None:
+            slowness += weight * (ratio - slowness)
+        self._slowness = slowness
+        self._updated = now
+
+    def is_lost(self, now):
+        """Return whether the server is left out because it seems to be gone."""
+        return (
+            self.removed
+            or self.ejected_until > now
+            or self._lost_in_row > 0
+            or self.silent_s(now) > LOST_AFTER_S
+        )
+
+    def cost(self, now, domain):
+        """Return the cost of a request in units of the normal time."""
+        server = self.server
+        load = (len(self._pending) + 1) / server.slots
+        cost = self.slowness(now) * max(1.0, load)
+        failing = self.failing(now)
+        if failing:
+            cost /= max(0.05, 1.0 - failing) ** 2
+        if server.domain != domain:
+            cost += OTHER_DOMAIN_COST
+        if server.cold:
+            cost += COLD_COST
+        silent = self.silent_s(now)
+        if silent:
+            cost += SILENT_COST + silent
+        return cost
+
+
+class UpstreamTable:
+    """The servers of all services; ``domain`` is the own failure domain."""
+
+    __slots__ = ("_by_id", "_by_service", "domain")
+
+    def __init__(self, domain):
+        self.domain = domain
+        self._by_id = {}
+        self._by_service = {}
+
+    def __iter__(self):
+        return iter(self._by_id.values())
+
+    def apply(self, server):
+        """Add or update a server; returns the ``Upstream`` that it replaces.
+
+        A new life, address or service of a known id is another upstream.
+        """
+        known = self._by_id.get(server.id)
+        if known is not None:
+            old = known.server
+            if (
+                old.address == server.address
+                and old.service == server.service
+                and (old.born_ms == server.born_ms)
+                and not known.removed
+            ):
+                known.server = server
+                return None
+            self.remove(server.id)
+        upstream = Upstream(server)
+        self._by_id[server.id] = upstream
+        self._by_service.setdefault(server.service, {})[server.id] = upstream
+        return known
+
+    def remove(self, server_id):
+        """Forget a server; returns its ``Upstream`` or None."""
+        upstream = self._by_id.pop(server_id, None)
+        if upstream is not None:
+            upstream.removed = True
+            members = self._by_service[upstream.server.service]
+            del members[server_id]
+            if not members:
+                del self._by_service[upstream.server.service]
+        return upstream
+
+    def get(self, server_id):
+        """Return the ``Upstream`` with this id, or None."""
+        return self._by_id.get(server_id)
+
+    def members(self, service):
+        """Return the usable upstreams of a service."""
+        return [
+            upstream
+            for upstream in self._by_service.get(service, {}).values()
+            if not upstream.removed and not upstream.server.leaving
+        ]
+
+    def is_lost(self, service, now):
+        """Return whether no server of the service is expected to answer."""
+        return all(upstream.is_lost(now) for upstream in self.members(service))
+
+    def choose(self, service, now, exclude=()):
+        """Return the best upstream of a service, or None.
+
+        ``exclude`` are ids that were tried. Servers that failed are left out for
+        a while; then one request at a time may probe them.
+        """
+        best = None
+        best_cost = 0.0
+        for upstream in self.members(service):
+            if upstream.server.id in exclude:
+                continue
+            if upstream.ejected_until > now or upstream.full_until > now:
+                continue
+            if upstream.is_lost(now) and (upstream.probing or upstream.silent_s(now)):
+                continue
+            if upstream.in_flight >= DEPTH * upstream.server.slots:
+                continue
+            cost = upstream.cost(now, self.domain)
+            if best is None or cost < best_cost:
+                best, best_cost = upstream, cost
+        return best
+
+    def has_room_later(self, service, now, exclude=()):
+        """Return whether a server is only full now and may take work soon."""
+        return any(
+            upstream.server.id not in exclude
+            and upstream.ejected_until <= now
+            and not upstream.is_lost(now)
+            for upstream in self.members(service)
+        )
--- a/almondtide/logs.py
+++ b/almondtide/logs.py
@@ -70,8 +70,8 @@
         return prefix + format_event("library_message", {**fields, **self._common})
 
 
-def set_up_logging(verbosity, **common):
-    """Send log lines to standard error; 0 logs events, 1 also details.
+def set_up_logging(verbosity, stream=None, **common):
+    """Send log lines to standard error or ``stream``; 1 logs details too.
 
     ``common`` are fields for the messages of libraries.
     """
@@ -79,7 +79,10 @@
         # absl prints a warning with each process that does not parse its flags.
         flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
-    logging.get_absl_handler().setFormatter(_LineFormatter(common))
+    handler = logging.get_absl_handler()
+    handler.setFormatter(_LineFormatter(common))
+    if stream is not None:
+        handler.python_handler.setStream(stream)
     logging.set_verbosity(verbosity)
     # It reports each connection, and with its frames at the level of details.
     stdlib_logging.getLogger("websockets").setLevel(stdlib_logging.WARNING)
--- /dev/null
+++ b/almondtide/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform: its names, formats and calls; nothing here decides."""
--- /dev/null
+++ b/almondtide/platform/settings.py
@@ -0,0 +1,90 @@
+"""The settings file that the platform writes for each process."""
+
+import orjson
+
+from ..entry.model import Settings
+from ..errors import SettingsError
+from .fields import Fields, parse_address
+
+__all__ = ["SETTINGS_VARIABLE", "decode_settings", "read_settings"]
+
+SETTINGS_VARIABLE = "ALMONDTIDE_SETTINGS"
+# Port of the metrics, as ``deploy/system.toml`` names it to the platform.
+METRICS_PORT = 9464
+
+
+def read_settings(path):
+    """Return the ``Settings`` in the file; raises ``SettingsError``."""
+    try:
+        with open(path, "rb") as file:
+            raw = file.read()
+    except OSError as exc:
+        raise SettingsError([f"{path}: {exc.strerror}"]) from exc
+    return decode_settings(raw)
+
+
+def decode_settings(raw):
+    """Return the ``Settings`` of a document; raises ``SettingsError``.
+
+    The error names all problems at once. Unknown fields are ignored.
+    """
+    try:
+        table = orjson.loads(raw)
+    except orjson.JSONDecodeError as exc:
+        raise SettingsError([f"settings: not valid JSON: {exc}"]) from exc
+    fields = Fields(table)
+    listen = fields.table("listen")
+    limits = fields.table("limits")
+    bounds = fields.table("bounds")
+    ip = fields.text("ip")
+    settings = Settings(
+        instance=fields.text("node_name"),
+        region=fields.text("region"),
+        domain=fields.text("zone"),
+        domains=tuple(sorted(table.get("zones") or ()))
+        if isinstance(table, dict)
+        else (),
+        caller_address=listen.address("front"),
+        readiness_address=listen.address("readiness"),
+        control_address=listen.address("control"),
+        directory_address=listen.address("directory"),
+        gossip_address=_gossip_address(fields, table, ip),
+        metrics_address=(ip, METRICS_PORT),
+        seeds=_seeds(fields),
+        store_address=fields.table("platform").address("address"),
+        # A share of 0.5 of a core that is twice as fast as usual counts as one.
+        core_share=(limits.number("cpu_share", 1.0) * limits.number("cores", 1.0)),
+        drain_s=bounds.number("drain_ms") / 1000.0 if bounds.has("drain_ms") else 3.0,
+        grace_s=bounds.number("grace_s", 6.0),
+        config_apply_s=bounds.number("config_apply_ms", 3000) / 1000.0,
+        extra_ratio=bounds.number("retry_budget_ratio", 0.2),
+        extra_window_s=bounds.number("budget_window_s", 10.0),
+        extra_slack=bounds.number("budget_slack", 0),
+        max_ttl_s=bounds.number("ttl_max_s", 5.0),
+    )
+    if fields.problems:
+        raise SettingsError(fields.problems)
+    return settings
+
+
+def _gossip_address(fields, table, ip):
+    ports = table.get("port_range") if isinstance(table, dict) else None
+    if (
+        not isinstance(ports, list)
+        or len(ports) != 2
+        or not all(isinstance(port, int) and 0 < port < 65536 for port in ports)
+    ):
+        fields.problems.append("port_range: not two ports")
+        return None
+    return ip, ports[0]
+
+
+def _seeds(fields):
+    seeds = []
+    for text in fields.texts("seeds", []):
+        address = parse_address(text)
+        if address is None:
+            fields.problems.append(f"seeds: {text!r} is not an address")
+        else:
+            seeds.append(address)
+    return tuple(seeds)
