--- a/almondtide/entry/pacing.py
+++ b/almondtide/entry/pacing.py
@@ -8,6 +8,9 @@
 MIN_SAMPLES = 20
 # Share of exchanges that are faster than the time until a hedge.
 HEDGE_QUANTILE = 0.9
+# The time until a hedge is at most this multiple of the median. Some slow servers
+# would otherwise raise the quantile to their own latency.
+HEDGE_MEDIANS = 1.8
 # Least time until a hedge, in s; below it scheduling noise would cause hedges.
 HEDGE_FLOOR_S = 0.008
 # While nothing is measured: the hedge delay and the expected time as parts of the
@@ -37,4 +40,7 @@
             return
         self._since = 0
         self.expected_s = self._window.quantile(0.5)
-        self.hedge_s = max(HEDGE_FLOOR_S, self._window.quantile(HEDGE_QUANTILE))
+        hedge_s = min(
+            self._window.quantile(HEDGE_QUANTILE), HEDGE_MEDIANS * self.expected_s
+        )
+        self.hedge_s = max(HEDGE_FLOOR_S, hedge_s)
--- /dev/null
+++ b/tests/entry/test_feed.py
@@ -0,0 +1,145 @@
+"""Tests of what reads of the store mean, replaying its disruptions."""
+
+import orjson
+import testtools
+
+from almondtide.entry.feed import (
+    FAILED_PAUSE_S,
+    LAPSE_GAP_S,
+    LAPSE_HOLD_S,
+    READ_PERIOD_S,
+    StoreFeed,
+    read_due_at,
+)
+from almondtide.entry.knowledge import Knowledge
+from almondtide.platform.documents import CONFIGURATION_KEY
+from almondtide.platform.store import StoreItem
+from tests.platform.test_documents import ENTRY
+from tests.support import MemoryLog
+
+
+def _item(number, revision, **changes):
+    raw = orjson.dumps({**ENTRY, **changes})
+    return StoreItem(f"servers/i-{number}", revision, raw)
+
+
+def _gone(number, revision):
+    return StoreItem(f"servers/i-{number}", revision, None)
+
+
+class _FeedTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.knowledge = Knowledge()
+        self.log = MemoryLog()
+        self.feed = StoreFeed(self.knowledge, self.log)
+
+    def known(self):
+        return sorted(fact.key for fact in self.knowledge.servers())
+
+
+class ApplyTest(_FeedTest):
+    """Guards against servers that are used though they left, or the reverse."""
+
+    def test_full_list_then_changes(self):
+        self.feed.apply_full([_item(1, 3), _item(2, 4)], 5, 0.0)
+        self.feed.apply_changes([_gone(1, 6), _item(3, 7)], 7, 1.0)
+        self.assertEqual(["servers/i-2", "servers/i-3"], self.known())
+        self.assertEqual(7, self.feed.cursor)
+
+    def test_heartbeats_are_no_news(self):
+        self.feed.apply_full([_item(1, 3)], 5, 0.0)
+        self.assertEqual([], self.feed.apply_changes([_item(1, 6, sequence=5)], 6, 1))
+
+    def test_draining_is_news(self):
+        self.feed.apply_full([_item(1, 3)], 5, 0.0)
+        (fact,) = self.feed.apply_changes([_item(1, 6, state="draining")], 6, 1.0)
+        self.assertTrue(fact.server.leaving)
+
+    def test_garbage_names_no_server_and_the_others_hold(self):
+        bad = StoreItem("servers/i-9", 4, b"\xff{")
+        self.feed.apply_full([bad, _item(1, 3)], 5, 0.0)
+        self.assertEqual(["servers/i-1"], self.known())
+        self.assertEqual(["entry_invalid"], self.log.names())
+
+    def test_other_keys_are_ignored(self):
+        self.feed.apply_changes([StoreItem("op/other", 3, b"x")], 3, 0.0)
+        self.assertEqual([], self.known())
+
+    def test_calm_removal_counts_at_once(self):
+        self.feed.apply_full([_item(1, 3)], 5, 0.0)
+        self.feed.apply_changes([_gone(1, 6)], 6, 1.0)
+        self.assertEqual([], self.known())
+
+    def test_missing_from_a_full_list_after_lost_history(self):
+        # The history was dropped while a server left; there was no gap.
+        self.feed.apply_full([_item(1, 3), _item(2, 3)], 5, 0.0)
+        self.feed.apply_full([_item(2, 8)], 9, 1.0)
+        self.assertEqual(["servers/i-2"], self.known())
+
+
+class LapseTest(_FeedTest):
+    """Replays entries that lapse while the store is away."""
+
+    def setUp(self):
+        super().setUp()
+        self.feed.apply_full([_item(1, 3), _item(2, 3)], 5, 0.0)
+        self.back = LAPSE_GAP_S + 3.0
+
+    def test_lapsed_entries_stay_until_they_are_back(self):
+        self.feed.apply_changes([_gone(1, 6), _gone(2, 7)], 7, self.back)
+        self.assertEqual(2, len(self.known()))
+        self.feed.apply_changes([_item(1, 8)], 8, self.back + 1.0)
+        news = self.feed.release_held(self.back + LAPSE_HOLD_S + 0.01)
+        self.assertEqual(["servers/i-2"], [fact.key for fact in news])
+        self.assertEqual(["servers/i-1"], self.known())
+
+    def test_the_same_with_a_full_list(self):
+        self.feed.apply_full([], 9, self.back)
+        self.assertEqual(2, len(self.known()))
+        self.assertEqual([], self.feed.release_held(self.back + LAPSE_HOLD_S - 0.1))
+        self.assertEqual(2, len(self.feed.release_held(self.back + LAPSE_HOLD_S)))
+
+    def test_a_removal_after_the_return_counts_at_once(self):
+        self.feed.apply_changes([], 6, self.back)
+        self.feed.apply_changes([_gone(1, 7)], 7, self.back + 1.0)
+        self.assertEqual(["servers/i-2"], self.known())
+
+
+class ConfigurationTest(_FeedTest):
+    """Guards against a configuration that is lost, unreadable or goes back."""
+
+    def _configuration(self, version, revision):
+        raw = orjson.dumps({"version": version, "routes": [], "services": []})
+        return StoreItem(CONFIGURATION_KEY, revision, raw)
+
+    def test_newest_version_is_in_force(self):
+        for version in (4, 9, 7):
+            item = self._configuration(version, version)
+            self.feed.apply_changes([item], version, 0.0)
+        self.assertEqual(9, self.knowledge.version)
+
+    def test_unreadable_configuration_keeps_the_last(self):
+        self.feed.apply_changes([self._configuration(4, 2)], 2, 0.0)
+        self.assertFalse(self.feed.adopt(b"{", 3))
+        self.assertEqual(4, self.knowledge.version)
+        self.assertIn("configuration_invalid", self.log.names())
+
+
+class ReadDueTest(testtools.TestCase):
+    """Guards against too many reads, and against news that nobody reads."""
+
+    def test_first_reads_each_period(self):
+        self.assertEqual(0.0, read_due_at(None, None, 0))
+        self.assertEqual(5.0 + READ_PERIOD_S, read_due_at(5.0, None, 0))
+
+    def test_others_wait_in_the_order_of_their_rank(self):
+        due = [read_due_at(5.0, None, rank) for rank in range(20)]
+        self.assertEqual(sorted(due), due)
+        # Also the last takes over in the time in which changes must be in force.
+        self.assertTrue(due[-1] < 5.0 + 3.0)
+
+    def test_failed_reads_are_spread(self):
+        due = [read_due_at(5.0, 20.0, rank) for rank in range(7)]
+        self.assertEqual(20.0 + FAILED_PAUSE_S, due[0])
+        self.assertEqual(len(due), len(set(due)))
--- /dev/null
+++ b/tests/entry/test_upstreams.py
@@ -0,0 +1,233 @@
+"""Tests of the choice of servers, each replaying a load pattern."""
+
+import testtools
+
+from almondtide.entry.upstreams import (
+    DEPTH,
+    EJECT_FIRST_S,
+    FORGET_S,
+    FULL_FIRST_S,
+    LOST_AFTER_S,
+    Failure,
+    UpstreamTable,
+)
+from tests.entry.support import make_server
+
+EXPECTED_S = 0.03
+
+
+def _table(*servers):
+    table = UpstreamTable("lautoka")
+    for server in servers:
+        table.apply(server)
+    return table
+
+
+def _three():
+    return _table(
+        make_server("i-1"),
+        make_server("i-2", domain="nadi"),
+        make_server("i-3", domain="suva"),
+    )
+
+
+def _serve(upstream, count, now, latency_s=EXPECTED_S):
+    """Let an upstream answer ``count`` exchanges one after the other."""
+    for number in range(count):
+        exchange = object()
+        start = now + number * latency_s
+        upstream.start(exchange, start, EXPECTED_S)
+        upstream.succeed(exchange, start + latency_s)
+    return now + count * latency_s
+
+
+class ChoiceTest(testtools.TestCase):
+    """Guards against load on servers that are far, full or slow."""
+
+    def test_own_failure_domain_first(self):
+        self.assertEqual("i-1", _three().choose("a", 0.0).server.id)
+
+    def test_another_domain_when_the_own_server_is_full(self):
+        table = _three()
+        for number in range(6):
+            upstream = table.choose("a", 0.0)
+            upstream.start(number, 0.0, EXPECTED_S)
+        counts = {upstream.server.id: upstream.in_flight for upstream in table}
+        self.assertEqual(4, counts["i-1"])
+        self.assertEqual(2, counts["i-2"] + counts["i-3"])
+
+    def test_no_server_takes_more_than_its_depth(self):
+        table = _three()
+        placed = 0
+        while (upstream := table.choose("a", 0.0)) is not None:
+            upstream.start(placed, 0.0, EXPECTED_S)
+            placed += 1
+        self.assertEqual(3 * 3 * DEPTH, placed)
+        self.assertTrue(table.has_room_later("a", 0.0))
+
+    def test_slow_server_is_left_and_tried_again_later(self):
+        table = _three()
+        slow = table.get("i-1")
+        now = _serve(slow, 2, 0.0, latency_s=8 * EXPECTED_S)
+        self.assertNotEqual("i-1", table.choose("a", now).server.id)
+        later = now + FORGET_S
+        self.assertEqual("i-1", table.choose("a", later).server.id)
+
+    def test_excluded_and_leaving_servers_are_not_chosen(self):
+        table = _three()
+        table.apply(make_server("i-2", domain="nadi", leaving=True))
+        self.assertEqual("i-3", table.choose("a", 0.0, {"i-1"}).server.id)
+        self.assertIsNone(table.choose("a", 0.0, {"i-1", "i-3"}))
+        self.assertIsNone(table.choose("none", 0.0))
+
+    def test_cold_server_gets_less(self):
+        table = _table(make_server("i-1", cold=True), make_server("i-2"))
+        self.assertEqual("i-2", table.choose("a", 0.0).server.id)
+
+
+class PauseTest(testtools.TestCase):
+    """Replays pauses of 150 to 200 ms every few seconds."""
+
+    def test_silent_server_is_avoided_while_it_is_silent(self):
+        table = _three()
+        paused = table.get("i-1")
+        now = _serve(paused, 5, 0.0)
+        paused.start("x", now, EXPECTED_S)
+        self.assertEqual("i-1", table.choose("a", now + 0.05).server.id)
+        self.assertNotEqual("i-1", table.choose("a", now + 0.09).server.id)
+        paused.succeed("x", now + 0.18)
+        # One long exchange must not banish a server that answers again.
+        self.assertTrue(paused.slowness(now + 0.18) < 2.5)
+
+    def test_replies_to_others_mean_that_it_is_not_silent(self):
+        table = _three()
+        busy = table.get("i-1")
+        busy.start("slow query", 0.0, EXPECTED_S)
+        for number in range(4):
+            busy.start(number, 0.05 * number, EXPECTED_S)
+            busy.succeed(number, 0.05 * number + 0.02)
+        self.assertEqual(0.0, busy.silent_s(0.2))
+
+    def test_pause_is_no_loss(self):
+        table = _three()
+        for upstream in table:
+            upstream.start("x", 0.0, EXPECTED_S)
+        self.assertFalse(table.is_lost("a", 0.2))
+
+
+class LostServiceTest(testtools.TestCase):
+    """Replays the loss of all servers of a shard, refused or silent."""
+
+    def test_refused_connections_eject_and_one_probe_comes_back(self):
+        table = _three()
+        for upstream in table:
+            upstream.start("x", 0.0, EXPECTED_S)
+            upstream.fail("x", Failure.NOT_SENT, 0.001)
+        self.assertTrue(table.is_lost("a", 0.01))
+        self.assertIsNone(table.choose("a", 0.01))
+        later = 0.001 + EJECT_FIRST_S + 0.001
+        probe = table.choose("a", later)
+        probe.start("probe", later, EXPECTED_S)
+        others = [table.choose("a", later, {probe.server.id}) for _ in range(2)]
+        self.assertNotIn(probe, others)
+        probe.succeed("probe", later + 0.03)
+        self.assertFalse(table.is_lost("a", later + 0.03))
+        self.assertIs(probe, table.choose("a", later + 0.03))
+
+    def test_ejection_doubles_up_to_its_longest(self):
+        upstream = _table(make_server("i-1")).get("i-1")
+        now = 0.0
+        waits = []
+        for _ in range(5):
+            upstream.start("x", now, EXPECTED_S)
+            upstream.fail("x", Failure.NOT_SENT, now)
+            waits.append(round(upstream.ejected_until - now, 3))
+            now = upstream.ejected_until
+        self.assertEqual([0.25, 0.5, 1.0, 2.0, 2.0], waits)
+
+    def test_long_silence_counts_as_loss(self):
+        table = _three()
+        for upstream in table:
+            upstream.start("x", 0.0, EXPECTED_S)
+        self.assertTrue(table.is_lost("a", LOST_AFTER_S + 0.01))
+        for upstream in table:
+            upstream.drop("x", LOST_AFTER_S + 0.01)
+        # The evidence stays after the silent exchange was given up.
+        self.assertTrue(table.is_lost("a", LOST_AFTER_S + 0.02))
+
+    def test_exchange_that_was_given_up_early_is_no_evidence(self):
+        upstream = _table(make_server("i-1")).get("i-1")
+        upstream.start("x", 0.0, EXPECTED_S)
+        upstream.drop("x", 0.05)
+        self.assertFalse(upstream.is_lost(0.06))
+
+    def test_a_service_without_servers_is_lost(self):
+        self.assertTrue(_three().is_lost("none", 0.0))
+
+
+class OverloadTest(testtools.TestCase):
+    """Replays servers that shed part of their requests while others do not."""
+
+    def test_full_server_is_not_asked_again_at_once(self):
+        table = _three()
+        full = table.get("i-1")
+        full.start("x", 0.0, EXPECTED_S)
+        full.fail("x", Failure.NOT_RUN, 0.001)
+        self.assertNotEqual(
+            "i-1", table.choose("a", 0.001 + FULL_FIRST_S / 2).server.id
+        )
+
+    def test_work_goes_to_the_server_that_does_not_shed(self):
+        table = _three()
+        now = 0.0
+        for number in range(60):
+            upstream = table.choose("a", now)
+            if upstream is not None:
+                upstream.start(number, now, EXPECTED_S)
+                if upstream.server.id == "i-3":
+                    upstream.succeed(number, now + EXPECTED_S)
+                else:
+                    upstream.fail(number, Failure.NOT_RUN, now + 0.002)
+            now += 0.04
+        last = [table.choose("a", now + 0.04 * step).server.id for step in range(5)]
+        self.assertEqual(["i-3"] * 5, last)
+
+    def test_failing_server_is_preferred_to_none(self):
+        table = _table(make_server("i-1"))
+        upstream = table.get("i-1")
+        for number in range(10):
+            upstream.start(number, 0.0, EXPECTED_S)
+            upstream.fail(number, Failure.ERROR, 0.0)
+        self.assertIs(upstream, table.choose("a", 0.0))
+
+
+class LifeTest(testtools.TestCase):
+    """Guards against knowledge of one server used for another."""
+
+    def test_new_life_starts_without_history(self):
+        table = _table(make_server("i-1", born_ms=1))
+        old = table.get("i-1")
+        old.fail("x", Failure.NOT_SENT, 0.0)
+        self.assertIs(old, table.apply(make_server("i-1", born_ms=2)))
+        self.assertTrue(old.removed)
+        self.assertEqual(0.0, table.get("i-1").ejected_until)
+
+    def test_update_keeps_the_history(self):
+        table = _table(make_server("i-1", cold=True))
+        known = table.get("i-1")
+        self.assertIsNone(table.apply(make_server("i-1")))
+        self.assertIs(known, table.get("i-1"))
+        self.assertFalse(known.server.cold)
+
+    def test_server_at_the_address_of_another_is_not_used(self):
+        table = _three()
+        wrong = table.get("i-1")
+        wrong.start("x", 0.0, EXPECTED_S)
+        wrong.fail("x", Failure.MISDIRECTED, 0.001)
+        self.assertNotIn(wrong, table.members("a"))
+
+    def test_removed_server(self):
+        table = _three()
+        self.assertIsNotNone(table.remove("i-1"))
+        self.assertIsNone(table.remove("i-1"))
+        self.assertEqual(2, len(table.members("a")))
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what is known of the users' platform."""
--- /dev/null
+++ b/tests/platform/test_headers.py
@@ -0,0 +1,135 @@
+"""Tests of the headers of requests, replies and answers."""
+
+import orjson
+import testtools
+
+from almondtide.platform.headers import (
+    decode_reply,
+    decode_request,
+    encode_entries,
+    forwarded_headers,
+    merged_headers,
+    passed_on_headers,
+    refusal_headers,
+)
+
+
+def _request(*extra, method=b"GET", body=b""):
+    headers = [
+        (b"host", b"Leno12.example:80"),
+        (b"request-id", b"9c41"),
+        (b"deadline-ms", b"400"),
+        *extra,
+    ]
+    return decode_request(method, b"/a/b?c=d", headers, body)
+
+
+class RequestHeadersTest(testtools.TestCase):
+    """Guards against requests that reach a server changed or smuggled."""
+
+    def test_fields(self):
+        request = _request()
+        self.assertEqual("leno12.example", request.host)
+        self.assertEqual(("9c41", 0.4), (request.id, request.allowed_s))
+        self.assertEqual(("/a/b?c=d", "/a/b"), (request.target, request.path))
+
+    def test_headers_of_one_connection_are_not_forwarded(self):
+        request = _request(
+            (b"connection", b"keep-alive, X-Local"),
+            (b"x-local", b"1"),
+            (b"te", b"trailers"),
+            (b"transfer-encoding", b"chunked"),
+            (b"expect-instance", b"i-forged"),
+            (b"x-team", b"1"),
+            (b"x-team", b"2"),
+        )
+        headers = forwarded_headers(request, "i-1", 0.25)
+        self.assertEqual(
+            [
+                (b"host", b"Leno12.example:80"),
+                (b"request-id", b"9c41"),
+                (b"x-team", b"1"),
+                (b"x-team", b"2"),
+                (b"deadline-ms", b"250"),
+                (b"expect-instance", b"i-1"),
+            ],
+            headers,
+        )
+
+    def test_a_body_has_its_length(self):
+        request = _request(method=b"POST", body=b"abc")
+        self.assertIn((b"content-length", b"3"), forwarded_headers(request, "i", 1))
+        empty = _request(method=b"POST")
+        self.assertIn((b"content-length", b"0"), forwarded_headers(empty, "i", 1))
+
+    def test_a_deadline_that_is_no_number_counts_as_none(self):
+        for value in (b"soon", b"-1", b"nan", b"inf"):
+            request = decode_request(b"GET", b"/", [(b"deadline-ms", value)], b"")
+            self.assertIsNone(request.allowed_s)
+
+    def test_the_time_left_is_at_least_a_millisecond(self):
+        headers = dict(forwarded_headers(_request(), "i-1", 0.0001))
+        self.assertEqual(b"1", headers[b"deadline-ms"])
+
+
+class ReplyHeadersTest(testtools.TestCase):
+    """Guards against replies that are taken for what they are not."""
+
+    def _reply(self, status, *headers):
+        return decode_reply(status, list(headers), b"")
+
+    def test_success_needs_a_signature(self):
+        self.assertTrue(self._reply(200, (b"server-stamp", b"s")).is_success)
+        self.assertFalse(self._reply(200).is_success)
+        self.assertFalse(self._reply(500, (b"server-stamp", b"s")).is_success)
+
+    def test_an_encoded_body_is_not_the_servers_body(self):
+        reply = self._reply(
+            200, (b"server-stamp", b"s"), (b"content-encoding", b"gzip")
+        )
+        self.assertFalse(reply.is_success)
+
+    def test_statements_of_the_server(self):
+        self.assertTrue(self._reply(503, (b"not-run", b"1")).not_run)
+        self.assertFalse(self._reply(503).not_run)
+        self.assertTrue(self._reply(421).misdirected)
+        self.assertEqual("9c41", self._reply(200, (b"request-id", b"9c41")).request_id)
+
+    def test_idle_time(self):
+        self.assertIsNone(self._reply(200).idle_s)
+        self.assertEqual(
+            5.0, self._reply(200, (b"keep-alive", b"timeout=5, max=9")).idle_s
+        )
+        self.assertEqual(
+            0.0,
+            self._reply(
+                200, (b"connection", b"close"), (b"keep-alive", b"timeout=5")
+            ).idle_s,
+        )
+
+    def test_passed_on_headers(self):
+        reply = self._reply(
+            200,
+            (b"server-stamp", b"s"),
+            (b"connection", b"x-local"),
+            (b"x-local", b"1"),
+            (b"content-length", b"0"),
+        )
+        self.assertEqual([(b"server-stamp", b"s")], passed_on_headers(reply))
+
+
+class AnswerHeadersTest(testtools.TestCase):
+    """Guards against answers that misstate their parts."""
+
+    def test_merged(self):
+        headers = dict(merged_headers([b"one", b"two"], 3))
+        self.assertEqual(b"one, two", headers[b"Part-Stamps"])
+        self.assertEqual(b"3", headers[b"Missing-Parts"])
+
+    def test_refusal(self):
+        self.assertEqual(b"0.050", dict(refusal_headers(0.05))[b"retry-after"])
+        self.assertNotIn(b"retry-after", dict(refusal_headers(None)))
+
+    def test_entries(self):
+        body = orjson.loads(encode_entries([("10.1.0.39", 8226)], 2))
+        self.assertEqual({"addrs": ["10.1.0.39:8226"], "ttl_s": 2}, body)
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,59 @@
+"""Tests of the settings file of a process."""
+
+import orjson
+import testtools
+
+from almondtide.errors import SettingsError
+from almondtide.platform.settings import decode_settings, read_settings
+from tests.entry.support import settings_document
+
+
+class DecodeSettingsTest(testtools.TestCase):
+    """Guards against a start with settings that were not understood."""
+
+    def test_fields(self):
+        settings = decode_settings(orjson.dumps(settings_document()))
+        self.assertEqual("front-lautoka-1", settings.instance)
+        self.assertEqual(("10.1.0.39", 8226), settings.caller_address)
+        self.assertEqual(("10.1.0.39", 7740), settings.gossip_address)
+        self.assertEqual(("10.200.1.7", 8229), settings.store_address)
+        self.assertEqual(("lautoka", "nadi", "suva"), settings.domains)
+        self.assertEqual((3.0, 6), (settings.drain_s, settings.grace_s))
+        self.assertEqual(
+            (0.2, 116, 10),
+            (settings.extra_ratio, settings.extra_slack, settings.extra_window_s),
+        )
+        self.assertAlmostEqual(0.731, settings.core_share)
+
+    def test_new_fields_are_ignored(self):
+        document = settings_document(flavour="new")
+        self.assertEqual(
+            decode_settings(orjson.dumps(settings_document())),
+            decode_settings(orjson.dumps(document)),
+        )
+
+    def test_all_problems_are_named_at_once(self):
+        document = settings_document(ip=7, port_range=[1], seeds=["nowhere"])
+        del document["node_name"]
+        document["listen"] = {"front": "10.1.0.39"}
+        exc = self.assertRaises(SettingsError, decode_settings, orjson.dumps(document))
+        text = "\n".join(exc.problems)
+        for name in (
+            "node_name",
+            "ip",
+            "port_range",
+            "seeds",
+            "listen.front",
+            "listen.readiness",
+            "listen.control",
+            "listen.directory",
+        ):
+            self.assertIn(name, text)
+
+    def test_not_json(self):
+        self.assertRaises(SettingsError, decode_settings, b"{")
+        self.assertRaises(SettingsError, decode_settings, b"[]")
+
+    def test_missing_file_is_named(self):
+        exc = self.assertRaises(SettingsError, read_settings, "/no/such/file")
+        self.assertIn("/no/such/file", exc.message)
