Shorten beats and the start of a daemon

Standbys beat to the carriers and a few others once a second, carriers tell about two others; a daemon without knowledge asks ten times a second and reads the store itself after 0.35 s.

--- a/almondtide/entry/answers.py
+++ b/almondtide/entry/answers.py
@@ -37,10 +37,7 @@
     ``is_late`` tells that its time is over; ``retry_after_s`` is used where the
     request has not run.
     """
-    if call.is_merged:
-        answer = _merged(call)
-    else:
-        answer = _single(call.branches[0])
+    answer = _merged(call) if call.is_merged else _single(call.branches[0])
     if answer is not None:
         return answer
     if not call.may_have_run:
--- a/almondtide/entry/callers.py
+++ b/almondtide/entry/callers.py
@@ -56,6 +56,7 @@
         except (OSError, curio.TaskTimeout):
             # The caller is gone or stayed idle for too long.
             pass
+
     async def _refuse(self, status, code, message):
         if self._conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
--- a/almondtide/entry/connections.py
+++ b/almondtide/entry/connections.py
@@ -201,9 +201,7 @@
             if size > MAX_BODY_BYTES:
                 raise _BrokenError("reply too large")
             chunks.append(part.data)
-        return decode_reply(
-            event.status_code, list(event.headers), b"".join(chunks)
-        )
+        return decode_reply(event.status_code, list(event.headers), b"".join(chunks))
 
     def _is_reusable(self, reply):
         conn = self._conn
--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -36,7 +36,7 @@
 LISTEN_FIRST_S = 0.7
 # How long a daemon that is no seed waits for knowledge from peers, in s, before it
 # reads the store itself.
-FIRST_READ_DELAY_S = 0.6
+FIRST_READ_DELAY_S = 0.35
 STORE_TIMEOUT_S = 0.8
 # The store answers a watch at once when servers have sent heartbeats.
 WATCH_WAIT_MS = 20
@@ -160,7 +160,9 @@
                 await connection.close_idle(task)
             if not self._running:
                 break
-        self.log.info("stopped", running=self._running, after_s=round(_now() - begun, 2))
+        self.log.info(
+            "stopped", running=self._running, after_s=round(_now() - begun, 2)
+        )
 
     # Knowledge
 
--- a/almondtide/entry/dispatch.py
+++ b/almondtide/entry/dispatch.py
@@ -163,9 +163,7 @@
 
     async def _wait(self, call):
         if call.is_merged:
-            margin_s = min(
-                ANSWER_MARGIN_S, ANSWER_MARGIN_PART * call.route.objective_s
-            )
+            margin_s = min(ANSWER_MARGIN_S, ANSWER_MARGIN_PART * call.route.objective_s)
             await self._wait_until(call, call.objective_at - margin_s)
             call.accepts_partial = True
         await self._wait_until(call, call.limit_at)
@@ -238,7 +236,10 @@
             self.counts["retries"] += 1
         upstream.start(exchange, now, pace.expected_s)
         await self._pool.send(exchange)
-        if branch.call.route.is_idempotent and branch.ran < branch.call.route.max_servers:
+        if (
+            branch.call.route.is_idempotent
+            and branch.ran < branch.call.route.max_servers
+        ):
             await self._timers.schedule(now + pace.hedge_s, HEDGE, exchange)
         return True
 
--- a/almondtide/entry/extras.py
+++ b/almondtide/entry/extras.py
@@ -42,9 +42,7 @@
         bucket = int(now / self._bucket_s)
         if self._current is None:
             self._current = bucket
-        for index in range(
-            max(self._current + 1, bucket - BUCKETS), bucket + 1
-        ):
+        for index in range(max(self._current + 1, bucket - BUCKETS), bucket + 1):
             self._requests[index % BUCKETS] = 0
             self._extras[index % (BUCKETS + 1)] = 0
         self._current = max(bucket, self._current)
@@ -57,9 +55,7 @@
     def left(self, now):
         """Return how many extra sends are allowed now."""
         self._advance(now)
-        allowed = USABLE * (
-            self.ratio * sum(self._requests) + self.slack * self.share
-        )
+        allowed = USABLE * (self.ratio * sum(self._requests) + self.slack * self.share)
         return allowed - sum(self._extras)
 
     def spend(self, now, reserve=0.0):
--- a/almondtide/entry/gossip.py
+++ b/almondtide/entry/gossip.py
@@ -22,12 +22,16 @@
 __all__ = ["Gossip"]
 
 SNAPSHOT_PATH = "/snapshot"
-# Time between two beats, in s; carriers are watched more closely.
+# Time between two beats, in s; carriers are watched more closely, and a daemon
+# without knowledge asks for it often.
 CARRIER_BEAT_S = 0.3
-BEAT_S = 0.6
-# Members that a beat or news goes to at most, and others it tells about.
+BEAT_S = 1.0
+ASKING_BEAT_S = 0.1
+# Members that a beat or news goes to at most. Others than carriers are heard by the
+# carriers and a few more, and carriers tell about some of them.
 FANOUT = 24
-RELAYED = 5
+STANDBY_FANOUT = 2
+RELAYED = 2
 # Time, in s, for which a differing digest may be news on its way.
 DIFFERENCE_S = 0.25
 PULL_TIMEOUT_S = 1.0
@@ -90,6 +94,8 @@
             await self._send_beats()
             self._urgent.clear()
             pause_s = CARRIER_BEAT_S if self.view.me.carries else BEAT_S
+            if not self._knowledge.is_complete:
+                pause_s = ASKING_BEAT_S
             async with curio.ignore_after(pause_s * random.uniform(0.8, 1.2)):
                 await self._urgent.wait()
 
@@ -98,18 +104,23 @@
         me = self.view.me
         me.heard_at = now
         targets = self._targets(now)
+        if not me.carries and me.state is MemberState.READY:
+            targets = self._listeners(targets)
         wants_reply = not self._knowledge.is_complete or not targets
         hosts = [member.host for member in targets]
         if wants_reply or not targets:
             hosts.extend(host for host, _ in self._settings.seeds)
         hosts.extend(self._lost(now))
-        raw = encode_beat(self._beat(now, RELAYED, wants_reply), now)
+        relayed = RELAYED if me.carries else 0
+        raw = encode_beat(self._beat(now, relayed, wants_reply), now)
         for host in dict.fromkeys(hosts):
             if host != me.host:
                 await self._send(raw, host)
 
     def _targets(self, now):
-        alive = [member for member in self.view.alive(now) if member is not self.view.me]
+        alive = [
+            member for member in self.view.alive(now) if member is not self.view.me
+        ]
         if len(alive) <= FANOUT:
             return alive
         carriers = [member for member in alive if member.carries]
@@ -123,6 +134,13 @@
             }.values()
         )
 
+    @staticmethod
+    def _listeners(targets):
+        """Return the carriers and a few others."""
+        carriers = [member for member in targets if member.carries]
+        others = [member for member in targets if not member.carries]
+        return carriers + random.sample(others, min(len(others), STANDBY_FANOUT))
+
     def _lost(self, now):
         """Return hosts of a few silent members, which may be back."""
         silent = [
@@ -133,7 +151,9 @@
         return random.sample(silent, min(len(silent), LOST_ASKED))
 
     def _beat(self, now, relayed, wants_reply):
-        alive = [member for member in self.view.alive(now) if member is not self.view.me]
+        alive = [
+            member for member in self.view.alive(now) if member is not self.view.me
+        ]
         knowledge = self._knowledge
         return Beat(
             self.view.me,
--- a/almondtide/entry/members.py
+++ b/almondtide/entry/members.py
@@ -7,7 +7,7 @@
 
 # Silence after which a daemon counts as dead, in s. Carriers speak more often.
 CARRIER_SILENCE_S = 1.1
-SILENCE_S = 2.2
+SILENCE_S = 3.0
 # Silent members are remembered for this time, in s, and asked again now and then.
 FORGET_S = 60.0
 # Entries per failure domain that callers are sent to.
--- a/almondtide/platform/store.py
+++ b/almondtide/platform/store.py
@@ -4,10 +4,9 @@
 import binascii
 
 import curio
-import orjson
 
 from ..adapters.http import HTTPClient
-from ..errors import AlmondtideError, PlatformError, UpstreamError
+from ..errors import PlatformError, UpstreamError
 
 __all__ = ["HistoryLostError", "StoreClient", "StoreItem"]
 
