Count one long exchange for less than a failure domain

Cause: a pause of 150 to 200 ms was five to ten times the expected latency and raised the moving average above the cost of another domain for up to 2 s, so that after each pause requests crossed domains though the server answered again. A server that stays slow is still left after two exchanges.

--- a/almondtide/entry/upstreams.py
+++ b/almondtide/entry/upstreams.py
@@ -8,7 +8,10 @@
 SAMPLE_WEIGHT = 0.2
 # Time constant, in s, at which an estimate without samples returns to normal, so
 # that a server that recovered is tried again.
-FORGET_S = 3.0
+FORGET_S = 4.0
+# Largest ratio of a latency to the expected one that counts. One exchange in a
+# pause must not outweigh the cost of another failure domain; two long ones do.
+MAX_RATIO = 3.0
 # A server counts as silent when its oldest exchange takes this many times the
 # expected time, and at least so many seconds, and nothing else came from it.
 SILENT_FACTOR = 2.5
@@ -137,7 +140,7 @@
         if entry is None:
             return None
         latency = now - entry[0]
-        ratio = min(20.0, latency / max(0.001, entry[1]))
+        ratio = min(MAX_RATIO, latency / max(0.001, entry[1]))
         self._sample(ratio, 0.0, now)
         return latency
 
