--- a/almondtide/entry/dispatch.py
+++ b/almondtide/entry/dispatch.py
@@ -24,8 +24,9 @@
 LINGER_S = 0.3
 # Wait before a branch whose servers are all full or failing tries again, in s.
 RESEND_S = 0.012
-# Extra sends that hedges leave to retries after failures.
-HEDGE_RESERVE = 4.0
+# Part of the extra sends that hedges leave to retries: a branch that failed has no
+# answer without one, a slow one mostly does.
+RETRY_PART = 0.35
 # Time after which a refused caller comes back, in s.
 RETRY_AFTER_S = 0.05
 
@@ -218,8 +219,8 @@
             await self._no_server(branch, kind, now)
             return False
         if kind != "first" and branch.sent:
-            reserve = HEDGE_RESERVE if kind == "hedge" else 0.0
-            if not self.budget(branch.service).spend(now, reserve):
+            keep = RETRY_PART if kind == "hedge" else 0.0
+            if not self.budget(branch.service).spend(now, keep):
                 if kind != "hedge":
                     await self._give_up(branch, "no budget for another send")
                 return False
--- a/almondtide/entry/extras.py
+++ b/almondtide/entry/extras.py
@@ -52,18 +52,20 @@
         """Count the first send of a request."""
         self._requests[self._advance(now) % BUCKETS] += 1
 
+    def _allowed(self, now):
+        self._advance(now)
+        return USABLE * (self.ratio * sum(self._requests) + self.slack * self.share)
+
     def left(self, now):
         """Return how many extra sends are allowed now."""
-        self._advance(now)
-        allowed = USABLE * (self.ratio * sum(self._requests) + self.slack * self.share)
-        return allowed - sum(self._extras)
+        return self._allowed(now) - sum(self._extras)
 
-    def spend(self, now, reserve=0.0):
+    def spend(self, now, keep=0.0):
         """Count an extra send if it is allowed; returns whether it is.
 
-        ``reserve`` is how many must be left for more important ones.
+        ``keep`` is the part of the allowance that is left to more important ones.
         """
-        if self.left(now) < 1.0 + reserve:
+        if self.left(now) < 1.0 + keep * self._allowed(now):
             return False
         self._extras[self._current % (BUCKETS + 1)] += 1
         self.spent += 1
--- a/almondtide/entry/upstreams.py
+++ b/almondtide/entry/upstreams.py
@@ -21,9 +21,10 @@
 # First and longest time, in s, for which a failing server is left out.
 EJECT_FIRST_S = 0.25
 EJECT_LONGEST_S = 2.0
-# A server that said it is full is left out for this time, in s.
-FULL_FIRST_S = 0.03
-FULL_LONGEST_S = 0.25
+# A server that said it is full is left out for this time, in s. It is short, since a
+# failing server may say so without being full and another may not be there.
+FULL_FIRST_S = 0.02
+FULL_LONGEST_S = 0.06
 # Cost of another failure domain in units of the normal time of a request.
 OTHER_DOMAIN_COST = 0.45
 COLD_COST = 0.4
