Let the first daemon that is up read the store after a restart

The settings tell a first start of the system, where nobody calls yet, from a later one; a later one reads after 0.05 to 0.2 s. Ruled out: the store (it answered the first read within 25 ms). The dispatcher gets its tests.

--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -1,5 +1,6 @@
 """The entry daemon: assembles its parts and runs them from start to stop."""
 
+import random
 import secrets
 import signal
 import time
@@ -33,10 +34,13 @@
 DIRECTORY_TTL_S = 1.0
 # A daemon that has just started waits this long, in s, for word from the others
 # before it names itself as the only entry.
-LISTEN_FIRST_S = 0.7
+LISTEN_FIRST_S = 0.4
 # How long a daemon that is no seed waits for knowledge from peers, in s, before it
-# reads the store itself.
+# reads the store itself. When the fleet starts for the first time nobody calls yet;
+# later all may have died together with callers waiting, and the first one up reads.
 FIRST_READ_DELAY_S = 0.35
+RESTART_READ_DELAY_S = 0.05
+RESTART_READ_SPREAD_S = 0.15
 STORE_TIMEOUT_S = 0.8
 # The store answers a watch at once when servers have sent heartbeats.
 WATCH_WAIT_MS = 20
@@ -236,9 +240,13 @@
             await self._read()
 
     async def _await_peers(self):
-        end = self.started + FIRST_READ_DELAY_S
+        if self.settings.is_first_start:
+            delay_s = FIRST_READ_DELAY_S
+        else:
+            delay_s = RESTART_READ_DELAY_S + random.random() * RESTART_READ_SPREAD_S
+        end = self.started + delay_s
         while not self.knowledge.is_complete and _now() < end:
-            await curio.sleep(0.05)
+            await curio.sleep(0.02)
 
     async def _read(self):
         begun = _now()
--- a/almondtide/entry/model.py
+++ b/almondtide/entry/model.py
@@ -181,6 +181,7 @@
         "gossip_address",
         "grace_s",
         "instance",
+        "is_first_start",
         "max_ttl_s",
         "metrics_address",
         "readiness_address",
--- a/almondtide/platform/settings.py
+++ b/almondtide/platform/settings.py
@@ -51,6 +51,8 @@
         gossip_address=_gossip_address(fields, table, ip),
         metrics_address=(ip, METRICS_PORT),
         seeds=_seeds(fields),
+        # True only when the whole system starts for the first time.
+        is_first_start=fields.flag("bootstrap", False),
         store_address=fields.table("platform").address("address"),
         # A share of 0.5 of a core that is twice as fast as usual counts as one.
         core_share=(limits.number("cpu_share", 1.0) * limits.number("cores", 1.0)),
--- /dev/null
+++ b/tests/entry/test_dispatch.py
@@ -0,0 +1,287 @@
+"""Tests of the dispatcher against servers of the memory, replaying load patterns."""
+
+import time
+
+import curio
+import orjson
+import testtools
+
+from almondtide.entry.calls import BranchState
+from almondtide.entry.dispatch import Dispatcher
+from almondtide.entry.upstreams import Failure, UpstreamTable
+from almondtide.errors import ResultCode
+from almondtide.platform.settings import decode_settings
+from almondtide.timers import Timers
+from tests.entry.support import (
+    make_call,
+    make_reply,
+    make_route,
+    make_server,
+    settings_document,
+)
+from tests.support import MemoryLog, run
+
+SHARDS = ("a", "b", "c", "d", "e", "f", "g", "h", "j", "k")
+DOMAINS = ("lautoka", "nadi", "suva")
+
+
+class _Clock:
+    @staticmethod
+    def monotonic():
+        return time.monotonic()
+
+
+class MemoryPool:
+    """Servers that answer as ``behave(exchange)`` says.
+
+    It returns (seconds, reply or ``Failure``); None stands for silence.
+    """
+
+    def __init__(self, behave):
+        self.behave = behave
+        self.sent = []
+        self.closed = []
+
+    async def send(self, exchange):
+        self.sent.append(exchange)
+        exchange.connection = exchange
+        outcome = self.behave(exchange)
+        await curio.spawn(self._serve, exchange, outcome, daemon=True)
+
+    async def _serve(self, exchange, outcome):
+        if outcome is not None and outcome[1] is Failure.NOT_SENT:
+            await curio.sleep(outcome[0])
+            await exchange.failed(Failure.NOT_SENT, "refused", None)
+            return
+        if exchange.left_s() <= 0:
+            await exchange.failed(Failure.NOT_SENT, "no time left", None)
+            return
+        exchange.writing()
+        if outcome is None:
+            return
+        await curio.sleep(outcome[0])
+        if isinstance(outcome[1], Failure):
+            await exchange.failed(outcome[1], "broken", None)
+        else:
+            await exchange.replied(outcome[1])
+
+    async def close(self, exchange):
+        self.closed.append(exchange)
+
+    def count(self, service):
+        return sum(1 for exchange in self.sent if exchange.branch.service == service)
+
+
+class _Fleet:
+    """A dispatcher, its servers and what they were sent."""
+
+    def __init__(self, behave, services=SHARDS, servers=3):
+        self.table = UpstreamTable("lautoka")
+        for index, service in enumerate(services):
+            for number in range(servers):
+                id = f"i-{service}{index}{number}"
+                self.table.apply(make_server(id, service, DOMAINS[number % 3]))
+        self.pool = MemoryPool(behave)
+        settings = decode_settings(orjson.dumps(settings_document()))
+        self.dispatcher = Dispatcher(
+            self.table, self.pool, settings, time.monotonic, MemoryLog()
+        )
+        self.timers = Timers(_Clock(), self.dispatcher.fired)
+        self.dispatcher.use_timers(self.timers)
+
+    async def run(self, route, allowed_s=0.8, services=None):
+        call = make_call(route, allowed_s, time.monotonic(), services)
+        answer = await self.dispatcher.run(call)
+        return call, answer, time.monotonic() - call.arrived
+
+
+def _part(exchange):
+    return make_reply(exchange.branch.service.encode() * 16, signature=b"s")
+
+
+def _play(behave, route, calls=1, services=SHARDS, **options):
+    async def play():
+        fleet = _Fleet(behave, services)
+        await fleet.timers.start()
+        results = [await fleet.run(route, **options) for _ in range(calls)]
+        await curio.sleep(0.01)
+        return fleet, results
+
+    return run(play)
+
+
+class MergedTest(testtools.TestCase):
+    """Guards against answers that wait for, or lack, what they need not."""
+
+    route = make_route(shards=SHARDS, min_coverage=0.75, objective_s=0.15)
+
+    def test_all_parts(self):
+        fleet, [(_call, answer, _)] = _play(lambda e: (0.005, _part(e)), self.route)
+        self.assertEqual((200, ResultCode.OK), (answer.status, answer.code))
+        self.assertEqual(b"k" * 16 + b"j" * 16 + b"h" * 16, answer.body)
+        self.assertEqual(10, len(fleet.pool.sent))
+
+    def test_a_silent_server_is_hedged(self):
+        def behave(exchange):
+            if exchange.upstream.server.id == "i-a00":
+                return None
+            return (0.005, _part(exchange))
+
+        fleet, [(_call, answer, took)] = _play(behave, self.route)
+        self.assertEqual(ResultCode.OK, answer.code)
+        self.assertEqual(2, fleet.pool.count("a"))
+        self.assertTrue(took < 0.12, took)
+
+    def test_a_silent_shard_is_left_out_before_the_objective(self):
+        _fleet, [(_call, answer, took)] = _play(
+            lambda e: None if e.branch.service == "a" else (0.005, _part(e)),
+            self.route,
+        )
+        self.assertEqual((200, ResultCode.PARTIAL), (answer.status, answer.code))
+        self.assertIn((b"Missing-Parts", b"1"), answer.headers)
+        self.assertTrue(took < 0.15, took)
+
+    def test_a_lost_shard_is_not_waited_for(self):
+        def behave(exchange):
+            if exchange.branch.service == "a":
+                return (0.0, Failure.NOT_SENT)
+            return (0.005, _part(exchange))
+
+        fleet, results = _play(behave, self.route, calls=4)
+        self.assertTrue(all(took < 0.05 for _, _, took in results[1:]), results)
+        # After the first refusals the lost servers get a probe now and then only.
+        self.assertTrue(fleet.pool.count("a") <= 6, fleet.pool.count("a"))
+
+    def test_too_few_parts_end_the_call_at_once(self):
+        def behave(exchange):
+            if exchange.branch.service in "abc":
+                return (0.0, Failure.NOT_SENT)
+            return (0.02, _part(exchange))
+
+        _fleet, [(_call, answer, took)] = _play(behave, self.route)
+        self.assertTrue(answer.status in (502, 503))
+        self.assertTrue(took < 0.1, took)
+
+    def test_services_without_servers_refuse_at_once(self):
+        fleet, [(_call, answer, _took)] = _play(
+            lambda e: (0.005, _part(e)), self.route, services=SHARDS[:6]
+        )
+        self.assertEqual(503, answer.status)
+        self.assertEqual([], fleet.pool.sent)
+        self.assertIn(b"retry-after", dict(answer.headers))
+
+    def test_a_failure_of_a_server_is_no_part(self):
+        def behave(exchange):
+            if exchange.upstream.server.id == "i-a00":
+                return (0.002, make_reply(b"z" * 16, status=500))
+            return (0.005, _part(exchange))
+
+        _fleet, [(_call, answer, _)] = _play(behave, self.route)
+        self.assertEqual(ResultCode.OK, answer.code)
+        self.assertNotIn(b"z", answer.body)
+
+    def test_late_answer_with_enough_parts_leaves_when_they_are_in(self):
+        def behave(exchange):
+            return (0.2 if exchange.branch.service in "abc" else 0.005, _part(exchange))
+
+        route = make_route(shards=SHARDS, min_coverage=0.95, objective_s=0.1)
+        _fleet, [(_call, answer, took)] = _play(behave, route)
+        self.assertEqual(200, answer.status)
+        self.assertTrue(0.19 < took < 0.3, took)
+
+    def test_the_end_of_the_time_is_a_final_answer(self):
+        fleet, [(_call, answer, took)] = _play(
+            lambda e: None, self.route, allowed_s=0.2
+        )
+        self.assertEqual(504, answer.status)
+        self.assertTrue(0.19 < took < 0.3, took)
+        # Nothing goes on for a caller whose time is over.
+        self.assertEqual(len(fleet.pool.sent), len(fleet.pool.closed))
+
+    def test_hedges_stay_within_the_budget(self):
+        fleet, _ = _play(
+            lambda e: None if e.kind == "first" else (0.001, _part(e)),
+            make_route(shards=("a",), min_coverage=1.0, objective_s=0.02),
+            calls=60,
+            services=("a",),
+        )
+        extra = fleet.pool.count("a") - 60
+        self.assertTrue(0 < extra <= 0.2 * 60 + 116, extra)
+
+
+class OnceTest(testtools.TestCase):
+    """Guards against a request that runs twice, or a false "not run"."""
+
+    route = make_route(is_idempotent=False, max_servers=3, objective_s=0.1)
+
+    def _one(self, behave, **options):
+        return _play(behave, self.route, services=("a",), **options)
+
+    def test_no_second_server_after_a_byte_was_sent(self):
+        for outcome in ((0.002, Failure.BROKEN), None):
+            fleet, [(_call, answer, _)] = self._one(
+                lambda e, outcome=outcome: outcome, allowed_s=0.3
+            )
+            self.assertEqual(1, len(fleet.pool.sent))
+            self.assertIn(answer.status, (502, 504))
+
+    def test_another_server_after_it_was_not_sent(self):
+        def behave(exchange):
+            if exchange.kind == "first":
+                return (0.002, Failure.NOT_SENT)
+            return (0.002, make_reply(b"ok"))
+
+        fleet, [(_call, answer, _)] = self._one(behave)
+        self.assertEqual((200, 2), (answer.status, len(fleet.pool.sent)))
+
+    def test_another_server_after_a_true_not_run(self):
+        for fields in ({"not_run": True, "status": 503}, {"misdirected": True}):
+
+            def behave(exchange, fields=fields):
+                if exchange.kind == "first":
+                    return (0.002, make_reply(**fields))
+                return (0.002, make_reply(b"ok"))
+
+            fleet, [(_call, answer, _)] = self._one(behave)
+            self.assertEqual((200, 2), (answer.status, len(fleet.pool.sent)))
+
+    def test_refusal_by_all_servers_is_not_run(self):
+        _fleet, [(call, answer, _)] = self._one(
+            lambda e: (0.002, make_reply(not_run=True, status=503)), allowed_s=0.2
+        )
+        self.assertEqual(503, answer.status)
+        self.assertFalse(call.may_have_run)
+
+    def test_failure_of_the_server_is_passed_on(self):
+        fleet, [(_call, answer, _)] = self._one(
+            lambda e: (0.002, make_reply(b"bad", status=500))
+        )
+        self.assertEqual(
+            (500, b"bad", 1), (answer.status, answer.body, len(fleet.pool.sent))
+        )
+
+    def test_slow_request_is_never_hedged(self):
+        fleet, [(_call, answer, _)] = self._one(lambda e: (0.3, make_reply(b"ok")))
+        self.assertEqual((200, 1), (answer.status, len(fleet.pool.sent)))
+
+
+class AbandonTest(testtools.TestCase):
+    """Guards against work that goes on for callers that left."""
+
+    def test_all_exchanges_are_closed(self):
+        async def play():
+            fleet = _Fleet(lambda e: None)
+            await fleet.timers.start()
+            call = make_call(MergedTest.route, 0.8, time.monotonic())
+            task = await curio.spawn(fleet.dispatcher.run, call)
+            await curio.sleep(0.01)
+            await fleet.dispatcher.abandon(call)
+            await task.join()
+            return fleet, call
+
+        fleet, call = run(play)
+        self.assertEqual(10, len(fleet.pool.closed))
+        self.assertEqual([], [b for b in call.branches if b.open])
+        self.assertTrue(
+            all(branch.state is not BranchState.OPEN for branch in call.branches)
+        )
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -25,6 +25,12 @@
         )
         self.assertAlmostEqual(0.731, settings.core_share)
 
+    def test_first_start(self):
+        for value, expected in ((True, True), (False, False)):
+            document = settings_document(bootstrap=value)
+            settings = decode_settings(orjson.dumps(document))
+            self.assertIs(expected, settings.is_first_start)
+
     def test_new_fields_are_ignored(self):
         document = settings_document(flavour="new")
         self.assertEqual(
