Count servers by what was written to them, and log the history of a request

Now an exchange counts once it is written, connecting takes 0.3 s at most, and a connection that opens too late is kept for the next request. Ruled out: the servers' own time (they answered in 250 ms at most).

--- a/almondtide/entry/answers.py
+++ b/almondtide/entry/answers.py
@@ -42,7 +42,7 @@
         return answer
     if not call.may_have_run:
         code = ResultCode.NO_SERVER
-        if any(branch.sent for branch in call.branches):
+        if any(branch.arrivals for branch in call.branches):
             code = ResultCode.UPSTREAM_SHED
         return refusal(503, code, "no server took the request", retry_after_s)
     if is_late:
--- a/almondtide/entry/calls.py
+++ b/almondtide/entry/calls.py
@@ -19,15 +19,15 @@
     """The part of a call that one service answers."""
 
     __slots__ = (
+        "arrivals",
         "call",
+        "ended",
         "failures",
         "is_probe",
         "last_reply",
         "open",
-        "ran",
         "reply",
-        "retry_at",
-        "sent",
+        "sends",
         "service",
         "state",
         "tried",
@@ -42,19 +42,32 @@
         self.open = []
         # Ids of servers that it was sent to.
         self.tried = set()
-        self.sent = 0
-        # Servers on which it runs, ran or may have run.
-        self.ran = 0
-        # Exchanges that were written and of which no server denied the run.
+        # (kind, server id, time) of each exchange.
+        self.sends = []
+        # Exchanges that were written.
+        self.arrivals = 0
+        # Servers on which it runs, ran or may have run: exchanges that were written
+        # and of which no server denied the run.
         self.uncertain = 0
         self.reply = None
         # The newest failure that a server itself stated.
         self.last_reply = None
         self.failures = []
-        self.retry_at = None
+        # When its reply came, or None.
+        self.ended = None
         # A probe of a service without healthy servers; the call does not wait.
         self.is_probe = False
 
+    def history(self):
+        """Return the sends and failures as one text, with times since arrival."""
+        arrived = self.call.arrived
+        steps = [
+            f"{kind}@{server_id}+{(at - arrived) * 1000:.0f}ms"
+            for kind, server_id, at in self.sends
+        ]
+        end = "" if self.ended is None else f"+{(self.ended - arrived) * 1000:.0f}ms"
+        return " ".join([self.service, *steps, *self.failures, self.state.value + end])
+
     @property
     def may_have_run(self):
         """Whether a server ran, runs or may have run it."""
@@ -113,6 +126,16 @@
         """Whether a server ran, runs or may have run the request."""
         return any(branch.may_have_run for branch in self.branches)
 
+    def history(self):
+        """Return what was done for each branch that failed or was the slowest."""
+        ended = [branch for branch in self.branches if branch.ended is not None]
+        last = max(ended, key=lambda branch: branch.ended, default=None)
+        return [
+            branch.history()
+            for branch in self.branches
+            if branch.ended is None or branch is last
+        ]
+
     def close_branch(self, branch, state, reply=None):
         """Record the result of a branch."""
         branch.state = state
--- a/almondtide/entry/connections.py
+++ b/almondtide/entry/connections.py
@@ -12,7 +12,9 @@
 __all__ = ["ConnectionPool"]
 
 RECEIVE_BYTES = 65536
-CONNECT_TIMEOUT_S = 1.0
+# A server whose queue of new connections is full drops the opening packet, and the
+# kernel repeats it after a second only.
+CONNECT_TIMEOUT_S = 0.3
 # A server that acknowledges nothing for this long, in ms, ends the connection;
 # behind a partition it would hang otherwise.
 USER_TIMEOUT_MS = 2500
@@ -118,12 +120,14 @@
         exchange = self.exchange
         if exchange is None:
             return False
-        left_s = exchange.left_s()
-        if left_s <= 0:
-            await self._fail(Failure.NOT_SENT, "no time left")
-            return False
+        if not exchange.is_wanted():
+            # Its branch was answered while the connection was being opened.
+            self.exchange = None
+            await exchange.skipped()
+            self._rest(IDLE_LIMIT_S)
+            return not self.upstream.removed
         try:
-            await self._send(exchange.request, left_s)
+            await self._send(exchange.request, exchange.left_s())
             reply = await self._receive(exchange.request)
         except (OSError, _BrokenError, h11.RemoteProtocolError) as exc:
             await self._fail(Failure.BROKEN, str(exc) or type(exc).__name__)
@@ -209,25 +213,27 @@
             return False
         if conn.trailing_data[0] or conn.trailing_data[1]:
             return False
-        now = self.pool.now()
         idle_s = IDLE_LIMIT_S
         if reply.idle_s is not None:
             idle_s = min(idle_s, reply.idle_s * IDLE_PART)
         if idle_s <= 0:
             return False
         conn.start_next_cycle()
-        self.idle_since = now
-        self.idle_until = now + idle_s
+        self._rest(idle_s)
         return True
 
+    def _rest(self, idle_s):
+        self.idle_since = self.pool.now()
+        self.idle_until = self.idle_since + idle_s
+
 
 class ConnectionPool:
     """Connections to all servers, kept while they are idle.
 
     ``exchange`` objects have ``request``, ``upstream``, ``once``, ``left_s()``,
-    ``writing()``, called before the first byte, and the async methods
-    ``replied(reply)`` and ``failed(failure, reason, reply)``, of which one is
-    called once, and ``connection``, set here.
+    ``is_wanted()``, asked before the first byte, ``writing()``, called then, and
+    the async methods ``replied(reply)``, ``failed(failure, reason, reply)`` and
+    ``skipped()``, of which one is called once, and ``connection``, set here.
     """
 
     __slots__ = ("_idle", "_open", "now", "opened")
--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -45,6 +45,8 @@
 # The store answers a watch at once when servers have sent heartbeats.
 WATCH_WAIT_MS = 20
 HOUSEKEEPING_S = 0.25
+# Branches of a failed or late request that its log line describes at most.
+HISTORY_BRANCHES = 6
 # A gap between two rounds of housekeeping, in s, that means the process stood.
 PAUSE_S = 1.0
 # Parts of the stopping time after which idle connections close, and after which
@@ -364,11 +366,9 @@
         if call is not None:
             fields["parts"] = f"{call.covered}/{len(call.branches)}"
             fields["left"] = call.abandoned
-            sends = sum(branch.sent for branch in call.branches)
-            fields["sends"] = sends
-            failures = [text for branch in call.branches for text in branch.failures]
-            if failures:
-                fields["failures"] = failures[:12]
+            fields["sends"] = sum(len(branch.sends) for branch in call.branches)
+            if call.covered < len(call.branches) or _now() > call.objective_at:
+                fields["history"] = "; ".join(call.history()[:HISTORY_BRANCHES])
         self.log.info("request", **fields)
         return answer
 
--- a/almondtide/entry/dispatch.py
+++ b/almondtide/entry/dispatch.py
@@ -7,7 +7,7 @@
 from .calls import BranchState
 from .extras import ExtraBudget
 from .pacing import RoutePace
-from .steps import Step, may_hedge, next_step
+from .steps import Step, may_hedge, may_send_again, next_step
 from .upstreams import Failure
 
 __all__ = ["Dispatcher"]
@@ -68,8 +68,17 @@
             return 0.0
         return self.branch.call.limit_at - self._dispatcher.now()
 
+    def is_wanted(self):
+        branch = self.branch
+        return (
+            not self.finished
+            and branch.state is BranchState.OPEN
+            and may_send_again(branch, self._dispatcher.now())
+        )
+
     def writing(self):
         self.written = True
+        self.branch.arrivals += 1
         self.branch.uncertain += 1
 
     async def replied(self, reply):
@@ -78,6 +87,9 @@
     async def failed(self, failure, reason, reply):
         await self._dispatcher.on_failure(self, failure, reason, reply)
 
+    async def skipped(self):
+        await self._dispatcher.on_skipped(self)
+
 
 class Dispatcher:
     """Runs the calls of one entry.
@@ -218,7 +230,7 @@
         if upstream is None:
             await self._no_server(branch, kind, now)
             return False
-        if kind != "first" and branch.sent:
+        if branch.arrivals or branch.open:
             keep = RETRY_PART if kind == "hedge" else 0.0
             if not self.budget(branch.service).spend(now, keep):
                 if kind != "hedge":
@@ -228,8 +240,7 @@
         exchange = _Exchange(self, branch, upstream, kind, now)
         branch.tried.add(upstream.server.id)
         branch.open.append(exchange)
-        branch.sent += 1
-        branch.ran += 1
+        branch.sends.append((kind, upstream.server.id, now))
         self.counts["sends"] += 1
         if kind == "hedge":
             self.counts["hedges"] += 1
@@ -237,10 +248,7 @@
             self.counts["retries"] += 1
         upstream.start(exchange, now, pace.expected_s)
         await self._pool.send(exchange)
-        if (
-            branch.call.route.is_idempotent
-            and branch.ran < branch.call.route.max_servers
-        ):
+        if branch.call.route.is_idempotent:
             await self._timers.schedule(now + pace.hedge_s, HEDGE, exchange)
         return True
 
@@ -282,6 +290,18 @@
         elif kind == REAP:
             await self._close(item)
 
+    async def on_skipped(self, exchange):
+        """Handle an exchange that was not written, since nobody needs it."""
+        if exchange.finished:
+            return
+        self._end(exchange)
+        exchange.upstream.cancel(exchange)
+        branch = exchange.branch
+        if exchange.kind != "first":
+            self.budget(branch.service).refund()
+        if next_step(branch, self.now()) is not Step.WAIT:
+            await self._give_up(branch, "no time left")
+
     async def on_reply(self, exchange, reply):
         """Handle a complete reply of a server."""
         if exchange.finished:
@@ -305,6 +325,7 @@
             self.pace(call.route).add(latency)
         if branch.state is BranchState.OPEN:
             call.close_branch(branch, BranchState.DONE, reply)
+            branch.ended = now
             if call.is_decided():
                 await call.changed.set()
 
@@ -319,7 +340,6 @@
         upstream.fail(exchange, failure, now)
         branch.failures.append(f"{upstream.server.id}:{failure.value}:{reason}")
         if failure.certainly_not_run:
-            branch.ran -= 1
             branch.uncertain -= exchange.written
         elif failure is Failure.ERROR and not 200 <= reply.status < 300:
             branch.last_reply = reply
--- a/almondtide/entry/extras.py
+++ b/almondtide/entry/extras.py
@@ -70,3 +70,12 @@
         self._extras[self._current % (BUCKETS + 1)] += 1
         self.spent += 1
         return True
+
+    def refund(self):
+        """Take back the newest extra send, which was never made."""
+        if self._current is None:
+            return
+        index = self._current % (BUCKETS + 1)
+        if self._extras[index]:
+            self._extras[index] -= 1
+            self.spent -= 1
--- a/almondtide/entry/steps.py
+++ b/almondtide/entry/steps.py
@@ -28,7 +28,7 @@
         return False
     if branch.may_have_run and not call.route.is_idempotent:
         return False
-    return branch.ran < call.route.max_servers
+    return branch.uncertain < call.route.max_servers
 
 
 def next_step(branch, now):
--- a/almondtide/entry/upstreams.py
+++ b/almondtide/entry/upstreams.py
@@ -129,6 +129,11 @@
         if now - max(entry[0], self.heard_at) > LOST_AFTER_S:
             self._eject(now)
 
+    def cancel(self, exchange):
+        """Forget an exchange that was never sent; it says nothing of the server."""
+        self._pending.pop(exchange, None)
+        self.probing = False
+
     def succeed(self, exchange, now):
         """Count a good reply; returns its latency in seconds, or None."""
         entry = self._pending.pop(exchange, None)
--- a/tests/entry/test_dispatch.py
+++ b/tests/entry/test_dispatch.py
@@ -31,10 +31,14 @@
         return time.monotonic()
 
 
+CONNECTING = "connecting"
+
+
 class MemoryPool:
     """Servers that answer as ``behave(exchange)`` says.
 
-    It returns (seconds, reply or ``Failure``); None stands for silence.
+    It returns (seconds, reply or ``Failure``); None stands for silence and
+    ``CONNECTING`` for a connection that is not opened.
     """
 
     def __init__(self, behave):
@@ -49,12 +53,14 @@
         await curio.spawn(self._serve, exchange, outcome, daemon=True)
 
     async def _serve(self, exchange, outcome):
+        if outcome == CONNECTING:
+            return
         if outcome is not None and outcome[1] is Failure.NOT_SENT:
             await curio.sleep(outcome[0])
             await exchange.failed(Failure.NOT_SENT, "refused", None)
             return
-        if exchange.left_s() <= 0:
-            await exchange.failed(Failure.NOT_SENT, "no time left", None)
+        if not exchange.is_wanted():
+            await exchange.skipped()
             return
         exchange.writing()
         if outcome is None:
@@ -132,6 +138,18 @@
         self.assertEqual(2, fleet.pool.count("a"))
         self.assertTrue(took < 0.12, took)
 
+    def test_connections_that_do_not_open_use_up_no_server(self):
+        # The route allows two servers; two that drop the opening packet run nothing.
+        def behave(exchange):
+            if exchange.upstream.server.id in ("i-a00", "i-a01"):
+                return CONNECTING
+            return (0.005, _part(exchange))
+
+        fleet, [(_call, answer, took)] = _play(behave, self.route)
+        self.assertEqual(ResultCode.OK, answer.code)
+        self.assertEqual(3, fleet.pool.count("a"))
+        self.assertTrue(took < 0.15, took)
+
     def test_a_silent_shard_is_left_out_before_the_objective(self):
         _fleet, [(_call, answer, took)] = _play(
             lambda e: None if e.branch.service == "a" else (0.005, _part(e)),
