Bound what entries have at a server and let branches wait here

The entries now share a depth that follows from the objective; further branches wait here, urgent routes first, and leave when their call ends; a service that cannot answer within the objective is left out or refuses. Ruled out: hedges (10 sends for 9 parts) and connections.

--- a/almondtide/entry/calls.py
+++ b/almondtide/entry/calls.py
@@ -24,6 +24,7 @@
         "ended",
         "failures",
         "is_probe",
+        "is_waiting",
         "last_reply",
         "open",
         "reply",
@@ -57,6 +58,23 @@
         self.ended = None
         # A probe of a service without healthy servers; the call does not wait.
         self.is_probe = False
+        # Whether it waits for room at a server.
+        self.is_waiting = False
+
+    @property
+    def workload(self):
+        """The queue lane: requests of one route wait in one."""
+        return self.call.route
+
+    @property
+    def deadline(self):
+        """The time by which it should be answered."""
+        return self.call.objective_at
+
+    @property
+    def done(self):
+        """Whether it needs no server any more."""
+        return self.state is not BranchState.OPEN
 
     def history(self):
         """Return the sends and failures as one text, with times since arrival."""
--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -18,7 +18,7 @@
 from .callers import CallerConnection
 from .calls import Call
 from .connections import ConnectionPool
-from .dispatch import RETRY_AFTER_S, Dispatcher
+from .dispatch import Dispatcher
 from .feed import StoreFeed, read_due_at
 from .gossip import Gossip
 from .knowledge import Knowledge
@@ -45,6 +45,8 @@
 # The store answers a watch at once when servers have sent heartbeats.
 WATCH_WAIT_MS = 20
 HOUSEKEEPING_S = 0.25
+# Time after which a caller comes back while there is no configuration, in s.
+NOT_READY_RETRY_S = 0.1
 # Branches of a failed or late request that its log line describes at most.
 HISTORY_BRANCHES = 6
 # A gap between two rounds of housekeeping, in s, that means the process stood.
@@ -223,7 +225,9 @@
         if carries != me.carries:
             self.log.info("role_changed", carries=carries, carriers=names)
         me.carries = carries
-        self.dispatcher.share = 1.0 / (len(names) + (not carries))
+        entries = len(names) + (not carries)
+        self.dispatcher.share = 1.0 / entries
+        self.table.entries = entries
 
     async def _read_loop(self):
         is_seed = self.settings.control_address in self.settings.seeds
@@ -333,7 +337,7 @@
         arrived = _now()
         if self.routes is None:
             answer = refusal(
-                503, ResultCode.NOT_READY, "no configuration yet", RETRY_AFTER_S
+                503, ResultCode.NOT_READY, "no configuration yet", NOT_READY_RETRY_S
             )
             return self._done(request, None, answer, arrived)
         route = self.routes.find(request.host, request.path)
--- a/almondtide/entry/dispatch.py
+++ b/almondtide/entry/dispatch.py
@@ -1,11 +1,15 @@
 """Runs calls: places exchanges, hedges, retries and collects the result."""
 
+import random
+
 import curio
 
 from ..errors import ResultCode
+from ..workqueue import WorkQueue
 from .answers import answer_call, refusal
 from .calls import BranchState
 from .extras import ExtraBudget
+from .intake import ServiceState, decide, retry_after_s
 from .pacing import RoutePace
 from .steps import Step, may_hedge, may_send_again, next_step
 from .upstreams import Failure
@@ -27,8 +31,14 @@
 # Part of the extra sends that hedges leave to retries: a branch that failed has no
 # answer without one, a slow one mostly does.
 RETRY_PART = 0.35
-# Time after which a refused caller comes back, in s.
-RETRY_AFTER_S = 0.05
+# Part of the objective that a request may spend waiting for room and being served;
+# beyond it the service counts as full.
+QUEUE_PART = 0.8
+
+
+def _weight(route):
+    """Return the weight of a route's queue lane; rank 0 is the most urgent."""
+    return 1.0 / (1.0 + route.rank)
 
 
 class _Exchange:
@@ -104,6 +114,7 @@
         "_log",
         "_paces",
         "_pool",
+        "_queues",
         "_settings",
         "_table",
         "_timers",
@@ -120,6 +131,7 @@
         self._timers = None
         self._budgets = {}
         self._paces = {}
+        self._queues = {}
         self.now = now
         self.share = 1.0
         self.counts = {"sends": 0, "hedges": 0, "retries": 0, "refused": 0}
@@ -149,31 +161,56 @@
 
     async def run(self, call):
         """Run a call to its end and return its ``Answer``."""
-        usable = sum(
-            1 for branch in call.branches if self._table.members(branch.service)
-        )
-        if usable < call.needed:
-            self.counts["refused"] += 1
-            return refusal(
-                503,
-                ResultCode.NO_SERVER,
-                f"servers for {usable} of {len(call.branches)} services, "
-                f"{call.needed} needed",
-                RETRY_AFTER_S,
-            )
         now = self.now()
-        for branch in call.branches:
+        states = [self._state(call, branch, now) for branch in call.branches]
+        intake = decide(states, call.needed)
+        if not intake.admitted:
+            self.counts["refused"] += 1
+            code = ResultCode.OVERLOADED
+            if ServiceState.FULL not in states:
+                code = ResultCode.NO_SERVER
+            return refusal(503, code, intake.reason, self._retry_after_s(call))
+        for branch, state in zip(call.branches, states, strict=True):
             self.budget(branch.service).count_request(now)
-            branch.is_probe = call.is_merged and self._table.is_lost(
-                branch.service, now
-            )
+            branch.is_probe = call.is_merged and state is ServiceState.LOST
+            if call.is_merged and state is ServiceState.FULL:
+                await self._give_up(branch, "full")
+                continue
             await self._send(branch, "first", now)
         await self._wait(call)
         is_late = self.now() >= call.limit_at
-        answer = answer_call(call, is_late, RETRY_AFTER_S)
+        answer = answer_call(call, is_late, self._retry_after_s(call))
         await self._finish(call, is_late)
         return answer
 
+    def _state(self, call, branch, now):
+        """Return what the service of a branch can do for it now."""
+        service = branch.service
+        if not self._table.members(service):
+            return ServiceState.EMPTY
+        if self._table.is_lost(service, now):
+            return ServiceState.LOST
+        queue = self._queues.get(service)
+        waiting = len(queue) if queue is not None else 0
+        if waiting:
+            pace = self.pace(call.route)
+            slots = self._table.slots(service) / self._table.entries
+            spare_s = pace.objective_s * QUEUE_PART - pace.expected_s
+            if waiting * pace.expected_s > slots * spare_s:
+                return ServiceState.FULL
+        return ServiceState.OPEN
+
+    def _retry_after_s(self, call):
+        """Return when the caller of a refused call may come back."""
+        waiting, slots = 0, 1
+        for branch in call.branches:
+            queue = self._queues.get(branch.service)
+            if queue is not None and len(queue) > waiting:
+                waiting = len(queue)
+                slots = self._table.slots(branch.service) / self._table.entries
+        expected_s = self.pace(call.route).expected_s
+        return retry_after_s(waiting, slots, expected_s, random.random())
+
     async def _wait(self, call):
         if call.is_merged:
             margin_s = min(ANSWER_MARGIN_S, ANSWER_MARGIN_PART * call.route.objective_s)
@@ -196,17 +233,26 @@
         for branch in call.branches:
             if branch.state is BranchState.OPEN:
                 branch.state = BranchState.FAILED
+            self._leave_queue(branch)
             for exchange in list(branch.open):
                 if call.abandoned or is_late or not exchange.written:
                     await self._close(exchange)
                 else:
                     await self._timers.schedule(now + LINGER_S, REAP, exchange)
 
+    def _leave_queue(self, branch):
+        if branch.is_waiting:
+            branch.is_waiting = False
+            self._queues[branch.service].forget(branch)
+
     async def abandon(self, call):
         """End a call whose caller has left, and all its exchanges."""
         call.abandoned = True
         await call.changed.set()
         for branch in call.branches:
+            if branch.state is BranchState.OPEN:
+                branch.state = BranchState.FAILED
+            self._leave_queue(branch)
             for exchange in list(branch.open):
                 await self._close(exchange)
 
@@ -224,9 +270,10 @@
 
     async def _send(self, branch, kind, now):
         """Place an exchange of the branch; returns whether one was sent."""
-        upstream = self._table.choose(branch.service, now, branch.tried)
+        pace = self.pace(branch.call.route)
+        upstream = self._table.choose(branch.service, now, branch.tried, pace.patience)
         if upstream is None and kind != "hedge":
-            upstream = self._choose_again(branch, now)
+            upstream = self._choose_again(branch, now, pace)
         if upstream is None:
             await self._no_server(branch, kind, now)
             return False
@@ -236,7 +283,6 @@
                 if kind != "hedge":
                     await self._give_up(branch, "no budget for another send")
                 return False
-        pace = self.pace(branch.call.route)
         exchange = _Exchange(self, branch, upstream, kind, now)
         branch.tried.add(upstream.server.id)
         branch.open.append(exchange)
@@ -252,19 +298,48 @@
             await self._timers.schedule(now + pace.hedge_s, HEDGE, exchange)
         return True
 
-    def _choose_again(self, branch, now):
+    def _choose_again(self, branch, now, pace):
         """Choose among servers that were tried, where nothing ran there."""
         if branch.open or not branch.tried:
             return None
-        return self._table.choose(branch.service, now)
+        return self._table.choose(branch.service, now, (), pace.patience)
 
     async def _no_server(self, branch, kind, now):
         if kind == "hedge" or branch.state is not BranchState.OPEN or branch.open:
             return
-        if self._table.has_room_later(branch.service, now):
-            await self._timers.schedule(now + RESEND_S, RESEND, branch)
+        if not self._table.has_room_later(branch.service, now):
+            await self._give_up(branch, "no server")
             return
-        await self._give_up(branch, "no server")
+        if not branch.is_waiting:
+            branch.is_waiting = True
+            self._queue(branch.service).push(branch)
+        # A server may also have room again without a reply to this entry.
+        await self._timers.schedule(now + RESEND_S, RESEND, branch.service)
+
+    def _queue(self, service):
+        queue = self._queues.get(service)
+        if queue is None:
+            queue = self._queues[service] = WorkQueue(_weight)
+        return queue
+
+    async def _drain(self, service):
+        """Send waiting branches of a service while its servers have room."""
+        queue = self._queues.get(service)
+        while queue is not None and len(queue):
+            now = self.now()
+            if self._table.choose(service, now) is None:
+                await self._timers.schedule(now + RESEND_S, RESEND, service)
+                return
+            branch = queue.pop()
+            if branch is None:
+                return
+            branch.is_waiting = False
+            if next_step(branch, now) is Step.RETRY:
+                kind = "retry" if branch.sends else "first"
+                if not await self._send(branch, kind, now):
+                    return
+            else:
+                await self._give_up(branch, "no time left")
 
     async def _give_up(self, branch, reason):
         if branch.state is not BranchState.OPEN or branch.open:
@@ -282,11 +357,7 @@
             if not exchange.finished and may_hedge(branch, now):
                 await self._send(branch, "hedge", now)
         elif kind == RESEND:
-            if item.state is BranchState.OPEN and not item.open:
-                if next_step(item, now) is Step.RETRY:
-                    await self._send(item, "retry", now)
-                else:
-                    await self._give_up(item, "no time left")
+            await self._drain(item)
         elif kind == REAP:
             await self._close(item)
 
@@ -326,8 +397,11 @@
         if branch.state is BranchState.OPEN:
             call.close_branch(branch, BranchState.DONE, reply)
             branch.ended = now
+            self._leave_queue(branch)
             if call.is_decided():
                 await call.changed.set()
+        if branch.service in self._queues:
+            await self._drain(branch.service)
 
     async def on_failure(self, exchange, failure, reason, reply):
         """Handle an exchange that failed."""
@@ -348,3 +422,5 @@
             await self._send(branch, "retry", now)
         elif step is Step.GIVE_UP:
             await self._give_up(branch, "no more tries")
+        if branch.service in self._queues:
+            await self._drain(branch.service)
--- a/almondtide/entry/pacing.py
+++ b/almondtide/entry/pacing.py
@@ -24,14 +24,20 @@
 class RoutePace:
     """Latency of the exchanges of one route and service set, in seconds."""
 
-    __slots__ = ("_since", "_window", "expected_s", "hedge_s")
+    __slots__ = ("_since", "_window", "expected_s", "hedge_s", "objective_s")
 
     def __init__(self, objective_s):
+        self.objective_s = objective_s
         self._window = LatencyWindow(WINDOW_SAMPLES)
         self._since = 0
         self.expected_s = objective_s * FIRST_EXPECTED_PART
         self.hedge_s = objective_s * FIRST_HEDGE_PART
 
+    @property
+    def patience(self):
+        """The objective as a multiple of the expected time."""
+        return self.objective_s / max(0.001, self.expected_s)
+
     def add(self, latency_s):
         """Add the latency of an exchange that was answered."""
         self._window.add(latency_s)
--- a/almondtide/entry/upstreams.py
+++ b/almondtide/entry/upstreams.py
@@ -29,9 +29,11 @@
 OTHER_DOMAIN_COST = 0.45
 COLD_COST = 0.4
 SILENT_COST = 20.0
-# Requests that one entry may have at a server, as a multiple of its slots. The
-# server queues a few; more would only hide the load from the choice.
-DEPTH = 2.0
+# Requests that the entries together have at a server: its slots, and behind them as
+# many as are served within this part of the objective, at most so many times the
+# slots. The server's own queue is first come first served and hides its load.
+DEPTH_PART = 0.6
+DEPTH_MOST = 4.0
 
 
 class Failure(enum.Enum):
@@ -216,10 +218,12 @@
 class UpstreamTable:
     """The servers of all services; ``domain`` is the own failure domain."""
 
-    __slots__ = ("_by_id", "_by_service", "domain")
+    __slots__ = ("_by_id", "_by_service", "domain", "entries")
 
     def __init__(self, domain):
         self.domain = domain
+        # Entries that send to the same servers, this one included.
+        self.entries = 1
         self._by_id = {}
         self._by_service = {}
 
@@ -275,7 +279,19 @@
         """Return whether no server of the service is expected to answer."""
         return all(upstream.is_lost(now) for upstream in self.members(service))
 
-    def choose(self, service, now, exclude=()):
+    def depth(self, slots, patience):
+        """Return how many requests this entry may have at a server.
+
+        ``patience`` is the objective as a multiple of the expected time.
+        """
+        total = slots * min(DEPTH_MOST, max(1.0, DEPTH_PART * patience))
+        return max(1, round(total / self.entries))
+
+    def slots(self, service):
+        """Return the slots of the usable servers of a service."""
+        return sum(upstream.server.slots for upstream in self.members(service))
+
+    def choose(self, service, now, exclude=(), patience=DEPTH_MOST):
         """Return the best upstream of a service, or None.
 
         ``exclude`` are ids that were tried. Servers that failed are left out for
@@ -290,7 +306,7 @@
                 continue
             if upstream.is_lost(now) and (upstream.probing or upstream.silent_s(now)):
                 continue
-            if upstream.in_flight >= DEPTH * upstream.server.slots:
+            if upstream.in_flight >= self.depth(upstream.server.slots, patience):
                 continue
             cost = upstream.cost(now, self.domain)
             if best is None or cost < best_cost:
--- /dev/null
+++ b/tests/entry/test_intake.py
@@ -0,0 +1,57 @@
+"""Tests of the admission of calls, replaying overload and losses."""
+
+import testtools
+
+from almondtide.entry.intake import (
+    RETRY_FIRST_S,
+    RETRY_LONGEST_S,
+    RETRY_SPREAD,
+    ServiceState,
+    decide,
+    retry_after_s,
+)
+
+OPEN, FULL = ServiceState.OPEN, ServiceState.FULL
+LOST, EMPTY = ServiceState.LOST, ServiceState.EMPTY
+
+
+class DecideTest(testtools.TestCase):
+    """Guards against calls that are held though they cannot be answered."""
+
+    def test_calm(self):
+        self.assertTrue(decide([OPEN] * 10, 9).admitted)
+
+    def test_a_lost_shard_is_borne_up_to_the_coverage(self):
+        self.assertTrue(decide([LOST] + [OPEN] * 9, 9).admitted)
+        self.assertFalse(decide([LOST, EMPTY] + [OPEN] * 8, 9).admitted)
+        self.assertTrue(decide([LOST, EMPTY] + [OPEN] * 8, 8).admitted)
+
+    def test_a_full_shard_is_left_out_or_refuses_the_call(self):
+        self.assertTrue(decide([FULL] + [OPEN] * 9, 9).admitted)
+        intake = decide([FULL, LOST] + [OPEN] * 8, 9)
+        self.assertFalse(intake.admitted)
+        self.assertIn("full: 8 of 10, 9 needed", intake.reason)
+
+    def test_one_service(self):
+        self.assertTrue(decide([OPEN], 1).admitted)
+        # The only chance of a lost service is a request that tries it.
+        self.assertTrue(decide([LOST], 1).admitted)
+        self.assertFalse(decide([FULL], 1).admitted)
+        self.assertIn("no servers", decide([EMPTY], 1).reason)
+
+
+class RetryAfterTest(testtools.TestCase):
+    """Guards against callers that return together, at once or too late."""
+
+    def test_follows_the_queue(self):
+        self.assertEqual(RETRY_FIRST_S, retry_after_s(0, 3, 0.03, 0.0))
+        self.assertAlmostEqual(0.2, retry_after_s(20, 3, 0.03, 0.0))
+        self.assertEqual(RETRY_LONGEST_S, retry_after_s(5000, 3, 0.03, 0.0))
+
+    def test_is_spread(self):
+        times = [retry_after_s(20, 3, 0.03, number / 10) for number in range(11)]
+        self.assertEqual(11, len(set(times)))
+        self.assertAlmostEqual((1 + RETRY_SPREAD) * times[0], times[-1])
+
+    def test_service_without_slots(self):
+        self.assertTrue(retry_after_s(5, 0, 0.03, 0.5) > 0)
--- a/tests/entry/test_upstreams.py
+++ b/tests/entry/test_upstreams.py
@@ -3,7 +3,7 @@
 import testtools
 
 from almondtide.entry.upstreams import (
-    DEPTH,
+    DEPTH_MOST,
     EJECT_FIRST_S,
     FORGET_S,
     FULL_FIRST_S,
@@ -59,12 +59,20 @@
     def test_no_server_takes_more_than_its_depth(self):
         table = _three()
         placed = 0
-        while (upstream := table.choose("a", 0.0)) is not None:
+        while (upstream := table.choose("a", 0.0, patience=20.0)) is not None:
             upstream.start(placed, 0.0, EXPECTED_S)
             placed += 1
-        self.assertEqual(3 * 3 * DEPTH, placed)
+        self.assertEqual(3 * 3 * DEPTH_MOST, placed)
         self.assertTrue(table.has_room_later("a", 0.0))
 
+    def test_entries_share_the_depth_of_a_server(self):
+        table = _three()
+        table.entries = 6
+        self.assertEqual(2, table.depth(3, patience=8.0))
+        self.assertEqual(1, table.depth(3, patience=1.0))
+        table.entries = 1
+        self.assertEqual(3, table.depth(3, patience=1.0))
+
     def test_slow_server_is_left_and_tried_again_later(self):
         table = _three()
         slow = table.get("i-1")
