Bound the datagrams of a daemon in a large fleet

Standbys now speak to three carriers and three others, carriers to twenty, and carriers tell about each other; asking slows down; a reply names twelve members. The times of reads follow from the platform's bounds.

--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -45,6 +45,8 @@
 # The store answers a watch at once when servers have sent heartbeats.
 WATCH_WAIT_MS = 20
 HOUSEKEEPING_S = 0.25
+# Age, in s, up to which the choice of carriers is used again.
+CARRIERS_AGE_S = 0.1
 # Time after which a caller comes back while there is no configuration, in s.
 NOT_READY_RETRY_S = 0.1
 # Branches of a failed or late request that its log line describes at most.
@@ -101,6 +103,8 @@
         self._connections = {}
         self._running = 0
         self.answers = {}
+        self._carriers_at = 0.0
+        self._carriers_now = None
 
     # Life
 
@@ -218,17 +222,29 @@
         me = self.view.me
         if me.state is MemberState.STARTING and self.knowledge.is_complete:
             me.state = MemberState.READY
+            self._carriers_now = None
             self.log.info("ready", after_s=round(now - self.started, 2))
-        carriers = choose_carriers(self.view.ready(now))
-        names = [member.name for chosen in carriers.values() for member in chosen]
+        names = [
+            member.name for chosen in self._carriers(now).values() for member in chosen
+        ]
         carries = me.name in names
+        if now < self.started + LISTEN_FIRST_S and len(self.settings.domains) > 1:
+            # Until the others were heard every daemon is the strongest it knows.
+            carries = carries and len(self.view.members) > 0
         if carries != me.carries:
+            me.carries = carries
             self.log.info("role_changed", carries=carries, carriers=names)
-        me.carries = carries
         entries = len(names) + (not carries)
         self.dispatcher.share = 1.0 / entries
         self.table.entries = entries
 
+    def _carriers(self, now):
+        """Return the carriers by failure domain, computed a few times a second."""
+        if now - self._carriers_at > CARRIERS_AGE_S or self._carriers_now is None:
+            self._carriers_at = now
+            self._carriers_now = choose_carriers(self.view.ready(now))
+        return self._carriers_now
+
     async def _read_loop(self):
         is_seed = self.settings.control_address in self.settings.seeds
         if not is_seed and self.settings.seeds:
@@ -239,6 +255,7 @@
                 self.knowledge.fresh_at,
                 self._read_failed_at,
                 reading_rank(self.view, now),
+                min(self.settings.drain_s, self.settings.config_apply_s),
             )
             if now < due:
                 await curio.sleep(min(0.5, max(0.01, due - now)))
@@ -419,11 +436,13 @@
         return HTTPResponse(200, body, {"content-type": "application/json"})
 
     def _entries_for(self, domain, now):
-        carriers = choose_carriers(self.view.ready(now))
+        carriers = self._carriers(now)
         chosen = carriers.get(domain)
-        if chosen:
-            return chosen
-        return [member for members in carriers.values() for member in members]
+        if not chosen:
+            chosen = [member for members in carriers.values() for member in members]
+        # A member that was chosen anew may be dead or unaware of it.
+        known = [member for member in chosen if member.carries]
+        return known or chosen
 
 
 class _Clock:
--- a/almondtide/entry/feed.py
+++ b/almondtide/entry/feed.py
@@ -10,13 +10,12 @@
 
 __all__ = ["StoreFeed", "read_due_at"]
 
-# Time between two reads of the daemon that reads, in s. Changes must reach every
-# daemon within 3 s of the store's acknowledgement.
-READ_PERIOD_S = 1.0
-# Lateness of the news, in s, after which the next in rank reads too, and the
-# further delay of each rank after it.
-TAKEOVER_S = 0.35
-RANK_STEP_S = 0.25
+# Parts of the time in which changes must reach every daemon: between two reads of
+# the daemon that reads, until the next in rank reads too because the news are late,
+# and the further delay of each rank after it.
+READ_PART = 0.33
+TAKEOVER_PART = 0.12
+RANK_PART = 0.08
 LAST_RANK = 6
 # Pause of one daemon after a read that failed, in s, and its growth by rank.
 FAILED_PAUSE_S = 0.5
@@ -27,18 +26,20 @@
 LAPSE_HOLD_S = 2.8
 
 
-def read_due_at(fresh_at, failed_at, rank):
+def read_due_at(fresh_at, failed_at, rank, within_s):
     """Return when a daemon with this rank reads the store next, in s.
 
+    Changes must reach every daemon ``within_s`` of the store's acknowledgement.
+
     ``fresh_at`` is the time for which the store's state is known, from own reads
     or from peers; ``failed_at`` the time of the last own read that failed, or None.
     """
     rank = min(rank, LAST_RANK)
     due = 0.0
     if fresh_at is not None:
-        due = fresh_at + READ_PERIOD_S
+        due = fresh_at + READ_PART * within_s
         if rank:
-            due += TAKEOVER_S + RANK_STEP_S * (rank - 1)
+            due += (TAKEOVER_PART + RANK_PART * (rank - 1)) * within_s
     if failed_at is not None:
         due = max(due, failed_at + FAILED_PAUSE_S + FAILED_RANK_STEP_S * rank)
     return due
--- a/almondtide/entry/gossip.py
+++ b/almondtide/entry/gossip.py
@@ -23,15 +23,21 @@
 
 SNAPSHOT_PATH = "/snapshot"
 # Time between two beats, in s; carriers are watched more closely, and a daemon
-# without knowledge asks for it often.
+# without knowledge asks for it, at first often.
 CARRIER_BEAT_S = 0.3
 BEAT_S = 1.0
 ASKING_BEAT_S = 0.1
-# Members that a beat or news goes to at most. Others than carriers are heard by the
-# carriers and a few more, and carriers tell about some of them.
-FANOUT = 24
-STANDBY_FANOUT = 2
-RELAYED = 2
+ASKING_GROWTH = 1.25
+# Members that a beat or news of a carrier goes to. In a small fleet these are all.
+# Others speak to the carriers of their failure domain and a few more, and carriers
+# tell about each other and some others, so that the traffic of a daemon does not
+# grow with the fleet.
+CARRIER_FANOUT = 20
+FANOUT = 3
+RELAYED = 3
+LARGE_RELAYED_CARRIERS = 8
+# Members that an answer to a daemon that has just started tells about.
+REPLY_MEMBERS = 12
 # Time, in s, for which a differing digest may be news on its way.
 DIFFERENCE_S = 0.25
 PULL_TIMEOUT_S = 1.0
@@ -90,12 +96,15 @@
     # Sending
 
     async def _beat_loop(self):
+        asking_s = ASKING_BEAT_S
         while True:
             await self._send_beats()
             self._urgent.clear()
-            pause_s = CARRIER_BEAT_S if self.view.me.carries else BEAT_S
             if not self._knowledge.is_complete:
-                pause_s = ASKING_BEAT_S
+                pause_s = asking_s
+                asking_s = min(BEAT_S, asking_s * ASKING_GROWTH)
+            else:
+                pause_s = CARRIER_BEAT_S if self.view.me.carries else BEAT_S
             async with curio.ignore_after(pause_s * random.uniform(0.8, 1.2)):
                 await self._urgent.wait()
 
@@ -104,42 +113,49 @@
         me = self.view.me
         me.heard_at = now
         targets = self._targets(now)
-        if not me.carries and me.state is MemberState.READY:
-            targets = self._listeners(targets)
         wants_reply = not self._knowledge.is_complete or not targets
         hosts = [member.host for member in targets]
-        if wants_reply or not targets:
+        if wants_reply:
             hosts.extend(host for host, _ in self._settings.seeds)
         hosts.extend(self._lost(now))
-        relayed = RELAYED if me.carries else 0
-        raw = encode_beat(self._beat(now, relayed, wants_reply), now)
+        raw = encode_beat(self._beat(self._relayed(now), now, wants_reply), now)
         for host in dict.fromkeys(hosts):
             if host != me.host:
                 await self._send(raw, host)
 
-    def _targets(self, now):
-        alive = [
-            member for member in self.view.alive(now) if member is not self.view.me
-        ]
-        if len(alive) <= FANOUT:
-            return alive
-        carriers = [member for member in alive if member.carries]
-        return list(
-            {
-                member.name: member
-                for member in [
-                    *random.sample(carriers, min(len(carriers), FANOUT // 2)),
-                    *random.sample(alive, FANOUT // 2),
-                ]
-            }.values()
-        )
+    def _others(self, now):
+        me = self.view.me
+        return [member for member in self.view.alive(now) if member is not me]
 
-    @staticmethod
-    def _listeners(targets):
-        """Return the carriers and a few others."""
-        carriers = [member for member in targets if member.carries]
-        others = [member for member in targets if not member.carries]
-        return carriers + random.sample(others, min(len(others), STANDBY_FANOUT))
+    def _targets(self, now):
+        """Return the members that a beat or news of this daemon goes to."""
+        others = self._others(now)
+        me = self.view.me
+        if me.state is MemberState.LEAVING and not self.view.is_large:
+            return others
+        chosen = [member for member in others if member.carries]
+        if me.carries:
+            chosen = _sample(chosen, CARRIER_FANOUT)
+            rest = CARRIER_FANOUT - len(chosen)
+        else:
+            if self.view.is_large:
+                own = [member for member in chosen if member.domain == me.domain]
+                chosen = _sample(own or chosen, FANOUT)
+            rest = FANOUT
+        known = {member.name for member in chosen}
+        strangers = [member for member in others if member.name not in known]
+        return chosen + _sample(strangers, rest)
+
+    def _relayed(self, now):
+        """Return the members that a beat tells about."""
+        if not self.view.me.carries:
+            return []
+        others = self._others(now)
+        if not self.view.is_large:
+            return _sample(others, RELAYED)
+        carriers = [member for member in others if member.carries]
+        standbys = [member for member in others if not member.carries]
+        return _sample(carriers, LARGE_RELAYED_CARRIERS) + _sample(standbys, RELAYED)
 
     def _lost(self, now):
         """Return hosts of a few silent members, which may be back."""
@@ -148,19 +164,16 @@
             for member in self.view.members.values()
             if not self.view.is_alive(member, now)
         ]
-        return random.sample(silent, min(len(silent), LOST_ASKED))
+        return _sample(silent, LOST_ASKED)
 
-    def _beat(self, now, relayed, wants_reply):
-        alive = [
-            member for member in self.view.alive(now) if member is not self.view.me
-        ]
+    def _beat(self, heard, now, wants_reply):
         knowledge = self._knowledge
         return Beat(
             self.view.me,
             knowledge.digest,
             knowledge.version,
             knowledge.age_s(now),
-            random.sample(alive, min(len(alive), relayed)),
+            heard,
             wants_reply,
             self._feed.cursor or 0,
         )
@@ -222,7 +235,6 @@
             await self._compare(beat, host, now)
 
     def _hear(self, member, now):
-        was_known = self.view.members.get(member.name)
         if self.view.hear(member):
             self._log.info(
                 "member_news",
@@ -231,15 +243,16 @@
                 state=member.state.name,
                 carries=member.carries,
                 age_s=round(now - member.heard_at, 2),
-                known=was_known is not None,
             )
 
     async def _reply(self, host, now):
-        members = self.view.alive(now)
-        for start in range(0, len(members), 12):
-            beat = self._beat(now, 0, False)
-            beat.heard = members[start : start + 12]
-            await self._send(encode_beat(beat, now), host)
+        """Tell a daemon that has just started about members, carriers first."""
+        others = self._others(now)
+        carriers = [member for member in others if member.carries]
+        heard = _sample(carriers, REPLY_MEMBERS)
+        rest = [member for member in others if not member.carries]
+        heard += _sample(rest, REPLY_MEMBERS - len(heard))
+        await self._send(encode_beat(self._beat(heard, now, False), now), host)
 
     async def _compare(self, beat, host, now):
         knowledge = self._knowledge
@@ -277,7 +290,7 @@
             configured = self._unpack_configuration(configuration, host)
         if news or configured:
             await self._on_news(news, configured, f"peer {host}")
-            if len(self.view.members) > FANOUT:
+            if self.view.is_large:
                 await self.spread(news, configured, host)
 
     def _unpack_configuration(self, configuration, host):
@@ -341,3 +354,10 @@
     def set_state(self, state):
         """Change the state of this daemon."""
         self.view.me.state = MemberState(state)
+
+
+def _sample(members, count):
+    """Return up to ``count`` members, chosen at random."""
+    if len(members) <= count:
+        return list(members)
+    return random.sample(members, max(0, count))
--- a/almondtide/entry/members.py
+++ b/almondtide/entry/members.py
@@ -5,9 +5,14 @@
 
 __all__ = ["Member", "MemberState", "View", "choose_carriers", "reading_rank"]
 
-# Silence after which a daemon counts as dead, in s. Carriers speak more often.
+# Silence after which a daemon counts as dead, in s. Carriers speak more often. Where
+# the fleet is large, word of a daemon comes over others and takes longer.
 CARRIER_SILENCE_S = 1.1
+LARGE_CARRIER_SILENCE_S = 2.0
 SILENCE_S = 3.0
+LARGE_SILENCE_S = 15.0
+# Members above which a fleet counts as large: not all of them speak to each other.
+LARGE_FLEET = 24
 # Silent members are remembered for this time, in s, and asked again now and then.
 FORGET_S = 60.0
 # Entries per failure domain that callers are sent to.
@@ -32,6 +37,7 @@
         "host",
         "incarnation",
         "name",
+        "order",
         "state",
         "strength",
     )
@@ -39,6 +45,9 @@
     def __init__(
         self, name, incarnation, host, domain, state, strength, carries, heard_at
     ):
+        digest = hashlib.blake2b(name.encode(), digest_size=8).digest()
+        # Orders members equally everywhere, strong ones first.
+        self.order = (-round(strength, 2), digest)
         self.name = name
         self.incarnation = incarnation
         self.host = host
@@ -58,6 +67,11 @@
         self.me = me
         self.members = {}
 
+    @property
+    def is_large(self):
+        """Whether the fleet is too large for all to speak to each other."""
+        return len(self.members) > LARGE_FLEET
+
     def hear(self, member):
         """Take newer evidence of a daemon; returns whether its state is news."""
         if member.name == self.me.name:
@@ -77,7 +91,10 @@
         """Return whether a member was heard lately."""
         if member is self.me:
             return True
-        limit_s = CARRIER_SILENCE_S if member.carries else SILENCE_S
+        if self.is_large:
+            limit_s = LARGE_CARRIER_SILENCE_S if member.carries else LARGE_SILENCE_S
+        else:
+            limit_s = CARRIER_SILENCE_S if member.carries else SILENCE_S
         return now - member.heard_at <= limit_s
 
     def alive(self, now):
@@ -106,19 +123,13 @@
         return gone
 
 
-def _order(member):
-    """Return a key that orders members equally everywhere, strong ones first."""
-    digest = hashlib.blake2b(member.name.encode(), digest_size=8).digest()
-    return -round(member.strength, 2), digest
-
-
 def choose_carriers(members, per_domain=CARRIERS_PER_DOMAIN):
     """Return a dict from failure domain to the members that carry callers.
 
     All daemons with the same view choose the same, without asking each other.
     """
     carriers = {}
-    for member in sorted(members, key=_order):
+    for member in sorted(members, key=lambda member: member.order):
         chosen = carriers.setdefault(member.domain, [])
         if len(chosen) < per_domain:
             chosen.append(member)
@@ -140,6 +151,6 @@
         for place, member in enumerate(members):
             rounds[member.name] = place
     ordered = sorted(
-        candidates, key=lambda item: (rounds.get(item.name, 99), _order(item))
+        candidates, key=lambda item: (rounds.get(item.name, 99), item.order)
     )
     return ordered.index(view.me)
