--- a/almondtide/entry/calls.py
+++ b/almondtide/entry/calls.py
@@ -112,6 +112,7 @@
         "needed",
         "objective_at",
         "pending",
+        "refused",
         "request",
         "route",
     )
@@ -132,6 +133,8 @@
         self.needed = needed_parts(len(services), route.min_coverage)
         self.accepts_partial = False
         self.abandoned = False
+        # Why it was not let in, or an empty text.
+        self.refused = ""
         self.changed = curio.Event()
 
     @property
--- /dev/null
+++ b/almondtide/entry/directory.py
@@ -0,0 +1,88 @@
+"""Tells callers which entries to use, and the platform whether this one is ready."""
+
+from ..adapters.http import HTTPResponse
+from ..platform.headers import READY_PATH, RESOLVE_PATH, encode_entries
+from .members import MemberState, choose_carriers
+
+__all__ = ["Directory"]
+
+# How long callers use an answer of the directory, in s. It bounds how long they
+# hold on to an entry that died.
+TTL_S = 1.0
+# A daemon that has just started waits this long, in s, for word from the others
+# before it names itself as the only entry.
+LISTEN_FIRST_S = 0.4
+# Age, in s, up to which the choice of carriers is used again.
+CARRIERS_AGE_S = 0.1
+
+
+class Directory:
+    """Answers look-ups from the view of this daemon."""
+
+    __slots__ = ("_at", "_carriers", "_now", "_started", "_view", "counts", "settings")
+
+    def __init__(self, settings, view, now):
+        self.settings = settings
+        self._view = view
+        self._now = now
+        self._started = now()
+        self._at = 0.0
+        self._carriers = None
+        self.counts = {"answered": 0, "unknown": 0}
+
+    def carriers(self, now):
+        """Return the carriers by failure domain, computed a few times a second."""
+        if self._carriers is None or now - self._at > CARRIERS_AGE_S:
+            self._at = now
+            self._carriers = choose_carriers(self._view.ready(now))
+        return self._carriers
+
+    def forget(self):
+        """Compute the carriers anew at the next question."""
+        self._carriers = None
+
+    def is_listening(self, now):
+        """Return whether the others may not have been heard yet."""
+        return now < self._started + LISTEN_FIRST_S
+
+    def entries(self, domain, now):
+        """Return the members that callers of a failure domain are sent to."""
+        carriers = self.carriers(now)
+        chosen = carriers.get(domain)
+        if not chosen:
+            chosen = [member for members in carriers.values() for member in members]
+        # A member that was chosen anew may be dead or unaware of it.
+        known = [member for member in chosen if member.carries]
+        return known or chosen
+
+    async def resolve(self, request):
+        """Answer a caller that asks where to connect."""
+        if request.path != RESOLVE_PATH:
+            return HTTPResponse(404)
+        now = self._now()
+        chosen = self.entries(_query_field(request.query, "zone"), now)
+        if not chosen or (chosen == [self._view.me] and self.is_listening(now)):
+            self.counts["unknown"] += 1
+            return HTTPResponse(503)
+        self.counts["answered"] += 1
+        port = self.settings.caller_address[1]
+        body = encode_entries(
+            [(member.host, port) for member in chosen],
+            min(TTL_S, self.settings.max_ttl_s),
+        )
+        return HTTPResponse(200, body, {"content-type": "application/json"})
+
+    async def readiness(self, request):
+        """Answer the platform's check."""
+        if request.path != READY_PATH:
+            return HTTPResponse(404)
+        ready = self._view.me.state is MemberState.READY
+        return HTTPResponse(200 if ready else 503)
+
+
+def _query_field(query, name):
+    for pair in query.split("&"):
+        key, _, value = pair.partition("=")
+        if key == name:
+            return value
+    return ""
--- a/almondtide/entry/dispatch.py
+++ b/almondtide/entry/dispatch.py
@@ -115,18 +115,18 @@
         "_paces",
         "_pool",
         "_queues",
-        "_settings",
         "_table",
         "_timers",
         "counts",
         "now",
+        "settings",
         "share",
     )
 
     def __init__(self, table, pool, settings, now, log):
         self._table = table
         self._pool = pool
-        self._settings = settings
+        self.settings = settings
         self._log = log
         self._timers = None
         self._budgets = {}
@@ -144,7 +144,7 @@
         """Return the ``ExtraBudget`` of a service."""
         budget = self._budgets.get(service)
         if budget is None:
-            settings = self._settings
+            settings = self.settings
             budget = self._budgets[service] = ExtraBudget(
                 settings.extra_ratio, settings.extra_slack, settings.extra_window_s
             )
@@ -166,6 +166,7 @@
         intake = decide(states, call.needed)
         if not intake.admitted:
             self.counts["refused"] += 1
+            call.refused = intake.reason
             code = ResultCode.OVERLOADED
             if ServiceState.FULL not in states:
                 code = ResultCode.NO_SERVER
@@ -361,6 +362,20 @@
         elif kind == REAP:
             await self._close(item)
 
+    def _note_failure(self, upstream, exchange, failure, now):
+        """Count a failure, and log it when it changes what is believed."""
+        was_lost = upstream.is_lost(now)
+        upstream.fail(exchange, failure, now)
+        if upstream.is_lost(now) and not was_lost:
+            self._log.info(
+                "server_left_out",
+                server=upstream.server.id,
+                service=upstream.server.service,
+                id=exchange.request.id,
+                failure=failure.value,
+                for_ms=int(max(0.0, upstream.ejected_until - now) * 1000),
+            )
+
     async def on_skipped(self, exchange):
         """Handle an exchange that was not written, since nobody needs it."""
         if exchange.finished:
@@ -389,7 +404,15 @@
             return
         self._end(exchange)
         now = self.now()
+        was_lost = exchange.upstream.is_lost(now)
         latency = exchange.upstream.succeed(exchange, now)
+        if was_lost:
+            self._log.info(
+                "server_back",
+                server=exchange.upstream.server.id,
+                service=exchange.upstream.server.service,
+                id=exchange.request.id,
+            )
         branch = exchange.branch
         call = branch.call
         if latency is not None:
@@ -411,7 +434,7 @@
         now = self.now()
         upstream = exchange.upstream
         branch = exchange.branch
-        upstream.fail(exchange, failure, now)
+        self._note_failure(upstream, exchange, failure, now)
         branch.failures.append(f"{upstream.server.id}:{failure.value}:{reason}")
         if failure.certainly_not_run:
             branch.uncertain -= exchange.written
--- a/almondtide/entry/gossip.py
+++ b/almondtide/entry/gossip.py
@@ -17,7 +17,7 @@
     encode_news,
     encode_snapshot,
 )
-from .members import MemberState, choose_carriers
+from .members import MemberState
 
 __all__ = ["Gossip"]
 
@@ -60,15 +60,15 @@
         "_now",
         "_on_news",
         "_pulled_at",
-        "_settings",
         "_sock",
         "_urgent",
         "counts",
+        "settings",
         "view",
     )
 
     def __init__(self, settings, view, knowledge, feed, on_news, now, log):
-        self._settings = settings
+        self.settings = settings
         self.view = view
         self._knowledge = knowledge
         self._feed = feed
@@ -84,7 +84,7 @@
     async def start(self):
         """Bind the socket and start the tasks."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        sock.bind(self._settings.gossip_address)
+        sock.bind(self.settings.gossip_address)
         self._sock = sock
         await curio.spawn(self._receive, daemon=True)
         await curio.spawn(self._beat_loop, daemon=True)
@@ -116,7 +116,7 @@
         wants_reply = not self._knowledge.is_complete or not targets
         hosts = [member.host for member in targets]
         if wants_reply:
-            hosts.extend(host for host, _ in self._settings.seeds)
+            hosts.extend(host for host, _ in self.settings.seeds)
         hosts.extend(self._lost(now))
         raw = encode_beat(self._beat(self._relayed(now), now, wants_reply), now)
         for host in dict.fromkeys(hosts):
@@ -182,7 +182,7 @@
         self.counts["datagrams_out"] += 1
         self.counts["bytes_out"] += len(raw)
         try:
-            await self._sock.sendto(raw, (host, self._settings.gossip_address[1]))
+            await self._sock.sendto(raw, (host, self.settings.gossip_address[1]))
         except OSError as exc:
             # A datagram may be lost anyway; the next beat repeats it.
             self._log.debug("datagram_not_sent", host=host, error=str(exc))
@@ -313,7 +313,7 @@
         return HTTPResponse(200, encode_snapshot(self._knowledge, age_s))
 
     async def _pull(self, host):
-        address = (host, self._settings.control_address[1])
+        address = (host, self.settings.control_address[1])
         try:
             async with curio.timeout_after(PULL_TIMEOUT_S):
                 client = await HTTPClient.open(address, PULL_TIMEOUT_S)
@@ -347,14 +347,6 @@
         if news or configured:
             await self._on_news(news, configured, f"snapshot {host}")
 
-    def carriers(self, now):
-        """Return the carriers of each failure domain."""
-        return choose_carriers(self.view.ready(now))
-
-    def set_state(self, state):
-        """Change the state of this daemon."""
-        self.view.me.state = MemberState(state)
-
 
 def _sample(members, count):
     """Return up to ``count`` members, chosen at random."""
--- /dev/null
+++ b/almondtide/entry/reader.py
@@ -0,0 +1,154 @@
+"""Reads the store in turn with the other daemons, and passes the news on."""
+
+import random
+
+import curio
+
+from ..errors import PlatformError
+from ..platform.documents import CONFIGURATION_KEY, SERVER_PREFIX
+from ..platform.store import HistoryLostError
+from .feed import read_due_at
+from .members import reading_rank
+
+__all__ = ["StoreReader"]
+
+# How long a daemon that is no seed waits for knowledge from peers, in s, before it
+# reads the store itself. When the fleet starts for the first time nobody calls yet;
+# later all may have died together with callers waiting, and the first one up reads.
+FIRST_READ_DELAY_S = 0.35
+RESTART_READ_DELAY_S = 0.05
+RESTART_READ_SPREAD_S = 0.15
+# The store answers a watch at once when servers have sent heartbeats.
+WATCH_WAIT_MS = 20
+# Bounds of the sleep until the next look whether a read is due, in s.
+LOOK_LEAST_S = 0.01
+LOOK_MOST_S = 0.5
+PEER_LOOK_S = 0.02
+
+
+class StoreReader:
+    """Keeps the knowledge of a daemon fresh from the store when it is its turn.
+
+    ``on_news(facts, configured, source)`` is an async function that applies news.
+    """
+
+    __slots__ = (
+        "_failed_at",
+        "_feed",
+        "_gossip",
+        "_knowledge",
+        "_log",
+        "_lost_at",
+        "_now",
+        "_on_news",
+        "_started",
+        "_store",
+        "_view",
+        "reads",
+        "settings",
+    )
+
+    def __init__(
+        self, settings, store, view, knowledge, feed, gossip, on_news, now, log
+    ):
+        self.settings = settings
+        self._store = store
+        self._view = view
+        self._knowledge = knowledge
+        self._feed = feed
+        self._gossip = gossip
+        self._on_news = on_news
+        self._now = now
+        self._log = log
+        self._started = now()
+        self._failed_at = None
+        self._lost_at = None
+        self.reads = 0
+
+    async def run(self):
+        """Read whenever it is the turn of this daemon, for ever."""
+        settings = self.settings
+        if settings.seeds and settings.control_address not in settings.seeds:
+            await self._await_peers()
+        while True:
+            now = self._now()
+            due = self._due_at(now)
+            if now < due:
+                await curio.sleep(min(LOOK_MOST_S, max(LOOK_LEAST_S, due - now)))
+            else:
+                await self._read()
+
+    def expect_change(self):
+        """Forget the pause after a failed read, since time has passed unseen."""
+        self._failed_at = None
+
+    def _due_at(self, now):
+        within_s = min(self.settings.drain_s, self.settings.config_apply_s)
+        rank = reading_rank(self._view, now)
+        return read_due_at(self._knowledge.fresh_at, self._failed_at, rank, within_s)
+
+    async def _await_peers(self):
+        if self.settings.is_first_start:
+            delay_s = FIRST_READ_DELAY_S
+        else:
+            delay_s = RESTART_READ_DELAY_S + random.random() * RESTART_READ_SPREAD_S
+        end = self._started + delay_s
+        while not self._knowledge.is_complete and self._now() < end:
+            await curio.sleep(PEER_LOOK_S)
+
+    async def _read(self):
+        begun = self._now()
+        before = self._knowledge.version
+        self.reads += 1
+        try:
+            news = await self._read_store(begun)
+        except PlatformError as exc:
+            self._failed(exc, begun)
+            return
+        self._succeeded()
+        news.extend(self._feed.release_held(self._now()))
+        configured = self._knowledge.version != before
+        if news or configured:
+            await self._on_news(news, configured, "store")
+            await self._gossip.spread(news, configured)
+        await self._gossip.speak()
+
+    def _failed(self, exc, begun):
+        self._failed_at = self._now()
+        if self._lost_at is not None:
+            return
+        self._lost_at = begun
+        age_s = self._knowledge.age_s(begun)
+        self._log.warning(
+            "store_lost",
+            reason=exc.message,
+            age_s="none" if age_s is None else round(age_s, 2),
+            version=self._knowledge.version,
+        )
+
+    def _succeeded(self):
+        self._failed_at = None
+        if self._lost_at is None:
+            return
+        self._log.info(
+            "store_regained",
+            revision=self._feed.cursor,
+            after_s=round(self._now() - self._lost_at, 2),
+        )
+        self._lost_at = None
+
+    async def _read_store(self, begun):
+        feed = self._feed
+        if feed.cursor is not None:
+            try:
+                changes, revision = await self._store.changes(
+                    "", feed.cursor, WATCH_WAIT_MS
+                )
+                return feed.apply_changes(changes, revision, begun)
+            except HistoryLostError as exc:
+                self._log.info("full_read", reason=exc.message, cursor=feed.cursor)
+        item = await self._store.get(CONFIGURATION_KEY)
+        if item is not None:
+            feed.adopt(item.value, item.revision)
+        items, revision = await self._store.read(SERVER_PREFIX)
+        return feed.apply_full(items, revision, begun)
--- /dev/null
+++ b/standins/shard.py
@@ -0,0 +1,82 @@
+"""Stand-in for a server of the users' platform."""
+
+import curio
+
+from almondtide.adapters.http import HTTPResponse, serve_http
+from almondtide.adapters.listener import Listener
+from almondtide.logs import Log
+
+__all__ = ["ShardServer"]
+
+
+class ShardServer:
+    """Runs requests of one service and records each that it began to run.
+
+    ``behave(request)`` may return an ``HTTPResponse`` in place of the usual one;
+    ``work_s`` is how long a request takes. A request for another instance gets
+    421, one beyond ``slots`` gets 503 with the statement that it was not run.
+    """
+
+    def __init__(self, id, service, records=b"", slots=3, work_s=0.005):
+        self.id = id
+        self.service = service
+        self.records = records
+        self.slots = slots
+        self.work_s = work_s
+        self.behave = lambda request: None
+        self.runs = []
+        self.running = 0
+        self.cancelled = 0
+        self.listener = Listener(("127.0.0.1", 0), self._serve)
+
+    async def start(self):
+        """Start serving."""
+        await self.listener.start()
+
+    async def close(self):
+        """Stop serving and cut all connections."""
+        await self.listener.close()
+
+    def entry(self, domain, state="ready", sequence=1):
+        """Return what the server writes to the store."""
+        host, port = self.listener.address
+        return {
+            "service": self.service,
+            "address": f"{host}:{port}",
+            "zone": domain,
+            "version": "v1",
+            "capacity": self.slots,
+            "state": state,
+            "warmup_left_ms": 0,
+            "sequence": sequence,
+            "born": 1_700_000_000_000,
+        }
+
+    async def _serve(self, sock, peer):
+        await serve_http(sock, self._handle, log=Log())
+
+    async def _handle(self, request):
+        if request.headers.get("expect-instance") not in (None, self.id):
+            return HTTPResponse(421, b"", {"instance-id": self.id})
+        if request.path == "/health":
+            return HTTPResponse(200, b"", {"instance-id": self.id})
+        if self.running >= self.slots:
+            return HTTPResponse(503, b"", {"not-run": "1"})
+        request_id = request.headers["request-id"]
+        self.runs.append((request_id, request))
+        self.running += 1
+        try:
+            await curio.sleep(self.work_s)
+        except curio.CancelledError:
+            self.cancelled += 1
+            raise
+        finally:
+            self.running -= 1
+        special = self.behave(request)
+        if special is not None:
+            return special
+        headers = {
+            "server-stamp": f"{self.id}.{request_id}",
+            "request-id": request_id,
+        }
+        return HTTPResponse(200, self.records or request.body, headers)
--- /dev/null
+++ b/tests/entry/test_connections.py
@@ -0,0 +1,249 @@
+"""Tests of connections to servers, against servers that misbehave on loopback."""
+
+import time
+
+import curio
+import testtools
+from curio import socket
+
+from almondtide.entry.connections import ConnectionPool
+from almondtide.entry.exchange import Request
+from almondtide.entry.upstreams import Failure, Upstream
+from tests.entry.support import make_server
+from tests.support import run
+
+
+class _Server:
+    """Answers each request on a connection with the next of ``replies``.
+
+    A reply is bytes to send; a trailing ``CLOSE`` or ``RESET`` ends the connection.
+    """
+
+    def __init__(self, replies):
+        self.replies = list(replies)
+        self.received = []
+        self.connections = 0
+
+    async def __aenter__(self):
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.bind(("127.0.0.1", 0))
+        self.sock.listen(16)
+        self.port = self.sock.getsockname()[1]
+        self.task = await curio.spawn(self._accept, daemon=True)
+        return self
+
+    async def __aexit__(self, *details):
+        await self.task.cancel()
+        await self.sock.close()
+
+    async def _accept(self):
+        while True:
+            client, _ = await self.sock.accept()
+            self.connections += 1
+            await curio.spawn(self._serve, client, daemon=True)
+
+    async def _serve(self, client):
+        async with client:
+            while self.replies:
+                data = await client.recv(65536)
+                if not data:
+                    return
+                self.received.append(data)
+                for part in self.replies.pop(0):
+                    if part == "close":
+                        return
+                    if part == "reset":
+                        linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+                        client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                        return
+                    await client.sendall(part)
+
+
+class _Exchange:
+    """Records what became of one exchange."""
+
+    def __init__(self, upstream, request_id="id-1", once=False, wanted=True, body=b""):
+        self.upstream = upstream
+        method = "POST" if body else "GET"
+        headers = [(b"host", b"h"), (b"request-id", request_id.encode())]
+        self.request = Request(method, "/p/x?y=1", "h", request_id, 1, headers, body)
+        self.once = once
+        self.wanted = wanted
+        self.written = 0
+        self.result = None
+        self.connection = None
+        self.done = curio.Event()
+
+    def left_s(self):
+        return 0.5
+
+    def is_wanted(self):
+        return self.wanted
+
+    def writing(self):
+        self.written += 1
+
+    async def replied(self, reply):
+        self.result = reply
+        await self.done.set()
+
+    async def failed(self, failure, reason, reply):
+        self.result = failure
+        await self.done.set()
+
+    async def skipped(self):
+        self.result = "skipped"
+        await self.done.set()
+
+
+def _reply(body=b"ok", request_id=b"id-1", status=b"200 OK", extra=b""):
+    return (
+        b"HTTP/1.1 %b\r\nServer-Stamp: s\r\nRequest-Id: %b\r\n%bContent-Length: %d\r\n"
+        b"\r\n%b" % (status, request_id, extra, len(body), body)
+    )
+
+
+def _play(replies, exchanges, pause_s=0.0):
+    """Run exchanges one after the other; returns the server and the pool."""
+
+    async def play():
+        async with _Server(replies) as server:
+            pool = ConnectionPool(time.monotonic)
+            upstream = Upstream(make_server("i-1", port=server.port))
+            made = []
+            for options in exchanges:
+                exchange = _Exchange(upstream, **options)
+                await pool.send(exchange)
+                async with curio.timeout_after(5):
+                    await exchange.done.wait()
+                made.append(exchange)
+                await curio.sleep(pause_s)
+            return server, pool, made
+
+    return run(play)
+
+
+class ReplyTest(testtools.TestCase):
+    """Guards against a reply that is cut, spoiled or belongs to another request."""
+
+    def _one(self, *parts, **options):
+        _, _, [exchange] = _play([parts], [options])
+        return exchange.result
+
+    def test_reply(self):
+        reply = self._one(_reply())
+        self.assertEqual(
+            (200, b"ok", b"s"), (reply.status, reply.body, reply.signature)
+        )
+
+    def test_request_is_sent_once_with_its_own_headers(self):
+        server, _, _ = _play([[_reply()]], [{"body": b"abc"}])
+        [data] = server.received
+        head, _, body = data.partition(b"\r\n\r\n")
+        self.assertTrue(head.startswith(b"POST /p/x?y=1 HTTP/1.1\r\n"))
+        self.assertEqual(b"abc", body)
+        for line in (
+            b"deadline-ms: 500",
+            b"expect-instance: i-1",
+            b"content-length: 3",
+        ):
+            self.assertIn(line, head.lower())
+
+    def test_cut_body(self):
+        self.assertIs(Failure.BROKEN, self._one(_reply(b"whole body")[:-3], "close"))
+
+    def test_body_that_ends_with_the_connection(self):
+        raw = b"HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nRequest-Id: id-1\r\n\r\nbody"
+        self.assertEqual(b"body", self._one(raw, "close").body)
+
+    def test_reset_of_a_body_without_length_is_no_end(self):
+        raw = b"HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nRequest-Id: id-1\r\n\r\nbody"
+        self.assertIs(Failure.BROKEN, self._one(raw, "reset"))
+
+    def test_bytes_that_are_no_reply(self):
+        self.assertIs(Failure.BROKEN, self._one(b"\x00\x01garbage\r\n\r\n", "close"))
+
+    def test_close_without_a_reply(self):
+        self.assertIs(Failure.BROKEN, self._one("close"))
+        self.assertIs(Failure.BROKEN, self._one("reset"))
+
+    def test_chunks(self):
+        raw = (
+            b"HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nRequest-Id: id-1\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+        )
+        self.assertEqual(b"ok", self._one(raw).body)
+
+    def test_reply_to_an_earlier_request_is_skipped(self):
+        stray = _reply(b"old", request_id=b"id-0")
+        self.assertEqual(b"ok", self._one(stray + _reply()).body)
+
+    def test_only_replies_to_other_requests(self):
+        stray = _reply(b"old", request_id=b"id-0")
+        self.assertIs(Failure.BROKEN, self._one(stray, "close"))
+
+    def test_refused_connection_sent_nothing(self):
+        async def play():
+            pool = ConnectionPool(time.monotonic)
+            exchange = _Exchange(Upstream(make_server("i-1", port=1)))
+            await pool.send(exchange)
+            await exchange.done.wait()
+            return exchange
+
+        exchange = run(play)
+        self.assertEqual((Failure.NOT_SENT, 0), (exchange.result, exchange.written))
+
+
+class ReuseTest(testtools.TestCase):
+    """Guards against a connection that still holds something of another request."""
+
+    def test_connection_is_reused(self):
+        server, _, made = _play(
+            [[_reply()], [_reply(request_id=b"id-2")]],
+            [{}, {"request_id": "id-2"}],
+        )
+        self.assertEqual(1, server.connections)
+        self.assertEqual([b"ok", b"ok"], [exchange.result.body for exchange in made])
+
+    def test_extra_bytes_end_the_connection(self):
+        for extra, pause_s in ((_reply(b"old"), 0.0), (b"junk", 0.05)):
+            server, _, made = _play(
+                [[_reply() + extra], [_reply(b"new", request_id=b"id-2")]],
+                [{}, {"request_id": "id-2"}],
+                pause_s,
+            )
+            self.assertEqual(2, server.connections)
+            self.assertEqual(b"new", made[1].result.body)
+
+    def test_connection_that_the_server_closes_is_not_reused(self):
+        close = _reply(extra=b"Connection: close\r\n")
+        server, _, _ = _play(
+            [[close], [_reply(request_id=b"id-2")]], [{}, {"request_id": "id-2"}]
+        )
+        self.assertEqual(2, server.connections)
+
+    def test_closed_idle_connection_is_not_used(self):
+        server, _, made = _play(
+            [[_reply(), "close"], [_reply(request_id=b"id-2")]],
+            [{}, {"request_id": "id-2"}],
+            pause_s=0.05,
+        )
+        self.assertEqual(2, server.connections)
+        self.assertEqual(b"ok", made[1].result.body)
+
+    def test_idle_time_of_the_server_is_kept(self):
+        quick = _reply(extra=b"Keep-Alive: timeout=0\r\n")
+        server, _, _ = _play(
+            [[quick], [_reply(request_id=b"id-2")]], [{}, {"request_id": "id-2"}]
+        )
+        self.assertEqual(2, server.connections)
+
+    def test_exchange_that_is_not_wanted_any_more_is_not_written(self):
+        server, _, [first, second] = _play(
+            [[_reply(request_id=b"id-2")]],
+            [{"wanted": False}, {"request_id": "id-2"}],
+        )
+        self.assertEqual(("skipped", 0), (first.result, first.written))
+        self.assertEqual((1, 1), (server.connections, len(server.received)))
+        self.assertEqual(b"ok", second.result.body)
