Take the platform back only once all daemons have the newer revision

Cause of the unnoticed mutation of the configuration's proof: its stale outage could begin while every daemon still had revision 1, so that the platform could take nobody back; a run here detected it by a single sample (revision 2 to 1). The proof now ends with a stale platform that begins after all daemons show the newest of at least two revisions. Ruled out: the sampling interval (0.2 s against outages of 2 to 8 s). Tests of routes, weights, merge, coverage and messages between daemons.

--- a/proofs/promises.py
+++ b/proofs/promises.py
@@ -34,6 +34,8 @@
 # "partition" also separates all daemons from each other.
 OUTAGES = ("cut", "partition", "down", "stale")
 READ_TIME_S = 2.0
+# Length of the stale platform at the end of the configuration's proof.
+STALE_S = 5.0
 # Share of the revision requests that two callers send at the same moment.
 TWIN_SHARE = 0.1
 # Events of an upstream's record that stand for a request that arrived.
@@ -573,14 +575,8 @@
             stack.enter_context(_background(platform_faults))
             stack.enter_context(injector)
             time.sleep(proof.seconds)
-        highest = max(revision for revision, _ in operators.published)
-        deadline = time.monotonic() + checks.CONFIGURATION_LIMIT_S + SETTLE_S
-        while time.monotonic() < deadline:
-            now = [_sample(proof.fleet, name) for name in proof.fleet.daemons]
-            samples.extend(sample for found in now for sample in found)
-            if all(found and found[0].revision == highest for found in now):
-                break
-            time.sleep(SAMPLE_INTERVAL_S)
+        _await_highest(proof, operators, samples)
+        _go_stale(proof, operators, samples)
         for interval in injector.log:
             name = interval.name.split()[1]
             excuses.append(Interval(name, interval.start, interval.end))
@@ -590,6 +586,38 @@
     )
 
 
+def _await_highest(proof, operators, samples):
+    """Sample until all daemons show the newest revision, or the limit is over."""
+    highest = max(revision for revision, _ in operators.published)
+    deadline = time.monotonic() + checks.CONFIGURATION_LIMIT_S + SETTLE_S
+    while time.monotonic() < deadline:
+        now = [_sample(proof.fleet, name) for name in proof.fleet.daemons]
+        samples.extend(sample for found in now for sample in found)
+        if all(found and found[0].revision == highest for found in now):
+            break
+        time.sleep(SAMPLE_INTERVAL_S)
+
+
+def _go_stale(proof, operators, samples):
+    """Let the platform go back by a revision that all daemons have in force.
+
+    An outage of the load phase may begin before a daemon has read a second
+    revision, and then a stale platform can take nobody back.
+    """
+    rng = random.Random(f"{proof.seed}/stale")
+    while len(operators.published) < 2:
+        operators.publish(rng)
+    _await_highest(proof, operators, samples)
+    begun = time.monotonic()
+    _begin_outage(proof, "stale", rng, operators.older())
+    while time.monotonic() < begun + STALE_S:
+        for name in proof.fleet.daemons:
+            samples.extend(_sample(proof.fleet, name))
+        time.sleep(SAMPLE_INTERVAL_S)
+    _end_outage(proof, "stale")
+    operators.outages.append(Interval(None, begun, time.monotonic()))
+
+
 def _sample(fleet, name):
     at = time.monotonic()
     try:
--- /dev/null
+++ b/tests/entry/test_codec.py
@@ -0,0 +1,125 @@
+"""Tests of the messages between daemons."""
+
+import cbor2
+import testtools
+from hypothesis import given
+from hypothesis import strategies as st
+
+from almondtide.entry.codec import (
+    MAX_DATAGRAM,
+    Beat,
+    decode_message,
+    decode_snapshot,
+    encode_beat,
+    encode_news,
+    encode_snapshot,
+)
+from almondtide.entry.knowledge import Knowledge
+from almondtide.entry.members import Member, MemberState
+from almondtide.entry.model import Configuration
+from almondtide.errors import DocumentError
+from tests.entry.support import make_server
+
+
+def _member(name, heard_at=10.0):
+    return Member(
+        name, 7, "10.1.0.9", "lautoka", MemberState.READY, 0.73, True, heard_at
+    )
+
+
+def _knowledge(count):
+    knowledge = Knowledge()
+    for number in range(count):
+        server = make_server(f"i-{number}", domain="nadi", leaving=number % 2 == 0)
+        knowledge.put(f"servers/i-{number}", number + 1, server, 0.0)
+    return knowledge
+
+
+class BeatTest(testtools.TestCase):
+    """Guards against beliefs that change on the way."""
+
+    def test_round_trip(self):
+        beat = Beat(_member("one"), 99, 7, 0.25, [_member("two", 8.5)], True, 42)
+        found = decode_message(encode_beat(beat, 10.0), 50.0)
+        self.assertEqual(
+            (99, 7, 0.25, True, 42),
+            (found.digest, found.version, found.age_s, found.wants_reply, found.cursor),
+        )
+        self.assertEqual("one", found.sender.name)
+        self.assertEqual(0.73, found.sender.strength)
+        # The age travels, not the time: clocks of daemons differ.
+        self.assertAlmostEqual(50.0, found.sender.heard_at)
+        self.assertAlmostEqual(48.5, found.heard[0].heard_at)
+
+    def test_no_knowledge(self):
+        beat = Beat(_member("one"), 0, 0, None, [], False)
+        self.assertIsNone(decode_message(encode_beat(beat, 10.0), 10.0).age_s)
+
+
+class NewsTest(testtools.TestCase):
+    """Guards against news that is lost or does not fit a packet."""
+
+    def test_many_facts_in_datagrams_of_bounded_size(self):
+        knowledge = _knowledge(200)
+        facts = knowledge.facts()
+        datagrams = list(encode_news(facts))
+        self.assertTrue(len(datagrams) > 5)
+        self.assertTrue(max(map(len, datagrams)) <= MAX_DATAGRAM)
+        found = []
+        for raw in datagrams:
+            items, configuration = decode_message(raw, 0.0)
+            self.assertIsNone(configuration)
+            found.extend(items)
+        self.assertEqual(
+            [(fact.key, fact.revision, fact.server) for fact in facts], found
+        )
+
+    def test_removal_and_configuration(self):
+        knowledge = _knowledge(1)
+        fact = knowledge.put("servers/i-0", 9, None, 0.0)
+        raws = list(encode_news([fact], (5, b"packed")))
+        self.assertEqual(([], [5, b"packed"]), decode_message(raws[0], 0.0))
+        self.assertEqual(([("servers/i-0", 9, None)], None), decode_message(raws[1], 0))
+
+
+class SnapshotTest(testtools.TestCase):
+    """Guards against a daemon that starts with other knowledge than its peers."""
+
+    def test_round_trip(self):
+        knowledge = _knowledge(3)
+        knowledge.adopt(Configuration(4), b"raw", 12)
+        age_s, revision, cfg_revision, raw, facts = decode_snapshot(
+            encode_snapshot(knowledge, 0.5)
+        )
+        self.assertEqual((0.5, 3, 12, b"raw"), (age_s, revision, cfg_revision, raw))
+        other = Knowledge()
+        for fact in facts:
+            other.put(*fact, 0.0)
+        self.assertEqual(knowledge.digest, other.digest)
+
+
+class GarbageTest(testtools.TestCase):
+    """Guards against a daemon that ends on a message it does not understand."""
+
+    @given(st.binary(max_size=80))
+    def test_any_bytes(self, raw):
+        for decode in (lambda: decode_message(raw, 0.0), lambda: decode_snapshot(raw)):
+            try:
+                decode()
+            except DocumentError:
+                pass
+
+    @given(
+        st.recursive(
+            st.none() | st.booleans() | st.integers(-9, 9) | st.text("ab", max_size=2),
+            lambda inner: st.lists(inner, max_size=9),
+            max_leaves=12,
+        )
+    )
+    def test_any_message(self, value):
+        for kind in (1, 2, 3):
+            raw = cbor2.dumps([1, kind, *value] if isinstance(value, list) else value)
+            try:
+                decode_message(raw, 0.0)
+            except DocumentError:
+                pass
--- /dev/null
+++ b/tests/entry/test_routing.py
@@ -0,0 +1,114 @@
+"""Tests of routes, weighted choices, and the merge of parts."""
+
+import testtools
+from hypothesis import given
+from hypothesis import strategies as st
+
+from almondtide.entry.answers import answer_call
+from almondtide.entry.calls import BranchState, needed_parts
+from almondtide.entry.merge import RECORD_BYTES, merge_records
+from almondtide.entry.model import Configuration, Route
+from almondtide.entry.routing import RouteTable
+from almondtide.errors import ResultCode
+from tests.entry.support import make_call, make_reply, make_route
+
+
+def _route(prefix, host="h", name=None, **fields):
+    fields.setdefault("choices", (("a", 1),))
+    return Route(name or prefix, host, prefix, is_idempotent=True, **fields)
+
+
+class FindTest(testtools.TestCase):
+    """Guards against requests that reach the service of another route."""
+
+    def test_longest_prefix_of_the_host(self):
+        routes = [_route("/"), _route("/a/"), _route("/a/b/"), _route("/a/", "other")]
+        table = RouteTable(Configuration(1, routes))
+        for path, prefix in (("/a/b/c", "/a/b/"), ("/a/x", "/a/"), ("/b", "/")):
+            self.assertEqual(prefix, table.find("h", path).prefix)
+        self.assertEqual("other", table.find("other", "/a/x").host)
+        self.assertIsNone(table.find("other", "/b"))
+        self.assertIsNone(table.find("none", "/a/"))
+
+    def test_a_prefix_ends_at_its_slash(self):
+        table = RouteTable(Configuration(1, [_route("/a/")]))
+        self.assertIsNone(table.find("h", "/ab"))
+        self.assertIsNone(table.find("h", "/a"))
+
+
+class WeightTest(testtools.TestCase):
+    """Guards against parts of a split that drift from their weights."""
+
+    def test_shares_hold_over_a_short_span(self):
+        route = _route("/a/", choices=(("a", 3), ("b", 1)))
+        table = RouteTable(Configuration(1, [route]))
+        picks = [table.pick_service(route) for _ in range(8)]
+        self.assertEqual(6, picks.count("a"))
+
+    def test_shares_go_on_over_versions(self):
+        route = _route("/a/", choices=(("a", 1), ("b", 1)))
+        table = RouteTable(Configuration(1, [route]))
+        picks = []
+        for version in range(2, 12):
+            picks.append(table.pick_service(route))
+            table = RouteTable(Configuration(version, [route]), table)
+        self.assertEqual(5, picks.count("a"))
+
+    def test_weight_zero_gets_nothing(self):
+        route = _route("/a/", choices=(("a", 0), ("b", 2)))
+        table = RouteTable(Configuration(1, [route]))
+        self.assertEqual({"b"}, {table.pick_service(route) for _ in range(9)})
+
+
+class MergeTest(testtools.TestCase):
+    """Guards against records that are lost, doubled or out of order."""
+
+    @given(st.lists(st.binary(max_size=70), max_size=6), st.integers(0, 12))
+    def test_the_same_as_sorting_all(self, bodies, count):
+        records = []
+        for body in bodies:
+            for start in range(0, len(body) - RECORD_BYTES + 1, RECORD_BYTES):
+                records.append(body[start : start + RECORD_BYTES])
+        expected = b"".join(sorted(records, reverse=True)[:count])
+        self.assertEqual(expected, merge_records(bodies, count))
+
+    def test_equal_records_all_count(self):
+        record = b"x" * RECORD_BYTES
+        self.assertEqual(record * 3, merge_records([record * 2, record], 5))
+
+
+class CoverageTest(testtools.TestCase):
+    """Guards against answers below the coverage that the route asks for."""
+
+    @given(st.integers(1, 60), st.floats(0, 1))
+    def test_needed_parts(self, count, share):
+        needed = needed_parts(count, share)
+        self.assertTrue(1 <= needed <= count)
+        self.assertTrue(needed / count >= share or needed == count)
+        if needed > 1:
+            self.assertTrue((needed - 1) / count < share + 1e-9)
+
+    def _call(self, done):
+        route = make_route(shards=tuple("abcd"), min_coverage=0.75)
+        call = make_call(route)
+        for branch in call.branches[:done]:
+            branch.uncertain = 1
+            reply = make_reply(b"", signature=branch.service.encode())
+            call.close_branch(branch, BranchState.DONE, reply)
+        return call
+
+    def test_enough_parts(self):
+        answer = answer_call(self._call(3), False, 0.1)
+        headers = dict(answer.headers)
+        self.assertEqual((200, ResultCode.PARTIAL), (answer.status, answer.code))
+        self.assertEqual(b"a, b, c", headers[b"Part-Stamps"])
+        self.assertEqual(b"1", headers[b"Missing-Parts"])
+
+    def test_too_few_parts_are_no_success(self):
+        self.assertEqual(502, answer_call(self._call(2), False, 0.1).status)
+        self.assertEqual(504, answer_call(self._call(2), True, 0.1).status)
+
+    def test_nothing_ran(self):
+        answer = answer_call(self._call(0), False, 0.1)
+        self.assertEqual(503, answer.status)
+        self.assertEqual(b"0.100", dict(answer.headers)[b"retry-after"])
