--- a/proofs/checks.py
+++ b/proofs/checks.py
@@ -1,5 +1,6 @@
 """Checks of histories: pure functions that return the violations they find."""
 
+import itertools
 from collections import Counter
 
 from almondtide.errors import ResultCode
@@ -16,6 +17,7 @@
     "check_leaving",
     "check_not_run",
     "check_planned_stops",
+    "check_recorded_revisions",
     "check_refusals",
     "check_snapshots",
 ]
@@ -330,6 +332,23 @@
     return violations
 
 
+def check_recorded_revisions(histories):
+    """No daemon has recorded that it went to a lower revision.
+
+    ``histories`` maps daemons to the revisions that came into force in one life, in
+    order. A daemon that goes back may be put right by its peers within
+    milliseconds, which samples of its state do not see.
+    """
+    violations = []
+    for daemon, revisions in histories.items():
+        for before, after in itertools.pairwise(revisions):
+            if after < before:
+                violations.append(
+                    Violation(daemon, f"recorded revision {before}, then {after}")
+                )
+    return violations
+
+
 def _decreases(daemon, series):
     violations = []
     highest = 0
--- a/proofs/promises.py
+++ b/proofs/promises.py
@@ -581,6 +581,8 @@
             name = interval.name.split()[1]
             excuses.append(Interval(name, interval.start, interval.end))
         violations = checks.check_configuration(samples, operators.accepted(), excuses)
+        histories = {name: _recorded(proof.fleet, name) for name in proof.fleet.daemons}
+        violations.extend(checks.check_recorded_revisions(histories))
     return proof.result(
         pool, violations, revisions=len(operators.published), samples=len(samples)
     )
@@ -618,6 +620,17 @@
     operators.outages.append(Interval(None, begun, time.monotonic()))
 
 
+def _recorded(fleet, name):
+    """Return the revisions that a daemon recorded as in force, in order."""
+    report = fleet.admin(name, "events?kind=daemon")
+    return [
+        event["fields"]["revision"]
+        for event in report["events"]
+        if event["event"] == "document_in_force"
+        and event["fields"]["document"] == "configuration"
+    ]
+
+
 def _sample(fleet, name):
     at = time.monotonic()
     try:
--- a/tests/proofs/test_checks.py
+++ b/tests/proofs/test_checks.py
@@ -299,6 +299,13 @@
         self.assertEqual(1, len(found))
         self.assertIn("from revision 2 back to 1", str(found[0]))
 
+    def test_recorded_revisions(self):
+        histories = {"entry-00": [1, 2, 5], "entry-01": [3], "entry-02": []}
+        self.assertEqual([], checks.check_recorded_revisions(histories))
+        histories["entry-01"] = [3, 4, 3, 4]
+        [found] = checks.check_recorded_revisions(histories)
+        self.assertIn("recorded revision 4, then 3", str(found))
+
     def test_excuse_moves_the_limit(self):
         series = [(1.0, 1), (21.9, 1), (23.0, 2)]
         excuses = [Interval("entry-00", 9.0, 15.0)]
