Close the output quietly and silence a library's warning

Cause: the logging library closes its stream at exit, which the output did not allow, and curio warned of each operation that ended just after its timeout.

--- a/almondtide/entry/process.py
+++ b/almondtide/entry/process.py
@@ -46,6 +46,9 @@
     def flush(self):
         """Do nothing; every write goes out at once."""
 
+    def close(self):
+        """Do nothing; the descriptor belongs to the process."""
+
 
 class SignalReader:
     """Receives signals in a task, over the interpreter's wakeup descriptor."""
--- a/almondtide/logs.py
+++ b/almondtide/logs.py
@@ -86,6 +86,8 @@
     logging.set_verbosity(verbosity)
     # It reports each connection, and with its frames at the level of details.
     stdlib_logging.getLogger("websockets").setLevel(stdlib_logging.WARNING)
+    # It warns of each operation that ended just after its timeout.
+    stdlib_logging.getLogger("curio.time").setLevel(stdlib_logging.ERROR)
 
 
 class _LineLimit:
