--- a/almondtide/entry/calls.py
+++ b/almondtide/entry/calls.py
@@ -23,10 +23,11 @@
         "call",
         "ended",
         "failures",
+        "is_late",
         "is_probe",
-        "is_waiting",
         "last_reply",
         "open",
+        "queue",
         "reply",
         "sends",
         "service",
@@ -58,8 +59,10 @@
         self.ended = None
         # A probe of a service without healthy servers; the call does not wait.
         self.is_probe = False
-        # Whether it waits for room at a server.
-        self.is_waiting = False
+        # The queue in which it waits for room at a server, or None.
+        self.queue = None
+        # Whether its objective passed while it waited.
+        self.is_late = False
 
     @property
     def workload(self):
--- a/almondtide/entry/connections.py
+++ b/almondtide/entry/connections.py
@@ -236,18 +236,13 @@
     ``skipped()``, of which one is called once, and ``connection``, set here.
     """
 
-    __slots__ = ("_idle", "_open", "now", "opened")
+    __slots__ = ("_idle", "now", "opened")
 
     def __init__(self, now):
         self.now = now
         self._idle = {}
-        self._open = {}
         self.opened = 0
 
-    def count(self, upstream):
-        """Return the number of open connections to an upstream."""
-        return self._open.get(upstream, 0)
-
     async def send(self, exchange):
         """Start an exchange on a parked connection or a new one."""
         connection = await self._take(exchange)
@@ -258,7 +253,7 @@
         upstream = exchange.upstream
         connection = Connection(self, upstream, exchange)
         exchange.connection = connection
-        self._open[upstream] = self._open.get(upstream, 0) + 1
+        upstream.connections += 1
         self.opened += 1
         connection.task = await curio.spawn(connection.run, daemon=True)
 
@@ -267,6 +262,7 @@
         now = self.now()
         while parked:
             connection = parked.pop()
+            exchange.upstream.idle_connections = len(parked)
             fresh = now < connection.idle_until and not connection.is_stale()
             if fresh and not (
                 exchange.once and now - connection.idle_since > ONCE_IDLE_LIMIT_S
@@ -277,19 +273,19 @@
 
     def park(self, connection):
         """Keep a connection for the next exchange."""
-        self._idle.setdefault(connection.upstream, []).append(connection)
+        upstream = connection.upstream
+        parked = self._idle.setdefault(upstream, [])
+        parked.append(connection)
+        upstream.idle_connections = len(parked)
 
     def forget(self, connection):
         """Count a connection that has ended."""
         upstream = connection.upstream
-        left = self._open.get(upstream, 1) - 1
-        if left:
-            self._open[upstream] = left
-        else:
-            self._open.pop(upstream, None)
+        upstream.connections -= 1
         parked = self._idle.get(upstream)
         if parked and connection in parked:
             parked.remove(connection)
+            upstream.idle_connections = len(parked)
 
     async def close(self, connection):
         """End a connection and the exchange on it, which gets no result."""
@@ -299,6 +295,7 @@
 
     async def release(self, upstream):
         """Close the parked connections to an upstream that is not used any more."""
+        upstream.idle_connections = 0
         for connection in self._idle.pop(upstream, ()):
             await connection.assign(None)
 
@@ -307,7 +304,9 @@
         now = self.now()
         for upstream, parked in list(self._idle.items()):
             for connection in [c for c in parked if c.idle_until <= now]:
-                parked.remove(connection)
-                await connection.assign(None)
+                if connection in parked:
+                    parked.remove(connection)
+                    upstream.idle_connections = len(parked)
+                    await connection.assign(None)
             if not parked:
-                del self._idle[upstream]
+                self._idle.pop(upstream, None)
--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -36,7 +36,7 @@
 # Parts of the stopping time after which idle connections close, and after which
 # the process ends at the latest.
 CLOSE_IDLE_PART = 0.6
-END_PART = 0.92
+END_PART = 0.84
 STOP_LOOK_S = 0.1
 METRICS_PATH = "/metrics"
 
@@ -188,6 +188,10 @@
         if configured:
             self.front.configure()
             configuration = self.knowledge.configuration
+            self.table.connection_limits = {
+                name: service.max_connections
+                for name, service in configuration.services.items()
+            }
             self.log.info(
                 "configuration_in_force",
                 version=configuration.version,
--- a/almondtide/entry/dispatch.py
+++ b/almondtide/entry/dispatch.py
@@ -5,7 +5,6 @@
 import curio
 
 from ..errors import ResultCode
-from ..workqueue import WorkQueue
 from .answers import answer_call, refusal
 from .calls import BranchState
 from .extras import ExtraBudget
@@ -13,6 +12,7 @@
 from .pacing import RoutePace
 from .steps import Step, may_hedge, may_send_again, next_step
 from .upstreams import Failure
+from .waiting import WaitingBranches
 
 __all__ = ["Dispatcher"]
 
@@ -36,11 +36,6 @@
 QUEUE_PART = 0.8
 
 
-def _weight(route):
-    """Return the weight of a route's queue lane; rank 0 is the most urgent."""
-    return 1.0 / (1.0 + route.rank)
-
-
 class _Exchange:
     """One send of a branch to one server."""
 
@@ -242,9 +237,9 @@
                     await self._timers.schedule(now + LINGER_S, REAP, exchange)
 
     def _leave_queue(self, branch):
-        if branch.is_waiting:
-            branch.is_waiting = False
-            self._queues[branch.service].forget(branch)
+        if branch.queue is not None:
+            branch.queue.forget(branch)
+            branch.queue = None
 
     async def abandon(self, call):
         """End a call whose caller has left, and all its exchanges."""
@@ -311,16 +306,16 @@
         if not self._table.has_room_later(branch.service, now):
             await self._give_up(branch, "no server")
             return
-        if not branch.is_waiting:
-            branch.is_waiting = True
-            self._queue(branch.service).push(branch)
+        if branch.queue is None:
+            branch.queue = self._queue(branch.service)
+            branch.queue.push(branch)
         # A server may also have room again without a reply to this entry.
         await self._timers.schedule(now + RESEND_S, RESEND, branch.service)
 
     def _queue(self, service):
         queue = self._queues.get(service)
         if queue is None:
-            queue = self._queues[service] = WorkQueue(_weight)
+            queue = self._queues[service] = WaitingBranches()
         return queue
 
     async def _drain(self, service):
@@ -331,10 +326,10 @@
             if self._table.choose(service, now) is None:
                 await self._timers.schedule(now + RESEND_S, RESEND, service)
                 return
-            branch = queue.pop()
+            branch = queue.pop(now)
             if branch is None:
                 return
-            branch.is_waiting = False
+            branch.queue = None
             if next_step(branch, now) is Step.RETRY:
                 kind = "retry" if branch.sends else "first"
                 if not await self._send(branch, kind, now):
--- a/almondtide/entry/upstreams.py
+++ b/almondtide/entry/upstreams.py
@@ -29,6 +29,10 @@
 OTHER_DOMAIN_COST = 0.45
 COLD_COST = 0.4
 SILENT_COST = 20.0
+# Part of a server's connections that the entries use; the rest is left to entries
+# that carried callers before and still hold some.
+CONNECTION_PART = 0.75
+LEAST_CONNECTIONS = 2
 # Requests that the entries together have at a server: its slots, and behind them as
 # many as are served within this part of the objective, at most so many times the
 # slots. The server's own queue is first come first served and hides its load.
@@ -68,9 +72,11 @@
         "_pending",
         "_slowness",
         "_updated",
+        "connections",
         "ejected_until",
         "full_until",
         "heard_at",
+        "idle_connections",
         "probing",
         "removed",
         "server",
@@ -90,6 +96,10 @@
         self.heard_at = 0.0
         self.probing = False
         self.removed = False
+        # Open connections, and those of them that wait for an exchange; the pool
+        # counts them.
+        self.connections = 0
+        self.idle_connections = 0
 
     @property
     def in_flight(self):
@@ -218,12 +228,14 @@
 class UpstreamTable:
     """The servers of all services; ``domain`` is the own failure domain."""
 
-    __slots__ = ("_by_id", "_by_service", "domain", "entries")
+    __slots__ = ("_by_id", "_by_service", "connection_limits", "domain", "entries")
 
     def __init__(self, domain):
         self.domain = domain
         # Entries that send to the same servers, this one included.
         self.entries = 1
+        # Service -> connections that one of its servers accepts from all callers.
+        self.connection_limits = {}
         self._by_id = {}
         self._by_service = {}
 
@@ -287,6 +299,16 @@
         total = slots * min(DEPTH_MOST, max(1.0, DEPTH_PART * patience))
         return max(1, round(total / self.entries))
 
+    def may_connect(self, upstream):
+        """Return whether an exchange finds a connection or may open one."""
+        if upstream.idle_connections:
+            return True
+        limit = self.connection_limits.get(upstream.server.service)
+        if limit is None:
+            return True
+        share = max(LEAST_CONNECTIONS, int(CONNECTION_PART * limit / self.entries))
+        return upstream.connections < share
+
     def slots(self, service):
         """Return the slots of the usable servers of a service."""
         return sum(upstream.server.slots for upstream in self.members(service))
@@ -308,6 +330,8 @@
                 continue
             if upstream.in_flight >= self.depth(upstream.server.slots, patience):
                 continue
+            if not self.may_connect(upstream):
+                continue
             cost = upstream.cost(now, self.domain)
             if best is None or cost < best_cost:
                 best, best_cost = upstream, cost
--- a/tests/entry/test_upstreams.py
+++ b/tests/entry/test_upstreams.py
@@ -73,6 +73,19 @@
         table.entries = 1
         self.assertEqual(3, table.depth(3, patience=1.0))
 
+    def test_entries_share_the_connections_of_a_server(self):
+        table = _three()
+        table.entries = 6
+        table.connection_limits = {"a": 66}
+        upstream = table.get("i-1")
+        upstream.connections = 7
+        self.assertTrue(table.may_connect(upstream))
+        upstream.connections = 8
+        self.assertFalse(table.may_connect(upstream))
+        self.assertNotEqual("i-1", table.choose("a", 0.0).server.id)
+        upstream.idle_connections = 1
+        self.assertTrue(table.may_connect(upstream))
+
     def test_slow_server_is_left_and_tried_again_later(self):
         table = _three()
         slow = table.get("i-1")
--- /dev/null
+++ b/tests/entry/test_waiting.py
@@ -0,0 +1,63 @@
+"""Tests of the order in which branches get room, replaying a full service."""
+
+import testtools
+
+from almondtide.entry.calls import Branch
+from almondtide.entry.waiting import WaitingBranches
+from tests.entry.support import make_call, make_route
+
+
+def _branch(arrived, rank=0, objective_s=0.15):
+    route = make_route(rank=rank, objective_s=objective_s)
+    return Branch(make_call(route, arrived=arrived), "a")
+
+
+class WaitingBranchesTest(testtools.TestCase):
+    """Guards against a queue that serves only what is late already."""
+
+    def test_earliest_objective_first(self):
+        queue = WaitingBranches()
+        branches = [_branch(100.0 + number / 100) for number in (2, 0, 1)]
+        for branch in branches:
+            queue.push(branch)
+        order = [queue.pop(100.05) for _ in range(3)]
+        self.assertEqual([branches[1], branches[2], branches[0]], order)
+        self.assertIsNone(queue.pop(100.05))
+
+    def test_late_branches_yield_to_those_that_can_be_in_time(self):
+        queue = WaitingBranches()
+        late, prompt = _branch(100.0), _branch(100.3)
+        queue.push(late)
+        queue.push(prompt)
+        self.assertIs(prompt, queue.pop(100.35))
+        # Nothing starves: what is late is served when nothing prompt waits.
+        self.assertIs(late, queue.pop(100.35))
+
+    def test_urgent_routes_get_more_turns_and_no_route_starves(self):
+        queue = WaitingBranches()
+        urgent = [_branch(100.0, rank=0) for _ in range(12)]
+        other = [_branch(100.0, rank=2) for _ in range(12)]
+        # Lanes are routes, so all branches of a lane share one.
+        for branch in urgent:
+            branch.call.route = urgent[0].call.route
+        for branch in other:
+            branch.call.route = other[0].call.route
+        for pair in zip(urgent, other, strict=True):
+            for branch in pair:
+                queue.push(branch)
+        first = [queue.pop(100.05) for _ in range(8)]
+        count = sum(branch in urgent for branch in first)
+        self.assertEqual(6, count)
+
+    def test_branches_that_need_no_server_are_not_counted(self):
+        queue = WaitingBranches()
+        branches = [_branch(100.0), _branch(100.4)]
+        for branch in branches:
+            queue.push(branch)
+        self.assertEqual(2, len(queue))
+        queue.pop(100.45)
+        self.assertEqual(1, len(queue))
+        branches[0].state = None
+        queue.forget(branches[0])
+        self.assertEqual(0, len(queue))
+        self.assertIsNone(queue.pop(100.45))
