--- /dev/null
+++ b/tests/entry/test_callers.py
@@ -0,0 +1,165 @@
+"""Tests of the connections of callers, over a pair of sockets."""
+
+import curio
+import testtools
+
+from almondtide.entry.answers import Answer
+from almondtide.entry.callers import CallerConnection
+from almondtide.entry.model import CallerLimits
+from almondtide.errors import ResultCode
+from tests.support import run, socket_pair
+
+REQUEST = b"GET /p/x HTTP/1.1\r\nHost: h\r\nRequest-Id: %b\r\n\r\n"
+
+
+class _Entry:
+    """Answers each request after ``work_s`` with its id as the body."""
+
+    def __init__(self, work_s=0.0, limits=None, closing=False):
+        self.work_s = work_s
+        self.closing = closing
+        self._limits = limits or CallerLimits()
+        self.requests = []
+        self.abandoned = 0
+        self.refusals = []
+        self.undelivered = []
+
+    def limits(self):
+        return self._limits
+
+    def is_closing(self):
+        return self.closing
+
+    async def answer(self, request, connection):
+        self.requests.append(request)
+        await curio.sleep(self.work_s)
+        body = request.id.encode()
+        return Answer(200, [(b"server-stamp", b"s")], body, ResultCode.OK)
+
+    async def abandon(self, connection):
+        self.abandoned += 1
+
+    def refused(self, code, message):
+        self.refusals.append(int(code))
+
+    def not_delivered(self, request, exc):
+        self.undelivered.append(request.id)
+
+
+def _talk(entry, *parts, pause_s=0.02, close=False):
+    """Send the parts to a connection; returns all that comes back."""
+
+    async def play():
+        ours, theirs = socket_pair()
+        connection = CallerConnection(theirs, entry)
+
+        async def serve():
+            async with theirs:
+                await connection.run()
+
+        task = await curio.spawn(serve)
+        for part in parts:
+            await curio.run_in_thread(ours.sendall, part)
+            await curio.sleep(pause_s)
+        if close:
+            ours.close()
+            await curio.sleep(0.05)
+            await task.cancel()
+            return b""
+        chunks = []
+        ours.settimeout(0.4)
+        try:
+            while data := await curio.run_in_thread(ours.recv, 65536):
+                chunks.append(data)
+        except TimeoutError:
+            pass
+        ours.close()
+        await task.cancel()
+        return b"".join(chunks)
+
+    return run(play)
+
+
+class CallerConnectionTest(testtools.TestCase):
+    """Guards against answers that are lost, crossed or given to a closed caller."""
+
+    def test_requests_follow_each_other(self):
+        entry = _Entry()
+        data = _talk(entry, REQUEST % b"one", REQUEST % b"two")
+        self.assertEqual(["one", "two"], [request.id for request in entry.requests])
+        self.assertEqual(2, data.count(b"HTTP/1.1 200"))
+        self.assertTrue(data.index(b"one") < data.index(b"two"))
+
+    def test_pipelined_requests_are_answered_in_order(self):
+        entry = _Entry(work_s=0.02)
+        data = _talk(entry, REQUEST % b"one" + REQUEST % b"two" + REQUEST % b"three")
+        self.assertEqual(
+            ["one", "two", "three"], [request.id for request in entry.requests]
+        )
+        self.assertTrue(data.endswith(b"three"))
+
+    def test_request_that_arrives_during_an_answer(self):
+        entry = _Entry(work_s=0.1)
+        _talk(entry, REQUEST % b"one", REQUEST % b"two")
+        self.assertEqual(["one", "two"], [request.id for request in entry.requests])
+
+    def test_caller_that_leaves(self):
+        entry = _Entry(work_s=5.0)
+        _talk(entry, REQUEST % b"one", close=True)
+        self.assertEqual(1, entry.abandoned)
+
+    def test_body_in_chunks_and_in_pieces(self):
+        entry = _Entry()
+        head = (
+            b"POST /p/x HTTP/1.1\r\nHost: h\r\nRequest-Id: one\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n"
+        )
+        _talk(entry, head[:30], head[30:] + b"3\r\nabc\r\n", b"2\r\nde\r\n0\r\n\r\n")
+        self.assertEqual(b"abcde", entry.requests[0].body)
+
+    def test_smuggled_request_is_refused(self):
+        entry = _Entry()
+        data = _talk(
+            entry,
+            b"POST /p/x HTTP/1.1\r\nHost: h\r\nRequest-Id: one\r\n"
+            b"Content-Length: 3\r\nContent-Length: 30\r\n\r\nabc",
+        )
+        self.assertTrue(data.startswith(b"HTTP/1.1 400"))
+        self.assertEqual([], entry.requests)
+
+    def test_request_without_id_or_host(self):
+        for head in (
+            b"GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+            b"GET / HTTP/1.0\r\nRequest-Id: one\r\n\r\n",
+        ):
+            entry = _Entry()
+            self.assertTrue(_talk(entry, head).startswith(b"HTTP/1.1 400"))
+            self.assertEqual([100], entry.refusals)
+
+    def test_limits(self):
+        entry = _Entry(limits=CallerLimits(max_header=200, max_body=10))
+        data = _talk(entry, b"GET / HTTP/1.1\r\nHost: h\r\nX: " + b"x" * 500)
+        self.assertTrue(data.startswith(b"HTTP/1.1 431"))
+        data = _talk(
+            entry,
+            b"POST / HTTP/1.1\r\nHost: h\r\nRequest-Id: one\r\n"
+            b"Content-Length: 11\r\n\r\n" + b"x" * 11,
+        )
+        self.assertTrue(data.startswith(b"HTTP/1.1 413"))
+        self.assertEqual([103, 102], entry.refusals)
+
+    def test_idle_connection_ends_quietly(self):
+        entry = _Entry(limits=CallerLimits(idle_timeout_s=0.05))
+        self.assertEqual(b"", _talk(entry))
+        data = _talk(entry, REQUEST % b"one")
+        self.assertEqual(1, data.count(b"HTTP/1.1"))
+
+    def test_answers_of_a_leaving_entry_end_the_connection(self):
+        data = _talk(_Entry(closing=True), REQUEST % b"one", REQUEST % b"two")
+        self.assertIn(b"connection: close", data.lower())
+        self.assertEqual(1, data.count(b"HTTP/1.1"))
+
+    def test_no_body_in_the_answer_to_a_head_request(self):
+        data = _talk(_Entry(), REQUEST.replace(b"GET", b"HEAD") % b"one")
+        self.assertTrue(data.endswith(b"\r\n\r\n"))
+        self.assertIn(b"content-length: 3", data.lower())
