--- /dev/null
+++ b/tests/entry/test_gossip.py
@@ -0,0 +1,253 @@
+"""Tests of whom a daemon speaks to, of look-ups, and of reads in turn."""
+
+import curio
+import orjson
+import testtools
+
+from almondtide.adapters.http import HTTPRequest
+from almondtide.entry.codec import Beat, decode_message
+from almondtide.entry.directory import LISTEN_FIRST_S, Directory
+from almondtide.entry.feed import StoreFeed
+from almondtide.entry.gossip import CARRIER_FANOUT, FANOUT, RELAYED, Gossip
+from almondtide.entry.knowledge import Knowledge
+from almondtide.entry.members import Member, MemberState, View
+from almondtide.entry.reader import StoreReader
+from almondtide.platform.settings import decode_settings
+from almondtide.platform.store import StoreClient
+from standins.store import StoreServer
+from tests.entry.support import settings_document
+from tests.platform.test_documents import ENTRY
+from tests.support import MemoryLog, run
+
+SETTINGS = decode_settings(orjson.dumps(settings_document()))
+DOMAINS = ("lautoka", "nadi", "suva")
+
+
+def _member(number, carries=False, heard_at=0.0):
+    return Member(
+        f"front-{number}",
+        1,
+        f"10.0.{number // 250}.{number % 250 + 1}",
+        DOMAINS[number % 3],
+        MemberState.READY,
+        0.73,
+        carries,
+        heard_at,
+    )
+
+
+class _Socket:
+    def __init__(self):
+        self.sent = []
+
+    async def sendto(self, raw, address):
+        self.sent.append((raw, address[0]))
+
+
+class _Daemon:
+    """A gossip whose datagrams are kept, with a clock that stands."""
+
+    def __init__(self, count, carriers=(), me=0):
+        members = [_member(number, number in carriers) for number in range(count)]
+        self.now = 0.0
+        self.view = View(members[me])
+        for member in members:
+            self.view.hear(member)
+        self.knowledge = Knowledge()
+        self.log = MemoryLog()
+        self.feed = StoreFeed(self.knowledge, self.log)
+        self.news = []
+        self.gossip = Gossip(
+            SETTINGS,
+            self.view,
+            self.knowledge,
+            self.feed,
+            self._on_news,
+            lambda: self.now,
+            self.log,
+        )
+        self.gossip._sock = self.socket = _Socket()
+
+    async def _on_news(self, facts, configured, source):
+        self.news.extend(facts)
+
+    def beat(self):
+        """Send one round of beats; returns the hosts and the message."""
+        self.socket.sent.clear()
+        run(self.gossip._send_beats)
+        hosts = [host for _, host in self.socket.sent]
+        return hosts, decode_message(self.socket.sent[0][0], self.now)
+
+
+class TargetsTest(testtools.TestCase):
+    """Guards against traffic that grows with the fleet, and against silence."""
+
+    def test_carrier_of_a_small_fleet_speaks_to_all(self):
+        daemon = _Daemon(15, carriers=range(6))
+        hosts, beat = daemon.beat()
+        self.assertTrue({_member(n).host for n in range(1, 15)} <= set(hosts))
+        self.assertEqual(RELAYED, len(beat.heard))
+
+    def test_standby_speaks_to_the_carriers_and_a_few(self):
+        daemon = _Daemon(15, carriers=range(6), me=14)
+        hosts = set(daemon.beat()[0])
+        self.assertTrue({_member(number).host for number in range(6)} <= hosts)
+        self.assertTrue(len(hosts) <= 6 + FANOUT + len(SETTINGS.seeds))
+
+    def test_large_fleet(self):
+        for count in (30, 118, 1000):
+            carrier = _Daemon(count, carriers=range(8))
+            self.assertTrue(len(carrier.beat()[0]) <= CARRIER_FANOUT + 3)
+            standby = _Daemon(count, carriers=range(8), me=count - 1)
+            self.assertTrue(len(standby.beat()[0]) <= 2 * FANOUT + 3)
+            self.assertTrue(len(carrier.socket.sent[0][0]) < 1300)
+
+    def test_a_daemon_without_knowledge_asks_the_seeds(self):
+        hosts, beat = _Daemon(1).beat()
+        self.assertTrue(beat.wants_reply)
+        self.assertEqual({host for host, _ in SETTINGS.seeds}, set(hosts))
+
+
+class FreshnessTest(testtools.TestCase):
+    """Guards against belief in knowledge that nobody has confirmed."""
+
+    def _compare(self, daemon, digest, age_s, version=0):
+        sender = _member(1, heard_at=daemon.now)
+        beat = Beat(sender, digest, version, age_s, [], False, 40)
+        run(daemon.gossip._on_beat, beat, sender.host, daemon.now)
+
+    def test_equal_digest_confirms(self):
+        daemon = _Daemon(3)
+        daemon.now = 10.0
+        self._compare(daemon, daemon.knowledge.digest, 0.4)
+        self.assertAlmostEqual(9.6, daemon.knowledge.fresh_at)
+        self.assertEqual(40, daemon.feed.cursor)
+
+    def test_other_digest_does_not_confirm(self):
+        daemon = _Daemon(3)
+        daemon.now = 10.0
+        daemon.knowledge.confirm(5.0)
+        self._compare(daemon, daemon.knowledge.digest + 1, 0.4)
+        self.assertEqual(5.0, daemon.knowledge.fresh_at)
+        self.assertIsNone(daemon.feed.cursor)
+
+    def test_older_word_is_ignored(self):
+        daemon = _Daemon(3)
+        daemon.now = 10.0
+        daemon.knowledge.confirm(9.9)
+        self._compare(daemon, daemon.knowledge.digest, 5.0)
+        self.assertEqual(9.9, daemon.knowledge.fresh_at)
+
+
+class DirectoryTest(testtools.TestCase):
+    """Guards against callers that are sent to nobody or to the dead."""
+
+    def _names(self, daemon, domain):
+        directory = Directory(SETTINGS, daemon.view, lambda: daemon.now)
+        return [member.name for member in directory.entries(domain, daemon.now)]
+
+    def test_own_domain_first(self):
+        daemon = _Daemon(15, carriers=range(15))
+        names = self._names(daemon, "nadi")
+        self.assertEqual(2, len(names))
+        self.assertTrue(all(int(name[6:]) % 3 == 1 for name in names))
+
+    def test_unknown_domain_gets_all_carriers(self):
+        self.assertEqual(6, len(self._names(_Daemon(15, range(15)), "elsewhere")))
+
+    def test_members_that_know_their_role_come_first(self):
+        daemon = _Daemon(15, carriers=())
+        chosen = self._names(daemon, "nadi")
+        daemon.view.members[chosen[0]].carries = True
+        self.assertEqual([chosen[0]], self._names(daemon, "nadi"))
+
+    def test_a_daemon_that_has_just_started_does_not_name_itself_alone(self):
+        daemon = _Daemon(1)
+        directory = Directory(SETTINGS, daemon.view, lambda: daemon.now)
+        request = HTTPRequest("GET", "/v1/resolve?zone=lautoka", {}, b"")
+        self.assertEqual(503, run(directory.resolve, request).status)
+        daemon.now = LISTEN_FIRST_S + 0.1
+        self.assertEqual(200, run(directory.resolve, request).status)
+
+
+class StoreReaderTest(testtools.TestCase):
+    """Guards against a store that is read by nobody, or too often."""
+
+    def _play(self, scenario):
+        async def play():
+            store = StoreServer()
+            await store.start()
+            daemon = _Daemon(1)
+            client = StoreClient(store.address, 0.2)
+            reader = StoreReader(
+                SETTINGS,
+                client,
+                daemon.view,
+                daemon.knowledge,
+                daemon.feed,
+                daemon.gossip,
+                daemon._on_news,
+                lambda: daemon.now,
+                daemon.log,
+            )
+            try:
+                await scenario(store, daemon, reader)
+            finally:
+                await client.close()
+                await store.close()
+
+        run(play)
+
+    def test_full_read_then_changes(self):
+        async def scenario(store, daemon, reader):
+            await store.put("servers/i-1", ENTRY)
+            await store.put("op/config", {"version": 3, "routes": [], "services": []})
+            await reader._read()
+            self.assertEqual(3, daemon.knowledge.version)
+            self.assertEqual(1, len(daemon.news))
+            await store.put("servers/i-2", ENTRY)
+            await store.put("servers/i-1", {**ENTRY, "sequence": 5})
+            await reader._read()
+            self.assertEqual(2, len(daemon.news))
+            self.assertEqual(["/v1/kv-watch"], store.calls[2:])
+
+        self._play(scenario)
+
+    def test_loss_and_return_are_logged_once(self):
+        async def scenario(store, daemon, reader):
+            await reader._read()
+            store.mode = "busy"
+            for _ in range(3):
+                await reader._read()
+            store.mode = "normal"
+            await reader._read()
+            names = [name for name in daemon.log.names() if name.startswith("store_")]
+            self.assertEqual(["store_lost", "store_regained"], names)
+
+        self._play(scenario)
+
+    def test_lost_history_is_read_anew(self):
+        async def scenario(store, daemon, reader):
+            await store.put("servers/i-1", ENTRY)
+            await store.put("servers/i-2", ENTRY)
+            await reader._read()
+            await store.remove("servers/i-1")
+            store.forget_history()
+            await store.put("servers/i-3", ENTRY)
+            await reader._read()
+            known = {fact.key for fact in daemon.knowledge.servers()}
+            self.assertEqual({"servers/i-2", "servers/i-3"}, known)
+
+        self._play(scenario)
+
+    def test_a_fresh_daemon_does_not_read(self):
+        async def scenario(store, daemon, reader):
+            daemon.now = 10.0
+            daemon.knowledge.confirm(9.9)
+            self.assertTrue(reader._due_at(daemon.now) > daemon.now)
+            task = await curio.spawn(reader.run, daemon=True)
+            await curio.sleep(0.05)
+            await task.cancel()
+            self.assertEqual([], store.calls)
+
+        self._play(scenario)
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,134 @@
+"""Tests of the store's client against the stand-in, calm and misbehaving."""
+
+import testtools
+from hypothesis import given
+from hypothesis import strategies as st
+
+from almondtide.adapters.http import HTTPResponse
+from almondtide.errors import PlatformError
+from almondtide.platform.store import HistoryLostError, StoreClient, _decode_item
+from standins.store import PAGE_ITEMS, StoreServer
+from tests.support import HTTPServer, run
+
+
+def _play(scenario):
+    async def play():
+        store = StoreServer()
+        await store.start()
+        client = StoreClient(store.address, 0.3)
+        try:
+            return await scenario(store, client)
+        finally:
+            await client.close()
+            await store.close()
+
+    return run(play)
+
+
+class StoreClientTest(testtools.TestCase):
+    """Guards against items that are missed, and calls that hang."""
+
+    def test_pages(self):
+        async def scenario(store, client):
+            for number in range(2 * PAGE_ITEMS + 1):
+                await store.put(f"servers/i-{number:03}", b"x")
+            await store.put("other", b"y")
+            return await client.read("servers/"), client.calls
+
+        (items, revision), calls = _play(scenario)
+        self.assertEqual(2 * PAGE_ITEMS + 1, len({item.key for item in items}))
+        self.assertEqual(b"x", items[0].value)
+        self.assertEqual(2 * PAGE_ITEMS + 3, revision)
+        self.assertEqual(3, calls)
+
+    def test_one_item_or_none(self):
+        async def scenario(store, client):
+            await store.put("op/config", b"doc")
+            return await client.get("op/config"), await client.get("none")
+
+        item, missing = _play(scenario)
+        self.assertEqual((b"doc", 2), (item.value, item.revision))
+        self.assertIsNone(missing)
+
+    def test_changes_of_all_keys_and_removals(self):
+        async def scenario(store, client):
+            await store.put("servers/i-1", b"x")
+            await store.put("op/config", b"doc")
+            await store.remove("servers/i-1")
+            return await client.changes("", 2, 20)
+
+        changes, revision = _play(scenario)
+        self.assertEqual(
+            [("op/config", b"doc"), ("servers/i-1", None)],
+            [(change.key, change.value) for change in changes],
+        )
+        self.assertEqual(4, revision)
+
+    def test_no_change_within_the_wait(self):
+        async def scenario(store, client):
+            return await client.changes("", store.revision, 20)
+
+        self.assertEqual(([], 1), _play(scenario))
+
+    def test_lost_history(self):
+        async def scenario(store, client):
+            await store.put("a", b"x")
+            store.forget_history()
+            await client.changes("", 1, 20)
+
+        self.assertRaises(HistoryLostError, _play, scenario)
+
+    def test_a_store_that_is_away(self):
+        for mode in ("busy", "silent", "reset"):
+
+            async def scenario(store, client, mode=mode):
+                await store.put("a", b"x")
+                store.mode = mode
+                try:
+                    await client.get("a")
+                except PlatformError:
+                    store.mode = "normal"
+                    return await client.get("a")
+                raise AssertionError(f"{mode}: no error")
+
+            self.assertEqual(b"x", _play(scenario).value)
+
+    def test_nobody_listens(self):
+        async def scenario(store, client):
+            await store.close()
+            await client.get("a")
+
+        self.assertRaises(PlatformError, _play, scenario)
+
+    def test_answers_that_are_not_understood(self):
+        for body in (b"{", b"[]", b'{"events": 3}', b'{"events": [{}], "as_of": 1}'):
+
+            async def scenario(body=body):
+                async def handler(request):
+                    return HTTPResponse(200, body)
+
+                async with HTTPServer(handler) as server:
+                    await StoreClient(server.address, 0.3).changes("", 1, 10)
+
+            self.assertRaises(PlatformError, run, scenario)
+
+
+class DecodeItemTest(testtools.TestCase):
+    """Guards against an unreadable entry that hides the others."""
+
+    def test_value_that_is_not_base64_is_an_empty_one(self):
+        for value in ("%%", 7, None, "abc"):
+            item = _decode_item({"key": "k", "revision": 3, "value": value})
+            self.assertEqual((b"", 3), (item.value, item.revision))
+
+    @given(
+        st.dictionaries(
+            st.sampled_from(["key", "value", "revision", "removed"]),
+            st.none() | st.booleans() | st.integers(-9, 9) | st.text("ab=", max_size=4),
+        )
+    )
+    def test_any_table(self, table):
+        try:
+            _decode_item(table)
+        except PlatformError:
+            pass
