End all tasks of a stopped entry before its kernel ends

The entry now stops listening before it closes idle connections, and ends listeners and tasks itself. Ruled out: the handling of requests (none ran).

--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -85,6 +85,9 @@
         self.timers = Timers(SteadyClock(), self.dispatcher.fired)
         self.dispatcher.use_timers(self.timers)
         self.front = Front(self.dispatcher, self.knowledge, self.view, now, log)
+        self._caller_listener = Listener(settings.caller_address, self.front.serve, log)
+        self._listeners = []
+        self._tasks = []
         self.directory = Directory(settings, self.view, now)
 
     # Life
@@ -99,7 +102,7 @@
         await self._listen(settings.directory_address, self._http(directory.resolve))
         await self._listen(settings.readiness_address, self._http(directory.readiness))
         await self._listen(settings.metrics_address, self._http(self._metrics))
-        await self._listen(settings.caller_address, self.front.serve)
+        await self._caller_listener.start()
         self.log.info(
             "started",
             instance=settings.instance,
@@ -108,17 +111,20 @@
             seeds=len(settings.seeds),
             first=settings.is_first_start,
         )
-        await curio.spawn(self.reader.run, daemon=True)
-        await curio.spawn(self._housekeeping, daemon=True)
+        for function in (self.reader.run, self._housekeeping):
+            self._tasks.append(await curio.spawn(function, daemon=True))
         while True:
             number = await self._signals.next()
             if number != signal.SIGHUP:
                 break
             self._reload("signal")
         await self._stop(number)
+        await self._close()
 
     async def _listen(self, address, handler):
-        await Listener(address, handler, self.log).start()
+        listener = Listener(address, handler, self.log)
+        await listener.start()
+        self._listeners.append(listener)
 
     def _http(self, handler):
         async def serve(sock, peer):
@@ -156,12 +162,23 @@
             await curio.sleep(STOP_LOOK_S)
             if steady_now() < begun + CLOSE_IDLE_PART * grace_s:
                 continue
+            await self._caller_listener.stop()
             await self.front.close_idle()
             if not self.front.running:
                 break
         after_s = round(steady_now() - begun, 2)
         self.log.info("stopped", running=self.front.running, after_s=after_s)
 
+    async def _close(self):
+        """End all tasks; a task that starts another meanwhile would fail the end."""
+        for listener in (self._caller_listener, *self._listeners):
+            await listener.close()
+        for task in self._tasks:
+            await task.cancel()
+        await self.gossip.stop()
+        await self.timers.stop()
+        await self.store.close()
+
     async def _housekeeping(self):
         last = checked = steady_now()
         while True:
--- a/almondtide/entry/gossip.py
+++ b/almondtide/entry/gossip.py
@@ -61,6 +61,7 @@
         "_on_news",
         "_pulled_at",
         "_sock",
+        "_tasks",
         "_urgent",
         "counts",
         "settings",
@@ -76,6 +77,7 @@
         self._now = now
         self._log = log
         self._sock = None
+        self._tasks = []
         self._differs_since = None
         self._pulled_at = 0.0
         self._urgent = curio.Event()
@@ -86,8 +88,16 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         sock.bind(self.settings.gossip_address)
         self._sock = sock
-        await curio.spawn(self._receive, daemon=True)
-        await curio.spawn(self._beat_loop, daemon=True)
+        for function in (self._receive, self._beat_loop):
+            self._tasks.append(await curio.spawn(function, daemon=True))
+
+    async def stop(self):
+        """End the tasks and close the socket."""
+        for task in self._tasks:
+            await task.cancel()
+        self._tasks.clear()
+        if self._sock is not None:
+            await self._sock.close()
 
     async def speak(self):
         """Send a beat to the members at once."""
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A soak of the entry: real processes under seeded faults, checked as they run."""
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,170 @@
+"""Faults of daemons, servers, links, the store and the operator."""
+
+import signal
+import time
+
+import curio
+
+from almondtide.registry import Registry
+from standins.entry_fleet import GRACE_S, SHARDS, make_configuration
+
+__all__ = ["faults"]
+
+faults = Registry("fault")
+# Longest time of a fault, in s.
+LONGEST_S = 3.0
+# Time that a process may need beyond its grace time on a busy machine, in s.
+END_SLACK_S = 2.0
+
+
+def _length(rng):
+    return rng.uniform(0.3, LONGEST_S)
+
+
+@faults.register("stop")
+async def stop_daemon(world, rng):
+    """SIGTERM, then a new start."""
+    number = world.take_daemon(rng)
+    if number is None:
+        return
+    process = world.fleet.processes[number]
+    with world.disturbance("daemon", number, "stop"):
+        process.send_signal(signal.SIGTERM)
+        begun = time.monotonic()
+        while process.poll() is None:
+            if time.monotonic() > begun + GRACE_S + END_SLACK_S:
+                world.bad_ends.append(f"daemon {number} outlived its grace time")
+                process.kill()
+            await curio.sleep(0.05)
+        if process.returncode != 0:
+            world.bad_ends.append(f"daemon {number} ended with {process.returncode}")
+        await world.restart(number)
+
+
+@faults.register("kill")
+async def kill_daemon(world, rng):
+    """SIGKILL, then a new start after a while."""
+    number = world.take_daemon(rng)
+    if number is None:
+        return
+    with world.disturbance("daemon", number, "kill"):
+        world.fleet.processes[number].kill()
+        world.fleet.processes[number].wait()
+        await curio.sleep(rng.uniform(0.0, 1.0))
+        await world.restart(number)
+
+
+@faults.register("pause")
+async def pause_daemon(world, rng):
+    """SIGSTOP and SIGCONT."""
+    number = world.take_daemon(rng)
+    if number is None:
+        return
+    process = world.fleet.processes[number]
+    with world.disturbance("daemon", number, "pause"):
+        process.send_signal(signal.SIGSTOP)
+        await curio.sleep(_length(rng))
+        process.send_signal(signal.SIGCONT)
+        await curio.sleep(1.0)
+    world.busy.discard(number)
+
+
+@faults.register("hangup")
+async def hang_up(world, rng):
+    """SIGHUP."""
+    number = world.take_daemon(rng)
+    if number is not None:
+        world.fleet.processes[number].send_signal(signal.SIGHUP)
+        world.busy.discard(number)
+
+
+@faults.register("store")
+async def break_store(world, rng):
+    """The store refuses, is silent, resets, lets entries lapse or drops history."""
+    store = world.fleet.store
+    if store.mode != "normal":
+        return
+    kind = rng.choice(["busy", "silent", "reset", "lapse", "history"])
+    with world.disturbance("store", kind, "store"):
+        if kind == "history":
+            store.forget_history()
+            return
+        store.mode = "busy" if kind == "lapse" else kind
+        await curio.sleep(_length(rng))
+        lapsed = []
+        if kind == "lapse":
+            lapsed = [key for key in store.items if key.startswith("servers/")]
+            lapsed = rng.sample(lapsed, len(lapsed) // 2)
+            entries = {key: world.fleet.raw_entry(key) for key in lapsed}
+            for key in lapsed:
+                await store.remove(key)
+        store.mode = "normal"
+        await curio.sleep(1.5 if lapsed else 0.0)
+        for key in lapsed:
+            await store.put(key, entries[key])
+
+
+@faults.register("replace")
+async def replace_server(world, rng):
+    """A new server starts, an old one drains and leaves."""
+    service = rng.choice([*SHARDS, "drafts"])
+    id = world.take_server(rng, service)
+    if id is None:
+        return
+    await world.fleet.add_server(service)
+    await curio.sleep(1.5)
+    await world.fleet.register(id, "draining")
+    world.drains[id] = time.monotonic()
+    await curio.sleep(5.0)
+    await world.fleet.store.remove(f"servers/{id}")
+    await world.fleet.servers[id].close()
+
+
+@faults.register("crash")
+async def crash_server(world, rng):
+    """A server ends without a word and is gone from the store later."""
+    service = rng.choice([*SHARDS, "drafts"])
+    id = world.take_server(rng, service)
+    if id is None:
+        return
+    await world.fleet.servers[id].close()
+    await curio.sleep(_length(rng))
+    await world.fleet.store.remove(f"servers/{id}")
+    await world.fleet.add_server(service)
+
+
+@faults.register("slow")
+async def slow_server(world, rng):
+    """A server works slowly."""
+    server = world.fleet.servers[rng.choice(sorted(world.fleet.servers))]
+    server.work_s = rng.uniform(0.05, 0.5)
+    await curio.sleep(_length(rng))
+    server.work_s = 0.005
+
+
+@faults.register("link")
+async def spoil_link(world, rng):
+    """The link before a server spoils, holds or delays its replies, or is cut."""
+    link = world.fleet.links[rng.choice(sorted(world.fleet.links))]
+    change = rng.choice(
+        [
+            {"cut": True},
+            {"hold": True},
+            {"delay_ms": 60.0},
+            {"duplicate_share": 0.3},
+            {"truncate_share": 0.3},
+            {"cross_share": 0.3},
+        ]
+    )
+    await link.change(change)
+    await curio.sleep(_length(rng))
+    await link.change({name: type(value)() for name, value in change.items()})
+
+
+@faults.register("configure")
+async def configure(world, rng):
+    """The operator publishes versions in quick succession."""
+    for _ in range(rng.randrange(1, 6)):
+        world.version += rng.randrange(1, 4)
+        await world.fleet.store.put("op/config", make_configuration(world.version))
+        await curio.sleep(rng.uniform(0.01, 0.3))
--- /dev/null
+++ b/standins/entry_fleet.py
@@ -0,0 +1,256 @@
+"""A small fleet of entries as processes, with a store and servers of its own."""
+
+import base64
+import os
+import random
+import subprocess
+import sys
+import time
+
+import curio
+import h11
+import orjson
+
+from .link import Link
+from .shard import ShardServer
+from .store import StoreServer
+
+__all__ = ["DOMAINS", "PORTS", "SHARDS", "EntryFleet", "call", "make_configuration"]
+
+DOMAINS = ("lautoka", "nadi", "suva")
+PORTS = {"front": 18226, "readiness": 18227, "control": 18224, "directory": 18225}
+METRICS_PORT = 9464
+GOSSIP_PORT = 17740
+STARTED_S = 15.0
+SHARDS = ("shard-0", "shard-1", "shard-2")
+ONCE_SERVICE = "drafts"
+GRACE_S = 3
+SLOTS = 3
+
+
+def make_configuration(version=1, **changes):
+    """Return a configuration with one route over all shards and one that runs once."""
+    routes = [
+        {
+            "name": "search",
+            "host": "search.example",
+            "prefix": "/search/",
+            "route_type": "safe",
+            "timeout_ms": 1500,
+            "target_latency_ms": 300,
+            "priority": 1,
+            "gather": list(SHARDS),
+            "max_attempts": 2,
+            "top_k": 3,
+            "min_coverage": 0.6,
+        },
+        {
+            "name": "write",
+            "host": "write.example",
+            "prefix": "/write/",
+            "route_type": "unsafe",
+            "timeout_ms": 3000,
+            "target_latency_ms": 300,
+            "priority": 2,
+            "service": ONCE_SERVICE,
+            "max_attempts": 2,
+        },
+    ]
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [
+            {"name": name, "health_path": "/health", "max_connections": 60}
+            for name in [*SHARDS, ONCE_SERVICE]
+        ],
+        "limits": {"max_body_bytes": 1000, "idle_timeout_ms": 5000},
+        **changes,
+    }
+
+
+class EntryFleet:
+    """Daemons, a store, and servers of each service, all on loopback.
+
+    ``argv`` is the command of a daemon after the interpreter. With ``links``, a
+    forwarding ``Link`` stands before each server. Use it as an async context.
+    """
+
+    def __init__(self, folder, daemons=3, servers=2, argv=None, links=False):
+        self.folder = folder
+        self.argv = argv or ["-m", "almondtide.entry"]
+        self.with_links = links
+        self.count = servers
+        # Loopback hosts of their own, so that runs beside each other do not meet.
+        block = random.Random(os.urandom(8)).randrange(1 << 14)
+        self.hosts = [
+            f"127.{64 + block // 256}.{block % 256}.{number + 1}"
+            for number in range(daemons)
+        ]
+        self.store = StoreServer()
+        self.servers = {}
+        self.links = {}
+        self.sequence = 1
+        self.processes = {}
+
+    async def __aenter__(self):
+        await self.store.start()
+        for service in [*SHARDS, ONCE_SERVICE]:
+            for _ in range(self.count):
+                await self.add_server(service)
+        await self.store.put("op/config", make_configuration())
+        for number in range(len(self.hosts)):
+            self.start(number)
+        for number in range(len(self.hosts)):
+            await self.until_ready(number)
+        return self
+
+    async def __aexit__(self, *details):
+        for process in self.processes.values():
+            process.kill()
+            process.wait()
+        for link in self.links.values():
+            await link.listener.close()
+        for server in self.servers.values():
+            await server.close()
+        await self.store.close()
+
+    # Servers
+
+    async def add_server(self, service):
+        """Start a server and register it; returns its id."""
+        number = len(self.servers)
+        id = f"i-{service}-{number}"
+        server = ShardServer(id, service, slots=SLOTS)
+        await server.start()
+        self.servers[id] = server
+        if self.with_links:
+            host, port = server.listener.address
+            link = self.links[id] = Link(id, 0, f"{host}:{port}")
+            await link.start()
+        await self.register(id)
+        return id
+
+    async def register(self, id, state="ready"):
+        """Write a server's entry to the store."""
+        server = self.servers[id]
+        self.sequence += 1
+        domain = DOMAINS[sum(map(ord, id)) % len(DOMAINS)]
+        entry = server.entry(domain, state, self.sequence)
+        if id in self.links:
+            host, port = self.links[id].listener.address
+            entry["address"] = f"{host}:{port}"
+        await self.store.put(f"servers/{id}", entry)
+
+    def raw_entry(self, key):
+        """Return the bytes that the store holds at a key."""
+        return base64.b64decode(self.store.items[key]["value"])
+
+    # Daemons
+
+    def start(self, number):
+        """Start a daemon with its settings file and log."""
+        host = self.hosts[number]
+        path = os.path.join(self.folder, f"settings-{number}.json")
+        store_host, store_port = self.store.address
+        document = {
+            "node_name": f"front-{number}",
+            "ip": host,
+            "zone": DOMAINS[number % len(DOMAINS)],
+            "region": "viti-levu",
+            "zones": dict.fromkeys(DOMAINS, "viti-levu"),
+            "listen": {name: f"{host}:{port}" for name, port in PORTS.items()},
+            "port_range": [GOSSIP_PORT, GOSSIP_PORT + 5],
+            "seeds": [f"{self.hosts[0]}:{PORTS['control']}"],
+            "bounds": {"drain_ms": 3000, "grace_s": GRACE_S, "budget_slack": 100},
+            "platform": {"address": f"{store_host}:{store_port}"},
+        }
+        with open(path, "wb") as file:
+            file.write(orjson.dumps(document))
+        with open(os.path.join(self.folder, f"log-{number}"), "ab") as log:
+            self.processes[number] = subprocess.Popen(
+                [sys.executable, *self.argv],
+                env={**os.environ, "ALMONDTIDE_SETTINGS": path},
+                stdout=log,
+                stderr=log,
+            )
+
+    def log(self, number):
+        """Return all that a daemon has written."""
+        with open(os.path.join(self.folder, f"log-{number}"), "rb") as file:
+            return file.read().decode(errors="replace")
+
+    async def is_ready(self, number):
+        """Return whether a daemon says that it is ready."""
+        try:
+            status, _, _ = await self.get(number, "readiness", "/v1/ready")
+        except (OSError, curio.TaskTimeout):
+            return False
+        return status == 200
+
+    async def until_ready(self, number):
+        """Wait for a daemon that was started."""
+        end = time.monotonic() + STARTED_S
+        while not await self.is_ready(number):
+            if time.monotonic() > end:
+                raise AssertionError(f"not ready: {self.log(number)[-2000:]}")
+            await curio.sleep(0.02)
+
+    async def get(self, number, port, path):
+        """Call one of a daemon's own addresses."""
+        return await call(self.hosts[number], PORTS[port], "GET", path, {"host": "x"})
+
+    async def search(self, number, id="q-1", deadline_ms=1200):
+        """Send a query over all shards."""
+        headers = {
+            "host": "search.example",
+            "request-id": id,
+            "deadline-ms": str(deadline_ms),
+        }
+        return await call(
+            self.hosts[number], PORTS["front"], "GET", "/search/x", headers
+        )
+
+    async def write(self, number, id="w-1", body=b"draft", deadline_ms=1200):
+        """Send a request that may run once."""
+        headers = {
+            "host": "write.example",
+            "request-id": id,
+            "deadline-ms": str(deadline_ms),
+        }
+        return await call(
+            self.hosts[number], PORTS["front"], "POST", "/write/x", headers, body
+        )
+
+
+async def call(host, port, method, path, headers, body=b"", timeout_s=5):
+    """Send one request on a connection of its own; returns (status, headers, body).
+
+    Raises ``OSError`` when the connection ends before a whole answer.
+    """
+    conn = h11.Connection(h11.CLIENT)
+    async with curio.timeout_after(timeout_s):
+        sock = await curio.open_connection(host, port)
+        async with sock:
+            pairs = [*headers.items(), ("content-length", str(len(body)))]
+            wire = conn.send(h11.Request(method=method, target=path, headers=pairs))
+            wire += conn.send(h11.Data(data=body)) + conn.send(h11.EndOfMessage())
+            await sock.sendall(wire)
+            chunks = []
+            head = None
+            while True:
+                try:
+                    event = conn.next_event()
+                except h11.RemoteProtocolError as exc:
+                    raise ConnectionError(f"no whole answer: {exc}") from exc
+                if event is h11.NEED_DATA:
+                    conn.receive_data(await sock.recv(65536))
+                elif type(event) is h11.Response:
+                    head = event
+                elif type(event) is h11.Data:
+                    chunks.append(bytes(event.data))
+                elif type(event) is h11.EndOfMessage:
+                    break
+                else:
+                    raise ConnectionError("closed before an answer")
+    found = {name.decode(): value.decode() for name, value in head.headers}
+    return head.status_code, found, b"".join(chunks)
--- a/standins/shard.py
+++ b/standins/shard.py
@@ -1,12 +1,27 @@
 """Stand-in for a server of the users' platform."""
 
+import hashlib
+import time
+
 import curio
 
 from almondtide.adapters.http import HTTPResponse, serve_http
 from almondtide.adapters.listener import Listener
 from almondtide.logs import Log
 
-__all__ = ["ShardServer"]
+__all__ = ["RECORDS", "ShardServer", "records_of"]
+
+RECORDS = 4
+
+
+def records_of(service, request_id):
+    """Return the records of a service for one request, in no order."""
+    return b"".join(
+        hashlib.blake2b(
+            f"{service}/{request_id}/{number}".encode(), digest_size=16
+        ).digest()
+        for number in range(RECORDS)
+    )
 
 
 class ShardServer:
@@ -14,13 +29,14 @@
 
     ``behave(request)`` may return an ``HTTPResponse`` in place of the usual one;
     ``work_s`` is how long a request takes. A request for another instance gets
-    421, one beyond ``slots`` gets 503 with the statement that it was not run.
+    421, one beyond ``slots`` gets 503 with the statement that it was not run. A
+    request with a body gets it back, another one the ``records_of`` its id and the
+    service.
     """
 
-    def __init__(self, id, service, records=b"", slots=3, work_s=0.005):
+    def __init__(self, id, service, slots=3, work_s=0.005):
         self.id = id
         self.service = service
-        self.records = records
         self.slots = slots
         self.work_s = work_s
         self.behave = lambda request: None
@@ -63,7 +79,7 @@
         if self.running >= self.slots:
             return HTTPResponse(503, b"", {"not-run": "1"})
         request_id = request.headers["request-id"]
-        self.runs.append((request_id, request))
+        self.runs.append((request_id, request, time.monotonic()))
         self.running += 1
         try:
             await curio.sleep(self.work_s)
@@ -79,4 +95,5 @@
             "server-stamp": f"{self.id}.{request_id}",
             "request-id": request_id,
         }
-        return HTTPResponse(200, self.records or request.body, headers)
+        body = request.body or records_of(self.service, request_id)
+        return HTTPResponse(200, body, headers)
