Answer the requests that are left when a stopping entry ends

They now end with what is in, or with 504, before the process does. The test failed before. Ruled out: the accept loop (nothing was accepted after 1.8 s).

--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -38,6 +38,8 @@
 CLOSE_IDLE_PART = 0.6
 END_PART = 0.84
 STOP_LOOK_S = 0.1
+# Time for the last answers of a stopping process, in s.
+LAST_ANSWERS_S = 0.2
 METRICS_PATH = "/metrics"
 
 
@@ -166,6 +168,10 @@
             await self.front.close_idle()
             if not self.front.running:
                 break
+        if self.front.running:
+            self.log.warning("requests_ended", running=self.front.running)
+            await self.front.hurry()
+            await curio.sleep(LAST_ANSWERS_S)
         after_s = round(steady_now() - begun, 2)
         self.log.info("stopped", running=self.front.running, after_s=after_s)
 
--- a/almondtide/entry/dispatch.py
+++ b/almondtide/entry/dispatch.py
@@ -220,7 +220,8 @@
 
     async def _wait_until(self, call, end):
         while not call.is_decided():
-            left_s = end - self.now()
+            # The limit moves forward when the daemon stops.
+            left_s = min(end, call.limit_at) - self.now()
             if left_s <= 0:
                 return
             call.changed.clear()
@@ -245,6 +246,11 @@
             branch.queue.forget(branch)
             branch.queue = None
 
+    async def hurry(self, call):
+        """Let a call end now with what is in."""
+        call.limit_at = min(call.limit_at, self.now())
+        await call.changed.set()
+
     async def abandon(self, call):
         """End a call whose caller has left, and all its exchanges."""
         call.abandoned = True
--- a/almondtide/entry/front.py
+++ b/almondtide/entry/front.py
@@ -66,6 +66,12 @@
         for connection, task in list(self._connections.items()):
             await connection.close_idle(task)
 
+    async def hurry(self):
+        """Let all requests under way end now, each with a final answer."""
+        for connection in list(self._connections):
+            if connection.call is not None:
+                await self._dispatcher.hurry(connection.call)
+
     def limits(self):
         """Return the ``CallerLimits`` in force."""
         configuration = self._knowledge.configuration
--- a/tests/entry/test_processes.py
+++ b/tests/entry/test_processes.py
@@ -128,6 +128,26 @@
 
         self.play(scenario)
 
+    def test_planned_stop_gives_a_final_answer_to_what_takes_too_long(self):
+        # Requests that ran on at the end of the grace time were cut (soak, seed 12).
+        async def scenario(fleet):
+            for server in fleet.servers.values():
+                server.work_s = 20.0
+            kinds = (fleet.search, fleet.write)
+            tasks = [
+                await curio.spawn(
+                    lambda k=kind: k(0, f"{k.__name__}-1", deadline_ms=9000)
+                )
+                for kind in kinds
+            ]
+            await curio.sleep(0.1)
+            fleet.processes[0].send_signal(signal.SIGTERM)
+            await curio.sleep(1.0)
+            for task in tasks:
+                self.assertEqual(504, (await task.join())[0])
+
+        self.play(scenario)
+
     def test_planned_stop_while_callers_keep_connecting(self):
         # A connection that was accepted while the tasks were ended failed the end of
         # the process: status 1 and a request without an answer (soak, seed 12).
