--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test lint demo prove prove-naive bench clean
+.PHONY: setup test lint demo prove prove-naive soak soak-naive bench clean
 
 setup: $(VENV)/.ready
 
@@ -27,6 +27,15 @@
 prove-naive: setup
 	$(BIN)/python -m proofs.run --naive
 
+SEED ?= 1
+RUNS ?= 5
+
+soak: setup
+	$(BIN)/python -m soak.run --regressions --seed $(SEED) --runs $(RUNS)
+
+soak-naive: setup
+	$(BIN)/python -m soak.run --naive --seed $(SEED)
+
 bench: setup
 	$(BIN)/python -m bench.run
 
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,162 @@
+"""A short seeded run of the soak, and the checks on records made by hand."""
+
+import testtools
+
+from soak.checks import checks, find_violations
+from soak.history import Disturbance, Record
+from soak.run import play, regression_seeds
+from standins.entry_fleet import SHARDS
+from standins.shard import records_of
+
+SEED = 5
+SECONDS = 4.0
+
+
+class _Server:
+    def __init__(self, service):
+        self.service = service
+        self.runs = []
+
+
+class _History:
+    """A history without processes."""
+
+    def __init__(self):
+        self.records = {}
+        self.servers = {f"i-{shard}": _Server(shard) for shard in SHARDS}
+        self.servers["i-drafts"] = _Server("drafts")
+        self.drains = {}
+        self.bad_ends = []
+        self.disturbances = []
+
+    def add(self, id, kind, status, ran=(), error=None, took_s=0.1, **answer):
+        record = Record(id, kind, 0, 10.0, 1.2)
+        record.status, record.error, record.ended = status, error, 10.0 + took_s
+        for name, value in answer.items():
+            setattr(record, name, value)
+        self.records[id] = record
+        for server in ran:
+            self.servers[server].runs.append((id, None, 10.0))
+        return record
+
+    def add_search(self, id, shards=SHARDS, missing=0, body=None):
+        stamps = ", ".join(f"i-{shard}.{id}" for shard in shards)
+        records = sorted(
+            record for shard in shards for record in _split(records_of(shard, id))
+        )
+        whole = b"".join(records[::-1][:3])
+        headers = {"part-stamps": stamps, "missing-parts": str(missing)}
+        return self.add(
+            id, "search", 200, headers=headers, body=whole if body is None else body
+        )
+
+    def finished(self, kind=None):
+        return [r for r in self.records.values() if kind in (None, r.kind)]
+
+    def service_of(self, id):
+        server = self.servers.get(id)
+        return server and server.service
+
+    def runs(self):
+        found = {}
+        for name, server in self.servers.items():
+            for id, _, _ in server.runs:
+                found.setdefault(id, []).append(name)
+        return found
+
+    def disturbed(self, area, target, start, end, kinds):
+        return any(item.kind in kinds for item in self.disturbances)
+
+
+def _split(body):
+    return [body[start : start + 16] for start in range(0, len(body), 16)]
+
+
+class CheckTest(testtools.TestCase):
+    """Guards against a soak that sees nothing."""
+
+    def test_calm_history(self):
+        history = _History()
+        history.add_search("s-1")
+        history.add_search("s-2", SHARDS[:2], missing=1)
+        history.add("w-1", "write", 200, ["i-drafts"], body=b"w-1")
+        history.add("w-2", "write", 503)
+        history.add("w-3", "write", 502, ["i-drafts"])
+        self.assertEqual([], find_violations(history))
+
+    def expect(self, history, name):
+        found = find_violations(history)
+        self.assertEqual(1, len(found), found)
+        self.assertTrue(found[0].startswith(f"{name}: "), found)
+
+    def test_wrong_answers(self):
+        for shards, missing, body in (
+            (SHARDS, 0, b"x" * 48),
+            (SHARDS[:2], 0, None),
+            (SHARDS[:1], 2, None),
+            ((*SHARDS, SHARDS[0]), 0, None),
+        ):
+            history = _History()
+            history.add_search("s-1", shards, missing, body)
+            self.expect(history, "whole-answer")
+
+    def test_part_and_answer_of_another_request(self):
+        history = _History()
+        record = history.add_search("s-1")
+        record.headers["part-stamps"] = record.headers["part-stamps"].replace(
+            f"{SHARDS[0]}.s-1", f"{SHARDS[0]}.s-2"
+        )
+        self.expect(history, "whole-answer")
+        history = _History()
+        history.add("w-1", "write", 200, ["i-drafts"], body=b"w-2")
+        self.expect(history, "whole-answer")
+
+    def test_runs(self):
+        history = _History()
+        history.add("w-1", "write", 200, ["i-drafts", "i-drafts"], body=b"w-1")
+        self.expect(history, "at-most-once")
+        history = _History()
+        history.servers["i-drafts"].runs.append(("w-9", None, 10.0))
+        self.expect(history, "at-most-once")
+
+    def test_false_refusal(self):
+        history = _History()
+        history.add("w-1", "write", 503, ["i-drafts"])
+        self.expect(history, "not-run-is-true")
+
+    def test_late_answer(self):
+        history = _History()
+        history.add("w-1", "write", 504, took_s=2.5)
+        self.expect(history, "final-answer-in-time")
+        history.disturbances.append(Disturbance("pause", ("daemon", 0), 9.0))
+        self.assertEqual([], find_violations(history))
+
+    def test_cut_request(self):
+        history = _History()
+        history.add("w-1", "write", None, ["i-drafts"], error="cut")
+        self.expect(history, "planned-stop")
+        history.disturbances.append(Disturbance("stop", ("daemon", 0), 9.0))
+        self.expect(history, "planned-stop")
+        history.disturbances.append(Disturbance("kill", ("daemon", 0), 9.0))
+        self.assertEqual([], find_violations(history))
+
+    def test_request_to_a_drained_server(self):
+        history = _History()
+        history.add("w-1", "write", 200, ["i-drafts"], body=b"w-1")
+        history.drains["i-drafts"] = 6.0
+        self.expect(history, "drain")
+
+    def test_every_check_has_a_name(self):
+        self.assertEqual(7, len(checks.names()))
+
+
+class RunTest(testtools.TestCase):
+    """Guards the promises under a few seconds of faults."""
+
+    def test_seed(self):
+        violations, world = play(SEED, SECONDS)
+        self.assertEqual([], violations)
+        self.assertTrue(len(world.records) > 100)
+
+    def test_regression_seeds_are_listed(self):
+        self.assertIn(12, regression_seeds())
