--- a/soak/faults.py
+++ b/soak/faults.py
@@ -98,10 +98,14 @@
             entries = {key: world.fleet.raw_entry(key) for key in lapsed}
             for key in lapsed:
                 await store.remove(key)
+            world.lapsed.update(lapsed)
         store.mode = "normal"
         await curio.sleep(1.5 if lapsed else 0.0)
         for key in lapsed:
-            await store.put(key, entries[key])
+            # A server that left meanwhile does not come back.
+            if key in world.lapsed:
+                await store.put(key, entries[key])
+        world.lapsed.difference_update(lapsed)
 
 
 @faults.register("replace")
@@ -116,7 +120,7 @@
     await world.fleet.register(id, "draining")
     world.drains[id] = time.monotonic()
     await curio.sleep(5.0)
-    await world.fleet.store.remove(f"servers/{id}")
+    await world.forget(id)
     await world.fleet.servers[id].close()
 
 
@@ -129,7 +133,7 @@
         return
     await world.fleet.servers[id].close()
     await curio.sleep(_length(rng))
-    await world.fleet.store.remove(f"servers/{id}")
+    await world.forget(id)
     await world.fleet.add_server(service)
 
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -39,6 +39,8 @@
         self.bad_ends = []
         self.busy = set()
         self.gone = set()
+        # Keys of entries that lapsed and come back.
+        self.lapsed = set()
         self.version = 1
         self.violations = []
         self.running = True
@@ -113,6 +115,13 @@
         self.gone.add(id)
         return id
 
+    async def forget(self, id):
+        """Remove a server's entry, which may have lapsed already."""
+        key = f"servers/{id}"
+        self.lapsed.discard(key)
+        if key in self.fleet.store.items:
+            await self.fleet.store.remove(key)
+
     async def restart(self, number):
         """Start a daemon again and wait until it is ready, if the store allows."""
         self.fleet.start(number)
