--- a/almondtide/process.py
+++ b/almondtide/process.py
@@ -9,12 +9,15 @@
 
 from .errors import SettingsError
 from .logs import set_up_logging
+from .reports import get_task_table
 from .settings import daemon_command, load_settings
 
-__all__ = ["run_daemon", "wait_for_signal"]
+__all__ = ["end_tasks", "run_daemon", "wait_for_signal"]
 
 USAGE_STATUS = 2
 FAILURE_STATUS = 1
+# Rounds in which tasks that others started meanwhile are ended.
+END_ROUNDS = 10
 
 
 def run_daemon(program, make_daemon, argv=None):
@@ -34,7 +37,7 @@
             return USAGE_STATUS
         set_up_logging(settings.verbosity, instance=settings.instance)
         try:
-            curio.run(make_daemon(settings).run)
+            curio.run(_run_to_the_end, make_daemon(settings))
         except OSError as exc:
             print(f"{program}: {exc}", file=sys.stderr)
             return FAILURE_STATUS
@@ -50,6 +53,28 @@
     sys.exit(status)
 
 
+async def _run_to_the_end(daemon):
+    await daemon.run()
+    await end_tasks()
+
+
+async def end_tasks():
+    """Cancel all other tasks, and those that they start meanwhile.
+
+    The kernel cancels each task once when it ends, and fails if one of them has
+    started another by then, such as a listener that has just accepted.
+    """
+    current = await curio.current_task()
+    for _ in range(END_ROUNDS):
+        others = [
+            task for task in (await get_task_table()).values() if task is not current
+        ]
+        if not others:
+            return
+        for task in others:
+            await task.cancel()
+
+
 async def wait_for_signal():
     """Return after SIGTERM or SIGINT.
 
