Hold missing entries only after reads of the store that failed

The reader had been replaced; its follower read at 21.137 s, saw a gap of 2.1 s (limit 1.9 s) and held the removal for 2.8 s as if it had lapsed while the store was away. It was released only at its next own read, at 26.6 s, and the cursor passed on with beats had left the removal behind, so nobody else read it. The server was used 5,004 ms after it had left (bound 5,000 ms).

Change: entries are held only if a read of this daemon failed since the knowledge was fresh and the gap covers two heartbeats, the least time in which an entry lapses; the hold ends before the server does. It is released by the clock, not by the next read, and the cursor stays before a held removal.

Ruled out: lost datagrams (all entries missed it together), a late first read. Tests: LeaveTest failed before (the late read, the earlier failure, the short outage), and test_held_removals_are_read_again.

--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -65,7 +65,7 @@
         )
         self.view = View(me)
         self.knowledge = Knowledge()
-        feed = StoreFeed(self.knowledge, log)
+        feed = StoreFeed(settings, self.knowledge, log)
         self.gossip = Gossip(
             settings, self.view, self.knowledge, feed, self._on_news, now, log
         )
--- a/almondtide/entry/feed.py
+++ b/almondtide/entry/feed.py
@@ -8,7 +8,7 @@
     decode_server,
 )
 
-__all__ = ["StoreFeed", "read_due_at"]
+__all__ = ["StoreFeed", "lapse_held_until", "read_due_at"]
 
 # Parts of the time in which changes must reach every daemon: between two reads of
 # the daemon that reads, until the next in rank reads too because the news are late,
@@ -20,10 +20,14 @@
 # Pause of one daemon after a read that failed, in s, and its growth by rank.
 FAILED_PAUSE_S = 0.5
 FAILED_RANK_STEP_S = 0.5
-# A gap in the knowledge of the store, in s, in which entries may have lapsed
-# though their servers live, and how long after it such entries may stay missing.
-LAPSE_GAP_S = 1.9
+# An entry lapses after three heartbeats of silence, so that the store must have been
+# away for two of them at least.
+LAPSE_HEARTBEATS = 2
+# How long lapsed entries are held, in s: they are back about 2 s after the store is.
 LAPSE_HOLD_S = 2.8
+# What is left of the time in which a server that has left may be used, in s, when
+# its entry is let go.
+DRAIN_MARGIN_S = 0.2
 
 
 def read_due_at(fresh_at, failed_at, rank, within_s):
@@ -45,51 +49,93 @@
     return due
 
 
+def lapse_held_until(now, fresh_at, failed_at, heartbeat_s, drain_s):
+    """Return until when entries that a read at ``now`` misses are held, or None.
+
+    Entries lapse, though their servers live, only while the store is away: reads
+    of this daemon failed since the knowledge was fresh, and that is long ago. An
+    entry may also be gone because its server leaves, which then serves for
+    ``drain_s`` only, in the worst case since the last failed read. Times are in s.
+    """
+    if fresh_at is None or failed_at is None or failed_at <= fresh_at:
+        return None
+    if now - fresh_at < LAPSE_HEARTBEATS * heartbeat_s:
+        return None
+    until = min(now + LAPSE_HOLD_S, failed_at + drain_s - DRAIN_MARGIN_S)
+    return until if until > now else None
+
+
 class StoreFeed:
     """Applies items and changes of the store to the knowledge of one daemon.
 
     ``cursor`` is the revision from which changes are read, None before the first
-    full read. Entries that are missing after a gap are held for a while.
+    full read. Entries that are missing once the store is back are held for a while;
+    the cursor stays before their removal so that a daemon that takes over reads it
+    too.
     """
 
-    __slots__ = ("_held", "_knowledge", "_log", "cursor")
-
-    def __init__(self, knowledge, log):
+    __slots__ = (
+        "_drain_s",
+        "_failed_at",
+        "_heartbeat_s",
+        "_held",
+        "_knowledge",
+        "_log",
+        "cursor",
+    )
+
+    def __init__(self, settings, knowledge, log):
+        self._heartbeat_s = settings.heartbeat_s
+        self._drain_s = settings.drain_s
         self._knowledge = knowledge
         self._log = log
         self._held = {}
+        self._failed_at = None
         self.cursor = None
 
+    def read_failed(self, now):
+        """Note that the store did not answer a read of this daemon."""
+        self._failed_at = now
+
     def apply_full(self, items, revision, now):
         """Apply a full list; returns the facts that are news."""
-        gap = self._is_gap(now)
+        until = self._held_until(now)
         keys = set()
         news = []
         for item in items:
             keys.add(item.key)
             self._put(item, now, news)
         for key in self._knowledge.missing_from(keys, revision):
-            self._remove(key, revision, gap, now, news)
-        self.cursor = revision
+            self._remove(key, revision, until, now, news)
+        self._advance(revision)
         self._knowledge.confirm(now)
         return news
 
     def apply_changes(self, items, revision, now):
         """Apply changes; returns the facts that are news."""
-        gap = self._is_gap(now)
+        until = self._held_until(now)
         news = []
         for item in items:
             if item.value is None and item.key.startswith(SERVER_PREFIX):
-                self._remove(item.key, item.revision, gap, now, news)
+                self._remove(item.key, item.revision, until, now, news)
             else:
                 self._put(item, now, news)
-        self.cursor = max(revision, self.cursor or 0)
+        self._advance(max(revision, self.cursor or 0))
         self._knowledge.confirm(now)
         return news
 
-    def _is_gap(self, now):
-        age_s = self._knowledge.age_s(now)
-        return age_s is not None and age_s > LAPSE_GAP_S
+    def _held_until(self, now):
+        return lapse_held_until(
+            now,
+            self._knowledge.fresh_at,
+            self._failed_at,
+            self._heartbeat_s,
+            self._drain_s,
+        )
+
+    def _advance(self, revision):
+        if not self._held:
+            self.cursor = revision
 
     def _put(self, item, now, news):
         if item.key == CONFIGURATION_KEY:
@@ -97,7 +143,9 @@
             return
         if not item.key.startswith(SERVER_PREFIX):
             return
-        self._held.pop(item.key, None)
+        held = self._held.get(item.key)
+        if held is not None and item.revision > held[0]:
+            del self._held[item.key]
         try:
             server = decode_server(item.key, item.value)
         except DocumentError as exc:
@@ -121,12 +169,18 @@
             return False
         return self._knowledge.adopt(configuration, raw, revision)
 
-    def _remove(self, key, revision, gap, now, news):
-        if gap:
-            self._held.setdefault(key, (revision, now + LAPSE_HOLD_S))
-            self._log.info("entry_missing_held", key=key, hold_s=LAPSE_HOLD_S)
+    def _remove(self, key, revision, until, now, news):
+        if key in self._held:
+            return
+        if until is not None and self._knowledge.has_server(key):
+            self._held[key] = (revision, until)
+            self._log.info(
+                "entry_missing_held",
+                key=key,
+                revision=revision,
+                hold_s=round(until - now, 2),
+            )
             return
-        self._held.pop(key, None)
         fact = self._knowledge.put(key, revision, None, now)
         if fact is not None:
             news.append(fact)
--- a/almondtide/entry/knowledge.py
+++ b/almondtide/entry/knowledge.py
@@ -99,6 +99,11 @@
         self.digest = (self.digest + fact.mark - before) % (1 << 56)
         return fact
 
+    def has_server(self, key):
+        """Return whether a server is known at ``key``."""
+        fact = self._facts.get(key)
+        return fact is not None and fact.server is not None
+
     def missing_from(self, keys, revision):
         """Return known keys that a full list at ``revision`` does not hold."""
         return [
--- a/almondtide/entry/model.py
+++ b/almondtide/entry/model.py
@@ -180,6 +180,7 @@
         "extra_window_s",
         "gossip_address",
         "grace_s",
+        "heartbeat_s",
         "instance",
         "is_first_start",
         "max_ttl_s",
--- a/almondtide/entry/reader.py
+++ b/almondtide/entry/reader.py
@@ -72,6 +72,7 @@
             await self._await_peers()
         while True:
             now = self._now()
+            await self._spread(self._feed.release_held(now))
             due = self._due_at(now)
             if now < due:
                 await curio.sleep(min(LOOK_MOST_S, max(LOOK_LEAST_S, due - now)))
@@ -106,15 +107,17 @@
             self._failed(exc, begun)
             return
         self._succeeded()
-        news.extend(self._feed.release_held(self._now()))
-        configured = self._knowledge.version != before
+        await self._spread(news, self._knowledge.version != before)
+        await self._gossip.speak()
+
+    async def _spread(self, news, configured=False):
         if news or configured:
             await self._on_news(news, configured, "store")
             await self._gossip.spread(news, configured)
-        await self._gossip.speak()
 
     def _failed(self, exc, begun):
         self._failed_at = self._now()
+        self._feed.read_failed(self._failed_at)
         if self._lost_at is not None:
             return
         self._lost_at = begun
--- a/almondtide/platform/settings.py
+++ b/almondtide/platform/settings.py
@@ -56,6 +56,7 @@
         store_address=fields.table("platform").address("address"),
         # A share of 0.5 of a core that is twice as fast as usual counts as one.
         core_share=(limits.number("cpu_share", 1.0) * limits.number("cores", 1.0)),
+        heartbeat_s=fields.number("heartbeat_ms", 1200) / 1000.0,
         drain_s=bounds.number("drain_ms") / 1000.0 if bounds.has("drain_ms") else 3.0,
         grace_s=bounds.number("grace_s", 6.0),
         config_apply_s=bounds.number("config_apply_ms", 3000) / 1000.0,
--- a/tests/entry/test_feed.py
+++ b/tests/entry/test_feed.py
@@ -5,18 +5,24 @@
 
 from almondtide.entry.feed import (
     FAILED_PAUSE_S,
-    LAPSE_GAP_S,
+    LAPSE_HEARTBEATS,
     LAPSE_HOLD_S,
     READ_PART,
     StoreFeed,
+    lapse_held_until,
     read_due_at,
 )
 from almondtide.entry.knowledge import Knowledge
 from almondtide.platform.documents import CONFIGURATION_KEY
+from almondtide.platform.settings import decode_settings
 from almondtide.platform.store import StoreItem
+from tests.entry.support import settings_document
 from tests.platform.test_documents import ENTRY
 from tests.support import MemoryLog
 
+HEARTBEAT_S = 1.2
+DRAIN_S = 5.0
+
 
 def _item(number, revision, **changes):
     raw = orjson.dumps({**ENTRY, **changes})
@@ -32,7 +38,10 @@
         super().setUp()
         self.knowledge = Knowledge()
         self.log = MemoryLog()
-        self.feed = StoreFeed(self.knowledge, self.log)
+        document = settings_document()
+        document["bounds"]["drain_ms"] = DRAIN_S * 1000
+        settings = decode_settings(orjson.dumps(document))
+        self.feed = StoreFeed(settings, self.knowledge, self.log)
 
     def known(self):
         return sorted(fact.key for fact in self.knowledge.servers())
@@ -84,7 +93,8 @@
     def setUp(self):
         super().setUp()
         self.feed.apply_full([_item(1, 3), _item(2, 3)], 5, 0.0)
-        self.back = LAPSE_GAP_S + 3.0
+        self.back = LAPSE_HEARTBEATS * HEARTBEAT_S + 3.0
+        self.feed.read_failed(self.back - 0.5)
 
     def test_lapsed_entries_stay_until_they_are_back(self):
         self.feed.apply_changes([_gone(1, 6), _gone(2, 7)], 7, self.back)
@@ -105,6 +115,48 @@
         self.feed.apply_changes([_gone(1, 7)], 7, self.back + 1.0)
         self.assertEqual(["servers/i-2"], self.known())
 
+    def test_held_removals_are_read_again(self):
+        # Another daemon that takes over reads from this cursor.
+        changes = [_item(1, 6, sequence=9), _gone(1, 7)]
+        self.feed.apply_changes(changes, 7, self.back)
+        self.assertEqual(5, self.feed.cursor)
+        self.assertEqual([], self.feed.apply_changes(changes, 7, self.back + 1.0))
+        self.assertEqual(2, len(self.known()))
+        self.feed.release_held(self.back + LAPSE_HOLD_S)
+        self.feed.apply_changes([], 7, self.back + LAPSE_HOLD_S)
+        self.assertEqual(7, self.feed.cursor)
+        self.assertEqual(["servers/i-2"], self.known())
+
+
+class LeaveTest(_FeedTest):
+    """Replays servers that leave by their entry alone, without a word before."""
+
+    def setUp(self):
+        super().setUp()
+        self.feed.apply_full([_item(1, 3), _item(2, 3)], 5, 0.0)
+
+    def test_a_late_read_without_failures_removes_at_once(self):
+        # A daemon takes over from one that is gone; the store was never away.
+        self.feed.apply_changes([_gone(1, 6)], 6, 2.6)
+        self.assertEqual(["servers/i-2"], self.known())
+
+    def test_a_failure_before_the_last_good_read_does_not_count(self):
+        self.feed.read_failed(0.5)
+        self.feed.apply_changes([], 6, 1.0)
+        self.feed.apply_changes([_gone(1, 7)], 7, 1.0 + 2.6)
+        self.assertEqual(["servers/i-2"], self.known())
+
+    def test_a_short_outage_lets_nothing_lapse(self):
+        self.feed.read_failed(1.6)
+        self.feed.apply_changes([_gone(1, 6)], 6, 2.1)
+        self.assertEqual(["servers/i-2"], self.known())
+
+    def test_the_hold_ends_before_the_server_does(self):
+        for drain_s in (2.0, 3.0, 5.0):
+            for failed_at in (3.0, 4.0, 4.9):
+                until = lapse_held_until(5.0, 0.0, failed_at, HEARTBEAT_S, drain_s)
+                self.assertTrue(until is None or until < failed_at + drain_s)
+
 
 class ConfigurationTest(_FeedTest):
     """Guards against a configuration that is lost, unreadable or goes back."""
--- a/tests/entry/test_gossip.py
+++ b/tests/entry/test_gossip.py
@@ -55,7 +55,7 @@
             self.view.hear(member)
         self.knowledge = Knowledge()
         self.log = MemoryLog()
-        self.feed = StoreFeed(self.knowledge, self.log)
+        self.feed = StoreFeed(SETTINGS, self.knowledge, self.log)
         self.news = []
         self.gossip = Gossip(
             SETTINGS,
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -19,6 +19,7 @@
         self.assertEqual(("10.200.1.7", 8229), settings.store_address)
         self.assertEqual(("lautoka", "nadi", "suva"), settings.domains)
         self.assertEqual((3.0, 6), (settings.drain_s, settings.grace_s))
+        self.assertEqual(1.2, settings.heartbeat_s)
         self.assertEqual(
             (0.2, 116, 10),
             (settings.extra_ratio, settings.extra_slack, settings.extra_window_s),
