--- a/almondtide/entry/codec.py
+++ b/almondtide/entry/codec.py
@@ -1,5 +1,7 @@
 """Messages between daemons: CBOR arrays in datagrams and bodies."""
 
+import zlib
+
 import cbor2
 
 from ..errors import DocumentError
@@ -21,7 +23,13 @@
 VERSION = 1
 BEAT = 1
 NEWS = 2
-MAX_NEWS = 64
+# Level 1 packs the 30 KB of 290 servers to a third of them in 0.2 ms.
+SNAPSHOT_LEVEL = 1
+# Bytes of a snapshot that are read; one of 27,000 servers has 2.2 MB.
+MAX_SNAPSHOT = 16 << 20
+
+# What the decoders below raise on arrays of another shape.
+_MALFORMED = (cbor2.CBORDecodeError, ValueError, TypeError, IndexError, KeyError)
 
 
 class Beat:
@@ -170,7 +178,7 @@
             return _unpack_beat(message, now)
         if message[1] == NEWS:
             return _unpack_facts(message[2]), message[3]
-    except (cbor2.CBORDecodeError, ValueError, TypeError, IndexError, KeyError) as exc:
+    except _MALFORMED as exc:
         raise DocumentError(f"message: {exc}") from exc
     raise DocumentError(f"message: kind {message[1]!r} is unknown")
 
@@ -196,8 +204,8 @@
 
 
 def encode_snapshot(knowledge, age_s):
-    """Return all knowledge of a daemon as one body."""
-    return cbor2.dumps(
+    """Return all knowledge of a daemon as one body, compressed."""
+    body = cbor2.dumps(
         [
             VERSION,
             age_s,
@@ -210,12 +218,17 @@
             ],
         ]
     )
+    return zlib.compress(body, SNAPSHOT_LEVEL)
 
 
 def decode_snapshot(raw):
     """Return (age in s, revision, configuration revision, raw, facts)."""
     try:
-        version, age_s, revision, cfg_revision, cfg_raw, facts = cbor2.loads(raw)
+        inflater = zlib.decompressobj()
+        body = inflater.decompress(raw, MAX_SNAPSHOT)
+        if inflater.unconsumed_tail:
+            raise ValueError(f"over {MAX_SNAPSHOT} bytes")
+        version, age_s, revision, cfg_revision, cfg_raw, facts = cbor2.loads(body)
         if version != VERSION:
             raise ValueError(f"version {version!r} is unknown")
         if not isinstance(cfg_raw, bytes):
@@ -227,5 +240,11 @@
             cfg_raw,
             _unpack_facts(facts),
         )
-    except (cbor2.CBORDecodeError, ValueError, TypeError, IndexError) as exc:
+    except (
+        zlib.error,
+        cbor2.CBORDecodeError,
+        ValueError,
+        TypeError,
+        IndexError,
+    ) as exc:
         raise DocumentError(f"snapshot: {exc}") from exc
--- a/almondtide/entry/gossip.py
+++ b/almondtide/entry/gossip.py
@@ -29,17 +29,22 @@
 ASKING_BEAT_S = 0.1
 ASKING_GROWTH = 1.25
 # Members that a beat or news of a carrier goes to. In a small fleet these are all.
-# Others speak to the carriers of their failure domain and a few more, and carriers
-# tell about each other and some others, so that the traffic of a daemon does not
-# grow with the fleet.
+# In a large one, carriers speak to each other and to members of their own failure
+# domain, and the others to its carriers and a few more, so that the traffic of a
+# daemon does not grow with the fleet and little of it crosses domains. Word of
+# single members elsewhere heals a view that has fallen apart.
 CARRIER_FANOUT = 20
+DOMAIN_FANOUT = 16
 FANOUT = 3
+FAR_FANOUT = 1
 RELAYED = 3
 LARGE_RELAYED_CARRIERS = 8
 # Members that an answer to a daemon that has just started tells about.
 REPLY_MEMBERS = 12
-# Time, in s, for which a differing digest may be news on its way.
+# Time, in s, for which a differing digest may be news on its way; a large fleet
+# prefers snapshots of the own failure domain.
 DIFFERENCE_S = 0.25
+FAR_DIFFERENCE_S = 1.0
 PULL_TIMEOUT_S = 1.0
 # Silent members that each beat asks whether they are back.
 LOST_ASKED = 1
@@ -124,37 +129,72 @@
         me.heard_at = now
         targets = self._targets(now)
         wants_reply = not self._knowledge.is_complete or not targets
+        fellows = {member.host for member in targets if member.carries}
         hosts = [member.host for member in targets]
         if wants_reply:
             hosts.extend(host for host, _ in self.settings.seeds)
         hosts.extend(self._lost(now))
         raw = encode_beat(self._beat(self._relayed(now), now, wants_reply), now)
+        brief = raw
+        if me.carries and self.view.is_large:
+            # Carriers hear each other anyway.
+            brief = encode_beat(self._beat(self._standbys(now), now, wants_reply), now)
         for host in dict.fromkeys(hosts):
             if host != me.host:
-                await self._send(raw, host)
+                await self._send(brief if host in fellows else raw, host)
 
     def _others(self, now):
         me = self.view.me
         return [member for member in self.view.alive(now) if member is not me]
 
     def _targets(self, now):
-        """Return the members that a beat or news of this daemon goes to."""
+        """Return the members that a beat of this daemon goes to."""
         others = self._others(now)
         me = self.view.me
-        if me.state is MemberState.LEAVING and not self.view.is_large:
+        if self.view.is_large:
+            return self._near_targets(others)
+        if me.state is MemberState.LEAVING:
             return others
         chosen = [member for member in others if member.carries]
         if me.carries:
             chosen = _sample(chosen, CARRIER_FANOUT)
             rest = CARRIER_FANOUT - len(chosen)
         else:
-            if self.view.is_large:
-                own = [member for member in chosen if member.domain == me.domain]
-                chosen = _sample(own or chosen, FANOUT)
             rest = FANOUT
-        known = {member.name for member in chosen}
-        strangers = [member for member in others if member.name not in known]
-        return chosen + _sample(strangers, rest)
+        return chosen + _sample(_without(others, chosen), rest)
+
+    def _near_targets(self, others):
+        own, far = self._by_domain(others)
+        if self.view.me.carries:
+            chosen = _sample([m for m in others if m.carries], CARRIER_FANOUT)
+            chosen += _sample(_without(own, chosen), DOMAIN_FANOUT)
+        else:
+            carriers = [member for member in own if member.carries]
+            chosen = _sample(carriers or [m for m in others if m.carries], FANOUT)
+            chosen += _sample(_without(own, chosen), FANOUT - FAR_FANOUT)
+        return chosen + _sample(_without(far, chosen), FAR_FANOUT)
+
+    def _by_domain(self, others):
+        """Return (members of the own failure domain, members of other ones)."""
+        domain = self.view.me.domain
+        own = [member for member in others if member.domain == domain]
+        return own, _without(others, own)
+
+    def _news_targets(self, now, relayed):
+        """Return the members that news go to; ``relayed`` if a member sent them.
+
+        In a large fleet the first daemon tells the carriers everywhere and each
+        failure domain tells itself, so that news cross domains a few times only.
+        """
+        if not self.view.is_large:
+            return self._targets(now)
+        own, far = self._by_domain(self._others(now))
+        chosen = _sample(own, DOMAIN_FANOUT if self.view.me.carries else FANOUT)
+        if not relayed:
+            return chosen + _sample(_heads(far), CARRIER_FANOUT)
+        if self.view.me.carries:
+            chosen += _sample(_heads(far), FAR_FANOUT)
+        return chosen
 
     def _relayed(self, now):
         """Return the members that a beat tells about."""
@@ -164,8 +204,12 @@
         if not self.view.is_large:
             return _sample(others, RELAYED)
         carriers = [member for member in others if member.carries]
-        standbys = [member for member in others if not member.carries]
-        return _sample(carriers, LARGE_RELAYED_CARRIERS) + _sample(standbys, RELAYED)
+        return _sample(carriers, LARGE_RELAYED_CARRIERS) + self._standbys(now)
+
+    def _standbys(self, now):
+        """Return a few members that do not carry, for a beat to tell about."""
+        standbys = [member for member in self._others(now) if not member.carries]
+        return _sample(standbys, RELAYED)
 
     def _lost(self, now):
         """Return hosts of a few silent members, which may be back."""
@@ -200,7 +244,8 @@
     async def spread(self, facts, configured, source=None):
         """Send news to the members, except to the ``source`` host."""
         now = self._now()
-        hosts = [member.host for member in self._targets(now) if member.host != source]
+        targets = self._news_targets(now, source is not None)
+        hosts = [member.host for member in targets if member.host != source]
         configuration = None
         if configured:
             packed = zlib.compress(self._knowledge.configuration_raw)
@@ -276,8 +321,11 @@
             return
         if self._differs_since is None:
             self._differs_since = now
-        waited = now - self._differs_since >= DIFFERENCE_S
-        if not knowledge.is_complete or waited or beat.version > knowledge.version:
+        far = self.view.is_large and beat.sender.domain != self.view.me.domain
+        patience_s = FAR_DIFFERENCE_S if far else DIFFERENCE_S
+        waited = now - self._differs_since >= patience_s
+        newer = beat.version > knowledge.version and not far
+        if not knowledge.is_complete or waited or newer:
             await self._pull_later(host, now)
 
     async def _pull_later(self, host, now):
@@ -363,3 +411,20 @@
     if len(members) <= count:
         return list(members)
     return random.sample(members, max(0, count))
+
+
+def _without(members, others):
+    """Return the members that are not among the others."""
+    names = {member.name for member in others}
+    return [member for member in members if member.name not in names]
+
+
+def _heads(members):
+    """Return the carriers, and one member of each domain that has none."""
+    heads = [member for member in members if member.carries]
+    headless = {}
+    led = {member.domain for member in heads}
+    for member in members:
+        if member.domain not in led:
+            headless.setdefault(member.domain, []).append(member)
+    return heads + [random.choice(group) for group in headless.values()]
