Refuse executions that wait while there is time left

Traced by asking the daemons for the events of the late requests: all were revision requests whose execution waited in the owner's queue until nothing of the deadline was left; a new unit test was answered with DEADLINE_EXCEEDED after 1.0 s of 1.0 s.

Change: an execution is let in, and waits, for a quarter of its time; half of the deadline then remains for the way over two daemons and back. Parts of queries wait on as before: their query has the other parts.

--- a/almondtide/admission.py
+++ b/almondtide/admission.py
@@ -1,10 +1,22 @@
 """Refusal of work that cannot finish in time."""
 
-__all__ = ["Estimate", "LoadTable", "admit", "refusal_share"]
+__all__ = [
+    "EXECUTION_SHARE",
+    "USABLE_SHARE",
+    "Estimate",
+    "LoadTable",
+    "admit",
+    "refusal_share",
+]
 
 # Share of the time a sub-request can wait up to which an owner takes it. The rest
 # covers the way back and the spread of the service time.
 USABLE_SHARE = 0.6
+# The same for an execution, which waits no longer than this. A sub-request of a query
+# waits on, since the query has other parts to answer with; an execution that is given
+# up is the whole answer, due within half of its deadline, and its way leads over two
+# daemons and back.
+EXECUTION_SHARE = 0.25
 MIN_RETRY_AFTER_MS = 20
 # Shares of the time a query can wait at which coordinators begin to refuse queries
 # and refuse all of them. A query needs all its services, so the queues must stay
@@ -24,13 +36,15 @@
         self.service_s = service_s
 
 
-def admit(estimate, remaining_s):
+def admit(estimate, remaining_s, usable_share=USABLE_SHARE):
     """Return None to admit, or after how many milliseconds to come back.
 
+    ``usable_share`` is the part of the time left that it may wait.
+
     Work that need not wait is always admitted, however slow the service seems:
     nothing else would bring newer measurements.
     """
-    usable_s = max(0.0, remaining_s - estimate.service_s) * USABLE_SHARE
+    usable_s = max(0.0, remaining_s - estimate.service_s) * usable_share
     if estimate.wait_s <= usable_s:
         return None
     return max(MIN_RETRY_AFTER_MS, int((estimate.wait_s - usable_s) * 1000.0))
--- a/almondtide/owner.py
+++ b/almondtide/owner.py
@@ -5,7 +5,13 @@
 
 import curio
 
-from .admission import MIN_RETRY_AFTER_MS, Estimate, admit
+from .admission import (
+    EXECUTION_SHARE,
+    MIN_RETRY_AFTER_MS,
+    USABLE_SHARE,
+    Estimate,
+    admit,
+)
 from .attempts import Attempt, WorkItem
 from .budgets import RetryBudget, TokenBudget
 from .errors import DEFAULT_RETRY_AFTER_MS, ExecutionError, ResultCode
@@ -30,6 +36,7 @@
 
 _HEDGE = 0
 _EXPIRE = 1
+_OVERDUE = 2
 
 # Failures after which an idempotent request may run on another server.
 _RETRIABLE = frozenset(
@@ -265,6 +272,9 @@
         self._enqueue(item)
         await self._timers.schedule(sub.deadline, _EXPIRE, item)
         await self._dispatch()
+        if item.waiting and not sub.idempotent:
+            overdue = now + EXECUTION_SHARE * (sub.deadline - now)
+            await self._timers.schedule(overdue, _OVERDUE, item)
 
     def _refusal(self, item, now):
         """Return the result of an item that must not start, or None."""
@@ -275,7 +285,8 @@
         if unservable is not None:
             return self._failure(item, unservable)
         estimate = self.estimate(item.workload)
-        retry_after_ms = admit(estimate, remaining_s)
+        share = USABLE_SHARE if item.sub.idempotent else EXECUTION_SHARE
+        retry_after_ms = admit(estimate, remaining_s, share)
         if retry_after_ms is None and len(self._queue) >= self._setting("queue_limit"):
             retry_after_ms = int(estimate.wait_s * 1000) + 1
         if retry_after_ms is None:
@@ -354,10 +365,13 @@
         least_s = self.latencies.quantile(LATE_QUANTILE) or 0.0
         for item in self._queue.take_before(self.clock.monotonic() + least_s):
             item.waiting = False
-            wait_s = self.estimate(item.workload).wait_s
-            retry_after_ms = max(MIN_RETRY_AFTER_MS, int(wait_s * 1000))
-            code = ResultCode.OVERLOADED
-            await self._finish(item, self._failure(item, code, retry_after_ms))
+            await self._finish_overloaded(item)
+
+    async def _finish_overloaded(self, item):
+        wait_s = self.estimate(item.workload).wait_s
+        retry_after_ms = max(MIN_RETRY_AFTER_MS, int(wait_s * 1000))
+        code = ResultCode.OVERLOADED
+        await self._finish(item, self._failure(item, code, retry_after_ms))
 
     def _next_work(self):
         for index, (item, is_hedge) in enumerate(self._front):
@@ -586,6 +600,9 @@
             return
         if kind == _EXPIRE:
             await self._finish(item, self._failure(item, ResultCode.DEADLINE_EXCEEDED))
+        elif kind == _OVERDUE:
+            if item.waiting:
+                await self._finish_overloaded(item)
         elif item.running and not item.hedged:
             item.hedged = True
             self._front.insert(0, (item, True))
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -216,6 +216,37 @@
         self.assertTrue(len(refused) > 60, len(refused))
         self.assertTrue(all(r.not_run and r.retry_after_ms > 0 for r in refused))
 
+    def test_waiting_execution_is_refused_while_time_is_left(self):
+        # The servers are slower than the owner has learned, so it was let in.
+        async def scenario():
+            for number in range(6):
+                await self.result(self.sub(number))
+            for server in self.servers:
+                server.service_s = 0.9
+            for number in range(10, 13):
+                await self.submit(self.sub(number))
+            started = self.clock.monotonic()
+            result = await self.result(self.sub(20, execution_id="a~b~0~c"))
+            return result, self.clock.monotonic() - started
+
+        result, elapsed = self.run_scenario(scenario)
+        self.assertEqual(ResultCode.OVERLOADED, result.code)
+        self.assertTrue(result.not_run and result.retry_after_ms > 0)
+        self.assertTrue(elapsed < 0.5, elapsed)
+        self.assertFalse(any(request.startswith("q20") for request in self.ran()))
+
+    def test_waiting_part_of_a_query_keeps_waiting(self):
+        async def scenario():
+            for number in range(6):
+                await self.result(self.sub(number))
+            for server in self.servers:
+                server.service_s = 0.6
+            for number in range(10, 13):
+                await self.submit(self.sub(number, deadline_s=2.0))
+            return await self.result(self.sub(20, deadline_s=2.0))
+
+        self.assertEqual(ResultCode.OK, self.run_scenario(scenario).code)
+
 
 class FailureTest(OwnerTestCase):
     """Guards retries: safe ones happen, unsafe ones never do."""
