Decode the look-up's query on the platform's side; drop an unused failure

The wire's name of the failure domain stood in the directory, outside the folder that holds such names, and no exchange ever ended with TIMEOUT: the dispatcher drops it instead. No change of behaviour; tests unchanged and green.

--- a/almondtide/entry/directory.py
+++ b/almondtide/entry/directory.py
@@ -1,7 +1,12 @@
 """Tells callers which entries to use, and the platform whether this one is ready."""
 
 from ..adapters.http import HTTPResponse
-from ..platform.headers import READY_PATH, RESOLVE_PATH, encode_entries
+from ..platform.headers import (
+    READY_PATH,
+    RESOLVE_PATH,
+    encode_entries,
+    resolved_domain,
+)
 from .members import MemberState, choose_carriers
 
 __all__ = ["Directory"]
@@ -60,7 +65,7 @@
         if request.path != RESOLVE_PATH:
             return HTTPResponse(404)
         now = self._now()
-        chosen = self.entries(_query_field(request.query, "zone"), now)
+        chosen = self.entries(resolved_domain(request.query), now)
         if not chosen or (chosen == [self._view.me] and self.is_listening(now)):
             self.counts["unknown"] += 1
             return HTTPResponse(503)
@@ -78,11 +83,3 @@
             return HTTPResponse(404)
         ready = self._view.me.state is MemberState.READY
         return HTTPResponse(200 if ready else 503)
-
-
-def _query_field(query, name):
-    for pair in query.split("&"):
-        key, _, value = pair.partition("=")
-        if key == name:
-            return value
-    return ""
--- a/almondtide/entry/upstreams.py
+++ b/almondtide/entry/upstreams.py
@@ -53,8 +53,6 @@
     BROKEN = "broken"
     # The server ran it and answered with a failure.
     ERROR = "error"
-    # No reply in time: it may have run.
-    TIMEOUT = "timeout"
 
     @property
     def certainly_not_run(self):
--- a/almondtide/platform/headers.py
+++ b/almondtide/platform/headers.py
@@ -14,8 +14,11 @@
     "merged_headers",
     "passed_on_headers",
     "refusal_headers",
+    "resolved_domain",
 ]
 
+# Query field of a look-up that names the caller's failure domain.
+ZONE_FIELD = "zone"
 READY_PATH = "/v1/ready"
 RESOLVE_PATH = "/v1/resolve"
 
@@ -162,3 +165,16 @@
     """Return the body that tells callers which entries to use, and how long."""
     entries = [f"{host}:{port}" for host, port in addresses]
     return orjson.dumps({"addrs": entries, "ttl_s": ttl_s})
+
+
+def resolved_domain(query):
+    """Return the caller's failure domain in the query of a look-up, or "".
+
+    >>> resolved_domain("a=1&zone=nadi")
+    'nadi'
+    """
+    for pair in query.split("&"):
+        name, _, value = pair.partition("=")
+        if name == ZONE_FIELD:
+            return value
+    return ""
