Log failed requests under a name of their own, with the services at fault

Cause: all requests shared one event name, of which 100 lines a second are written, so a busy second of answers could leave out the failures that an operator looks for; and a refusal gave only the count of usable services.

Change: answers of 500 and more are request_failed lines; the reason of a refusal names up to six services with their state. Ruled out: a higher limit (it bounds the time spent on logs).

--- a/almondtide/entry/dispatch.py
+++ b/almondtide/entry/dispatch.py
@@ -45,17 +45,15 @@
         "connection",
         "finished",
         "kind",
-        "started",
         "upstream",
         "written",
     )
 
-    def __init__(self, dispatcher, branch, upstream, kind, started):
+    def __init__(self, dispatcher, branch, upstream, kind):
         self._dispatcher = dispatcher
         self.branch = branch
         self.upstream = upstream
         self.kind = kind
-        self.started = started
         self.connection = None
         self.finished = False
         self.written = False
@@ -161,7 +159,7 @@
         intake = decide(states, call.needed)
         if not intake.admitted:
             self.counts["refused"] += 1
-            call.refused = intake.reason
+            call.refused = intake.describe([item.service for item in call.branches])
             code = ResultCode.OVERLOADED
             if ServiceState.FULL not in states:
                 code = ResultCode.NO_SERVER
@@ -289,7 +287,7 @@
                 if kind != "hedge":
                     await self._give_up(branch, "no budget for another send")
                 return False
-        exchange = _Exchange(self, branch, upstream, kind, now)
+        exchange = _Exchange(self, branch, upstream, kind)
         branch.tried.add(upstream.server.id)
         branch.open.append(exchange)
         branch.sends.append((kind, upstream.server.id, now))
--- a/almondtide/entry/front.py
+++ b/almondtide/entry/front.py
@@ -17,6 +17,8 @@
 NOT_READY_RETRY_S = 0.1
 # Branches that the log line of a request describes at most.
 HISTORY_BRANCHES = 6
+# Answers from this status on are failures of the tier or of servers.
+FAILED_STATUS = 500
 
 
 class Front:
@@ -114,7 +116,10 @@
         if histogram is None:
             histogram = self._latencies[route] = LatencyHistogram()
         histogram.observe(took_s)
-        self._log.info("request", **self._describe(request, call, answer, took_s))
+        # Failures have a limit of lines of their own, or a busy second of answers
+        # would leave out the lines that explain them.
+        name = "request_failed" if answer.status >= FAILED_STATUS else "request"
+        self._log.info(name, **self._describe(request, call, answer, took_s))
         return answer
 
     def _describe(self, request, call, answer, took_s):
--- a/almondtide/entry/intake.py
+++ b/almondtide/entry/intake.py
@@ -25,6 +25,10 @@
     EMPTY = "empty"
 
 
+# Services that the reason of a refusal names at most.
+NAMED_SERVICES = 6
+
+
 class Intake:
     """The decision on a call: ``admitted``, and the states it rests on."""
 
@@ -35,6 +39,23 @@
         self.reason = reason
         self.states = states
 
+    def describe(self, services):
+        """Return the reason with some of the ``services`` that cannot answer.
+
+        >>> states = [ServiceState.FULL, ServiceState.OPEN, ServiceState.LOST]
+        >>> decide(states, 2).describe(["a", "b", "c"])
+        'full: 1 of 3, 2 needed; a full, c lost'
+        """
+        named = [
+            f"{service} {state.value}"
+            for service, state in zip(services, self.states, strict=True)
+            if state not in (ServiceState.OPEN, ServiceState.PROBE)
+        ]
+        if len(named) > NAMED_SERVICES:
+            rest = len(named) - NAMED_SERVICES
+            named[NAMED_SERVICES:] = [f"{rest} more"]
+        return f"{self.reason}; {', '.join(named)}"
+
 
 def decide(states, needed):
     """Return the ``Intake`` for a call that needs ``needed`` of its services.
--- a/tests/entry/test_intake.py
+++ b/tests/entry/test_intake.py
@@ -39,6 +39,13 @@
         self.assertFalse(intake.admitted)
         self.assertIn("full: 8 of 10, 9 needed", intake.reason)
 
+    def test_the_reason_names_some_of_the_services(self):
+        states = [FULL, LOST, OPEN] + [FULL] * 7
+        reason = decide(states, 9).describe(list("abcdefghij"))
+        start = "full: 1 of 10, 9 needed; a full, b lost, d full"
+        self.assertTrue(reason.startswith(start), reason)
+        self.assertTrue(reason.endswith("3 more"), reason)
+
     def test_one_service(self):
         self.assertTrue(decide([OPEN], 1).admitted)
         # The only chance of a lost service is a request that tries it.
