--- a/almondtide/cli.py
+++ b/almondtide/cli.py
@@ -7,7 +7,7 @@
 import defopt
 import orjson
 
-from . import __version__, cli_configuration
+from . import __version__, cli_configuration, cli_report
 from .addresses import format_address
 from .cli_arguments import (
     ADMIN_VARIABLE,
@@ -403,6 +403,8 @@
     },
     "drain": drain,
     "timeline": timeline,
+    "fleet": cli_report.fleet,
+    "report": cli_report.report,
     "version": version,
 }
 
--- /dev/null
+++ b/almondtide/cli_report.py
@@ -0,0 +1,232 @@
+"""The commands that show entries of the users' platform and their played days."""
+
+import importlib
+import re
+
+import curio
+
+from .adapters.http import HTTPClient
+from .addresses import format_address
+from .cli_arguments import Output, UsageError, get_addresses
+from .client import gather
+from .errors import ClientError, UpstreamError
+from .platform.journal import read_journal
+from .presentation import print_error, print_json, print_text, table
+
+__all__ = ["fleet", "report"]
+
+METRICS_VARIABLE = "ALMONDTIDE_CLI_METRICS"
+METRICS_PATH = "/metrics"
+METRICS_TIMEOUT_S = 3.0
+PREFIX = "almondtide_entry_"
+FAILED_STATUS = 500
+# Prices of a day that the table shows, dearest first.
+SHOWN_PRICES = 2
+PLOT_WIDTH, PLOT_HEIGHT = 9.0, 5.0
+
+_SAMPLE = re.compile(r"(\w+)(?:\{(.*)\})? (\S+)")
+_LABEL = re.compile(r'(\w+)="((?:[^"\\]|\\.)*)"')
+
+FLEET_COLUMNS = (
+    "entry",
+    "carries",
+    "version",
+    "age_s",
+    "members",
+    "store_calls",
+    "answers",
+    "refused",
+    "failed",
+)
+REPORT_COLUMNS = (
+    "at",
+    "run",
+    "site",
+    "day",
+    "worth",
+    "score",
+    "served",
+    "refused",
+    "failed",
+    "worst",
+    "broken",
+    "dearest",
+)
+
+
+def fleet(*, metrics: str | None = None, output: Output = "text"):
+    """Show entries: who carries callers, who reads the store, what is refused.
+
+    The entry with the most calls of the store is the one that reads it. An entry
+    that does not answer has a row with its reason.
+
+    :param metrics: host:port of the entries' metrics, comma-separated; default:
+        ALMONDTIDE_CLI_METRICS
+    :param output: text or json
+    """
+    addresses = get_addresses(metrics, METRICS_VARIABLE, "--metrics")
+    reports = curio.run(gather, addresses, _read_metrics)
+    rows = []
+    for address, text in reports.items():
+        name = format_address(address)
+        if isinstance(text, Exception):
+            rows.append({"entry": name, "error": text.message})
+        else:
+            rows.append({"entry": name, **summarize_metrics(text)})
+    if output == "json":
+        print_json(rows)
+    else:
+        print_text(_fleet_table(rows))
+    return 1 if any("error" in row for row in rows) else 0
+
+
+def _fleet_table(rows):
+    lines = [
+        [row.get(column) for column in FLEET_COLUMNS]
+        for row in rows
+        if "error" not in row
+    ]
+    text = table(FLEET_COLUMNS, lines)
+    silent = [f"{row['entry']}: {row['error']}" for row in rows if "error" in row]
+    return "\n".join([text, *silent])
+
+
+async def _read_metrics(address):
+    try:
+        async with curio.timeout_after(METRICS_TIMEOUT_S):
+            client = await HTTPClient.open(address, METRICS_TIMEOUT_S)
+            try:
+                response = await client.request("GET", METRICS_PATH)
+            finally:
+                await client.close()
+    except (OSError, UpstreamError, curio.TaskTimeout) as exc:
+        raise ClientError(f"no metrics: {exc or 'timeout'}") from exc
+    if response.status != 200:
+        raise ClientError(f"no metrics: status {response.status}")
+    return response.body.decode("utf-8", "replace")
+
+
+def parse_metrics(text):
+    """Yield (name without prefix, labels, value) of an entry's metrics."""
+    for line in text.splitlines():
+        found = _SAMPLE.fullmatch(line)
+        if found is None or not found[1].startswith(PREFIX):
+            continue
+        try:
+            value = float(found[3])
+        except ValueError:
+            continue
+        yield found[1][len(PREFIX) :], dict(_LABEL.findall(found[2] or "")), value
+
+
+def summarize_metrics(text):
+    """Return a dict with the columns of ``FLEET_COLUMNS`` but the first."""
+    gauges = {}
+    answers = refused = failed = 0
+    for name, labels, value in parse_metrics(text):
+        if name != "answers":
+            if not labels:
+                gauges[name] = value
+            continue
+        answers += int(value)
+        status = int(labels.get("status", 0))
+        refused += int(value) if status == 503 else 0
+        failed += int(value) if status >= FAILED_STATUS and status != 503 else 0
+    return {
+        "carries": bool(gauges.get("carries")),
+        "version": int(gauges.get("configuration_version", 0)),
+        "age_s": round(gauges.get("knowledge_age_seconds", 0.0), 2),
+        "members": int(gauges.get("members", 0)),
+        "store_calls": int(gauges.get("store_calls", 0)),
+        "answers": answers,
+        "refused": refused,
+        "failed": failed,
+    }
+
+
+def report(
+    journal: str,
+    *,
+    site: str | None = None,
+    day: str | None = None,
+    last: int = 0,
+    plot: str | None = None,
+    output: Output = "text",
+):
+    """Show the figures of played days in a journal.
+
+    :param journal: directory of the journal
+    :param site: only days of this site
+    :param day: only days whose name begins so
+    :param last: only so many of the newest runs; 0 for all
+    :param plot: write a plot of worth over runs to this file (png, svg, pdf)
+    :param output: text or json
+    """
+    if last < 0:
+        raise UsageError("--last must be at least 0")
+    runs, problems = read_journal(journal)
+    runs = [run for run in runs if run.days and site in (None, run.site)]
+    rows = [
+        _report_row(run, played)
+        for run in runs[-last:]
+        for played in run.days
+        if day is None or played.name.startswith(day)
+    ]
+    if output == "json":
+        print_json({"days": rows, "problems": problems})
+    else:
+        lines = [[row[column] for column in REPORT_COLUMNS] for row in rows]
+        print_text(table(REPORT_COLUMNS, lines))
+        for problem in problems:
+            print_error(problem)
+    if plot is not None:
+        _plot(rows, plot)
+    return 1 if problems else 0
+
+
+def _report_row(run, day):
+    prices = sorted(day.prices.items(), key=lambda item: -item[1])
+    return {
+        "at": run.at,
+        "run": run.verb,
+        "site": run.site,
+        "day": day.name,
+        "worth": day.worth,
+        "score": day.score,
+        "served": day.served,
+        "refused": day.refused,
+        "failed": day.failed,
+        "worst": day.worst,
+        "broken": ",".join(f"{rule}:{n}" for rule, n in sorted(day.broken.items())),
+        "dearest": ", ".join(f"{name} {cost}" for name, cost in prices[:SHOWN_PRICES]),
+    }
+
+
+def _plot(rows, path):
+    """Draw the worth of each day over the runs, one line for each day."""
+    try:
+        # An optional library, which no daemon imports.
+        matplotlib = importlib.import_module("matplotlib")
+        matplotlib.use("Agg")
+        pyplot = importlib.import_module("matplotlib.pyplot")
+    except ImportError as exc:
+        raise UsageError(f"--plot needs the extra 'plots': {exc}") from exc
+    moments = sorted({row["at"] for row in rows})
+    figure, axes = pyplot.subplots(figsize=(PLOT_WIDTH, PLOT_HEIGHT))
+    lines = {}
+    for row in rows:
+        lines.setdefault(f"{row['site']} {row['day']}", []).append(row)
+    for label, points in sorted(lines.items()):
+        places = [moments.index(point["at"]) for point in points]
+        axes.plot(places, [point["worth"] for point in points], marker="o", label=label)
+    axes.set_xlabel("run, oldest first")
+    axes.set_ylabel("worth of the day")
+    axes.grid(visible=True, alpha=0.3)
+    if lines:
+        axes.legend(fontsize="x-small", ncols=2)
+    try:
+        figure.savefig(path)
+    except (OSError, ValueError) as exc:
+        raise UsageError(f"--plot: {exc}") from exc
+    finally:
+        pyplot.close(figure)
--- /dev/null
+++ b/almondtide/platform/journal.py
@@ -0,0 +1,129 @@
+"""The journal of played days, which the users' bench writes."""
+
+import pathlib
+
+import orjson
+
+from ..errors import DocumentError
+from .fields import Fields
+
+__all__ = ["PlayedDay", "PlayedRun", "decode_run", "read_journal"]
+
+WORST_WINDOWS = "worst windows"
+
+
+class PlayedDay:
+    """Figures of one played day; shares are between 0.0 and 1.0.
+
+    ``worth`` is what the day was worth after ``prices``, a dict from what is priced
+    to the worth it cost. ``broken`` maps the rules that were broken to counts.
+    """
+
+    __slots__ = (
+        "broken",
+        "failed",
+        "name",
+        "prices",
+        "refused",
+        "score",
+        "served",
+        "worst",
+        "worth",
+    )
+
+    def __init__(self, **values):
+        for name in self.__slots__:
+            setattr(self, name, values[name])
+
+
+class PlayedRun:
+    """One run of the bench: what was played on which revision, and why."""
+
+    __slots__ = ("at", "days", "reason", "revision", "score", "site", "verb")
+
+    def __init__(self, **values):
+        for name in self.__slots__:
+            setattr(self, name, values[name])
+
+
+def read_journal(directory):
+    """Return (the runs in a journal's directory, oldest first, problems).
+
+    A file that cannot be read becomes a text among the problems. Raises
+    ``DocumentError`` when there is no such directory.
+    """
+    folder = pathlib.Path(directory)
+    if not folder.is_dir():
+        raise DocumentError(f"{directory}: no such directory")
+    runs, problems = [], []
+    for path in sorted(folder.glob("*.json")):
+        try:
+            runs.append(decode_run(path.read_bytes()))
+        except OSError as exc:
+            problems.append(f"{path.name}: {exc.strerror}")
+        except DocumentError as exc:
+            problems.append(f"{path.name}: {exc.message}")
+    runs.sort(key=lambda run: run.at)
+    return runs, problems
+
+
+def decode_run(raw):
+    """Return the ``PlayedRun`` of one entry; raises ``DocumentError``."""
+    try:
+        table = orjson.loads(raw)
+    except orjson.JSONDecodeError as exc:
+        raise DocumentError(f"not valid JSON: {exc}") from exc
+    fields = Fields(table)
+    if not isinstance(table, dict):
+        raise DocumentError("; ".join(fields.problems))
+    days = table.get("days")
+    run = PlayedRun(
+        at=_begin(table.get("at"), fields),
+        verb=fields.text("cmd"),
+        site=table.get("site") or "",
+        reason=table.get("why") or "",
+        revision=table.get("head") or "",
+        score=fields.number("score", None, least=-1),
+        days=[],
+    )
+    for day in days if isinstance(days, list) else []:
+        run.days.append(_decode_day(Fields(day, "days", fields.problems), day))
+    if fields.problems:
+        raise DocumentError("; ".join(fields.problems))
+    return run
+
+
+def _begin(moments, fields):
+    """Return a run's begin, the first of two; the end is null where it was cut."""
+    if isinstance(moments, list) and moments and isinstance(moments[0], str):
+        return moments[0]
+    fields.problems.append("at: not a begin and an end")
+    return ""
+
+
+def _decode_day(fields, day):
+    table = day if isinstance(day, dict) else {}
+    parts = _triples(table.get("parts"), fields, "parts")
+    prices = _triples(table.get("prices"), fields, "prices")
+    rules = table.get("rules")
+    return PlayedDay(
+        name=fields.text("name"),
+        # The wire's name of a day's worth after prices.
+        worth=fields.number("G", None, least=-100),
+        score=fields.number("score", None, least=-1),
+        served=fields.number("served", None),
+        refused=fields.number("refused", None),
+        failed=fields.number("failed", None),
+        worst=next((part[2] for part in parts if part[0] == WORST_WINDOWS), None),
+        prices={name: cost for name, _, cost in prices},
+        broken=rules if isinstance(rules, dict) else {},
+    )
+
+
+def _triples(value, fields, name):
+    if not isinstance(value, list):
+        return []
+    triples = [item for item in value if isinstance(item, list) and len(item) == 3]
+    if len(triples) < len(value):
+        fields.problems.append(f"days.{name}: not triples")
+    return triples
