Advance the cursor over held removals; read all changes that wait

While lapsed entries were held the cursor stayed before them, so the reader got the same 500 changes at 14.3 and 16.1 s (464 to 964) and saw the configuration of revision 1149, acked at 13.8 s, only at 17.9 s, the other domains at 18.5 to 19.4 s.

Change: the own cursor advances, and only the one passed to other daemons stays before held removals. A page of 400 changes or more is followed by the next one at once, which an outage needs anyway. News in a domain goes to 40 members in place of 16: NewsTest once found less than 95 in 100 reached.

Ruled out: late reads (each 1.7 s), a partition (all four domains read the same revisions). Tests: a configuration behind 900 changes (failed before), a second page that fails loses nothing, the stand-in returns 500 changes at most.

--- a/almondtide/entry/feed.py
+++ b/almondtide/entry/feed.py
@@ -70,8 +70,8 @@
 
     ``cursor`` is the revision from which changes are read, None before the first
     full read. Entries that are missing once the store is back are held for a while;
-    the cursor stays before their removal so that a daemon that takes over reads it
-    too.
+    ``shared_cursor`` stays before their removal, so that a daemon that takes over
+    reads it too.
     """
 
     __slots__ = (
@@ -79,6 +79,7 @@
         "_failed_at",
         "_heartbeat_s",
         "_held",
+        "_held_cursor",
         "_knowledge",
         "_log",
         "cursor",
@@ -90,6 +91,7 @@
         self._knowledge = knowledge
         self._log = log
         self._held = {}
+        self._held_cursor = None
         self._failed_at = None
         self.cursor = None
 
@@ -135,7 +137,17 @@
 
     def _advance(self, revision):
         if not self._held:
-            self.cursor = revision
+            self._held_cursor = None
+        elif self._held_cursor is None:
+            self._held_cursor = self.cursor or 0
+        self.cursor = revision
+
+    @property
+    def shared_cursor(self):
+        """The revision from which another daemon that takes over reads."""
+        if self._held and self._held_cursor is not None:
+            return self._held_cursor
+        return self.cursor or 0
 
     def _put(self, item, now, news):
         if item.key == CONFIGURATION_KEY:
--- a/almondtide/entry/gossip.py
+++ b/almondtide/entry/gossip.py
@@ -35,6 +35,7 @@
 # single members elsewhere heals a view that has fallen apart.
 CARRIER_FANOUT = 20
 DOMAIN_FANOUT = 16
+NEWS_FANOUT = 40
 FANOUT = 3
 FAR_FANOUT = 1
 RELAYED = 3
@@ -189,7 +190,7 @@
         if not self.view.is_large:
             return self._targets(now)
         own, far = self._by_domain(self._others(now))
-        chosen = _sample(own, DOMAIN_FANOUT if self.view.me.carries else FANOUT)
+        chosen = _sample(own, NEWS_FANOUT if self.view.me.carries else FANOUT)
         if not relayed:
             return chosen + _sample(_heads(far), CARRIER_FANOUT)
         if self.view.me.carries:
@@ -229,7 +230,7 @@
             knowledge.age_s(now),
             heard,
             wants_reply,
-            self._feed.cursor or 0,
+            self._feed.shared_cursor,
         )
 
     async def _send(self, raw, host):
--- a/almondtide/entry/reader.py
+++ b/almondtide/entry/reader.py
@@ -20,6 +20,10 @@
 RESTART_READ_SPREAD_S = 0.15
 # The store answers a watch at once when servers have sent heartbeats.
 WATCH_WAIT_MS = 20
+# The store returns about 500 changes at most; after an outage more of them wait. A
+# page of so many may have been cut, and a read takes so many pages at most.
+FULL_PAGE = 400
+MOST_PAGES = 40
 # Bounds of the sleep until the next look whether a read is due, in s.
 LOOK_LEAST_S = 0.01
 LOOK_MOST_S = 0.5
@@ -144,10 +148,7 @@
         feed = self._feed
         if feed.cursor is not None:
             try:
-                changes, revision = await self._store.changes(
-                    "", feed.cursor, WATCH_WAIT_MS
-                )
-                return feed.apply_changes(changes, revision, begun)
+                return await self._read_changes(begun)
             except HistoryLostError as exc:
                 self._log.info("full_read", reason=exc.message, cursor=feed.cursor)
         item = await self._store.get(CONFIGURATION_KEY)
@@ -155,3 +156,16 @@
             feed.adopt(item.value, item.revision)
         items, revision = await self._store.read(SERVER_PREFIX)
         return feed.apply_full(items, revision, begun)
+
+    async def _read_changes(self, begun):
+        """Read until no more changes wait; returns the news."""
+        changes = []
+        after = self._feed.cursor
+        for _ in range(MOST_PAGES):
+            page, after = await self._store.changes("", after, WATCH_WAIT_MS)
+            changes.extend(page)
+            if len(page) < FULL_PAGE:
+                break
+        else:
+            self._log.warning("changes_left", pages=MOST_PAGES, cursor=after)
+        return self._feed.apply_changes(changes, after, begun)
--- a/standins/store.py
+++ b/standins/store.py
@@ -12,6 +12,7 @@
 __all__ = ["StoreServer"]
 
 PAGE_ITEMS = 50
+WATCH_EVENTS = 500
 MODES = ("normal", "busy", "silent", "reset")
 
 
@@ -120,7 +121,11 @@
                 await self._changed.wait()
         if after + 1 < self.first_event:
             return HTTPResponse(410)
-        return json_response(200, {"events": found, "as_of": self.revision})
+        as_of = self.revision
+        if len(found) > WATCH_EVENTS:
+            found = found[:WATCH_EVENTS]
+            as_of = found[-1]["revision"]
+        return json_response(200, {"events": found, "as_of": as_of})
 
     def _since(self, after, prefix):
         return [
--- a/tests/entry/test_feed.py
+++ b/tests/entry/test_feed.py
@@ -115,17 +115,24 @@
         self.feed.apply_changes([_gone(1, 7)], 7, self.back + 1.0)
         self.assertEqual(["servers/i-2"], self.known())
 
-    def test_held_removals_are_read_again(self):
-        # Another daemon that takes over reads from this cursor.
+    def test_a_daemon_that_takes_over_reads_held_removals(self):
+        self.feed.apply_changes([_gone(1, 7)], 7, self.back)
+        self.feed.apply_changes([_item(2, 8, sequence=9)], 8, self.back + 1.0)
+        self.assertEqual(5, self.feed.shared_cursor)
+        self.feed.release_held(self.back + LAPSE_HOLD_S)
+        self.assertEqual(8, self.feed.shared_cursor)
+
+    def test_held_removals_do_not_hold_up_what_follows(self):
+        # The store answers with so many changes at a time; read again and again from
+        # before the removals, the next configuration never came.
+        self.feed.apply_changes([_gone(1, 7)], 7, self.back)
+        self.assertEqual(7, self.feed.cursor)
+
+    def test_removals_that_are_read_again_stay_held(self):
         changes = [_item(1, 6, sequence=9), _gone(1, 7)]
         self.feed.apply_changes(changes, 7, self.back)
-        self.assertEqual(5, self.feed.cursor)
         self.assertEqual([], self.feed.apply_changes(changes, 7, self.back + 1.0))
         self.assertEqual(2, len(self.known()))
-        self.feed.release_held(self.back + LAPSE_HOLD_S)
-        self.feed.apply_changes([], 7, self.back + LAPSE_HOLD_S)
-        self.assertEqual(7, self.feed.cursor)
-        self.assertEqual(["servers/i-2"], self.known())
 
 
 class LeaveTest(_FeedTest):
--- a/tests/entry/test_gossip.py
+++ b/tests/entry/test_gossip.py
@@ -4,7 +4,7 @@
 import orjson
 import testtools
 
-from almondtide.adapters.http import HTTPRequest
+from almondtide.adapters.http import HTTPRequest, HTTPResponse
 from almondtide.entry.codec import Beat, decode_message
 from almondtide.entry.directory import LISTEN_FIRST_S, Directory
 from almondtide.entry.feed import StoreFeed
@@ -160,17 +160,17 @@
 
     def test_all_know_and_few_datagrams_cross_domains(self):
         known, crossing = self._spread(0)
-        self.assertTrue(known >= 0.95 * self.COUNT, known)
+        self.assertTrue(known >= 0.99 * self.COUNT, known)
         self.assertTrue(crossing <= 4 + 6 * FAR_FANOUT, crossing)
 
     def test_the_same_from_a_daemon_that_stands_by(self):
         known, crossing = self._spread(self.COUNT - 1)
-        self.assertTrue(known >= 0.95 * self.COUNT, known)
+        self.assertTrue(known >= 0.99 * self.COUNT, known)
         self.assertTrue(crossing <= 6 + 6 * FAR_FANOUT, crossing)
 
     def test_carriers_that_died_unnoticed(self):
         known, _ = self._spread(0, dead=(1, 3, 5))
-        self.assertTrue(known >= 0.9 * (self.COUNT - 3), known)
+        self.assertTrue(known >= 0.99 * (self.COUNT - 3), known)
 
 
 class FreshnessTest(testtools.TestCase):
@@ -288,6 +288,41 @@
 
         self._play(scenario)
 
+    def test_a_configuration_behind_many_changes_is_read_at_once(self):
+        # The store returns 500 changes at most; 900 wait after an outage.
+        async def scenario(store, daemon, reader):
+            await reader._read()
+            for number in range(900):
+                await store.put(f"servers/i-{number % 9}", ENTRY)
+            await store.put("op/config", {"version": 3, "routes": [], "services": []})
+            await reader._read()
+            self.assertEqual(3, daemon.knowledge.version)
+            self.assertEqual(store.revision, daemon.feed.cursor)
+
+        self._play(scenario)
+
+    def test_changes_of_a_read_that_failed_are_read_again(self):
+        async def scenario(store, daemon, reader):
+            await reader._read()
+            before = daemon.feed.cursor
+            for number in range(600):
+                await store.put(f"servers/i-{number % 9}", ENTRY)
+            answers = store._watch
+            calls = []
+
+            async def fail_second(query):
+                calls.append(query)
+                return HTTPResponse(503) if calls[1:] else await answers(query)
+
+            store._watch = fail_second
+            await reader._read()
+            self.assertEqual(before, daemon.feed.cursor)
+            store._watch = answers
+            await reader._read()
+            self.assertEqual(9, len(daemon.knowledge.servers()))
+
+        self._play(scenario)
+
     def test_loss_and_return_are_logged_once(self):
         async def scenario(store, daemon, reader):
             await reader._read()
