Test the fleet's view against running entries

summarize_metrics had been tested against rendered measures only; now also against three entries as processes: answers, version, members, carrying and calls of the store.

--- a/tests/entry/test_processes.py
+++ b/tests/entry/test_processes.py
@@ -8,6 +8,7 @@
 import orjson
 import testtools
 
+from almondtide.cli_report import summarize_metrics
 from almondtide.entry.merge import merge_records
 from standins.entry_fleet import (
     METRICS_PORT,
@@ -20,6 +21,8 @@
 from standins.shard import records_of
 from tests.support import run
 
+COUNTS = ("answers", "refused", "failed")
+
 
 class EntryProcessTest(testtools.TestCase):
     """Guards the whole path, from the settings file to the caller's answer."""
@@ -69,6 +72,28 @@
 
         self.play(scenario)
 
+    def test_fleet_view_of_running_daemons(self):
+        async def scenario(fleet):
+            for number in range(2):
+                await fleet.search(0, f"q-{number}")
+            await curio.sleep(1.5)
+            _, _, body = await call(
+                fleet.hosts[0], METRICS_PORT, "GET", "/metrics", {"host": "x"}
+            )
+            summary = summarize_metrics(body.decode())
+            self.assertEqual((2, 0, 0), tuple(summary[name] for name in COUNTS))
+            self.assertEqual((1, 3), (summary["version"], summary["members"]))
+            self.assertTrue(summary["carries"] and summary["age_s"] < 3.0, summary)
+            calls = []
+            for host in fleet.hosts:
+                _, _, body = await call(
+                    host, METRICS_PORT, "GET", "/metrics", {"host": "x"}
+                )
+                calls.append(summarize_metrics(body.decode())["store_calls"])
+            self.assertTrue(sum(calls) > 0, calls)
+
+        self.play(scenario)
+
     def test_configuration_and_drain_reach_all_daemons(self):
         async def scenario(fleet):
             await fleet.store.put("op/config", make_configuration(version=9, routes=[]))
