Split the peer link from the network of peers

peer.py held two jobs in 644 lines: one connection with its calls and its silence, and the set of peers with handlers, suspicion and probes. The link moved to peer_link.py with the constants of silence; code unchanged but for names and doc strings.

--- a/almondtide/adapters/peer.py
+++ b/almondtide/adapters/peer.py
@@ -1,38 +1,26 @@
-"""Peer links over websockets: calls, replies, coalesced frames, liveness."""
+"""The network of peers: links to them, their messages, and who is alive."""
 
-import itertools
 import random
 
 import curio
 
 from ..errors import AlmondtideError, PeerError, PeerSilentError, ResultCode
-from ..messages import (
-    ErrorReply,
-    Hello,
-    Ping,
-    Pong,
-    decode_frame,
-    encode_frame,
-)
+from ..messages import ErrorReply, Hello, Ping, Pong, decode_frame
 from ..ports import BasePeers, unreachable
-from .websocket import accept_websocket, open_websocket
+from .peer_link import (
+    SILENT_AFTER_S,
+    SUSPECT_AFTER_S,
+    LocalCall,
+    OutboundLink,
+    Outbox,
+    PeerCall,
+)
+from .websocket import accept_websocket
 
 __all__ = ["PeerCall", "PeerNetwork"]
 
-# A peer that owes replies and sends nothing is pinged; then its open calls are told,
-# so that they can be hedged within a budget; then it gets no new calls; and much
-# later it is taken out of the view. The last steps move load, ownership and
-# connections, so they must not follow from a short stall: on a machine with too few
-# cores, stalls of 200 to 500 ms were frequent, and giving up the owner after 250 ms
-# raised the median from 0.1 s to more than 1 s.
-PING_AFTER_S = 0.1
-TELL_CALLS_AFTER_S = 0.2
-SILENT_AFTER_S = 0.5
-SUSPECT_AFTER_S = 1.5
 MONITOR_INTERVAL_S = 0.05
 IDLE_CHECK_S = 1.0
-# Messages coalesced into one frame; keeps frames far below the size limit.
-MAX_BATCH = 64
 # How long a peer that could not be dialled is refused without another dial.
 REDIAL_AFTER_S = 0.5
 # Every daemon that had contact with a lost peer probes it. A peer that is back makes
@@ -40,249 +28,6 @@
 PROBE_INTERVAL_S = 0.5
 MAX_PROBE_INTERVAL_S = 1.5
 PROBE_GROWTH = 1.5
-IDLE_LINK_S = 60.0
-
-
-class PeerCall:
-    """A request whose replies arrive in an inbox shared by several calls."""
-
-    __slots__ = ("_link", "inbox", "instance", "seq")
-
-    def __init__(self, link, instance, seq, inbox):
-        self._link = link
-        self.instance = instance
-        self.seq = seq
-        self.inbox = inbox
-
-    def close(self):
-        """Forget the call; replies that arrive later are dropped."""
-        if self._link is not None:
-            self._link.calls.pop(self.seq, None)
-
-
-class _Outbox:
-    """Messages that wait for the writer task of a connection."""
-
-    __slots__ = ("_clock", "_messages", "_ready", "_websocket", "closed")
-
-    def __init__(self, websocket, clock):
-        self._websocket = websocket
-        self._clock = clock
-        self._messages = []
-        self._ready = curio.Event()
-        self.closed = False
-
-    async def put(self, message):
-        if self.closed:
-            raise PeerError("the peer link is closed", not_run=True)
-        self._messages.append(message)
-        await self._ready.set()
-
-    async def run(self):
-        """Write everything that is ready as one frame, until cancelled."""
-        while True:
-            await self._ready.wait()
-            self._ready.clear()
-            while self._messages:
-                batch = self._messages[:MAX_BATCH]
-                del self._messages[:MAX_BATCH]
-                for frame in self._encode(batch):
-                    await self._websocket.send(frame)
-
-    def _encode(self, batch):
-        try:
-            return [encode_frame(self._clock.now(), batch)]
-        except AlmondtideError:
-            return [self._encode_alone(message) for message in batch]
-
-    def _encode_alone(self, message):
-        """Encode a message of a batch that is too large for one frame."""
-        try:
-            return encode_frame(self._clock.now(), [message])
-        except AlmondtideError as exc:
-            # The receiver gets the error in place of the message.
-            error = ErrorReply(message.seq, code=int(exc.code), message=exc.message)
-            return encode_frame(self._clock.now(), [error])
-
-
-class _OutboundLink:
-    """The connection on which this daemon sends requests to one peer."""
-
-    __slots__ = (
-        "_network",
-        "_outbox",
-        "_sequence",
-        "_tasks",
-        "_websocket",
-        "address",
-        "calls",
-        "idle",
-        "instance",
-        "last_heard",
-        "last_used",
-        "open",
-        "silence_s",
-        "silent",
-    )
-
-    def __init__(self, network, instance, address):
-        self._network = network
-        self.instance = instance
-        self.address = address
-        self._sequence = itertools.count(1)
-        self.calls = {}
-        self._tasks = []
-        self._websocket = None
-        self._outbox = None
-        self.open = False
-        self.idle = False
-        # Whether the peer takes no calls because it owes replies and is silent.
-        self.silent = False
-        self.silence_s = 0.0
-        self.last_heard = 0.0
-        self.last_used = 0.0
-
-    async def start(self):
-        network = self._network
-        self._websocket = await open_websocket(self.address)
-        self._outbox = _Outbox(self._websocket, network.hlc)
-        self.last_heard = self.last_used = network.clock.monotonic()
-        self.open = True
-        hello = Hello(instance=network.instance, incarnation=network.incarnation)
-        await self._outbox.put(hello)
-        for loop in (self._write, self._read):
-            self._tasks.append(await curio.spawn(loop, daemon=True))
-
-    async def post(self, message, instance, inbox):
-        """Queue a request and return its ``PeerCall``."""
-        seq = next(self._sequence)
-        message.seq = seq
-        call = PeerCall(self, instance, seq, inbox)
-        self.calls[seq] = call
-        await self._network.called.set()
-        await self._put(message)
-        return call
-
-    async def post_one_way(self, message):
-        await self._put(message)
-
-    async def _put(self, message):
-        self.last_used = self._network.clock.monotonic()
-        await self._outbox.put(message)
-
-    async def _write(self):
-        try:
-            await self._outbox.run()
-        except PeerError as exc:
-            await self._lost(exc)
-
-    async def _read(self):
-        reason = PeerError(f"{self.instance} closed the link")
-        try:
-            while True:
-                frame = await self._websocket.receive()
-                if frame is None:
-                    break
-                timestamp, batch = decode_frame(frame)
-                self._network.hlc.observe(timestamp)
-                await self._heard()
-                for message in batch:
-                    await self._deliver(message)
-        except PeerError as exc:
-            reason = exc
-        await self._lost(reason)
-
-    async def _heard(self):
-        self.last_heard = self._network.clock.monotonic()
-        self.silence_s = 0.0
-        if self.silent:
-            self.silent = False
-            await self._network.peer_recovered(self.instance)
-
-    async def _deliver(self, message):
-        if isinstance(message, Pong):
-            await self._network.peer_seen(self.instance, message.incarnation)
-            return
-        call = self.calls.get(message.seq)
-        if call is not None:
-            await call.inbox.put((call, message))
-
-    async def watch(self, elapsed_s, now):
-        """Look for silence; called by the network every ``MONITOR_INTERVAL_S``.
-
-        ``elapsed_s`` leaves out time in which this process itself did not run,
-        because replies may wait unread in its own sockets.
-        """
-        if not self.calls and not self.silent:
-            self.silence_s = 0.0
-            if now - self.last_used > IDLE_LINK_S:
-                self.idle = True
-                await self._lost(PeerError("the link was idle"))
-            return
-        before = self.silence_s
-        self.silence_s += elapsed_s
-        if before < PING_AFTER_S <= self.silence_s:
-            await self._outbox.put(Ping())
-        elif before < TELL_CALLS_AFTER_S <= self.silence_s:
-            await self._tell_calls(lasting=False)
-        elif self.silence_s >= SILENT_AFTER_S and not self.silent:
-            await self._mark_silent()
-        elif before < SUSPECT_AFTER_S <= self.silence_s:
-            await self._network.peer_suspected(self.instance)
-
-    async def _mark_silent(self):
-        """Take no new calls until the peer is heard; it may still answer the open."""
-        self.silent = True
-        self._network.log.info(
-            "peer_silent", peer=self.instance, seconds=round(self.silence_s, 3)
-        )
-        await self._tell_calls(lasting=True)
-
-    async def _tell_calls(self, lasting):
-        text = f"{self.instance} is silent for {self.silence_s:.3f} s"
-        for call in list(self.calls.values()):
-            await call.inbox.put((call, PeerSilentError(text, lasting)))
-
-    async def _fail_calls(self, error):
-        calls, self.calls = self.calls, {}
-        for call in calls.values():
-            await call.inbox.put((call, error))
-
-    async def _lost(self, error):
-        if not self.open:
-            return
-        self.open = False
-        self._outbox.closed = True
-        await self._network.link_closed(self, error)
-        await self._fail_calls(error)
-        await self.close()
-
-    async def close(self):
-        self.open = False
-        current = await curio.current_task()
-        tasks, self._tasks = self._tasks, []
-        for task in tasks:
-            if task is not current:
-                await task.cancel(blocking=False)
-        if self._websocket is not None:
-            await self._websocket.close()
-
-
-class _LocalCall:
-    __slots__ = ("closed", "inbox", "instance", "seq")
-
-    def __init__(self, instance, inbox):
-        self.instance = instance
-        self.inbox = inbox
-        self.seq = 0
-        self.closed = False
-
-    def close(self):
-        self.closed = True
-
-    async def reply(self, message):
-        if not self.closed:
-            await self.inbox.put((self, message))
 
 
 class PeerNetwork(BasePeers):
@@ -346,7 +91,7 @@
     async def call(self, instance, message, inbox):
         """Send a request; replies go to ``inbox`` as (call, reply)."""
         if instance == self.instance:
-            call = _LocalCall(instance, inbox)
+            call = LocalCall(instance, inbox)
             await self._dispatch(instance, message, call.reply)
             return call
         link = await self._link(instance)
@@ -411,7 +156,7 @@
                 return link
             if self._refused_until.get(instance, 0.0) > self.clock.monotonic():
                 raise PeerError(f"{instance} could not be dialled", not_run=True)
-            link = _OutboundLink(self, instance, address)
+            link = OutboundLink(self, instance, address)
             try:
                 await link.start()
             except PeerError as exc:
@@ -578,7 +323,7 @@
 
     async def serve_websocket(self, websocket, address):
         """Serve the messages of an inbound connection until it closes."""
-        outbox = _Outbox(websocket, self.hlc)
+        outbox = Outbox(websocket, self.hlc)
         writer = await curio.spawn(self._write_replies, outbox, daemon=True)
         sender = None
         try:
