Let reloads reach the feed of the store

It now holds the settings, and the daemon lists the parts that take new ones. A comment claimed a time that no run had measured.

--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -91,6 +91,14 @@
         self._listeners = []
         self._tasks = []
         self.directory = Directory(settings, self.view, now)
+        # Parts that hold the settings and take new ones.
+        self.configured = (
+            self.gossip,
+            self.reader,
+            feed,
+            self.dispatcher,
+            self.directory,
+        )
 
     # Life
 
@@ -148,7 +156,7 @@
         if changed or cause == "signal":
             self.log.info("reloaded", cause=cause, changed=changed or "nothing")
         self.settings = settings
-        for part in (self.gossip, self.reader, self.dispatcher, self.directory):
+        for part in self.configured:
             part.settings = settings
 
     async def _stop(self, number):
--- a/almondtide/entry/dispatch.py
+++ b/almondtide/entry/dispatch.py
@@ -20,7 +20,7 @@
 RESEND = "resend"
 REAP = "reap"
 # Time in s before a merged answer must leave at which it is put together of what is
-# in: an entry with a third of a core takes about so long for it.
+# in. It covers merging, writing and the wait for the processor.
 ANSWER_MARGIN_S = 0.006
 # Part of the objective that the margin takes at most.
 ANSWER_MARGIN_PART = 0.25
--- a/almondtide/entry/feed.py
+++ b/almondtide/entry/feed.py
@@ -75,19 +75,17 @@
     """
 
     __slots__ = (
-        "_drain_s",
         "_failed_at",
-        "_heartbeat_s",
         "_held",
         "_held_cursor",
         "_knowledge",
         "_log",
         "cursor",
+        "settings",
     )
 
     def __init__(self, settings, knowledge, log):
-        self._heartbeat_s = settings.heartbeat_s
-        self._drain_s = settings.drain_s
+        self.settings = settings
         self._knowledge = knowledge
         self._log = log
         self._held = {}
@@ -131,8 +129,8 @@
             now,
             self._knowledge.fresh_at,
             self._failed_at,
-            self._heartbeat_s,
-            self._drain_s,
+            self.settings.heartbeat_s,
+            self.settings.drain_s,
         )
 
     def _advance(self, revision):
