Keep one copy of the call that is answered in this process

The split of peer.py showed that memory.py held the same class; it is in ports.py now, and the memory variant only copies its messages. No change of behaviour.

--- a/almondtide/adapters/peer.py
+++ b/almondtide/adapters/peer.py
@@ -6,11 +6,10 @@
 
 from ..errors import AlmondtideError, PeerError, PeerSilentError, ResultCode
 from ..messages import ErrorReply, Hello, Ping, Pong, decode_frame
-from ..ports import BasePeers, unreachable
+from ..ports import BasePeers, LocalCall, unreachable
 from .peer_link import (
     SILENT_AFTER_S,
     SUSPECT_AFTER_S,
-    LocalCall,
     OutboundLink,
     Outbox,
     PeerCall,
--- a/almondtide/adapters/peer_link.py
+++ b/almondtide/adapters/peer_link.py
@@ -8,7 +8,7 @@
 from ..messages import ErrorReply, Hello, Ping, Pong, decode_frame, encode_frame
 from .websocket import open_websocket
 
-__all__ = ["LocalCall", "OutboundLink", "Outbox", "PeerCall"]
+__all__ = ["OutboundLink", "Outbox", "PeerCall"]
 
 # A peer that owes replies and sends nothing is pinged; then its open calls are told,
 # so that they can be hedged within a budget; then it gets no new calls; and much
@@ -252,24 +252,3 @@
                 await task.cancel(blocking=False)
         if self._websocket is not None:
             await self._websocket.close()
-
-
-class LocalCall:
-    """A call to this daemon itself; its replies go straight to the inbox."""
-
-    __slots__ = ("closed", "inbox", "instance", "seq")
-
-    def __init__(self, instance, inbox):
-        self.instance = instance
-        self.inbox = inbox
-        self.seq = 0
-        self.closed = False
-
-    def close(self):
-        """Take no further replies."""
-        self.closed = True
-
-    async def reply(self, message):
-        """Deliver a reply unless the call was closed."""
-        if not self.closed:
-            await self.inbox.put((self, message))
--- a/almondtide/memory.py
+++ b/almondtide/memory.py
@@ -13,6 +13,7 @@
     BaseUpstreamConnection,
     BaseUpstreams,
     Document,
+    LocalCall,
     UpstreamReply,
     unreachable,
 )
@@ -74,23 +75,12 @@
     WRONG_RANGES = "wrong_ranges"
 
 
-class _MemoryCall:
-    __slots__ = ("closed", "inbox", "instance", "seq")
-
-    def __init__(self, instance, inbox):
-        self.instance = instance
-        self.inbox = inbox
-        self.seq = 0
-        self.closed = False
-
-    def close(self):
-        """Drop replies that arrive later."""
-        self.closed = True
+class _MemoryCall(LocalCall):
+    __slots__ = ()
 
     async def reply(self, message):
         """Hand a copy of ``message`` to the caller, as a link would."""
-        if not self.closed:
-            await self.inbox.put((self, _copy(message)))
+        await super().reply(_copy(message))
 
 
 def _copy(message):
--- a/almondtide/ports.py
+++ b/almondtide/ports.py
@@ -12,6 +12,7 @@
     "BaseUpstreamConnection",
     "BaseUpstreams",
     "Document",
+    "LocalCall",
     "UpstreamReply",
     "document_digest",
 ]
@@ -185,6 +186,27 @@
         raise NotImplementedError
 
 
+class LocalCall:
+    """A call that is answered in this process; replies go straight to the inbox."""
+
+    __slots__ = ("closed", "inbox", "instance", "seq")
+
+    def __init__(self, instance, inbox):
+        self.instance = instance
+        self.inbox = inbox
+        self.seq = 0
+        self.closed = False
+
+    def close(self):
+        """Drop replies that arrive later."""
+        self.closed = True
+
+    async def reply(self, message):
+        """Deliver a reply unless the call was closed."""
+        if not self.closed:
+            await self.inbox.put((self, message))
+
+
 def unreachable(instance):
     """Return the error for a peer that is not in the view."""
     return PeerError(
