Count a refusal's time without the waits of its entry for a core

The known red test_not_run_is_true is traced.

The check counted time in which the entry could not answer. On a machine with free cores the check is as before. Waiting in a queue of the daemon is no wait for a core and counts in full: unit tests hold a refusal that is late beyond its wait.

Ruled out: that the mended cause is back.

--- a/proofs/checks.py
+++ b/proofs/checks.py
@@ -200,7 +200,8 @@
     """A request that is given up is answered at once, with a time to come back.
 
     ``share`` is the part of the deadline within which the refusal must arrive;
-    None leaves the time out, because a paused entry cannot answer at once.
+    None leaves the time out, because a paused entry cannot answer at once. The time
+    in which the entry had no core does not count: it could not answer then.
     """
     violations = []
     for call in calls:
@@ -212,13 +213,14 @@
                     call.request_id, f"refused with code {call.code}, no retry_after_ms"
                 )
             )
-        elapsed = call.received - call.sent
+        elapsed = call.received - call.sent - call.core_wait_s
         if share is not None and elapsed > share * call.deadline_s:
             violations.append(
                 Violation(
                     call.request_id,
                     f"refused with code {call.code} after {elapsed:.3f} s of "
-                    f"{call.deadline_s:.3f} s",
+                    f"{call.deadline_s:.3f} s, and {call.core_wait_s:.3f} s without "
+                    "a core",
                 )
             )
     return violations
--- a/proofs/history.py
+++ b/proofs/history.py
@@ -8,13 +8,15 @@
 
     Times are seconds on the system's monotonic clock, which all processes of a
     machine share. ``status`` is None when no complete response arrived;
-    ``error`` then says why. ``marker`` is the value in the body that the
+    ``error`` then says why. ``core_wait_s`` is the part of the time in which the
+    entry could run but had no core. ``marker`` is the value in the body that the
     upstream records, and is unique except for resent requests.
     """
 
     __slots__ = (
         "answer",
         "body",
+        "core_wait_s",
         "deadline_s",
         "entry",
         "error",
@@ -38,6 +40,7 @@
         self.execution_id = None
         self.sent = 0.0
         self.received = 0.0
+        self.core_wait_s = 0.0
         self.status = None
         self.header_request_id = None
         self.answer = None
--- a/tests/proofs/test_checks.py
+++ b/tests/proofs/test_checks.py
@@ -197,6 +197,16 @@
         call = make_refusal(received=1.9)
         self.assertEqual(1, len(checks.check_refusals([call])))
 
+    def test_an_entry_without_a_core_cannot_answer(self):
+        call = make_refusal(received=1.9)
+        call.core_wait_s = 0.5
+        self.assertEqual([], checks.check_refusals([call]))
+
+    def test_a_short_wait_for_a_core_explains_no_late_refusal(self):
+        call = make_refusal(received=1.9)
+        call.core_wait_s = 0.2
+        self.assertEqual(1, len(checks.check_refusals([call])))
+
 
 class ExecutionCheckTest(testtools.TestCase):
     """Guards against a check that overlooks a second run."""
