Use a server that leaves while it is known to serve, where need is

Eighteen servers leave by their entries at 2.3 s while others of the same three shards are dark or slow. A server that leaves serves for the drain time still, but was not used from the first word on, so 86 of 153 requests of seconds 2 to 4 were refused or failed for lack of servers that were there.

Change: the daemon that reads the store states until when a server whose leaving it saw serves: from the time of the read before, since the store accepted the change later than that, for the drain time less a margin. The rest of that time travels with the news. Such a server costs two normal times more than others, so it is used where these are lost, silent, full or much slower. Beats carry the age of the cursor, so that a daemon which takes over as reader knows the time too; the age counts from before the datagram could have waited, for a daemon that stood still.

The two worst windows stay (seconds 4 to 8): the store's watches are mute from 1.0 to 2.0 s, the last good read is of -0.4 s, and so the use ends at 4.0 s though the servers serve to 7 s. Next: a read that needs no watch.

Ruled out: later use on the word of the server itself. It serves longer at times, but the rule counts from the store's word.

--- a/almondtide/entry/codec.py
+++ b/almondtide/entry/codec.py
@@ -1,5 +1,6 @@
 """Messages between daemons: CBOR arrays in datagrams and bodies."""
 
+import math
 import zlib
 
 import cbor2
@@ -28,6 +29,9 @@
 # Bytes of a snapshot that are read; one of 27,000 servers has 2.2 MB.
 MAX_SNAPSHOT = 16 << 20
 
+# Longest time, in ms, that a server which leaves may be said to serve.
+MAX_LEFT_MS = 600_000
+
 # What the decoders below raise on arrays of another shape.
 _MALFORMED = (cbor2.CBORDecodeError, ValueError, TypeError, IndexError, KeyError)
 
@@ -36,12 +40,14 @@
     """A daemon's word about itself, its knowledge and others.
 
     ``age_s`` is the age of its knowledge of the store, None without any, and
-    ``cursor`` the store's revision up to which it knows all changes.
+    ``cursor`` the store's revision up to which it knows all changes; later ones are
+    younger than ``cursor_age_s``, None where that is unknown.
     """
 
     __slots__ = (
         "age_s",
         "cursor",
+        "cursor_age_s",
         "digest",
         "heard",
         "sender",
@@ -49,7 +55,17 @@
         "wants_reply",
     )
 
-    def __init__(self, sender, digest, version, age_s, heard, wants_reply, cursor=0):
+    def __init__(
+        self,
+        sender,
+        digest,
+        version,
+        age_s,
+        heard,
+        wants_reply,
+        cursor=0,
+        cursor_age_s=None,
+    ):
         self.sender = sender
         self.digest = digest
         self.version = version
@@ -57,6 +73,7 @@
         self.heard = heard
         self.wants_reply = wants_reply
         self.cursor = cursor
+        self.cursor_age_s = cursor_age_s
 
 
 def _pack_member(member, now):
@@ -92,19 +109,28 @@
     return value
 
 
+def _pack_age(age_s):
+    # Rounded up: knowledge must not seem newer than it is.
+    return None if age_s is None else math.ceil(age_s * 1000)
+
+
+def _unpack_age(age_ms):
+    return None if age_ms is None else max(0.0, float(age_ms) / 1000.0)
+
+
 def encode_beat(beat, now):
     """Return the datagram of a ``Beat``."""
-    age_ms = None if beat.age_s is None else int(beat.age_s * 1000)
     message = [
         VERSION,
         BEAT,
         _pack_member(beat.sender, now),
         beat.digest,
         beat.version,
-        age_ms,
+        _pack_age(beat.age_s),
         [_pack_member(member, now) for member in beat.heard],
         beat.wants_reply,
         beat.cursor,
+        _pack_age(beat.cursor_age_s),
     ]
     return cbor2.dumps(message)
 
@@ -142,10 +168,11 @@
     )
 
 
-def encode_news(facts, configuration=None):
+def encode_news(facts, configuration=None, *, now):
     """Yield datagrams with facts, and with a configuration that fits.
 
     ``configuration`` is a pair of revision and the document's bytes, compressed.
+    Facts of servers that leave hold in ms for how long they serve still.
     """
     if configuration is not None:
         yield cbor2.dumps([VERSION, NEWS, [], list(configuration)])
@@ -153,6 +180,8 @@
     size = 0
     for fact in facts:
         item = [fact.key, fact.revision, _pack_server(fact.server)]
+        if fact.serves_until > now:
+            item.append(int((fact.serves_until - now) * 1000))
         item_size = len(cbor2.dumps(item))
         if batch and size + item_size > MAX_DATAGRAM - 32:
             yield cbor2.dumps([VERSION, NEWS, batch, None])
@@ -167,8 +196,8 @@
 def decode_message(raw, now):
     """Return a ``Beat``, or (facts, configuration) of news.
 
-    Facts are triples of key, revision and ``Server`` or None. Raises
-    ``DocumentError`` for anything else.
+    Facts are tuples of key, revision, ``Server`` or None, and for how long, in s,
+    one that leaves may be used. Raises ``DocumentError`` for anything else.
     """
     try:
         message = cbor2.loads(raw)
@@ -177,7 +206,7 @@
         if message[1] == BEAT:
             return _unpack_beat(message, now)
         if message[1] == NEWS:
-            return _unpack_facts(message[2]), message[3]
+            return [_unpack_news(item) for item in message[2]], message[3]
     except _MALFORMED as exc:
         raise DocumentError(f"message: {exc}") from exc
     raise DocumentError(f"message: kind {message[1]!r} is unknown")
@@ -185,17 +214,27 @@
 
 def _unpack_beat(message, now):
     _, _, sender, digest, version, age_ms, heard, wants_reply, cursor = message[:9]
+    cursor_age_ms = message[9] if len(message) > 9 else None
     return Beat(
         _unpack_member(sender, now),
         int(digest),
         int(version),
-        None if age_ms is None else max(0.0, float(age_ms) / 1000.0),
+        _unpack_age(age_ms),
         [_unpack_member(item, now) for item in heard],
         bool(wants_reply),
         int(cursor),
+        _unpack_age(cursor_age_ms),
     )
 
 
+def _unpack_news(item):
+    key, revision, server, *rest = item
+    left_ms = float(rest[0]) if rest else 0.0
+    if not 0.0 <= left_ms <= MAX_LEFT_MS:
+        raise ValueError(f"{rest[0]!r} is not the time left to a server")
+    return _text(key), int(revision), _unpack_server(server), left_ms / 1000.0
+
+
 def _unpack_facts(items):
     return [
         (_text(key), int(revision), _unpack_server(server))
--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -206,6 +206,8 @@
                 checked = now
                 self._reload("check")
             await self.pool.trim()
+            for upstream in self.table.expire(now):
+                await self.pool.release(upstream)
             for name in self.view.forget(now):
                 self.log.info("member_forgotten", member=name)
             self.knowledge.forget(now)
@@ -233,16 +235,18 @@
         self._update_role(steady_now())
 
     async def _apply_fact(self, fact, source):
+        now = steady_now()
         server = fact.server
         server_id = fact.key[len(SERVER_PREFIX) :]
         if server is None:
-            replaced = self.table.remove(server_id)
-            change = "gone" if replaced else "ignored"
+            change = "gone" if self.table.get(server_id) else "ignored"
+            replaced = self.table.retire(server_id, fact.serves_until, now)
         else:
-            replaced = self.table.apply(server)
+            replaced = self.table.apply(server, fact.serves_until)
             change = "leaving" if server.leaving else "usable"
-            if server.leaving:
-                await self.pool.release(self.table.get(server_id))
+        known = self.table.get(server_id)
+        if known is not None and known.is_leaving:
+            await self.pool.release(known)
         if replaced is not None:
             await self.pool.release(replaced)
         self.log.info(
@@ -251,6 +255,7 @@
             change=change,
             service=server.service if server else "",
             revision=fact.revision,
+            serves_ms=int(max(0.0, fact.serves_until - now) * 1000),
             source=source,
         )
 
--- a/almondtide/entry/dispatch.py
+++ b/almondtide/entry/dispatch.py
@@ -184,7 +184,7 @@
     def _state(self, call, branch, now):
         """Return what the service of a branch can do for it now."""
         service = branch.service
-        if not self._table.members(service):
+        if not self._table.members(service, now):
             return ServiceState.EMPTY
         if self._table.is_lost(service, now):
             probed = self._table.choose(service, now)
@@ -193,7 +193,7 @@
         waiting = len(queue) if queue is not None else 0
         if waiting:
             pace = self.pace(call.route)
-            slots = self._table.slots(service) / self._table.entries
+            slots = self._table.slots(service, now) / self._table.entries
             spare_s = pace.objective_s * QUEUE_PART - pace.expected_s
             if waiting * pace.expected_s > slots * spare_s:
                 return ServiceState.FULL
@@ -201,12 +201,13 @@
 
     def _retry_after_s(self, call):
         """Return when the caller of a refused call may come back."""
+        now = self.now()
         waiting, slots = 0, 1
         for branch in call.branches:
             queue = self._queues.get(branch.service)
             if queue is not None and len(queue) > waiting:
                 waiting = len(queue)
-                slots = self._table.slots(branch.service) / self._table.entries
+                slots = self._table.slots(branch.service, now) / self._table.entries
         expected_s = self.pace(call.route).expected_s
         return retry_after_s(waiting, slots, expected_s, random.random())
 
--- a/almondtide/entry/feed.py
+++ b/almondtide/entry/feed.py
@@ -8,7 +8,7 @@
     decode_server,
 )
 
-__all__ = ["StoreFeed", "lapse_held_until", "read_due_at"]
+__all__ = ["StoreFeed", "lapse_held_until", "read_due_at", "served_until"]
 
 # Parts of the time in which changes must reach every daemon: between two reads of
 # the daemon that reads, until the next in rank reads too because the news are late,
@@ -28,6 +28,9 @@
 # What is left of the time in which a server that has left may be used, in s, when
 # its entry is let go.
 DRAIN_MARGIN_S = 0.2
+# The same, in s, for requests to a server that is known to leave: its connection is
+# opened first, and the word takes some time to the other daemons.
+LEAVING_MARGIN_S = 0.6
 
 
 def read_due_at(fresh_at, failed_at, rank, within_s):
@@ -65,22 +68,32 @@
     return until if until > now else None
 
 
+def served_until(read_at, drain_s):
+    """Return until when servers whose leaving a read shows may be used, or 0.0.
+
+    ``read_at`` is a time after which the store accepted the news, None if there is
+    none that is known. Times are in s.
+    """
+    return 0.0 if read_at is None else read_at + drain_s - LEAVING_MARGIN_S
+
+
 class StoreFeed:
     """Applies items and changes of the store to the knowledge of one daemon.
 
     ``cursor`` is the revision from which changes are read, None before the first
-    full read. Entries that are missing once the store is back are held for a while;
-    ``shared_cursor`` stays before their removal, so that a daemon that takes over
-    reads it too.
+    full read; the store accepted all changes after it later than ``read_at``. Entries
+    that are missing once the store is back are held for a while; ``shared_cursor``
+    stays before their removal, so that a daemon that takes over reads it too.
     """
 
     __slots__ = (
         "_failed_at",
         "_held",
-        "_held_cursor",
+        "_held_from",
         "_knowledge",
         "_log",
         "cursor",
+        "read_at",
         "settings",
     )
 
@@ -89,9 +102,10 @@
         self._knowledge = knowledge
         self._log = log
         self._held = {}
-        self._held_cursor = None
+        self._held_from = None
         self._failed_at = None
         self.cursor = None
+        self.read_at = None
 
     def read_failed(self, now):
         """Note that the store did not answer a read of this daemon."""
@@ -107,8 +121,7 @@
             self._put(item, now, news)
         for key in self._knowledge.missing_from(keys, revision):
             self._remove(key, revision, until, now, news)
-        self._advance(revision)
-        self._knowledge.confirm(now)
+        self._advance(revision, now)
         return news
 
     def apply_changes(self, items, revision, now):
@@ -120,8 +133,7 @@
                 self._remove(item.key, item.revision, until, now, news)
             else:
                 self._put(item, now, news)
-        self._advance(max(revision, self.cursor or 0))
-        self._knowledge.confirm(now)
+        self._advance(max(revision, self.cursor or 0), now)
         return news
 
     def _held_until(self, now):
@@ -133,19 +145,31 @@
             self.settings.drain_s,
         )
 
-    def _advance(self, revision):
+    def _advance(self, revision, now):
         if not self._held:
-            self._held_cursor = None
-        elif self._held_cursor is None:
-            self._held_cursor = self.cursor or 0
+            self._held_from = None
+        elif self._held_from is None:
+            self._held_from = self.cursor or 0, self.read_at
         self.cursor = revision
+        self.read_at = now
+        self._knowledge.confirm(now)
 
     @property
     def shared_cursor(self):
-        """The revision from which another daemon that takes over reads."""
-        if self._held and self._held_cursor is not None:
-            return self._held_cursor
-        return self.cursor or 0
+        """The ``cursor`` and ``read_at`` with which another daemon takes over."""
+        if self._held and self._held_from is not None:
+            return self._held_from
+        return self.cursor or 0, self.read_at
+
+    def take_cursor(self, cursor, read_at):
+        """Take over the cursor of a daemon with the same knowledge, if it is newer."""
+        if cursor < (self.cursor or 0):
+            return
+        if cursor > (self.cursor or 0) or self.read_at is None:
+            self.read_at = read_at
+        elif read_at is not None:
+            self.read_at = max(self.read_at, read_at)
+        self.cursor = cursor
 
     def _put(self, item, now, news):
         if item.key == CONFIGURATION_KEY:
@@ -161,7 +185,10 @@
         except DocumentError as exc:
             self._log.warning("entry_invalid", key=item.key, reason=exc.message)
             server = None
-        fact = self._knowledge.put(item.key, item.revision, server, now)
+        serves_until = 0.0
+        if server is not None:
+            serves_until = served_until(self.read_at, self.settings.drain_s)
+        fact = self._knowledge.put(item.key, item.revision, server, now, serves_until)
         if fact is not None:
             news.append(fact)
 
@@ -191,7 +218,8 @@
                 hold_s=round(until - now, 2),
             )
             return
-        fact = self._knowledge.put(key, revision, None, now)
+        serves_until = served_until(self.read_at, self.settings.drain_s)
+        fact = self._knowledge.put(key, revision, None, now, serves_until)
         if fact is not None:
             news.append(fact)
 
--- a/almondtide/entry/gossip.py
+++ b/almondtide/entry/gossip.py
@@ -223,6 +223,7 @@
 
     def _beat(self, heard, now, wants_reply):
         knowledge = self._knowledge
+        cursor, read_at = self._feed.shared_cursor
         return Beat(
             self.view.me,
             knowledge.digest,
@@ -230,7 +231,8 @@
             knowledge.age_s(now),
             heard,
             wants_reply,
-            self._feed.shared_cursor,
+            cursor,
+            None if read_at is None else max(0.0, now - read_at),
         )
 
     async def _send(self, raw, host):
@@ -253,7 +255,7 @@
             if len(packed) < MAX_DATAGRAM - 64:
                 revision = self._knowledge.configuration_revision
                 configuration = (revision, packed)
-        for raw in encode_news(facts, configuration):
+        for raw in encode_news(facts, configuration, now=now):
             for host in hosts:
                 await self._send(raw, host)
         if configured and configuration is None:
@@ -264,6 +266,8 @@
 
     async def _receive(self):
         while True:
+            # The next datagram arrives after this, however late it is taken.
+            since = self._now()
             try:
                 raw, (host, _) = await self._sock.recvfrom(65536)
             except OSError as exc:
@@ -277,18 +281,18 @@
                 self._log.warning("datagram_invalid", host=host, reason=exc.message)
                 continue
             if isinstance(message, Beat):
-                await self._on_beat(message, host, now)
+                await self._on_beat(message, host, now, since)
             else:
-                await self._on_facts(*message, host, now)
+                await self._on_facts(*message, host, now, since)
 
-    async def _on_beat(self, beat, host, now):
+    async def _on_beat(self, beat, host, now, since):
         self._hear(beat.sender, now)
         for member in beat.heard:
             self._hear(member, now)
         if beat.wants_reply:
             await self._reply(host, now)
         if beat.age_s is not None:
-            await self._compare(beat, host, now)
+            await self._compare(beat, host, now, since)
 
     def _hear(self, member, now):
         if self.view.hear(member):
@@ -310,12 +314,15 @@
         heard += _sample(rest, REPLY_MEMBERS - len(heard))
         await self._send(encode_beat(self._beat(heard, now, False), now), host)
 
-    async def _compare(self, beat, host, now):
+    async def _compare(self, beat, host, now, since):
         knowledge = self._knowledge
         if beat.digest == knowledge.digest and beat.version == knowledge.version:
             self._differs_since = None
             knowledge.confirm(now - beat.age_s)
-            self._feed.cursor = max(self._feed.cursor or 0, beat.cursor)
+            age_s = beat.cursor_age_s
+            self._feed.take_cursor(
+                beat.cursor, None if age_s is None else since - age_s
+            )
             return
         age_s = knowledge.age_s(now)
         if age_s is not None and beat.age_s >= age_s:
@@ -335,12 +342,12 @@
         self._pulled_at = now
         await curio.spawn(self._pull, host, daemon=True)
 
-    async def _on_facts(self, facts, configuration, host, now):
+    async def _on_facts(self, facts, configuration, host, now, since):
         news = [
             fact
             for fact in (
-                self._knowledge.put(key, revision, server, now)
-                for key, revision, server in facts
+                self._knowledge.put(key, revision, server, now, since + serves_s)
+                for key, revision, server, serves_s in facts
             )
             if fact is not None
         ]
--- a/almondtide/entry/knowledge.py
+++ b/almondtide/entry/knowledge.py
@@ -10,17 +10,27 @@
 
 
 class Fact:
-    """A key's newest known value; ``server`` is None for a removed one."""
+    """A key's newest known value; ``server`` is None for a removed one.
 
-    __slots__ = ("key", "mark", "revision", "seen_at", "server")
+    A server that leaves or is removed may be used until ``serves_until``, 0.0 where
+    nothing is known of its end.
+    """
+
+    __slots__ = ("key", "mark", "revision", "seen_at", "server", "serves_until")
 
-    def __init__(self, key, revision, server, seen_at):
+    def __init__(self, key, revision, server, seen_at, serves_until=0.0):
         self.key = key
         self.revision = revision
         self.server = server
         self.seen_at = seen_at
+        self.serves_until = serves_until if self.is_leaving else 0.0
         self.mark = _mark(key, server)
 
+    @property
+    def is_leaving(self):
+        """Whether the server leaves or has left."""
+        return self.server is None or self.server.leaving
+
 
 def _mark(key, server):
     """Return a number that stands for the key and what its value says."""
@@ -84,12 +94,18 @@
         self.configuration_revision = revision
         return True
 
-    def put(self, key, revision, server, now):
-        """Take a value unless it is older; returns the ``Fact`` if it is news."""
+    def put(self, key, revision, server, now, serves_until=0.0):
+        """Take a value unless it is older; returns the ``Fact`` if it is news.
+
+        ``serves_until`` is that of ``Fact``; the first word that a server leaves
+        sets it.
+        """
         known = self._facts.get(key)
         if known is not None and known.revision >= revision:
             return None
-        fact = Fact(key, revision, server, now)
+        if known is not None and known.is_leaving:
+            serves_until = min(serves_until, known.serves_until)
+        fact = Fact(key, revision, server, now, serves_until)
         before = known.mark if known is not None else 0
         self._facts[key] = fact
         self.revision = max(self.revision, revision)
--- a/almondtide/entry/upstreams.py
+++ b/almondtide/entry/upstreams.py
@@ -1,6 +1,7 @@
 """What this entry knows about each server, and which one to use."""
 
 import enum
+import math
 
 __all__ = ["Failure", "Upstream", "UpstreamTable"]
 
@@ -29,6 +30,9 @@
 OTHER_DOMAIN_COST = 0.45
 COLD_COST = 0.4
 SILENT_COST = 20.0
+# Cost of a server that leaves: it serves for some time still, and is used where the
+# others are lost, silent, full or much slower than it.
+LEAVING_COST = 2.0
 # Part of a server's connections that the entries use; the rest is left to entries
 # that carried callers before and still hold some.
 CONNECTION_PART = 0.75
@@ -77,7 +81,9 @@
         "idle_connections",
         "probing",
         "removed",
+        "retired",
         "server",
+        "serves_until",
     )
 
     def __init__(self, server):
@@ -94,6 +100,10 @@
         self.heard_at = 0.0
         self.probing = False
         self.removed = False
+        # Whether the store names it no more.
+        self.retired = False
+        # When a server that leaves may have ended.
+        self.serves_until = math.inf
         # Open connections, and those of them that wait for an exchange; the pool
         # counts them.
         self.connections = 0
@@ -205,6 +215,15 @@
             or self.silent_s(now) > LOST_AFTER_S
         )
 
+    def is_usable(self, now):
+        """Return whether it may be sent a request, if it is well."""
+        return not self.removed and now < self.serves_until
+
+    @property
+    def is_leaving(self):
+        """Whether the server leaves, and is used in need only."""
+        return self.serves_until != math.inf
+
     def cost(self, now, domain):
         """Return the cost of a request in units of the normal time."""
         server = self.server
@@ -217,6 +236,8 @@
             cost += OTHER_DOMAIN_COST
         if server.cold:
             cost += COLD_COST
+        if self.is_leaving:
+            cost += LEAVING_COST
         silent = self.silent_s(now)
         if silent:
             cost += SILENT_COST + silent
@@ -240,11 +261,13 @@
     def __iter__(self):
         return iter(self._by_id.values())
 
-    def apply(self, server):
+    def apply(self, server, serves_until=0.0):
         """Add or update a server; returns the ``Upstream`` that it replaces.
 
-        A new life, address or service of a known id is another upstream.
+        A new life, address or service of a known id is another upstream. A server
+        that leaves is used until ``serves_until`` at most.
         """
+        until = serves_until if server.leaving else math.inf
         known = self._by_id.get(server.id)
         if known is not None:
             old = known.server
@@ -255,13 +278,38 @@
                 and not known.removed
             ):
                 known.server = server
+                known.serves_until = until
+                known.retired = False
                 return None
             self.remove(server.id)
         upstream = Upstream(server)
+        upstream.serves_until = until
         self._by_id[server.id] = upstream
         self._by_service.setdefault(server.service, {})[server.id] = upstream
         return known
 
+    def retire(self, server_id, serves_until, now):
+        """Take the word that a server is gone from the store.
+
+        It may serve until ``serves_until`` still. Returns its ``Upstream`` if it was
+        forgotten at once, else None.
+        """
+        upstream = self._by_id.get(server_id)
+        if upstream is None:
+            return None
+        upstream.serves_until = min(upstream.serves_until, serves_until)
+        upstream.retired = True
+        return None if now < upstream.serves_until else self.remove(server_id)
+
+    def expire(self, now):
+        """Forget retired servers whose time is over; returns their upstreams."""
+        over = [
+            upstream.server.id
+            for upstream in self._by_id.values()
+            if upstream.retired and upstream.serves_until <= now
+        ]
+        return [self.remove(server_id) for server_id in over]
+
     def remove(self, server_id):
         """Forget a server; returns its ``Upstream`` or None."""
         upstream = self._by_id.pop(server_id, None)
@@ -277,17 +325,17 @@
         """Return the ``Upstream`` with this id, or None."""
         return self._by_id.get(server_id)
 
-    def members(self, service):
+    def members(self, service, now):
         """Return the usable upstreams of a service."""
         return [
             upstream
             for upstream in self._by_service.get(service, {}).values()
-            if not upstream.removed and not upstream.server.leaving
+            if upstream.is_usable(now)
         ]
 
     def is_lost(self, service, now):
         """Return whether no server of the service is expected to answer."""
-        return all(upstream.is_lost(now) for upstream in self.members(service))
+        return all(upstream.is_lost(now) for upstream in self.members(service, now))
 
     def depth(self, slots, patience):
         """Return how many requests this entry may have at a server.
@@ -307,9 +355,9 @@
         share = max(LEAST_CONNECTIONS, int(CONNECTION_PART * limit / self.entries))
         return upstream.connections < share
 
-    def slots(self, service):
+    def slots(self, service, now):
         """Return the slots of the usable servers of a service."""
-        return sum(upstream.server.slots for upstream in self.members(service))
+        return sum(upstream.server.slots for upstream in self.members(service, now))
 
     def choose(self, service, now, exclude=(), patience=DEPTH_MOST):
         """Return the best upstream of a service, or None.
@@ -319,7 +367,7 @@
         """
         best = None
         best_cost = 0.0
-        for upstream in self.members(service):
+        for upstream in self.members(service, now):
             if upstream.server.id in exclude:
                 continue
             if upstream.ejected_until > now or upstream.full_until > now:
@@ -341,5 +389,5 @@
             upstream.server.id not in exclude
             and upstream.ejected_until <= now
             and not upstream.is_lost(now)
-            for upstream in self.members(service)
+            for upstream in self.members(service, now)
         )
--- a/tests/entry/test_codec.py
+++ b/tests/entry/test_codec.py
@@ -42,11 +42,18 @@
     """Guards against beliefs that change on the way."""
 
     def test_round_trip(self):
-        beat = Beat(_member("one"), 99, 7, 0.25, [_member("two", 8.5)], True, 42)
+        beat = Beat(_member("one"), 99, 7, 0.25, [_member("two", 8.5)], True, 42, 0.5)
         found = decode_message(encode_beat(beat, 10.0), 50.0)
         self.assertEqual(
-            (99, 7, 0.25, True, 42),
-            (found.digest, found.version, found.age_s, found.wants_reply, found.cursor),
+            (99, 7, 0.25, True, 42, 0.5),
+            (
+                found.digest,
+                found.version,
+                found.age_s,
+                found.wants_reply,
+                found.cursor,
+                found.cursor_age_s,
+            ),
         )
         self.assertEqual("one", found.sender.name)
         self.assertEqual(0.73, found.sender.strength)
@@ -56,7 +63,9 @@
 
     def test_no_knowledge(self):
         beat = Beat(_member("one"), 0, 0, None, [], False)
-        self.assertIsNone(decode_message(encode_beat(beat, 10.0), 10.0).age_s)
+        found = decode_message(encode_beat(beat, 10.0), 10.0)
+        self.assertIsNone(found.age_s)
+        self.assertIsNone(found.cursor_age_s)
 
 
 class NewsTest(testtools.TestCase):
@@ -65,7 +74,7 @@
     def test_many_facts_in_datagrams_of_bounded_size(self):
         knowledge = _knowledge(200)
         facts = knowledge.facts()
-        datagrams = list(encode_news(facts))
+        datagrams = list(encode_news(facts, now=0.0))
         self.assertTrue(len(datagrams) > 5)
         self.assertTrue(max(map(len, datagrams)) <= MAX_DATAGRAM)
         found = []
@@ -74,15 +83,31 @@
             self.assertIsNone(configuration)
             found.extend(items)
         self.assertEqual(
-            [(fact.key, fact.revision, fact.server) for fact in facts], found
+            [(fact.key, fact.revision, fact.server, 0.0) for fact in facts], found
         )
 
     def test_removal_and_configuration(self):
         knowledge = _knowledge(1)
         fact = knowledge.put("servers/i-0", 9, None, 0.0)
-        raws = list(encode_news([fact], (5, b"packed")))
+        raws = list(encode_news([fact], (5, b"packed"), now=0.0))
         self.assertEqual(([], [5, b"packed"]), decode_message(raws[0], 0.0))
-        self.assertEqual(([("servers/i-0", 9, None)], None), decode_message(raws[1], 0))
+        found = ([("servers/i-0", 9, None, 0.0)], None)
+        self.assertEqual(found, decode_message(raws[1], 0.0))
+
+    def test_the_time_left_to_a_leaving_server_travels(self):
+        knowledge = _knowledge(2)
+        fact = knowledge.put("servers/i-1", 9, None, 10.0, serves_until=12.5)
+        (raw,) = encode_news([fact], now=10.5)
+        ([found], _) = decode_message(raw, 70.0)
+        self.assertEqual(("servers/i-1", 9, None, 2.0), found)
+        (raw,) = encode_news([fact], now=13.0)
+        ([found], _) = decode_message(raw, 70.0)
+        self.assertEqual(("servers/i-1", 9, None, 0.0), found)
+
+    def test_a_time_left_without_end_is_refused(self):
+        for left_ms in (float("inf"), float("nan"), -1, "soon"):
+            raw = cbor2.dumps([1, 2, [["servers/i-1", 9, None, left_ms]], None])
+            self.assertRaises(DocumentError, decode_message, raw, 0.0)
 
 
 class SnapshotTest(testtools.TestCase):
--- a/tests/entry/test_dispatch.py
+++ b/tests/entry/test_dispatch.py
@@ -138,6 +138,22 @@
         self.assertEqual(2, fleet.pool.count("a"))
         self.assertTrue(took < 0.12, took)
 
+    def test_a_server_that_leaves_answers_where_the_others_are_dark(self):
+        def behave(exchange):
+            return (0.005, _part(exchange)) if exchange.upstream.is_leaving else None
+
+        async def play():
+            fleet = _Fleet(behave, ("a",))
+            now = time.monotonic()
+            fleet.table.retire("i-a00", now + 5.0, now)
+            for id in ("i-a01", "i-a02"):
+                fleet.table.get(id).fail("x", Failure.NOT_SENT, now)
+            await fleet.timers.start()
+            return await fleet.run(make_route(shards=("a",), min_coverage=1.0))
+
+        _, answer, _ = run(play)
+        self.assertEqual(ResultCode.OK, answer.code)
+
     def test_connections_that_do_not_open_use_up_no_server(self):
         # The route allows two servers; two that drop the opening packet run nothing.
         def behave(exchange):
--- a/tests/entry/test_feed.py
+++ b/tests/entry/test_feed.py
@@ -7,6 +7,7 @@
     FAILED_PAUSE_S,
     LAPSE_HEARTBEATS,
     LAPSE_HOLD_S,
+    LEAVING_MARGIN_S,
     READ_PART,
     StoreFeed,
     lapse_held_until,
@@ -118,9 +119,9 @@
     def test_a_daemon_that_takes_over_reads_held_removals(self):
         self.feed.apply_changes([_gone(1, 7)], 7, self.back)
         self.feed.apply_changes([_item(2, 8, sequence=9)], 8, self.back + 1.0)
-        self.assertEqual(5, self.feed.shared_cursor)
+        self.assertEqual((5, 0.0), self.feed.shared_cursor)
         self.feed.release_held(self.back + LAPSE_HOLD_S)
-        self.assertEqual(8, self.feed.shared_cursor)
+        self.assertEqual((8, self.back + 1.0), self.feed.shared_cursor)
 
     def test_held_removals_do_not_hold_up_what_follows(self):
         # The store answers with so many changes at a time; read again and again from
@@ -165,6 +166,79 @@
                 self.assertTrue(until is None or until < failed_at + drain_s)
 
 
+class ServingTimeTest(_FeedTest):
+    """Guards against requests to a server later than it is known to serve.
+
+    The store may have accepted that a server leaves right after the last good read.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.feed.apply_full([_item(1, 3), _item(2, 3)], 5, 0.0)
+        self.until = DRAIN_S - LEAVING_MARGIN_S
+
+    def test_draining_and_removal_count_from_the_read_before(self):
+        changes = [_item(1, 6, state="draining"), _gone(2, 7)]
+        for fact in self.feed.apply_changes(changes, 7, 1.5):
+            self.assertEqual(self.until, fact.serves_until)
+
+    def test_a_full_list_counts_from_the_read_before(self):
+        (fact,) = self.feed.apply_full([_item(1, 8)], 9, 1.5)
+        self.assertEqual(("servers/i-2", self.until), (fact.key, fact.serves_until))
+
+    def test_the_removal_of_a_draining_server_gives_no_more_time(self):
+        self.feed.apply_changes([_item(1, 6, state="draining")], 6, 1.5)
+        self.feed.apply_changes([_item(1, 7, state="draining", sequence=9)], 7, 3.0)
+        (fact,) = self.feed.apply_changes([_gone(1, 8)], 8, 4.5)
+        self.assertEqual(self.until, fact.serves_until)
+
+    def test_the_first_list_tells_nothing_of_the_time(self):
+        knowledge = Knowledge()
+        feed = StoreFeed(self.feed.settings, knowledge, self.log)
+        (fact,) = feed.apply_full([_item(1, 6, state="draining")], 6, 7.0)
+        self.assertEqual(0.0, fact.serves_until)
+
+    def test_what_peers_told_meanwhile_does_not_count(self):
+        # Another daemon may have held the removal back before this one took over.
+        self.knowledge.confirm(4.0)
+        (fact,) = self.feed.apply_changes([_gone(1, 6)], 6, 4.5)
+        self.assertEqual(self.until, fact.serves_until)
+
+    def test_a_daemon_that_takes_over_knows_the_time_of_its_cursor(self):
+        # The daemon that read until now did so at 3.0, and no change was left out.
+        self.feed.take_cursor(5, 3.0)
+        (fact,) = self.feed.apply_changes([_gone(1, 6)], 6, 4.5)
+        self.assertEqual(3.0 + self.until, fact.serves_until)
+
+    def test_a_cursor_of_unknown_time_gives_none(self):
+        self.feed.take_cursor(6, None)
+        (fact,) = self.feed.apply_changes([_gone(1, 7)], 7, 1.0)
+        self.assertEqual(0.0, fact.serves_until)
+
+    def test_an_older_cursor_tells_nothing(self):
+        self.feed.take_cursor(4, 3.0)
+        self.assertEqual((5, 0.0), self.feed.shared_cursor)
+
+    def test_a_daemon_that_holds_entries_shares_the_time_before_them(self):
+        back = LAPSE_HEARTBEATS * HEARTBEAT_S + 3.0
+        self.feed.read_failed(back - 0.5)
+        self.feed.apply_changes([_gone(1, 6)], 6, back)
+        self.feed.apply_changes([_item(2, 7, sequence=9)], 7, back + 1.0)
+        self.assertEqual((5, 0.0), self.feed.shared_cursor)
+
+    def test_a_removal_that_was_held_gives_no_time(self):
+        back = LAPSE_HEARTBEATS * HEARTBEAT_S + 3.0
+        self.feed.read_failed(back - 0.5)
+        self.feed.apply_changes([_gone(1, 6)], 6, back)
+        (fact,) = self.feed.release_held(back + LAPSE_HOLD_S)
+        self.assertEqual(0.0, fact.serves_until)
+
+    def test_garbage_gives_no_time(self):
+        bad = StoreItem("servers/i-1", 6, b"\xff{")
+        (fact,) = self.feed.apply_changes([bad], 6, 1.5)
+        self.assertEqual(0.0, fact.serves_until)
+
+
 class ConfigurationTest(_FeedTest):
     """Guards against a configuration that is lost, unreadable or goes back."""
 
--- a/tests/entry/test_gossip.py
+++ b/tests/entry/test_gossip.py
@@ -154,7 +154,7 @@
                 if host in {_member(number).host for number in dead}:
                     continue
                 facts, _ = decode_message(raw, 0.0)
-                run(fleet[host].gossip._on_facts, facts, None, me.host, 0.0)
+                run(fleet[host].gossip._on_facts, facts, None, me.host, 0.0, 0.0)
                 queue.append(fleet[host])
         return sum(bool(one.knowledge.servers()) for one in fleet.values()), crossing
 
@@ -176,17 +176,35 @@
 class FreshnessTest(testtools.TestCase):
     """Guards against belief in knowledge that nobody has confirmed."""
 
-    def _compare(self, daemon, digest, age_s, version=0):
+    def _compare(self, daemon, digest, age_s, version=0, since=None):
         sender = _member(1, heard_at=daemon.now)
-        beat = Beat(sender, digest, version, age_s, [], False, 40)
-        run(daemon.gossip._on_beat, beat, sender.host, daemon.now)
+        beat = Beat(sender, digest, version, age_s, [], False, 40, age_s)
+        since = daemon.now if since is None else since
+        run(daemon.gossip._on_beat, beat, sender.host, daemon.now, since)
 
     def test_equal_digest_confirms(self):
         daemon = _Daemon(3)
         daemon.now = 10.0
         self._compare(daemon, daemon.knowledge.digest, 0.4)
         self.assertAlmostEqual(9.6, daemon.knowledge.fresh_at)
-        self.assertEqual(40, daemon.feed.cursor)
+        self.assertEqual((40, 9.6), daemon.feed.shared_cursor)
+
+    def test_a_beat_that_may_have_waited_tells_no_later_time_of_the_cursor(self):
+        # The daemon stood still from 6.0 on, and the beat may have come then.
+        daemon = _Daemon(3)
+        daemon.now = 10.0
+        self._compare(daemon, daemon.knowledge.digest, 0.4, since=6.0)
+        self.assertEqual((40, 5.6), daemon.feed.shared_cursor)
+
+    def test_news_that_may_have_waited_give_a_server_no_more_time(self):
+        daemon = _Daemon(3)
+        daemon.now = 10.0
+        facts = [("servers/i-1", 7, decode_server(*SERVER), 0.0)]
+        run(daemon.gossip._on_facts, facts, None, "127.0.0.9", 5.0, 5.0)
+        facts = [("servers/i-1", 8, None, 2.5)]
+        run(daemon.gossip._on_facts, facts, None, "127.0.0.9", 10.0, 6.0)
+        (fact,) = daemon.knowledge.facts()
+        self.assertEqual(8.5, fact.serves_until)
 
     def test_other_digest_does_not_confirm(self):
         daemon = _Daemon(3)
@@ -203,7 +221,7 @@
             daemon.knowledge.configuration = Configuration(2)
             for now, asked in ((10.0, False), (10.0 + delay_s, True)):
                 beat = Beat(_member(sender), 99, 2, 0.1, [], False)
-                run(daemon.gossip._compare, beat, "127.0.0.1", now)
+                run(daemon.gossip._compare, beat, "127.0.0.1", now, now)
                 self.assertEqual(asked, daemon.gossip._pulled_at == now, sender)
 
     def test_older_word_is_ignored(self):
--- a/tests/entry/test_upstreams.py
+++ b/tests/entry/test_upstreams.py
@@ -245,10 +245,73 @@
         wrong = table.get("i-1")
         wrong.start("x", 0.0, EXPECTED_S)
         wrong.fail("x", Failure.MISDIRECTED, 0.001)
-        self.assertNotIn(wrong, table.members("a"))
+        self.assertNotIn(wrong, table.members("a", 0.001))
 
     def test_removed_server(self):
         table = _three()
         self.assertIsNotNone(table.remove("i-1"))
         self.assertIsNone(table.remove("i-1"))
-        self.assertEqual(2, len(table.members("a")))
+        self.assertEqual(2, len(table.members("a", 0.0)))
+
+
+class LeavingTest(testtools.TestCase):
+    """Replays servers that leave while others of their service are dark or slow."""
+
+    def test_a_leaving_server_is_used_where_the_others_are_lost(self):
+        table = _table(make_server("i-1"), make_server("i-2"))
+        table.apply(make_server("i-2", leaving=True), serves_until=3.0)
+        self.assertEqual("i-1", table.choose("a", 1.0).server.id)
+        table.get("i-1").fail("x", Failure.NOT_SENT, 1.0)
+        self.assertEqual("i-2", table.choose("a", 1.0).server.id)
+        self.assertFalse(table.is_lost("a", 1.0))
+
+    def test_a_leaving_server_is_used_where_the_others_are_full(self):
+        table = _table(make_server("i-1"), make_server("i-2"))
+        table.retire("i-2", 3.0, 0.0)
+        for number in range(20):
+            if table.choose("a", 1.0).server.id == "i-2":
+                break
+            table.get("i-1").start(number, 1.0, EXPECTED_S)
+        self.assertEqual("i-2", table.choose("a", 1.0).server.id)
+
+    def test_a_calm_service_does_not_use_it(self):
+        table = _table(make_server("i-1"), make_server("i-2"), make_server("i-3"))
+        table.retire("i-2", 3.0, 0.0)
+        for number in range(2):
+            for id in ("i-1", "i-3"):
+                table.get(id).start((id, number), 1.0, EXPECTED_S)
+            self.assertNotEqual("i-2", table.choose("a", 1.0).server.id)
+
+    def test_it_is_not_used_once_it_may_have_ended(self):
+        table = _table(make_server("i-1"))
+        table.retire("i-1", 3.0, 0.0)
+        self.assertEqual("i-1", table.choose("a", 2.9).server.id)
+        self.assertIsNone(table.choose("a", 3.0))
+        self.assertEqual([], table.members("a", 3.0))
+
+    def test_expiry_gives_the_servers_whose_time_is_over(self):
+        table = _table(make_server("i-1"), make_server("i-2"))
+        table.retire("i-1", 3.0, 0.0)
+        self.assertEqual([], table.expire(2.9))
+        (upstream,) = table.expire(3.0)
+        self.assertEqual("i-1", upstream.server.id)
+        self.assertTrue(upstream.removed)
+        self.assertEqual(["i-2"], [item.server.id for item in table])
+
+    def test_an_unknown_time_means_no_use(self):
+        table = _table(make_server("i-1"))
+        self.assertIsNotNone(table.retire("i-1", 0.0, 1.0))
+        self.assertIsNone(table.choose("a", 1.0))
+
+    def test_the_first_word_of_leaving_sets_the_time(self):
+        table = _table(make_server("i-1"))
+        table.apply(make_server("i-1", leaving=True), serves_until=3.0)
+        table.retire("i-1", 5.0, 2.0)
+        self.assertIsNone(table.choose("a", 3.0))
+
+    def test_a_server_that_is_back_is_used_as_before(self):
+        table = _table(make_server("i-1"))
+        table.retire("i-1", 3.0, 0.0)
+        table.apply(make_server("i-1"))
+        self.assertEqual([], table.expire(9.0))
+        self.assertEqual("i-1", table.choose("a", 9.0).server.id)
