Refuse requests under which servers end again and again

Change: suspects.py. A connection that breaks before a reply makes the entry open another one to the server. If nothing listens there, the loss counts against the requests that ran on it, unless something answered them since or their call began before another's loss was counted. After three servers the request is refused for 20 s with 503, code 203 and the time to come back; carriers tell each other each loss. The check also shows a crashed server sooner.

--- a/almondtide/entry/calls.py
+++ b/almondtide/entry/calls.py
@@ -117,6 +117,7 @@
         "changed",
         "configuration",
         "covered",
+        "fingerprint",
         "limit_at",
         "needed",
         "objective_at",
@@ -149,6 +150,8 @@
         self.abandoned = False
         # Why it was not let in, or an empty text.
         self.refused = ""
+        # What is equal for a request that is sent again, or None before it is asked.
+        self.fingerprint = None
         self.changed = curio.Event()
 
     @property
--- a/almondtide/entry/codec.py
+++ b/almondtide/entry/codec.py
@@ -12,9 +12,11 @@
 __all__ = [
     "MAX_DATAGRAM",
     "Beat",
+    "LossReport",
     "decode_message",
     "decode_snapshot",
     "encode_beat",
+    "encode_losses",
     "encode_news",
     "encode_snapshot",
 ]
@@ -24,6 +26,9 @@
 VERSION = 1
 BEAT = 1
 NEWS = 2
+LOSSES = 3
+# Servers that the word of one request names at most.
+MAX_LOST = 8
 # Level 1 packs the 30 KB of 290 servers to a third of them in 0.2 ms.
 SNAPSHOT_LEVEL = 1
 # Bytes of a snapshot that are read; one of 27,000 servers has 2.2 MB.
@@ -76,6 +81,18 @@
         self.cursor_age_s = cursor_age_s
 
 
+class LossReport:
+    """Servers that ended while they ran requests.
+
+    ``losses`` is a list of (fingerprint of a request, ids of servers).
+    """
+
+    __slots__ = ("losses",)
+
+    def __init__(self, losses):
+        self.losses = losses
+
+
 def _pack_member(member, now):
     return [
         member.name,
@@ -193,8 +210,14 @@
         yield cbor2.dumps([VERSION, NEWS, batch, None])
 
 
+def encode_losses(losses):
+    """Yield datagrams with (fingerprint, server ids) of requests."""
+    for mark, servers in losses:
+        yield cbor2.dumps([VERSION, LOSSES, [[mark, list(servers)[:MAX_LOST]]]])
+
+
 def decode_message(raw, now):
-    """Return a ``Beat``, or (facts, configuration) of news.
+    """Return a ``Beat``, a ``LossReport``, or (facts, configuration) of news.
 
     Facts are tuples of key, revision, ``Server`` or None, and for how long, in s,
     one that leaves may be used. Raises ``DocumentError`` for anything else.
@@ -205,6 +228,13 @@
             raise ValueError(f"version {message[0]!r} is unknown")
         if message[1] == BEAT:
             return _unpack_beat(message, now)
+        if message[1] == LOSSES:
+            return LossReport(
+                [
+                    (_text(mark), [_text(server) for server in servers[:MAX_LOST]])
+                    for mark, servers in message[2]
+                ]
+            )
         if message[1] == NEWS:
             return [_unpack_news(item) for item in message[2]], message[3]
     except _MALFORMED as exc:
--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -22,6 +22,7 @@
 from .members import Member, MemberState, View
 from .reader import StoreReader
 from .steady import SteadyClock, steady_now
+from .suspects import Suspects
 from .upstreams import UpstreamTable
 
 __all__ = ["EntryDaemon"]
@@ -83,7 +84,12 @@
         )
         self.table = UpstreamTable(settings.domain)
         self.pool = ConnectionPool(now)
-        self.dispatcher = Dispatcher(self.table, self.pool, settings, now, log)
+        self.suspects = Suspects(now, log)
+        self.dispatcher = Dispatcher(
+            self.table, self.pool, settings, self.suspects, now, log
+        )
+        self.dispatcher.share_losses(self.gossip.spread_losses)
+        self.gossip.on_loss(self.suspects.learn)
         self.timers = Timers(SteadyClock(), self.dispatcher.fired)
         self.dispatcher.use_timers(self.timers)
         self.front = Front(self.dispatcher, self.knowledge, self.view, now, log)
@@ -211,6 +217,7 @@
             for name in self.view.forget(now):
                 self.log.info("member_forgotten", member=name)
             self.knowledge.forget(now)
+            self.suspects.trim()
             self._update_role(now)
 
     # Knowledge
@@ -304,6 +311,14 @@
             "configuration_version": ("Version in force.", self.knowledge.version),
             "knowledge_age_seconds": ("Age of the knowledge.", age_s or 0.0),
             "carries": ("Whether callers are sent here.", int(self.view.me.carries)),
+            "requests_suspected": (
+                "Requests under which servers ended.",
+                self.suspects.counts["suspects"],
+            ),
+            "requests_quarantined": (
+                "Requests refused since servers ended under them.",
+                self.suspects.counts["refused"],
+            ),
             "members": ("Daemons heard lately.", len(self.view.alive(now))),
             "store_calls": ("Calls of the store.", self.store.calls),
             "connections_opened": ("Connections to servers.", self.pool.opened),
--- a/almondtide/entry/dispatch.py
+++ b/almondtide/entry/dispatch.py
@@ -95,6 +95,28 @@
         await self._dispatcher.on_skipped(self)
 
 
+class _Check:
+    """A connection without a request, which shows whether a server is there."""
+
+    __slots__ = ("_dispatcher", "connection", "upstream")
+
+    once = False
+
+    def __init__(self, dispatcher, upstream):
+        self._dispatcher = dispatcher
+        self.upstream = upstream
+        self.connection = None
+
+    def is_wanted(self):
+        return False
+
+    async def skipped(self):
+        await self._dispatcher.on_checked(self.upstream, None)
+
+    async def failed(self, failure, reason, reply):
+        await self._dispatcher.on_checked(self.upstream, failure)
+
+
 class Dispatcher:
     """Runs the calls of one entry.
 
@@ -109,6 +131,8 @@
         "_paces",
         "_pool",
         "_queues",
+        "_share_losses",
+        "_suspects",
         "_table",
         "_timers",
         "counts",
@@ -117,9 +141,11 @@
         "share",
     )
 
-    def __init__(self, table, pool, settings, now, log):
+    def __init__(self, table, pool, settings, suspects, now, log):
         self._table = table
         self._pool = pool
+        self._suspects = suspects
+        self._share_losses = None
         self.settings = settings
         self._log = log
         self._timers = None
@@ -134,6 +160,13 @@
         """Set the ``Timers`` that call ``fired``."""
         self._timers = timers
 
+    def share_losses(self, function):
+        """Set the async function that tells other daemons of lost servers.
+
+        It takes a list of (fingerprint of a request, ids of servers).
+        """
+        self._share_losses = function
+
     def budget(self, service):
         """Return the ``ExtraBudget`` of a service."""
         budget = self._budgets.get(service)
@@ -156,6 +189,13 @@
     async def run(self, call):
         """Run a call to its end and return its ``Answer``."""
         now = self.now()
+        refused_s = self._suspects.refused_s(call)
+        if refused_s:
+            self.counts["refused"] += 1
+            call.refused = "quarantined"
+            return refusal(
+                503, ResultCode.QUARANTINED, "the request crashes servers", refused_s
+            )
         states = [self._state(call, branch, now) for branch in call.branches]
         intake = decide(states, call.needed)
         if not intake.admitted:
@@ -360,7 +400,8 @@
         if kind == HEDGE:
             exchange = item
             branch = exchange.branch
-            if not exchange.finished and may_hedge(branch, now):
+            is_open = not exchange.finished and may_hedge(branch, now)
+            if is_open and not self._suspects.is_suspect(branch.call):
                 await self._send(branch, "hedge", now)
         elif kind == RESEND:
             await self._drain(item)
@@ -376,11 +417,36 @@
                 "server_left_out",
                 server=upstream.server.id,
                 service=upstream.server.service,
-                id=exchange.request.id,
+                id=exchange.request.id if exchange is not None else "",
                 failure=failure.value,
                 for_ms=int(max(0.0, upstream.ejected_until - now) * 1000),
             )
 
+    async def _note_loss(self, exchange, failure):
+        """Count a failure for or against the request that met it."""
+        server_id = exchange.upstream.server.id
+        if failure is Failure.ERROR:
+            self._suspects.answered(exchange.branch.call)
+        elif failure is Failure.BROKEN:
+            is_due = self._suspects.broken(exchange.branch.call, server_id)
+            if is_due and self._table.may_connect(exchange.upstream):
+                await self._pool.connect(_Check(self, exchange.upstream))
+        elif failure is Failure.NO_LISTENER:
+            await self._note_end(server_id)
+
+    async def _note_end(self, server_id):
+        """Count the end of a server against the requests that it ran."""
+        losses = self._suspects.ended(server_id)
+        if losses and self._share_losses is not None:
+            await self._share_losses(losses)
+
+    async def on_checked(self, upstream, failure):
+        """Handle the end of a check whether a server accepts connections."""
+        if failure is not None:
+            self._note_failure(upstream, None, failure, self.now())
+        if failure is Failure.NO_LISTENER:
+            await self._note_end(upstream.server.id)
+
     async def on_skipped(self, exchange):
         """Handle an exchange that was not written, since nobody needs it."""
         if exchange.finished:
@@ -420,6 +486,7 @@
             )
         branch = exchange.branch
         call = branch.call
+        self._suspects.answered(call)
         if latency is not None:
             self.pace(call.route).add(latency)
         if branch.state is BranchState.OPEN:
@@ -441,6 +508,7 @@
         branch = exchange.branch
         self._note_failure(upstream, exchange, failure, now)
         branch.failures.append(f"{upstream.server.id}:{failure.value}:{reason}")
+        await self._note_loss(exchange, failure)
         if failure.certainly_not_run:
             branch.uncertain -= exchange.written
         elif failure is Failure.ERROR and not 200 <= reply.status < 300:
--- a/almondtide/entry/gossip.py
+++ b/almondtide/entry/gossip.py
@@ -11,9 +11,11 @@
 from .codec import (
     MAX_DATAGRAM,
     Beat,
+    LossReport,
     decode_message,
     decode_snapshot,
     encode_beat,
+    encode_losses,
     encode_news,
     encode_snapshot,
 )
@@ -64,6 +66,7 @@
         "_knowledge",
         "_log",
         "_now",
+        "_on_loss",
         "_on_news",
         "_pulled_at",
         "_sock",
@@ -80,6 +83,7 @@
         self._knowledge = knowledge
         self._feed = feed
         self._on_news = on_news
+        self._on_loss = None
         self._now = now
         self._log = log
         self._sock = None
@@ -89,6 +93,10 @@
         self._urgent = curio.Event()
         self.counts = {"datagrams_out": 0, "datagrams_in": 0, "bytes_out": 0}
 
+    def on_loss(self, function):
+        """Set the function that takes (fingerprint, server ids) from other daemons."""
+        self._on_loss = function
+
     async def start(self):
         """Bind the socket and start the tasks."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -262,6 +270,13 @@
             # Too large for a datagram: members pull it when a beat names it.
             await self.speak()
 
+    async def spread_losses(self, losses):
+        """Tell those who carry callers of servers that were lost under requests."""
+        fellows = [m for m in self._others(self._now()) if m.carries]
+        for raw in encode_losses(losses):
+            for member in _sample(fellows, NEWS_FANOUT):
+                await self._send(raw, member.host)
+
     # Receiving
 
     async def _receive(self):
@@ -282,6 +297,9 @@
                 continue
             if isinstance(message, Beat):
                 await self._on_beat(message, host, now, since)
+            elif isinstance(message, LossReport):
+                for mark, servers in message.losses:
+                    self._on_loss(mark, servers)
             else:
                 await self._on_facts(*message, host, now, since)
 
--- a/almondtide/entry/upstreams.py
+++ b/almondtide/entry/upstreams.py
@@ -49,6 +49,8 @@
 
     # No byte of the request was sent.
     NOT_SENT = "not_sent"
+    # Nothing listens at its address; no byte was sent.
+    NO_LISTENER = "no_listener"
     # The server states that it did not run the request.
     NOT_RUN = "not_run"
     # Another server has the address; nothing ran.
@@ -61,7 +63,12 @@
     @property
     def certainly_not_run(self):
         """Whether the request has not run and will not."""
-        return self in (Failure.NOT_SENT, Failure.NOT_RUN, Failure.MISDIRECTED)
+        return self in (
+            Failure.NOT_SENT,
+            Failure.NO_LISTENER,
+            Failure.NOT_RUN,
+            Failure.MISDIRECTED,
+        )
 
 
 class Upstream:
--- a/almondtide/platform/headers.py
+++ b/almondtide/platform/headers.py
@@ -11,6 +11,7 @@
     "decode_request",
     "encode_entries",
     "forwarded_headers",
+    "lasting_headers",
     "merged_headers",
     "passed_on_headers",
     "refusal_headers",
@@ -102,6 +103,11 @@
     return headers
 
 
+def lasting_headers(request):
+    """Return the headers that a caller repeats when it sends a request again."""
+    return [pair for pair in request.headers if pair[0] != REQUEST_ID]
+
+
 def decode_reply(status, headers, body):
     """Return the ``Reply`` of a server; header names are lower case."""
     tokens = _connection_tokens(headers)
--- a/tests/entry/test_codec.py
+++ b/tests/entry/test_codec.py
@@ -14,6 +14,7 @@
     decode_message,
     decode_snapshot,
     encode_beat,
+    encode_losses,
     encode_news,
     encode_snapshot,
 )
@@ -110,6 +111,25 @@
             self.assertRaises(DocumentError, decode_message, raw, 0.0)
 
 
+class LossTest(testtools.TestCase):
+    """Guards against evidence that changes on the way, or is of no use."""
+
+    def test_round_trip(self):
+        (raw,) = encode_losses([("f1", ["i-1", "i-2"])])
+        self.assertTrue(len(raw) <= MAX_DATAGRAM)
+        self.assertEqual([("f1", ["i-1", "i-2"])], decode_message(raw, 0.0).losses)
+
+    def test_many_servers_fit_a_datagram(self):
+        servers = [f"i-{number:040}" for number in range(500)]
+        (raw,) = encode_losses([("f" * 24, servers)])
+        self.assertTrue(len(raw) <= MAX_DATAGRAM)
+
+    def test_what_is_no_evidence_is_refused(self):
+        for items in (3, [["f1"]], [["f1", 3]], [["f1", [7]]], [[None, ["i-1"]]]):
+            raw = cbor2.dumps([1, 3, items])
+            self.assertRaises(DocumentError, decode_message, raw, 0.0)
+
+
 class SnapshotTest(testtools.TestCase):
     """Guards against a daemon that starts with other knowledge than its peers."""
 
--- /dev/null
+++ b/tests/entry/test_suspects.py
@@ -0,0 +1,147 @@
+"""Tests of requests that crash servers, each replaying a series of losses."""
+
+import testtools
+
+from almondtide.entry.exchange import Request
+from almondtide.entry.suspects import CONFIRM_S, CRASH_LIMIT, REFUSED_S, Suspects
+from tests.entry.support import make_call, make_route
+from tests.support import MemoryLog
+
+
+class _Watch(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.now = 100.0
+        self.log = MemoryLog()
+        self.suspects = Suspects(lambda: self.now, self.log)
+
+    def call(self, target="/p/x", id="id-1", shards=(), body=b""):
+        call = make_call(make_route(shards=shards), arrived=self.now)
+        headers = [(b"host", b"h"), (b"request-id", id.encode())]
+        call.request = Request("GET", target, "h", id, 0.8, headers, body)
+        return call
+
+    def lose(self, call, server_id, wait_s=0.05):
+        """Let a server end while it runs a call."""
+        self.suspects.broken(call, server_id)
+        self.now += wait_s
+        return self.suspects.ended(server_id)
+
+
+class ConvictionTest(_Watch):
+    """Guards against servers lost to a request that comes again and again."""
+
+    def test_a_request_that_comes_again_is_refused(self):
+        for number in range(CRASH_LIMIT):
+            self.assertEqual(0.0, self.suspects.refused_s(self.call()))
+            self.lose(self.call(id=f"id-{number}"), f"i-{number}")
+        self.assertEqual(REFUSED_S, self.suspects.refused_s(self.call(id="id-9")))
+        self.assertIn("request_quarantined", self.log.names())
+
+    def test_it_may_come_again_after_a_while(self):
+        for number in range(CRASH_LIMIT):
+            self.lose(self.call(), f"i-{number}")
+        self.now += REFUSED_S
+        self.assertEqual(0.0, self.suspects.refused_s(self.call()))
+
+    def test_retries_of_one_request_count(self):
+        call = self.call()
+        for number in range(CRASH_LIMIT):
+            self.lose(call, f"i-{number}")
+        self.assertGreater(self.suspects.refused_s(self.call()), 0)
+
+    def test_a_query_that_crashes_a_server_of_each_shard(self):
+        call = self.call(shards=("a", "b", "c", "d"))
+        for number in range(CRASH_LIMIT):
+            self.suspects.broken(call, f"i-{number}")
+        self.now += 0.1
+        for number in range(CRASH_LIMIT):
+            self.suspects.ended(f"i-{number}")
+        self.assertGreater(self.suspects.refused_s(self.call()), 0)
+
+    def test_others_are_not_refused(self):
+        for number in range(CRASH_LIMIT):
+            self.lose(self.call(), f"i-{number}")
+        for other in (self.call("/p/y"), self.call(body=b"x")):
+            self.assertEqual(0.0, self.suspects.refused_s(other))
+
+    def test_a_suspect_is_known_after_the_first_loss(self):
+        self.assertFalse(self.suspects.is_suspect(self.call()))
+        self.lose(self.call(), "i-1")
+        self.assertTrue(self.suspects.is_suspect(self.call()))
+
+    def test_daemons_convict_together(self):
+        other = Suspects(lambda: self.now, MemoryLog())
+        for number in range(CRASH_LIMIT - 1):
+            for mark, servers in self.lose(self.call(), f"i-{number}"):
+                other.learn(mark, servers)
+        self.assertEqual(0.0, other.refused_s(self.call()))
+        call = self.call()
+        other.broken(call, "i-8")
+        for mark, servers in other.ended("i-8"):
+            self.suspects.learn(mark, servers)
+        for suspects in (self.suspects, other):
+            self.assertGreater(suspects.refused_s(self.call()), 0)
+
+
+class InnocenceTest(_Watch):
+    """Guards against refusing requests that were only there when servers fell."""
+
+    def test_servers_that_fall_together_under_resent_requests(self):
+        # Several callers ask the same; their servers are killed at one moment.
+        calls = [self.call(id=f"id-{number}") for number in range(8)]
+        for number, call in enumerate(calls):
+            self.suspects.broken(call, f"i-{number}")
+        self.now += 0.1
+        for number in range(8):
+            self.suspects.ended(f"i-{number}")
+        self.assertEqual(0.0, self.suspects.refused_s(self.call()))
+
+    def test_an_answer_of_another_server_clears(self):
+        for number in range(3 * CRASH_LIMIT):
+            call = self.call()
+            self.lose(call, f"i-{number}")
+            self.suspects.answered(call)
+        self.assertEqual(0.0, self.suspects.refused_s(self.call()))
+        self.assertFalse(self.suspects.is_suspect(self.call()))
+
+    def test_a_query_that_other_shards_answered(self):
+        call = self.call(shards=("a", "b", "c", "d"))
+        call.covered = 1
+        for number in range(CRASH_LIMIT):
+            self.lose(call, f"i-{number}")
+        self.assertEqual(0.0, self.suspects.refused_s(self.call()))
+
+    def test_connections_that_are_reset_by_servers_that_live(self):
+        for number in range(CRASH_LIMIT):
+            self.suspects.broken(self.call(), f"i-{number}")
+        self.assertEqual({"suspects": 0, "refused": 0}, self.suspects.counts)
+
+    def test_a_server_that_ends_much_later(self):
+        for number in range(CRASH_LIMIT):
+            self.lose(self.call(), f"i-{number}", CONFIRM_S + 0.1)
+        self.assertEqual(0.0, self.suspects.refused_s(self.call()))
+
+    def test_a_server_that_falls_again_and_again_counts_once(self):
+        for _ in range(2 * CRASH_LIMIT):
+            self.lose(self.call(), "i-1")
+            self.now += 1.0
+        self.assertEqual(0.0, self.suspects.refused_s(self.call()))
+
+
+class MemoryTest(_Watch):
+    """Guards against memory that grows with the losses."""
+
+    def test_old_losses_are_forgotten(self):
+        for number in range(50):
+            self.suspects.broken(self.call(), f"i-{number}")
+        self.lose(self.call(), "i-0")
+        self.now += 120.0
+        self.suspects.trim()
+        self.assertEqual({}, self.suspects._pending)
+        self.assertEqual({}, self.suspects._counted)
+
+    def test_calls_of_one_server_are_bounded(self):
+        for _ in range(1000):
+            self.suspects.broken(self.call(), "i-1")
+        self.assertLess(len(self.suspects._pending["i-1"]), 100)
