Let carriers fetch a configuration at once

Daemons of other failure domains waited 1 s for their own domain to have it, and since all of them wait, none had it. Their knowledge counted as old meanwhile: the next in rank read the store, and the time of the last good read was not taken over, so that servers which left at 2.0 s were used until 4.0 s only.

Change: carriers fetch a newer configuration from any failure domain at once and tell their own; all others wait for them.

--- a/almondtide/entry/gossip.py
+++ b/almondtide/entry/gossip.py
@@ -350,7 +350,9 @@
         far = self.view.is_large and beat.sender.domain != self.view.me.domain
         patience_s = FAR_DIFFERENCE_S if far else DIFFERENCE_S
         waited = now - self._differs_since >= patience_s
-        newer = beat.version > knowledge.version and not far
+        # Carriers bring a configuration into their domain, the others fetch it there.
+        newer = beat.version > knowledge.version
+        newer = newer and (self.view.me.carries or not far)
         if not knowledge.is_complete or waited or newer:
             await self._pull_later(host, now)
 
@@ -430,6 +432,8 @@
         self._differs_since = None
         if news or configured:
             await self._on_news(news, configured, f"snapshot {host}")
+        if configured and self.view.me.carries:
+            await self.speak()
 
 
 def _sample(members, count):
--- a/tests/entry/test_gossip.py
+++ b/tests/entry/test_gossip.py
@@ -224,6 +224,28 @@
                 run(daemon.gossip._compare, beat, "127.0.0.1", now, now)
                 self.assertEqual(asked, daemon.gossip._pulled_at == now, sender)
 
+    def test_a_newer_configuration_is_fetched_at_once_within_the_domain(self):
+        for sender, carries, asked in (
+            (3, False, True),
+            (1, False, False),
+            (1, True, True),
+        ):
+            daemon = _Daemon(40)
+            daemon.view.me.carries = carries
+            daemon.knowledge.confirm(1.0)
+            daemon.knowledge.configuration = Configuration(2)
+            beat = Beat(_member(sender), 99, 3, 0.1, [], False)
+            run(daemon.gossip._compare, beat, "127.0.0.1", 10.0, 10.0)
+            self.assertEqual(asked, daemon.gossip._pulled_at == 10.0, sender)
+
+    def test_a_carrier_tells_of_a_configuration_that_it_fetched(self):
+        for carries in (False, True):
+            daemon = _Daemon(40)
+            daemon.view.me.carries = carries
+            raw = orjson.dumps({"version": 4, "routes": [], "services": []})
+            run(daemon.gossip._apply_snapshot, (0.1, 5, 5, raw, []), "127.0.0.1")
+            self.assertEqual(carries, daemon.gossip._urgent.is_set())
+
     def test_older_word_is_ignored(self):
         daemon = _Daemon(3)
         daemon.now = 10.0
