Share the reading of the store while the whole fleet starts

Cause: at the first start the store holds no configuration yet, so no daemon serves.

Change: before any daemon serves, those that start are ranked.

At 4,006 machines the start would have been some 4,000 calls in a tenth of a second, over the store's rate.

--- a/almondtide/entry/members.py
+++ b/almondtide/entry/members.py
@@ -142,7 +142,10 @@
     The first reads, the others take over by rank when its news stay out. The
     first ranks lie in different failure domains where there are several.
     """
-    candidates = view.ready(now)
+    # Before any of them serves, those that start share the reading.
+    candidates = view.ready(now) or [
+        member for member in view.alive(now) if member.state is MemberState.STARTING
+    ]
     if view.me not in candidates:
         candidates.append(view.me)
     carriers = choose_carriers(candidates)
--- a/tests/entry/test_members.py
+++ b/tests/entry/test_members.py
@@ -141,6 +141,21 @@
         }
         self.assertEqual(3, len({by_rank[0], by_rank[1], by_rank[2]}))
 
+    def test_one_of_each_rank_while_the_whole_fleet_starts(self):
+        # Replays a first start before the store holds a configuration.
+        fleet = _fleet()
+        for member in fleet:
+            member.state = MemberState.STARTING
+        ranks = [reading_rank(_view(fleet, me), 0.0) for me in range(len(fleet))]
+        self.assertEqual(list(range(len(fleet))), sorted(ranks))
+
+    def test_a_daemon_that_starts_leaves_the_reading_to_those_that_serve(self):
+        fleet = _fleet()
+        fleet[0].state = MemberState.STARTING
+        fleet[5].state = MemberState.LEAVING
+        ranks = [reading_rank(_view(fleet, me), 0.0) for me in range(len(fleet))]
+        self.assertEqual(len(fleet) - 2, len({*ranks[1:5], *ranks[6:]}))
+
     def test_a_daemon_that_is_alone_reads(self):
         view = View(_member("nadi-0", "nadi", state=MemberState.STARTING))
         self.assertEqual(0, reading_rank(view, 0.0))
