Give the servers of a service a module of their own

Cause: owner.py held the membership and the connections of a service's servers beside the queue, the attempts, hedges and retries.

Change: ServerSet holds the servers, their connections and the choice among them; ServiceOwner keeps the rest. No behaviour changes; the mutation of the proof at-most-once and two tests name the new place.

--- a/almondtide/owner.py
+++ b/almondtide/owner.py
@@ -1,10 +1,8 @@
-"""The owner of a service: slots, queue, attempts, hedges, retries."""
+"""The owner of a service: queue, attempts, hedges, retries."""
 
 import itertools
 import secrets
 
-import curio
-
 from .admission import (
     EXECUTION_SHARE,
     MIN_RETRY_AFTER_MS,
@@ -16,7 +14,7 @@
 from .budgets import RetryBudget, TokenBudget
 from .errors import DEFAULT_RETRY_AFTER_MS, ExecutionError, ResultCode
 from .hedging import LatencyWindow, hedge_policies
-from .servers import Server, Worker
+from .serverset import ServerSet
 from .subrequests import SubResult
 from .timers import Timers
 from .workqueue import WorkQueue
@@ -31,8 +29,6 @@
 LATE_QUANTILE = 0.25
 MIN_SHED_PAUSE_S = 0.005
 MAX_SHED_PAUSE_S = 0.05
-FIRST_STATEMENT_S = 0.2
-FIRST_STATEMENT_POLL_S = 0.01
 
 _HEDGE = 0
 _EXPIRE = 1
@@ -79,7 +75,6 @@
         "_cfg",
         "_ended",
         "_front",
-        "_idle",
         "_incarnation",
         "_known",
         "_log",
@@ -87,7 +82,6 @@
         "_queue",
         "_service_time_s",
         "_timers",
-        "_upstreams",
         "active_since",
         "clock",
         "hedges",
@@ -102,11 +96,10 @@
     def __init__(self, service, cfg, upstreams, clock, log, metrics):
         self.service = service
         self._cfg = cfg
-        self._upstreams = upstreams
         self.clock = clock
         self._log = log
         self._metrics = metrics
-        self.servers = {}
+        self.servers = ServerSet(self, upstreams)
         self.is_owner = False
         self._known = None
         self.last_used = clock.monotonic()
@@ -120,7 +113,6 @@
             lambda workload: self._cfg().workload_setting(workload, "weight")
         )
         self._front = []
-        self._idle = []
         self._by_query = {}
         # A standby may run a query that this owner still cancels on the same
         # server, so request ids must not repeat between owners.
@@ -152,49 +144,22 @@
         self.is_owner = is_owner
         self.hedges.ratio = self._setting("hedge_budget")
         self.retries.ratio = self._setting("retry_budget")
-        listed = {member.instance: member for member in members}
-        for instance in [name for name in self.servers if name not in listed]:
-            await self.servers.pop(instance).stop()
-        for instance, member in listed.items():
-            server = self.servers.get(instance)
-            if server is not None and server.address != member.address:
-                await self.servers.pop(instance).stop()
-                server = None
-            if server is None:
-                server = Server(instance, member.address, member.domain)
-                self.servers[instance] = server
-            server.listed_leaving = member.leaving
-            await self._resize(server)
+        await self.servers.update(members, self._setting("slots"), is_owner)
         await self._dispatch()
 
-    async def _resize(self, server):
-        await server.start_control(self._upstreams, self)
-        share = self._setting("slots")
-        server.set_share(share, self.is_owner)
-        active = [worker for worker in server.workers if not worker.retired]
-        for worker in active[share:]:
-            await worker.retire()
-        for _ in range(share - len(active)):
-            worker = Worker(server, self._upstreams)
-            server.workers.add(worker)
-            await worker.start(self)
-
     async def stop(self):
         """Close all connections and end the timer."""
-        for server in self.servers.values():
-            await server.stop()
-        self.servers.clear()
+        await self.servers.stop()
         await self._timers.stop()
 
     async def worker_idle(self, worker):
         """Take a connected worker that can run an attempt."""
-        self._idle.append(worker)
+        self.servers.add_idle(worker)
         await self._dispatch()
 
     def worker_gone(self, worker):
         """Forget a worker whose task has ended."""
-        if worker in self._idle:
-            self._idle.remove(worker)
+        self.servers.remove_idle(worker)
 
     async def server_unreachable(self, server):
         """Note that a connect failed."""
@@ -218,22 +183,6 @@
         await self._refuse_unservable()
         await self._dispatch()
 
-    def _unservable_code(self, item):
-        """Return why no server can take ``item`` now or later, or None."""
-        sub = item.sub
-        candidates = [
-            self.servers[name]
-            for name in self._live_servers()
-            if name not in item.tried
-        ]
-        if not candidates:
-            return ResultCode.NO_SERVER
-        if not sub.idempotent:
-            return None
-        if any(server.serves(sub.version, sub.epoch) for server in candidates):
-            return None
-        return ResultCode.SNAPSHOT_UNAVAILABLE
-
     async def _refuse_unservable(self):
         """Refuse at once the waiting work that no server can take any more."""
         waiting = [
@@ -243,7 +192,7 @@
             if not item.running
         ]
         for item in waiting:
-            code = self._unservable_code(item)
+            code = self.servers.unservable_code(item)
             if code is not None:
                 await self._finish(item, self._failure(item, code))
 
@@ -281,7 +230,7 @@
         remaining_s = item.deadline - now
         if remaining_s <= 0:
             return self._failure(item, ResultCode.DEADLINE_EXCEEDED)
-        unservable = self._unservable_code(item)
+        unservable = self.servers.unservable_code(item)
         if unservable is not None:
             return self._failure(item, unservable)
         estimate = self.estimate(item.workload)
@@ -316,27 +265,18 @@
     def estimate(self, workload):
         """Return the ``Estimate`` for new work of ``workload``."""
         service_s = self._service_time_s
-        slots = self.usable_slots()
+        slots = self.servers.usable_slots()
         waiting, share = self._queue.backlog(workload)
         waiting += sum(not is_hedge for _, is_hedge in self._front)
         if slots == 0:
             return Estimate(0.0, service_s)
-        busy = sum(len(server.in_flight) for server in self.servers.values())
+        busy = self.servers.running()
         wait_s = 0.0
         if busy >= slots or waiting:
             wait_s = (waiting + 1) * service_s / (slots * share)
         typical_s = self.latencies.quantile(0.5) or service_s
         return Estimate(wait_s, typical_s)
 
-    def usable_slots(self):
-        """Return the number of slots that take new work."""
-        now = self.clock.monotonic()
-        return sum(
-            min(len(server.workers), server.usable_slots())
-            for server in self.servers.values()
-            if server.reachable and not server.is_draining(now)
-        )
-
     async def cancel_query(self, query_id):
         """Drop the work of a query whose coordinator no longer waits."""
         for item in list(self._by_query.get(query_id, ())):
@@ -348,12 +288,12 @@
     async def _dispatch(self):
         """Give waiting work to idle workers until nothing fits."""
         await self._drop_late()
-        while self._idle:
+        while self.servers.has_idle:
             found = self._next_work()
             if found is None:
                 return
             item, worker, is_hedge = found
-            self._idle.remove(worker)
+            self.servers.remove_idle(worker)
             item.waiting = False
             await self._start(item, worker, is_hedge)
 
@@ -379,7 +319,7 @@
                 continue
             if is_hedge and self.hedges.tokens < 1.0:
                 continue
-            worker = self._pick_worker(item)
+            worker = self.servers.pick(item)
             if worker is not None:
                 del self._front[index]
                 return item, worker, is_hedge
@@ -387,7 +327,7 @@
         chosen = []
 
         def accept(item):
-            worker = self._pick_worker(item)
+            worker = self.servers.pick(item)
             if worker is not None:
                 chosen.append(worker)
             return worker is not None
@@ -395,31 +335,6 @@
         item = self._queue.pop(accept)
         return (item, chosen[-1], False) if item is not None else None
 
-    def _pick_worker(self, item):
-        """Return the idle worker on the least loaded suitable server, or None."""
-        now = self.clock.monotonic()
-        best = None
-        for worker in self._idle:
-            server = worker.server
-            if worker.retired or server.instance in item.tried:
-                continue
-            if (
-                not server.accepts_work(now)
-                or self.servers.get(server.instance) is not server
-            ):
-                continue
-            if not server.has_free_slot():
-                continue
-            if item.sub.idempotent and not server.serves(
-                item.sub.version, item.sub.epoch
-            ):
-                continue
-            if item.sub.suspect and server.runs_suspect():
-                continue
-            if best is None or len(server.in_flight) < len(best.server.in_flight):
-                best = worker
-        return best
-
     async def _start(self, item, worker, is_hedge):
         now = self.clock.monotonic()
         server = worker.server
@@ -566,18 +481,10 @@
     def _may_retry(self, item, code, not_run):
         if code not in _RETRIABLE or not (item.sub.idempotent or not_run):
             return False
-        if not any(name not in item.tried for name in self._live_servers()):
+        if not self.servers.untried(item):
             return False
         return code in _FREE_RETRY or self.retries.spend()
 
-    def _live_servers(self):
-        now = self.clock.monotonic()
-        return [
-            name
-            for name, server in self.servers.items()
-            if server.reachable and not server.is_draining(now)
-        ]
-
     async def _finish(self, item, result):
         item.done = True
         if item.waiting:
@@ -608,66 +515,19 @@
             self._front.insert(0, (item, True))
             await self._dispatch()
 
-    # Statements about the service
-
-    def served(self):
-        """Return (versions, epochs) that the live servers hold in common.
-
-        Servers that have not stated theirs are left out. Where the live servers
-        have nothing in common, everything that any of them holds is returned.
-        """
-        live = [self.servers[name] for name in self._live_servers()]
-        return (
-            _common([server.versions for server in live]),
-            _common([server.epochs for server in live]),
-        )
-
-    async def wait_served(self):
-        """Return ``served()``, after the first statement of a server if need be.
-
-        A service that was just started has not heard from its servers yet; the
-        wait is bounded by ``FIRST_STATEMENT_S``.
-        """
-        steps = int(FIRST_STATEMENT_S / FIRST_STATEMENT_POLL_S)
-        for _ in range(steps):
-            versions, epochs = self.served()
-            if versions and epochs:
-                break
-            await curio.sleep(FIRST_STATEMENT_POLL_S)
-        return self.served()
+    # State
 
     def describe(self):
         """Return the state of the service for the admin API."""
-        now = self.clock.monotonic()
         quantile = self.latencies.quantile
         return {
             "service": self.service,
             "is_owner": self.is_owner,
             "queued": len(self._queue),
             "front": len(self._front),
-            "idle_connections": len(self._idle),
             "p50_ms": round((quantile(0.5) or 0.0) * 1000, 3),
             "p95_ms": round((quantile(0.95) or 0.0) * 1000, 3),
             "hedge_tokens": round(self.hedges.tokens, 2),
             "retry_tokens": round(self.retries.tokens, 2),
-            "servers": [
-                {
-                    "instance": server.instance,
-                    "reachable": server.reachable,
-                    "draining": server.is_draining(now),
-                    "in_flight": len(server.in_flight),
-                    "connections": len(server.workers),
-                    "versions": sorted(server.versions or ()),
-                    "epochs": sorted(server.epochs or ()),
-                }
-                for server in self.servers.values()
-            ],
+            **self.servers.describe(),
         }
-
-
-def _common(sets):
-    known = [values for values in sets if values is not None]
-    if not known:
-        return []
-    shared = set.intersection(*known)
-    return sorted(shared or set.union(*known))
--- a/almondtide/owners.py
+++ b/almondtide/owners.py
@@ -110,7 +110,7 @@
     async def ask_servers_again(self):
         """Read the status of all servers before new work, as after a pause."""
         for owner in list(self._owners.values()):
-            for server in list(owner.servers.values()):
+            for server in owner.servers:
                 await server.ask_again()
 
     async def release_idle(self):
@@ -182,7 +182,7 @@
             await self._peers.check(instance)
 
     def _answer(self, owner, sub, result):
-        versions, epochs = owner.served()
+        versions, epochs = owner.servers.served()
         # Without a result, these may repeat anything that an upstream stated.
         usable = result.ok
         estimate = owner.estimate(sub.workload)
@@ -247,7 +247,7 @@
         for service in message.services:
             if isinstance(service, str) and self._known(service):
                 owner = await self.get(service)
-                versions, epochs = await owner.wait_served()
+                versions, epochs = await owner.servers.wait_served()
                 wait_ms = owner.estimate("").wait_s * 1000.0
                 services.append([service, versions, epochs, wait_ms])
         await reply(ServiceStatus(services=services))
--- a/proofs/mutations.py
+++ b/proofs/mutations.py
@@ -92,7 +92,7 @@
     """Send a revision request again after its server was lost."""
 
     def may_retry(owner, item, code, not_run):
-        return any(name not in item.tried for name in owner._live_servers())
+        return bool(owner.servers.untried(item))
 
     ServiceOwner._may_retry = may_retry
 
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -146,7 +146,7 @@
             for number in range(9):
                 await self.submit(self.sub(100 + number))
             await curio.sleep(0.1)
-            return [server.usable_slots() for server in self.owner.servers.values()]
+            return [server.usable_slots() for server in self.owner.servers]
 
         self.assertEqual([1, 1, 1], self.run_scenario(scenario, slots=3))
 
@@ -167,7 +167,7 @@
         async def scenario():
             for server in self.servers:
                 server.reachable = False
-            for server in list(self.owner.servers.values()):
+            for server in list(self.owner.servers):
                 await self.owner.server_unreachable(server)
             started = self.clock.monotonic()
             result = await self.result(self.sub(deadline_s=2.0))
