Hold entries where most of them are missing at once

The store is away from 5.6 to 12.4 s and all entries lapse. At 12.6 s the daemon in front reads, finds 45 entries missing and holds them. At 12.65 s twelve daemons of later ranks read as well, whose last failed read is of 8.85 s: a server might have left and ended since, so they let 40 entries go and told all others.

Change: half of the servers or more, eight at least, do not leave at once by plan; they are held for the whole time in which lapsed entries return.

--- a/almondtide/entry/feed.py
+++ b/almondtide/entry/feed.py
@@ -25,6 +25,9 @@
 LAPSE_HEARTBEATS = 2
 # How long lapsed entries are held, in s: they are back about 2 s after the store is.
 LAPSE_HOLD_S = 2.8
+# Part of the servers, and least number of them, that do not leave at once by plan.
+MASS_PART = 0.5
+MASS_LEAST = 8
 # What is left of the time in which a server that has left may be used, in s, when
 # its entry is let go.
 DRAIN_MARGIN_S = 0.2
@@ -52,17 +55,20 @@
     return due
 
 
-def lapse_held_until(now, fresh_at, failed_at, heartbeat_s, drain_s):
+def lapse_held_until(now, fresh_at, failed_at, heartbeat_s, drain_s, is_mass):
     """Return until when entries that a read at ``now`` misses are held, or None.
 
-    Entries lapse, though their servers live, only while the store is away: reads
-    of this daemon failed since the knowledge was fresh, and that is long ago. An
-    entry may also be gone because its server leaves, which then serves for
-    ``drain_s`` only, in the worst case since the last failed read. Times are in s.
+    Entries lapse, though their servers live, only while the store is away: the
+    knowledge was fresh long ago, and reads of this daemon failed since. An entry may
+    also be gone because its server leaves, which then serves for ``drain_s`` only, in
+    the worst case since the last failed read. Where ``is_mass`` tells that most
+    entries are missing, they have lapsed. Times are in s.
     """
-    if fresh_at is None or failed_at is None or failed_at <= fresh_at:
+    if fresh_at is None or now - fresh_at < LAPSE_HEARTBEATS * heartbeat_s:
         return None
-    if now - fresh_at < LAPSE_HEARTBEATS * heartbeat_s:
+    if is_mass:
+        return now + LAPSE_HOLD_S
+    if failed_at is None or failed_at <= fresh_at:
         return None
     until = min(now + LAPSE_HOLD_S, failed_at + drain_s - DRAIN_MARGIN_S)
     return until if until > now else None
@@ -113,36 +119,43 @@
 
     def apply_full(self, items, revision, now):
         """Apply a full list; returns the facts that are news."""
-        until = self._held_until(now)
-        keys = set()
+        missing = self._knowledge.missing_from({item.key for item in items}, revision)
+        until = self._held_until(now, len(missing))
         news = []
         for item in items:
-            keys.add(item.key)
             self._put(item, now, news)
-        for key in self._knowledge.missing_from(keys, revision):
+        for key in missing:
             self._remove(key, revision, until, now, news)
         self._advance(revision, now)
         return news
 
     def apply_changes(self, items, revision, now):
         """Apply changes; returns the facts that are news."""
-        until = self._held_until(now)
+        missing = {item.key for item in items if self._is_removal(item)}
+        missing = {key for key in missing if self._knowledge.has_server(key)}
+        until = self._held_until(now, len(missing))
         news = []
         for item in items:
-            if item.value is None and item.key.startswith(SERVER_PREFIX):
+            if self._is_removal(item):
                 self._remove(item.key, item.revision, until, now, news)
             else:
                 self._put(item, now, news)
         self._advance(max(revision, self.cursor or 0), now)
         return news
 
-    def _held_until(self, now):
+    @staticmethod
+    def _is_removal(item):
+        return item.value is None and item.key.startswith(SERVER_PREFIX)
+
+    def _held_until(self, now, missing):
+        known = len(self._knowledge.servers())
         return lapse_held_until(
             now,
             self._knowledge.fresh_at,
             self._failed_at,
             self.settings.heartbeat_s,
             self.settings.drain_s,
+            missing >= max(MASS_LEAST, MASS_PART * known),
         )
 
     def _advance(self, revision, now):
--- a/tests/entry/test_feed.py
+++ b/tests/entry/test_feed.py
@@ -136,6 +136,46 @@
         self.assertEqual(2, len(self.known()))
 
 
+class MassLapseTest(_FeedTest):
+    """Replays entries that lapse together, seen first by a daemon that seldom reads."""
+
+    def setUp(self):
+        super().setUp()
+        self.feed.apply_full([_item(number, 3) for number in range(12)], 5, 0.0)
+        # Its last failed read is so old that a server may have left and ended since.
+        self.feed.read_failed(2.5)
+        self.back = 2.5 + DRAIN_S + 1.0
+
+    def test_most_entries_do_not_leave_at_once(self):
+        gone = [_gone(number, 6 + number) for number in range(8)]
+        self.feed.apply_changes(gone, 20, self.back)
+        self.assertEqual(12, len(self.known()))
+        self.feed.apply_changes([_item(1, 21)], 21, self.back + 1.0)
+        self.feed.release_held(self.back + LAPSE_HOLD_S + 0.01)
+        self.assertEqual(5, len(self.known()))
+
+    def test_the_same_with_a_full_list(self):
+        self.feed.apply_full([_item(number, 8) for number in range(4)], 20, self.back)
+        self.assertEqual(12, len(self.known()))
+
+    def test_a_few_that_are_missing_have_left(self):
+        gone = [_gone(number, 6 + number) for number in range(5)]
+        self.feed.apply_changes(gone, 20, self.back)
+        self.assertEqual(7, len(self.known()))
+
+    def test_most_of_a_few_may_have_left(self):
+        knowledge = Knowledge()
+        feed = StoreFeed(self.feed.settings, knowledge, self.log)
+        feed.apply_full([_item(number, 3) for number in range(4)], 5, 0.0)
+        feed.apply_full([_item(1, 8)], 20, self.back)
+        self.assertEqual(1, len(knowledge.servers()))
+
+    def test_none_lapse_while_the_knowledge_is_fresh(self):
+        gone = [_gone(number, 6 + number) for number in range(8)]
+        self.feed.apply_changes(gone, 20, 1.0)
+        self.assertEqual(4, len(self.known()))
+
+
 class LeaveTest(_FeedTest):
     """Replays servers that leave by their entry alone, without a word before."""
 
@@ -162,7 +202,9 @@
     def test_the_hold_ends_before_the_server_does(self):
         for drain_s in (2.0, 3.0, 5.0):
             for failed_at in (3.0, 4.0, 4.9):
-                until = lapse_held_until(5.0, 0.0, failed_at, HEARTBEAT_S, drain_s)
+                until = lapse_held_until(
+                    5.0, 0.0, failed_at, HEARTBEAT_S, drain_s, False
+                )
                 self.assertTrue(until is None or until < failed_at + drain_s)
 
 
