Count the age of missing entries from the cursor

Change: the hold asks for the time of the cursor, which the holding daemon shares as it was before the removals.

--- a/almondtide/entry/feed.py
+++ b/almondtide/entry/feed.py
@@ -55,20 +55,20 @@
     return due
 
 
-def lapse_held_until(now, fresh_at, failed_at, heartbeat_s, drain_s, is_mass):
+def lapse_held_until(now, read_at, failed_at, heartbeat_s, drain_s, is_mass):
     """Return until when entries that a read at ``now`` misses are held, or None.
 
-    Entries lapse, though their servers live, only while the store is away: the
-    knowledge was fresh long ago, and reads of this daemon failed since. An entry may
-    also be gone because its server leaves, which then serves for ``drain_s`` only, in
-    the worst case since the last failed read. Where ``is_mass`` tells that most
-    entries are missing, they have lapsed. Times are in s.
+    ``read_at`` is that of ``StoreFeed``. Entries lapse, though their servers live,
+    only while the store is away: the changes may be old, and reads of this daemon
+    failed since. An entry may also be gone because its server leaves, which then
+    serves for ``drain_s`` only, in the worst case since the last failed read. Where
+    ``is_mass`` tells that most entries are missing, they have lapsed. Times are in s.
     """
-    if fresh_at is None or now - fresh_at < LAPSE_HEARTBEATS * heartbeat_s:
+    if read_at is None or now - read_at < LAPSE_HEARTBEATS * heartbeat_s:
         return None
     if is_mass:
         return now + LAPSE_HOLD_S
-    if failed_at is None or failed_at <= fresh_at:
+    if failed_at is None or failed_at <= read_at:
         return None
     until = min(now + LAPSE_HOLD_S, failed_at + drain_s - DRAIN_MARGIN_S)
     return until if until > now else None
@@ -151,7 +151,7 @@
         known = len(self._knowledge.servers())
         return lapse_held_until(
             now,
-            self._knowledge.fresh_at,
+            self.read_at,
             self._failed_at,
             self.settings.heartbeat_s,
             self.settings.drain_s,
--- a/tests/entry/test_feed.py
+++ b/tests/entry/test_feed.py
@@ -158,6 +158,13 @@
         self.feed.apply_full([_item(number, 8) for number in range(4)], 20, self.back)
         self.assertEqual(12, len(self.known()))
 
+    def test_a_read_under_way_while_another_daemon_holds_them(self):
+        # That daemon counts as fresh and says so, but shares the cursor before it.
+        self.knowledge.confirm(self.back)
+        self.feed.take_cursor(5, 0.0)
+        self.feed.apply_full([], 20, self.back + 0.05)
+        self.assertEqual(12, len(self.known()))
+
     def test_a_few_that_are_missing_have_left(self):
         gone = [_gone(number, 6 + number) for number in range(5)]
         self.feed.apply_changes(gone, 20, self.back)
