--- a/almondtide/entry/feed.py
+++ b/almondtide/entry/feed.py
@@ -175,8 +175,11 @@
         return self.cursor or 0, self.read_at
 
     def take_cursor(self, cursor, read_at):
-        """Take over the cursor of a daemon with the same knowledge, if it is newer."""
-        if cursor < (self.cursor or 0):
+        """Take over the cursor of a daemon with the same knowledge, if it is newer.
+
+        While entries are held, the own cursor stays before their return.
+        """
+        if self._held or cursor < (self.cursor or 0):
             return
         if cursor > (self.cursor or 0) or self.read_at is None:
             self.read_at = read_at
--- a/tests/entry/test_gossip.py
+++ b/tests/entry/test_gossip.py
@@ -399,6 +399,7 @@
             for _ in range(10):
                 daemon.now += 0.5
                 daemon.knowledge.confirm(daemon.now)
+                daemon.feed.take_cursor(store.revision, daemon.now)
                 await reader._look()
             self.assertEqual(11, len(daemon.knowledge.servers()))
 
