Order what the store says by era before revision

Cause: the store may come back from a copy that is some seconds old. Its revisions go back and are given out again, so a record with a lower revision that was written after the restoration was ignored, the cursor could be passed again before the next watch (no 410 tells it), and a peer that slept through it gossiped old records that won.

It travels as the integer that a revision was, so builds without eras order it right. The first answer of a higher era drops the cursor and causes a full read.

--- a/almondtide/entry/codec.py
+++ b/almondtide/entry/codec.py
@@ -46,7 +46,7 @@
     """The state of a daemon, a summary of its replica, and members it knows.
 
     ``digest`` is that of ``StoreReplica``. ``age_s`` is the age of the replica, None
-    before the first read. The replica has all changes up to the store's revision
+    before the first read. The replica has all changes up to the store's position
     ``cursor``; later ones are younger than ``cursor_age_s``, None if unknown. With
     ``wants_reply`` the sender asks for a heartbeat in return.
     """
@@ -190,7 +190,7 @@
 def encode_updates(records, configuration=None, *, now):
     """Yield datagrams with records, and one with the configuration if given.
 
-    ``configuration`` is a pair of the revision and the document's compressed bytes,
+    ``configuration`` is a pair of the position and the document's compressed bytes,
     which fit into a datagram. For a leaving server the time for which it still
     serves, in ms, follows the record.
     """
@@ -199,7 +199,7 @@
     batch = []
     size = 0
     for record in records:
-        item = [record.key, record.revision, _pack_server(record.server)]
+        item = [record.key, record.position, _pack_server(record.server)]
         if record.serves_until > now:
             item.append(int((record.serves_until - now) * 1000))
         item_size = len(cbor2.dumps(item))
@@ -229,9 +229,9 @@
 def decode_message(raw, now):
     """Return a ``Heartbeat``, a ``LossReport``, or (records, configuration).
 
-    Records are tuples of key, revision, ``Server`` or None, and the time in s for
+    Records are tuples of key, position, ``Server`` or None, and the time in s for
     which a leaving server may still be used. The configuration is None or a list of
-    revision and compressed bytes. Raises ``DocumentError`` for anything else.
+    position and compressed bytes. Raises ``DocumentError`` for anything else.
     """
     try:
         message = cbor2.loads(raw)
@@ -285,13 +285,13 @@
 
 
 def _unpack_update(item):
-    key, revision, server, *rest = item
+    key, position, server, *rest = item
     serving_ms = float(rest[0]) if rest else 0.0
     if not 0.0 <= serving_ms <= MAX_SERVING_MS:
         raise ValueError(f"{rest[0]!r} is not a remaining serving time")
     return (
         _check_string(key),
-        int(revision),
+        int(position),
         _unpack_server(server),
         serving_ms / 1000.0,
     )
@@ -299,8 +299,8 @@
 
 def _unpack_records(items):
     return [
-        (_check_string(key), int(revision), _unpack_server(server))
-        for key, revision, server in items
+        (_check_string(key), int(position), _unpack_server(server))
+        for key, position, server in items
     ]
 
 
@@ -310,11 +310,11 @@
         [
             PROTOCOL_VERSION,
             age_s,
-            replica.revision,
-            replica.configuration_revision,
+            replica.position,
+            replica.configuration_position,
             replica.configuration_raw,
             [
-                [record.key, record.revision, _pack_server(record.server)]
+                [record.key, record.position, _pack_server(record.server)]
                 for record in replica.all_records()
             ],
         ]
@@ -323,7 +323,7 @@
 
 
 def decode_snapshot(raw):
-    """Return (age in s, revision, configuration revision, raw, records).
+    """Return (age in s, position, configuration position, raw, records).
 
     ``raw`` is the configuration's document. Raises ``DocumentError``.
     """
@@ -332,15 +332,15 @@
         body = decompressor.decompress(raw, MAX_SNAPSHOT_BYTES)
         if decompressor.unconsumed_tail:
             raise ValueError(f"over {MAX_SNAPSHOT_BYTES} bytes")
-        version, age_s, revision, cfg_revision, cfg_raw, records = cbor2.loads(body)
+        version, age_s, position, cfg_position, cfg_raw, records = cbor2.loads(body)
         if version != PROTOCOL_VERSION:
             raise ValueError(f"version {version!r} is unknown")
         if not isinstance(cfg_raw, bytes):
             raise ValueError("the configuration is not bytes")
         return (
             float(age_s),
-            int(revision),
-            int(cfg_revision),
+            int(position),
+            int(cfg_position),
             cfg_raw,
             _unpack_records(records),
         )
--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -21,6 +21,7 @@
 from .gossip import Gossip
 from .members import Member, MembershipView, MemberState
 from .metrics import MetricFamily, render_metrics
+from .position import revision_of
 from .reader import StoreReader
 from .replica import StoreReplica
 from .upstreams import UpstreamTable
@@ -259,7 +260,7 @@
             self.log.info(
                 "configuration_in_force",
                 version=configuration.version,
-                revision=self.replica.configuration_revision,
+                revision=revision_of(self.replica.configuration_position),
                 routes=len(configuration.routes),
                 source=source,
             )
@@ -285,7 +286,7 @@
             server=server_id,
             change=change,
             service=server.service if server else "",
-            revision=record.revision,
+            revision=revision_of(record.position),
             serves_ms=int(max(0.0, record.serves_until - now) * 1000),
             source=source,
         )
--- a/almondtide/entry/feed.py
+++ b/almondtide/entry/feed.py
@@ -2,6 +2,11 @@
 
 An entry in this module is the registration of a server in the store. It expires
 unless the server renews it by heartbeats.
+
+The store may be restored from a copy that is some seconds old. Its revisions then go
+back and its era rises, see ``position.py``. What servers and the operator wrote after
+the copy was made is gone until they write it again, so what this daemon knows from
+the earlier era is kept for a while.
 """
 
 from ..errors import DocumentError
@@ -11,6 +16,7 @@
     decode_configuration,
     decode_server,
 )
+from .position import era_of, make_position, revision_of
 
 __all__ = ["StoreFeed", "leaving_serves_until", "next_read_at", "removal_held_until"]
 
@@ -35,6 +41,10 @@
 # and at least this number. If so many are missing, their entries have expired.
 MASS_EXPIRY_FRACTION = 0.5
 MASS_EXPIRY_MIN_SERVERS = 8
+# How long entries that only the earlier era had are kept after a restoration, in s.
+# Servers write at each heartbeat, and have registered again about 2 s after the store
+# is available.
+RESTORATION_HOLD_S = REMOVAL_HOLD_S
 # A held removal takes effect this long, in s, before a server that left may end.
 DRAIN_MARGIN_S = 0.2
 # Requests to a server that is known to leave stop this long, in s, before it may end.
@@ -95,21 +105,30 @@
 class StoreFeed:
     """Applies items and changes read from the store to the replica of one daemon.
 
-    ``cursor`` is the revision after which changes are read, None before the first
+    ``cursor`` is the position after which changes are read, None before the first
     full read. The store accepted all later changes after the time ``read_at``.
+    ``era`` is the highest era that is known from the store or from peers.
 
     Removals of entries that probably expired while the store was unavailable are held
     for a while. Meanwhile ``shared_position`` stays before them, so that a daemon that
     takes over reads these removals too.
+
+    After a restoration, entries that the restored store doesn't have are held in the
+    same way, and entries that it still has although they were removed before are not
+    used until their servers write them again.
     """
 
     __slots__ = (
         "_held_removals",
         "_log",
         "_position_before_held",
+        "_read_at_before_era",
         "_read_failed_at",
         "_replica",
+        "_restored_at",
+        "_revived_positions",
         "cursor",
+        "era",
         "read_at",
         "settings",
     )
@@ -118,33 +137,95 @@
         self.settings = settings
         self._replica = replica
         self._log = log
-        # Key -> (revision of the removal, time until which it is held).
+        # Key -> (position of the removal, time until which it is held).
         self._held_removals = {}
         # The cursor and ``read_at`` before the removals that are held, or None.
         self._position_before_held = None
         self._read_failed_at = None
+        # Key -> position at which a restored store lists an entry that was removed.
+        self._revived_positions = {}
+        # When this daemon learned of the last restoration, and its ``read_at`` then.
+        self._restored_at = None
+        self._read_at_before_era = None
         self.cursor = None
+        self.era = 0
         self.read_at = None
 
+    def note_era(self, era, now):
+        """Record the era of an answer of the store or of a peer's message."""
+        if era <= self.era:
+            return
+        self.era = era
+        if not self._replica.all_records():
+            # Nothing is known of an earlier era.
+            return
+        self._restored_at = now
+        self._read_at_before_era = self.read_at
+        self._log.warning(
+            "store_restored",
+            era=era,
+            known_era=era_of(self._replica.position),
+            known_revision=revision_of(self._replica.position),
+        )
+
+    def unconfirmed_until(self, key, now):
+        """Return until when an entry of an earlier era is kept, or None.
+
+        None stands for an entry of this era, and for any after the hold time.
+        """
+        record = self._replica.record(key)
+        if self._restored_at is None or record is None:
+            return None
+        until = self._restored_at + RESTORATION_HOLD_S
+        if now >= until or era_of(record.position) >= self.era:
+            return None
+        return until
+
     def note_failed_read(self, now):
         """Record that the store did not answer a read of this daemon."""
         self._read_failed_at = now
 
-    def apply_full_list(self, items, revision, now):
+    def apply_full_list(self, items, position, now):
         """Apply a full list of items; returns the changed records."""
+        self.note_era(era_of(position), now)
         missing = self._replica.keys_missing_from(
-            {item.key for item in items}, revision
+            {item.key for item in items}, position
         )
         until = self._removal_held_until(now, len(missing))
         changed = []
         for item in items:
-            self._merge_item(item, now, changed)
+            if not self._is_revived(item):
+                self._merge_item(item, now, changed)
         for key in missing:
-            self._merge_removal(key, revision, until, now, changed)
-        self._set_position(revision, now)
+            held_until = self.unconfirmed_until(key, now) or until
+            self._merge_removal(key, position, held_until, now, changed)
+        self._set_position(position, now)
         return changed
 
-    def apply_changes(self, items, revision, now):
+    def _is_revived(self, item):
+        """Return whether only a restored store lists the entry, which was removed.
+
+        Its server would write it again within a heartbeat, at a later position.
+        """
+        revived_position = self._revived_positions.get(item.key)
+        if revived_position is None:
+            record = self._replica.record(item.key)
+            if (
+                record is None
+                or record.server is not None
+                or era_of(record.position) >= era_of(item.position)
+            ):
+                return False
+            self._revived_positions[item.key] = revived_position = item.position
+            self._log.info(
+                "entry_revived", key=item.key, revision=revision_of(item.position)
+            )
+        if item.position > revived_position:
+            del self._revived_positions[item.key]
+            return False
+        return True
+
+    def apply_changes(self, items, position, now):
         """Apply a list of changes; returns the changed records."""
         missing = {item.key for item in items if self._is_removal(item)}
         missing = {key for key in missing if self._replica.has_server(key)}
@@ -152,10 +233,10 @@
         changed = []
         for item in items:
             if self._is_removal(item):
-                self._merge_removal(item.key, item.revision, until, now, changed)
+                self._merge_removal(item.key, item.position, until, now, changed)
             else:
                 self._merge_item(item, now, changed)
-        self._set_position(max(revision, self.cursor or 0), now)
+        self._set_position(max(position, self.cursor or 0), now)
         return changed
 
     @staticmethod
@@ -174,12 +255,14 @@
             >= max(MASS_EXPIRY_MIN_SERVERS, MASS_EXPIRY_FRACTION * known_count),
         )
 
-    def _set_position(self, revision, now):
+    def _set_position(self, position, now):
         if not self._held_removals:
             self._position_before_held = None
         elif self._position_before_held is None:
-            self._position_before_held = self.cursor or 0, self.read_at
-        self.cursor = revision
+            # No history leads from another era to this one.
+            before = max(self.cursor or 0, make_position(self.era, 0))
+            self._position_before_held = before, self.read_at
+        self.cursor = position
         self.read_at = now
         self._replica.mark_fresh(now)
 
@@ -206,13 +289,14 @@
 
     def _merge_item(self, item, now, changed):
         if item.key == CONFIGURATION_KEY:
-            self.merge_configuration(item.value, item.revision)
+            self.merge_configuration(item.value, item.position)
             return
         if not item.key.startswith(SERVER_PREFIX):
             return
         held = self._held_removals.get(item.key)
-        if held is not None and item.revision > held[0]:
+        if held is not None and item.position > held[0]:
             del self._held_removals[item.key]
+        self._revived_positions.pop(item.key, None)
         try:
             server = decode_server(item.key, item.value)
         except DocumentError as exc:
@@ -220,41 +304,54 @@
             server = None
         serves_until = 0.0
         if server is not None:
-            serves_until = leaving_serves_until(self.read_at, self.settings.drain_s)
+            serves_until = self._leaving_serves_until(now)
         record = self._replica.merge_server(
-            item.key, item.revision, server, now, serves_until
+            item.key, item.position, server, now, serves_until
         )
         if record is not None:
             changed.append(record)
 
-    def merge_configuration(self, raw, revision):
+    def _leaving_serves_until(self, now):
+        """Return until when a server that the current read shows as leaving serves."""
+        read_at = self.read_at
+        if (
+            self._restored_at is not None
+            and now < self._restored_at + RESTORATION_HOLD_S
+        ):
+            # The server may have announced its end in the time that the store lost,
+            # which began after the last read of the earlier era.
+            read_at = self._read_at_before_era
+        return leaving_serves_until(read_at, self.settings.drain_s)
+
+    def merge_configuration(self, raw, position):
         """Decode a configuration and store it if it is newer; returns whether it is."""
         try:
             configuration = decode_configuration(raw or b"")
         except DocumentError as exc:
             self._log.error(
                 "configuration_invalid",
-                revision=revision,
+                revision=revision_of(position),
                 in_force=self._replica.configuration_version,
                 reason=exc.message,
             )
             return False
-        return self._replica.merge_configuration(configuration, raw, revision)
+        return self._replica.merge_configuration(configuration, raw, position)
 
-    def _merge_removal(self, key, revision, until, now, changed):
+    def _merge_removal(self, key, position, until, now, changed):
+        self._revived_positions.pop(key, None)
         if key in self._held_removals:
             return
         if until is not None and self._replica.has_server(key):
-            self._held_removals[key] = (revision, until)
+            self._held_removals[key] = (position, until)
             self._log.info(
                 "entry_missing_held",
                 key=key,
-                revision=revision,
+                revision=revision_of(position),
                 hold_s=round(until - now, 2),
             )
             return
-        serves_until = leaving_serves_until(self.read_at, self.settings.drain_s)
-        record = self._replica.merge_server(key, revision, None, now, serves_until)
+        serves_until = self._leaving_serves_until(now)
+        record = self._replica.merge_server(key, position, None, now, serves_until)
         if record is not None:
             changed.append(record)
 
@@ -265,10 +362,10 @@
     def release_held_removals(self, now):
         """Remove held entries that stayed missing; returns the changed records."""
         changed = []
-        for key, (revision, until) in list(self._held_removals.items()):
+        for key, (position, until) in list(self._held_removals.items()):
             if until <= now:
                 del self._held_removals[key]
-                record = self._replica.merge_server(key, revision, None, now)
+                record = self._replica.merge_server(key, position, None, now)
                 if record is not None:
                     changed.append(record)
         return changed
--- a/almondtide/entry/gossip.py
+++ b/almondtide/entry/gossip.py
@@ -25,6 +25,7 @@
     encode_updates,
 )
 from .members import MemberState
+from .position import era_of
 
 __all__ = ["Gossip"]
 
@@ -300,10 +301,10 @@
         configuration = None
         if is_configuration_new:
             packed = zlib.compress(self._replica.configuration_raw)
-            # 64 bytes are left for the revision and the rest of the message.
+            # 64 bytes are left for the position and the rest of the message.
             if len(packed) < MAX_DATAGRAM_BYTES - 64:
-                revision = self._replica.configuration_revision
-                configuration = (revision, packed)
+                position = self._replica.configuration_position
+                configuration = (position, packed)
         for raw in encode_updates(records, configuration, now=now):
             for host in hosts:
                 await self._send(raw, host)
@@ -347,6 +348,7 @@
                 await self._on_updates(*message, host, now, arrived_after)
 
     async def _on_heartbeat(self, heartbeat, host, now, arrived_after):
+        self._feed.note_era(era_of(heartbeat.cursor), now)
         self._update_member(heartbeat.sender, now)
         for member in heartbeat.members:
             self._update_member(member, now)
@@ -379,6 +381,10 @@
 
     async def _compare_replicas(self, heartbeat, host, now, arrived_after):
         replica = self._replica
+        if era_of(heartbeat.cursor) < self._feed.era:
+            # The sender does not know yet that the store was restored. Equal contents
+            # do not show that it has the changes since.
+            return
         if (
             heartbeat.digest == replica.digest
             and heartbeat.configuration_version == replica.configuration_version
@@ -419,13 +425,15 @@
         await curio.spawn(self._pull_snapshot, host, daemon=True)
 
     async def _on_updates(self, records, configuration, host, now, arrived_after):
+        for _, position, _, _ in records:
+            self._feed.note_era(era_of(position), now)
         changed = [
             record
             for record in (
                 self._replica.merge_server(
-                    key, revision, server, now, arrived_after + serves_s
+                    key, position, server, now, arrived_after + serves_s
                 )
-                for key, revision, server, serves_s in records
+                for key, position, server, serves_s in records
             )
             if record is not None
         ]
@@ -439,10 +447,10 @@
 
     def _receive_configuration(self, configuration, host):
         try:
-            revision, packed = configuration
+            position, packed = configuration
             decompressor = zlib.decompressobj()
             raw = decompressor.decompress(packed, MAX_CONFIGURATION_BYTES)
-            return self._feed.merge_configuration(raw, int(revision))
+            return self._feed.merge_configuration(raw, int(position))
         except (zlib.error, TypeError, ValueError) as exc:
             self._log.warning("datagram_invalid", host=host, reason=str(exc))
             return False
@@ -474,13 +482,18 @@
         await self._apply_snapshot(snapshot, host)
 
     async def _apply_snapshot(self, snapshot, host):
-        age_s, revision, cfg_revision, cfg_raw, records = snapshot
+        age_s, position, cfg_position, cfg_raw, records = snapshot
         now = self._now()
         replica = self._replica
-        is_configuration_new = self._feed.merge_configuration(cfg_raw, cfg_revision)
+        self._feed.note_era(era_of(position), now)
+        is_configuration_new = self._feed.merge_configuration(cfg_raw, cfg_position)
         keys = {key for key, _, _ in records}
-        missing = replica.keys_missing_from(keys, revision)
-        records.extend((key, revision, None) for key in missing)
+        missing = [
+            key
+            for key in replica.keys_missing_from(keys, position)
+            if self._feed.unconfirmed_until(key, now) is None
+        ]
+        records.extend((key, position, None) for key in missing)
         changed = [
             record
             for record in (replica.merge_server(*record, now) for record in records)
--- a/almondtide/entry/model.py
+++ b/almondtide/entry/model.py
@@ -174,6 +174,28 @@
         self.cold = cold
         self.born_ms = born_ms
 
+    def is_same_incarnation(self, other):
+        """Return whether the other server is the same start of the same server."""
+        return (self.id, self.service, self.address, self.born_ms) == (
+            other.id,
+            other.service,
+            other.address,
+            other.born_ms,
+        )
+
+    def as_leaving(self):
+        """Return a copy that is leaving."""
+        return Server(
+            self.id,
+            self.service,
+            self.address,
+            self.domain,
+            self.slots,
+            True,
+            self.cold,
+            self.born_ms,
+        )
+
 
 class Settings(_Record):
     """Settings of one process; addresses are pairs (host, port), times in seconds.
--- a/almondtide/entry/reader.py
+++ b/almondtide/entry/reader.py
@@ -9,6 +9,7 @@
 from ..platform.store import HistoryLostError, StoreTimeoutError
 from .feed import next_read_at
 from .members import store_reader_rank
+from .position import era_of, revision_of
 
 __all__ = ["StoreReader"]
 
@@ -157,24 +158,40 @@
             return
         self._log.info(
             "store_regained",
-            revision=self._feed.cursor,
+            era=era_of(self._feed.cursor),
+            revision=revision_of(self._feed.cursor),
             after_s=round(self._now() - self._unavailable_since, 2),
         )
         self._unavailable_since = None
 
     async def _read_store(self):
         feed = self._feed
-        if feed.cursor is not None:
+        # A cursor at revision 0 says that there is no history to continue from.
+        if feed.cursor is not None and revision_of(feed.cursor):
             try:
                 return await self._read_changes(self._now())
             except (HistoryLostError, StoreTimeoutError) as exc:
-                self._log.info("full_read", reason=exc.message, cursor=feed.cursor)
+                self._log.info(
+                    "full_read",
+                    reason=exc.message,
+                    era=era_of(feed.cursor),
+                    revision=revision_of(feed.cursor),
+                )
         started_at = self._now()
         item = await self._store.get(CONFIGURATION_KEY)
         if item is not None:
-            feed.merge_configuration(item.value, item.revision)
-        items, revision = await self._store.read(SERVER_PREFIX)
-        return feed.apply_full_list(items, revision, started_at)
+            feed.merge_configuration(item.value, item.position)
+        items, position = await self._store.read(SERVER_PREFIX)
+        self._check_era(position)
+        return feed.apply_full_list(items, position, started_at)
+
+    def _check_era(self, position):
+        """Reject an answer that the store sent before it was restored.
+
+        A peer may have read from the restored store while the answer was on its way.
+        """
+        if era_of(position) < self._feed.era:
+            raise PlatformError("the answer is from before the store was restored")
 
     async def _read_changes(self, started_at):
         """Read all pending changes; returns the changed records."""
@@ -184,9 +201,12 @@
             page, after = await self._store.changes(
                 "", after, WATCH_WAIT_MS, WATCH_TIMEOUT_S
             )
+            self._check_era(after)
             changes.extend(page)
             if len(page) < FULL_PAGE_CHANGES:
                 break
         else:
-            self._log.warning("changes_left", pages=MAX_PAGES, cursor=after)
+            self._log.warning(
+                "changes_left", pages=MAX_PAGES, revision=revision_of(after)
+            )
         return self._feed.apply_changes(changes, after, started_at)
--- a/almondtide/entry/replica.py
+++ b/almondtide/entry/replica.py
@@ -1,26 +1,27 @@
-"""A daemon's replica of the store: servers and configuration, with revisions."""
+"""A daemon's replica of the store: servers and configuration, with positions."""
 
 import hashlib
 
 __all__ = ["ServerRecord", "StoreReplica"]
 
 # Records of removed keys are kept for this long, in s, so that a late update with an
-# older revision does not add the server again.
+# older position does not add the server again.
 TOMBSTONE_RETENTION_S = 60.0
 
 
 class ServerRecord:
     """The newest known value of a key; ``server`` is None if the key was removed.
 
-    A server that is leaving or removed may be used until ``serves_until``, which is
-    0.0 if its end is unknown.
+    ``position`` is that of the change in the store, see ``position.py``. A server that
+    is leaving or removed may be used until ``serves_until``, which is 0.0 if its end
+    is unknown.
     """
 
-    __slots__ = ("digest", "key", "revision", "seen_at", "server", "serves_until")
+    __slots__ = ("digest", "key", "position", "seen_at", "server", "serves_until")
 
-    def __init__(self, key, revision, server, seen_at, serves_until=0.0):
+    def __init__(self, key, position, server, seen_at, serves_until=0.0):
         self.key = key
-        self.revision = revision
+        self.position = position
         self.server = server
         self.seen_at = seen_at
         self.serves_until = serves_until if self.is_leaving else 0.0
@@ -42,8 +43,29 @@
     return int.from_bytes(digest, "big")
 
 
+def _supersedes(known, position, server):
+    """Return whether a value replaces the known record.
+
+    Of two values at one position, which differ only if one daemon knows more of the
+    time before a restoration, the one that ends the use of the server is kept.
+    """
+    if position != known.position:
+        return position > known.position
+    return not known.is_leaving and server is not None and server.leaving
+
+
+def _is_running(known, server):
+    """Return whether ``server`` is registered as ready, and was known as leaving."""
+    return (
+        known is not None
+        and server is not None
+        and not server.leaving
+        and known.is_same_incarnation(server)
+    )
+
+
 class StoreReplica:
-    """Records of one daemon, merged by revision from the store and from peers.
+    """Records of one daemon, merged by position from the store and from peers.
 
     ``digest`` is equal for daemons that know the same servers. ``fresh_at`` is the
     latest time at which the replica is known to have matched the store, in seconds
@@ -53,20 +75,20 @@
     __slots__ = (
         "_records",
         "configuration",
+        "configuration_position",
         "configuration_raw",
-        "configuration_revision",
         "digest",
         "fresh_at",
-        "revision",
+        "position",
     )
 
     def __init__(self):
         self._records = {}
         self.configuration = None
         self.configuration_raw = b""
-        self.configuration_revision = 0
+        self.configuration_position = 0
         self.digest = 0
-        self.revision = 0
+        self.position = 0
         self.fresh_at = None
 
     @property
@@ -88,31 +110,35 @@
         if self.fresh_at is None or at > self.fresh_at:
             self.fresh_at = at
 
-    def merge_configuration(self, configuration, raw, revision):
+    def merge_configuration(self, configuration, raw, position):
         """Store a configuration if its version is newer; returns whether it is."""
         if self.configuration and configuration.version <= self.configuration.version:
             return False
         self.configuration = configuration
         self.configuration_raw = raw
-        self.configuration_revision = revision
+        self.configuration_position = position
         return True
 
-    def merge_server(self, key, revision, server, now, serves_until=0.0):
-        """Store a value if its revision is newer.
+    def merge_server(self, key, position, server, now, serves_until=0.0):
+        """Store a value if its position is newer.
 
         Returns the ``ServerRecord`` if the server differs from the known one, else
         None. ``serves_until`` applies to a server that is leaving; later updates may
-        shorten it but not extend it.
+        shorten it but not extend it. A server that is known to be leaving stays so
+        until it is started again: a store that was restored may not know it any more.
         """
         known = self._records.get(key)
-        if known is not None and known.revision >= revision:
+        if known is not None and not _supersedes(known, position, server):
             return None
         if known is not None and known.is_leaving:
+            if _is_running(known.server, server):
+                server = server.as_leaving()
+                serves_until = known.serves_until
             serves_until = min(serves_until, known.serves_until)
-        record = ServerRecord(key, revision, server, now, serves_until)
+        record = ServerRecord(key, position, server, now, serves_until)
         before = known.digest if known is not None else 0
         self._records[key] = record
-        self.revision = max(self.revision, revision)
+        self.position = max(self.position, position)
         if record.digest == before:
             # A server's heartbeat without changes, or removal of an unknown key.
             return None
@@ -124,16 +150,20 @@
         record = self._records.get(key)
         return record is not None and record.server is not None
 
-    def keys_missing_from(self, keys, revision):
-        """Return known keys that a full list at ``revision`` does not contain."""
+    def keys_missing_from(self, keys, position):
+        """Return known keys that a full list at ``position`` does not contain."""
         return [
             key
             for key, record in self._records.items()
             if record.server is not None
             and key not in keys
-            and record.revision <= revision
+            and record.position <= position
         ]
 
+    def record(self, key):
+        """Return the ``ServerRecord`` of a key, or None."""
+        return self._records.get(key)
+
     def server_records(self):
         """Return the records of all registered servers."""
         return [
--- a/almondtide/platform/store.py
+++ b/almondtide/platform/store.py
@@ -6,29 +6,45 @@
 import curio
 
 from ..adapters.http import HTTPClient
+from ..entry.position import MAX_ERA, MAX_REVISION, era_of, make_position, revision_of
 from ..errors import PlatformError, UpstreamError
 
-__all__ = ["HistoryLostError", "StoreClient", "StoreItem", "StoreTimeoutError"]
+__all__ = [
+    "HistoryLostError",
+    "StoreClient",
+    "StoreItem",
+    "StoreRestoredError",
+    "StoreTimeoutError",
+]
 
 MAX_PAGES = 200
+# Number of the store's restorations so far, in all its answers.
+ERA_HEADER = "store-era"
 
 
 class HistoryLostError(PlatformError):
     """The store no longer has all changes since the requested revision."""
 
 
+class StoreRestoredError(HistoryLostError):
+    """The store was restored from a copy since the requested revision."""
+
+
 class StoreTimeoutError(PlatformError):
     """The store did not answer a call in time."""
 
 
 class StoreItem:
-    """One item or change; ``value`` is the bytes, or None for a removed key."""
+    """One item or change; ``value`` is the bytes, or None for a removed key.
+
+    ``position`` is its revision in the era of the answer, see ``entry/position.py``.
+    """
 
-    __slots__ = ("key", "revision", "value")
+    __slots__ = ("key", "position", "value")
 
-    def __init__(self, key, revision, value):
+    def __init__(self, key, position, value):
         self.key = key
-        self.revision = revision
+        self.position = position
         self.value = value
 
 
@@ -37,57 +53,67 @@
 
     Every call raises ``PlatformError`` if the store refuses it or does not answer
     within ``timeout_s``. ``call_count`` counts all calls, since the platform charges
-    for each.
+    for each. ``era`` is that of the last answer.
     """
 
-    __slots__ = ("_address", "_client", "call_count", "timeout_s")
+    __slots__ = ("_address", "_client", "call_count", "era", "timeout_s")
 
     def __init__(self, address, timeout_s):
         self._address = address
         self._client = None
         self.timeout_s = timeout_s
         self.call_count = 0
+        self.era = 0
 
     async def get(self, key):
         """Return the ``StoreItem`` at ``key``, or None if there is none."""
         body = await self._call(f"/v1/kv-key?key={key}", is_missing_allowed=True)
-        return None if body is None else _decode_item(body)
+        return None if body is None else _decode_item(body, self.era)
 
     async def read(self, prefix):
-        """Return (items with ``prefix``, revision of the store at the first page).
+        """Return (items with ``prefix``, position of the store at the first page).
 
-        The pages are not a consistent snapshot: later changes may be included.
+        The pages are not a consistent snapshot: later changes may be included. Raises
+        ``StoreRestoredError`` if the store is restored between two pages.
         """
         items = []
-        revision = None
+        position = None
         after = ""
         for _ in range(MAX_PAGES):
             suffix = f"&after={after}" if after else ""
             body = await self._call(f"/v1/kv-range?prefix={prefix}{suffix}")
-            if revision is None:
-                revision = _get_integer(body, "as_of")
+            if position is None:
+                position = _decode_position(body, "as_of", self.era)
+            elif self.era != era_of(position):
+                raise StoreRestoredError("the store was restored during the read")
             page = body.get("items")
             if not isinstance(page, list):
                 raise PlatformError("the store's answer has no list of items")
-            items.extend(_decode_item(item) for item in page)
+            items.extend(_decode_item(item, self.era) for item in page)
             if not body.get("has_more") or not page:
-                return items, revision
+                return items, position
             after = items[-1].key
         raise PlatformError(f"the store listed over {MAX_PAGES} pages of {prefix!r}")
 
     async def changes(self, prefix, after, wait_ms, timeout_s):
-        """Return (changes with ``prefix`` since revision ``after``, last revision).
+        """Return (changes with ``prefix`` since position ``after``, last position).
 
         The store waits up to ``wait_ms`` for the first change. Raises
-        ``HistoryLostError`` if a full read is needed, and ``StoreTimeoutError`` if
-        there is no answer within ``timeout_s``; other reads may still be answered.
+        ``HistoryLostError`` if a full read is needed, also when the store was restored
+        since, and ``StoreTimeoutError`` if there is no answer within ``timeout_s``;
+        other reads may still be answered.
         """
-        path = f"/v1/kv-watch?prefix={prefix}&after={after}&wait_ms={wait_ms}"
+        revision = revision_of(after)
+        path = f"/v1/kv-watch?prefix={prefix}&after={revision}&wait_ms={wait_ms}"
         body = await self._call(path, timeout_s)
+        if self.era != era_of(after):
+            # The revisions may have passed ``after`` again, so that no 410 tells it.
+            raise StoreRestoredError(f"the store was restored: era {self.era}")
         events = body.get("events")
         if not isinstance(events, list):
             raise PlatformError("the store's answer has no list of events")
-        return [_decode_item(event) for event in events], _get_integer(body, "as_of")
+        changes = [_decode_item(event, self.era) for event in events]
+        return changes, _decode_position(body, "as_of", self.era)
 
     async def _call(self, path, timeout_s=None, is_missing_allowed=False):
         self.call_count += 1
@@ -101,6 +127,7 @@
         except (OSError, UpstreamError) as exc:
             await self.close()
             raise PlatformError(f"no answer: {exc or type(exc).__name__}") from exc
+        self._note_era(response.headers.get(ERA_HEADER))
         if response.status == 404 and is_missing_allowed:
             return None
         if response.status == 410:
@@ -115,6 +142,13 @@
             raise PlatformError("the store's answer is not a JSON object")
         return body
 
+    def _note_era(self, text):
+        """Take over the era of an answer; one that states none keeps the last."""
+        if text is not None and text.isascii() and text.isdigit():
+            era = int(text)
+            if era <= MAX_ERA:
+                self.era = era
+
     async def _exchange(self, path):
         client = self._client
         if client is None or not client.is_usable or client.is_stale():
@@ -137,15 +171,22 @@
     return value
 
 
-def _decode_item(data):
+def _decode_position(data, name, era):
+    revision = _get_integer(data, name)
+    if not 0 <= revision <= MAX_REVISION:
+        raise PlatformError(f"the store's answer has no revision {name!r}")
+    return make_position(era, revision)
+
+
+def _decode_item(data, era):
     if not isinstance(data, dict) or not isinstance(data.get("key"), str):
         raise PlatformError("the store's answer has an item without a key")
-    revision = _get_integer(data, "revision")
+    position = _decode_position(data, "revision", era)
     if data.get("removed"):
-        return StoreItem(data["key"], revision, None)
+        return StoreItem(data["key"], position, None)
     try:
         value = base64.b64decode(data.get("value"), validate=True)
     except (binascii.Error, TypeError, ValueError):
         # The decoder of the value reports the problem together with the key.
         value = b""
-    return StoreItem(data["key"], revision, value)
+    return StoreItem(data["key"], position, value)
--- a/standins/store.py
+++ b/standins/store.py
@@ -22,7 +22,8 @@
     Tests write with ``put`` and ``remove``, in place of the operator and the
     servers. ``mode`` is one of ``MODES``: ``busy`` answers 503, ``silent`` does not
     answer, ``reset`` closes each new connection. After ``drop_history``, a watch from
-    an earlier revision gets 410.
+    an earlier revision gets 410. ``restore`` goes back to an earlier ``copy`` and
+    raises ``era``, which all answers state.
     """
 
     def __init__(self, address=("127.0.0.1", 0)):
@@ -30,6 +31,7 @@
         self.items = {}
         self.events = []
         self.revision = 1
+        self.era = 0
         self.first_event_revision = 1
         self.mode = "normal"
         self.calls = []
@@ -74,17 +76,36 @@
         self.events = []
         self.first_event_revision = self.revision + 1
 
-    async def _append_event(self, event):
-        self.events.append(event)
+    def copy(self):
+        """Return a copy of the contents and the history, for ``restore``."""
+        return dict(self.items), list(self.events), self.revision
+
+    async def restore(self, copy):
+        """Go back to a copy; a watch from a later revision gets 410."""
+        items, events, self.revision = copy
+        self.items, self.events = dict(items), list(events)
+        self.era += 1
+        await self._notify_watches()
+
+    async def _notify_watches(self):
         changed, self._changed = self._changed, curio.Event()
         await changed.set()
 
+    async def _append_event(self, event):
+        self.events.append(event)
+        await self._notify_watches()
+
     async def _serve(self, sock, peer):
         if self.mode == "reset":
             return
         await serve_http(sock, self._handle, log=Log())
 
     async def _handle(self, request):
+        response = await self._respond(request)
+        response.headers["store-era"] = str(self.era)
+        return response
+
+    async def _respond(self, request):
         self.calls.append(request.path)
         if self.mode == "silent":
             await curio.sleep(3600)
@@ -117,10 +138,13 @@
 
     async def _watch(self, query):
         after = int(query["after"])
+        found = []
         async with curio.ignore_after(int(query["wait_ms"]) / 1000.0):
-            while not (found := self._events_after(after, query["prefix"])):
+            while after <= self.revision and not (
+                found := self._events_after(after, query["prefix"])
+            ):
                 await self._changed.wait()
-        if after + 1 < self.first_event_revision:
+        if after + 1 < self.first_event_revision or after > self.revision:
             return HTTPResponse(410)
         as_of = self.revision
         if len(found) > MAX_WATCH_EVENTS:
--- a/tests/entry/test_codec.py
+++ b/tests/entry/test_codec.py
@@ -86,7 +86,7 @@
             self.assertIsNone(configuration)
             found.extend(items)
         self.assertEqual(
-            [(record.key, record.revision, record.server, 0.0) for record in records],
+            [(record.key, record.position, record.server, 0.0) for record in records],
             found,
         )
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -52,7 +52,7 @@
             return await client.get("op/config"), await client.get("none")
 
         item, missing = _run_scenario(scenario)
-        self.assertEqual((b"doc", 2), (item.value, item.revision))
+        self.assertEqual((b"doc", 2), (item.value, item.position))
         self.assertIsNone(missing)
 
     def test_changes_of_all_keys_and_removals(self):
@@ -130,8 +130,8 @@
 
     def test_value_that_is_not_base64_is_an_empty_one(self):
         for value in ("%%", 7, None, "abc"):
-            item = _decode_item({"key": "k", "revision": 3, "value": value})
-            self.assertEqual((b"", 3), (item.value, item.revision))
+            item = _decode_item({"key": "k", "revision": 3, "value": value}, 0)
+            self.assertEqual((b"", 3), (item.value, item.position))
 
     @given(
         st.dictionaries(
@@ -141,6 +141,6 @@
     )
     def test_any_object(self, data):
         try:
-            _decode_item(data)
+            _decode_item(data, 0)
         except PlatformError:
             pass
