Obey what servers announce: their end, and pauses they ask for

Cause: a server now says in all its answers that it leaves, and a server that turns a request away with 503 may name the time for which it wants none. The entry read neither: it sent to such servers until the store said the same, and after a refusal for 20 to 60 ms only. An entry of the store that came back took a server's end back.

Change: one predicate, Upstream.accepts_requests, for placement, queue, hedges, retries, probes and kept connections. A server's end is the earlier of the store's and its own, which runs from the arrival of the reply and outlasts a lapse of the entry within one incarnation. A pause is bounded by the longest timeout of a route; unreadable times are counted. A service whose servers all pause beyond what the objective leaves counts as full: callers are refused at once, and come back after the pause with a spread. A request whose server begins to pause or to leave while the connection is opened goes to another one; the budget is refunded only if it was spent.

--- a/almondtide/entry/admission.py
+++ b/almondtide/entry/admission.py
@@ -2,20 +2,30 @@
 
 import enum
 
-__all__ = ["AdmissionDecision", "ServiceState", "decide_admission", "retry_after_s"]
+__all__ = [
+    "AdmissionDecision",
+    "ServiceState",
+    "decide_admission",
+    "pause_wait_s",
+    "retry_after_s",
+]
 
 # Bounds of the retry-after time of a refused call, in s. The jitter, a fraction of
 # that time, keeps callers that were refused together from returning together.
 MIN_RETRY_AFTER_S = 0.03
 MAX_RETRY_AFTER_S = 1.0
 RETRY_AFTER_JITTER = 0.5
+# Callers that were refused while servers paused return within this fraction of the
+# time until the end of the pause after it.
+PAUSE_RETURN_SPREAD = 0.25
 
 
 class ServiceState(enum.Enum):
     """Whether a service can take a new request."""
 
     OPEN = "open"
-    # As many requests are queued for its servers as can be served in time.
+    # As many requests are queued for its servers as can be served in time, or all its
+    # servers want no requests for too long.
     FULL = "full"
     # All its servers seem to be down, and one of them is due for a probe.
     PROBE = "probe"
@@ -83,12 +93,31 @@
     )
 
 
-def retry_after_s(waiting, slots, expected_s, jitter):
+def pause_wait_s(waits_s, needed):
+    """Return after how long ``needed`` services want requests again, in seconds.
+
+    ``waits_s`` holds the time for each service that will, 0.0 if it does now. Answers
+    the load pattern in which the servers of a service turn requests away together, so
+    that a caller that comes back earlier is only refused again.
+
+    >>> pause_wait_s([0.0, 0.5, 2.0], 2)
+    0.5
+    >>> pause_wait_s([0.0], 2)
+    0.0
+    """
+    return sorted(waits_s)[needed - 1] if len(waits_s) >= needed else 0.0
+
+
+def retry_after_s(waiting, slots, expected_s, jitter, pause_s=0.0):
     """Return the time after which a refused caller should retry, in seconds.
 
-    ``waiting`` requests must first be served by ``slots`` at ``expected_s`` each.
-    ``jitter`` is a random number between 0 and 1.
+    ``waiting`` requests must first be served by ``slots`` at ``expected_s`` each,
+    after the servers have paused for ``pause_s``. ``jitter`` is a random number
+    between 0 and 1. Answers the load patterns in which more work waits than is served
+    in time, and in which servers turn work away for a while; callers that were refused
+    together don't return together.
     """
     drained_s = waiting * expected_s / max(1, slots)
     base_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, drained_s))
-    return base_s * (1.0 + RETRY_AFTER_JITTER * jitter)
+    spread_s = max(RETRY_AFTER_JITTER * base_s, PAUSE_RETURN_SPREAD * pause_s)
+    return pause_s + base_s + jitter * spread_s
--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -15,7 +15,7 @@
 from .connections import ConnectionPool
 from .crash_detector import CrashDetector
 from .directory import Directory
-from .dispatch import Dispatcher
+from .dispatch import DEFAULT_MAX_PAUSE_S, Dispatcher
 from .feed import StoreFeed
 from .frontend import Frontend
 from .gossip import Gossip
@@ -257,6 +257,10 @@
                 name: service.max_connections
                 for name, service in configuration.services.items()
             }
+            self.dispatcher.max_pause_s = max(
+                (route.timeout_s for route in configuration.routes),
+                default=DEFAULT_MAX_PAUSE_S,
+            )
             self.log.info(
                 "configuration_in_force",
                 version=configuration.version,
--- a/almondtide/entry/dispatch.py
+++ b/almondtide/entry/dispatch.py
@@ -1,14 +1,16 @@
 """Runs calls: sends requests to servers, with hedges and retries."""
 
+import math
 import random
 
 import curio
 
 from ..errors import ResultCode
-from .admission import ServiceState, decide_admission, retry_after_s
+from .admission import ServiceState, decide_admission, pause_wait_s, retry_after_s
 from .answers import build_answer, error_answer
 from .branch_queue import BranchQueue
 from .calls import BranchState
+from .feed import LEAVING_MARGIN_S
 from .retries import RetryDecision, decide_retry, may_hedge, may_send_again
 from .retry_budget import RetryBudget
 from .route_latency import RouteLatency
@@ -33,6 +35,10 @@
 # Fraction of the retry budget that hedges leave to retries. A branch that failed gets
 # no answer without a retry; a slow branch mostly gets one without a hedge.
 RETRY_RESERVE_FRACTION = 0.35
+# Bound of a server's pause in s, before there is a configuration.
+DEFAULT_MAX_PAUSE_S = 10.0
+# Bound of a pause in the log, in s.
+MAX_LOGGED_PAUSE_S = 1e6
 # Largest fraction of the objective for waiting in the queue and being served. A
 # service whose queue takes longer counts as full.
 MAX_QUEUE_FRACTION = 0.8
@@ -41,24 +47,27 @@
 class _Exchange:
     """One request of a branch to one server, and the reply to it.
 
-    ``kind`` is "first", "retry" or "hedge".
+    ``kind`` is "first", "retry" or "hedge". ``is_extra`` tells whether it took an
+    extra send from the retry budget.
     """
 
     __slots__ = (
         "_dispatcher",
         "branch",
         "connection",
+        "is_extra",
         "is_finished",
         "is_written",
         "kind",
         "upstream",
     )
 
-    def __init__(self, dispatcher, branch, upstream, kind):
+    def __init__(self, dispatcher, branch, upstream, kind, is_extra):
         self._dispatcher = dispatcher
         self.branch = branch
         self.upstream = upstream
         self.kind = kind
+        self.is_extra = is_extra
         self.connection = None
         self.is_finished = False
         self.is_written = False
@@ -78,10 +87,12 @@
 
     def is_wanted(self):
         branch = self.branch
+        now = self._dispatcher.now()
         return (
             not self.is_finished
             and branch.state is BranchState.OPEN
-            and may_send_again(branch, self._dispatcher.now())
+            and may_send_again(branch, now)
+            and self.upstream.accepts_requests(now)
         )
 
     def on_write(self):
@@ -126,7 +137,8 @@
 
     The ``Timers`` call ``on_timer(kind, item)`` of this object. ``budget_share`` is the
     part of the fleet's slack of extra sends that this entry may use, 0.0 to 1.0; see
-    ``RetryBudget``.
+    ``RetryBudget``. ``max_pause_s`` bounds the pauses that servers ask for: the longest
+    timeout of a route.
     """
 
     __slots__ = (
@@ -141,6 +153,7 @@
         "_timers",
         "budget_share",
         "counts",
+        "max_pause_s",
         "now",
         "settings",
     )
@@ -158,7 +171,16 @@
         self._service_queues = {}
         self.now = now
         self.budget_share = 1.0
-        self.counts = {"sends": 0, "hedges": 0, "retries": 0, "refused": 0}
+        self.max_pause_s = DEFAULT_MAX_PAUSE_S
+        self.counts = {
+            "sends": 0,
+            "hedges": 0,
+            "retries": 0,
+            "refused": 0,
+            "pauses": 0,
+            "pauses_invalid": 0,
+            "ends_announced": 0,
+        }
 
     def set_timers(self, timers):
         """Set the ``Timers`` that call ``on_timer``."""
@@ -235,12 +257,15 @@
         if self._table.is_service_lost(service, now):
             probed = self._table.choose(service, now)
             return ServiceState.LOST if probed is None else ServiceState.PROBE
+        latency = self.route_latency(call.route)
+        spare_s = latency.objective_s * MAX_QUEUE_FRACTION - latency.expected_s
+        room_at = self._table.next_room_at(service, now)
+        if room_at is not None and room_at - now > max(0.0, spare_s):
+            return ServiceState.FULL
         queue = self._service_queues.get(service)
         waiting = len(queue) if queue is not None else 0
         if waiting:
-            latency = self.route_latency(call.route)
             slots = self._table.total_slots(service, now) / self._table.entry_count
-            spare_s = latency.objective_s * MAX_QUEUE_FRACTION - latency.expected_s
             if waiting * latency.expected_s > slots * spare_s:
                 return ServiceState.FULL
         return ServiceState.OPEN
@@ -249,7 +274,11 @@
         """Return the retry-after time of a call that has not run, in seconds."""
         now = self.now()
         waiting, slots = 0, 1
+        waits_s = []
         for branch in call.branches:
+            room_at = self._table.next_room_at(branch.service, now)
+            if room_at is not None:
+                waits_s.append(room_at - now)
             queue = self._service_queues.get(branch.service)
             if queue is not None and len(queue) > waiting:
                 waiting = len(queue)
@@ -258,7 +287,8 @@
                     / self._table.entry_count
                 )
         expected_s = self.route_latency(call.route).expected_s
-        return retry_after_s(waiting, slots, expected_s, random.random())
+        pause_s = pause_wait_s(waits_s, call.needed_count)
+        return retry_after_s(waiting, slots, expected_s, random.random(), pause_s)
 
     async def _wait(self, call):
         if call.is_merged:
@@ -338,13 +368,14 @@
         if upstream is None:
             await self._wait_for_server(branch, kind, now)
             return False
-        if branch.write_count or branch.open_exchanges:
+        is_extra = bool(branch.write_count or branch.open_exchanges)
+        if is_extra:
             reserved_fraction = RETRY_RESERVE_FRACTION if kind == "hedge" else 0.0
             if not self.retry_budget(branch.service).try_spend(now, reserved_fraction):
                 if kind != "hedge":
                     await self._fail_branch(branch, "no budget for another send")
                 return False
-        exchange = _Exchange(self, branch, upstream, kind)
+        exchange = _Exchange(self, branch, upstream, kind, is_extra)
         branch.tried_ids.add(upstream.server.id)
         branch.open_exchanges.append(exchange)
         branch.sends.append((kind, upstream.server.id, now))
@@ -374,14 +405,17 @@
             or branch.open_exchanges
         ):
             return
-        if not self._table.may_have_room_soon(branch.service, now):
+        room_at = self._table.next_room_at(branch.service, now)
+        if room_at is None or room_at >= branch.call.expires_at:
             await self._fail_branch(branch, "no server")
             return
         if branch.queue is None:
             branch.queue = self._service_queue(branch.service)
             branch.queue.push(branch)
         # A server may get room without a reply to this entry, so poll as well.
-        await self._timers.schedule(now + RESEND_DELAY_S, RESEND_TIMER, branch.service)
+        await self._timers.schedule(
+            max(now + RESEND_DELAY_S, room_at), RESEND_TIMER, branch.service
+        )
 
     def _service_queue(self, service):
         queue = self._service_queues.get(service)
@@ -395,7 +429,10 @@
         while queue is not None and len(queue):
             now = self.now()
             if self._table.choose(service, now) is None:
-                await self._timers.schedule(now + RESEND_DELAY_S, RESEND_TIMER, service)
+                room_at = self._table.next_room_at(service, now) or now
+                await self._timers.schedule(
+                    max(now + RESEND_DELAY_S, room_at), RESEND_TIMER, service
+                )
                 return
             branch = queue.pop(now)
             if branch is None:
@@ -452,8 +489,10 @@
             needs_check = self._crash_detector.on_connection_broken(
                 exchange.branch.call, server_id
             )
-            if needs_check and self._table.may_connect(exchange.upstream):
-                await self._pool.connect(_ReachabilityCheck(self, exchange.upstream))
+            upstream = exchange.upstream
+            is_allowed = upstream.accepts_requests(self.now())
+            if needs_check and is_allowed and self._table.may_connect(upstream):
+                await self._pool.connect(_ReachabilityCheck(self, upstream))
         elif failure is Failure.NO_LISTENER:
             await self._record_server_end(server_id)
 
@@ -477,9 +516,14 @@
         self._mark_finished(exchange)
         exchange.upstream.cancel(exchange)
         branch = exchange.branch
-        if exchange.kind != "first":
+        if exchange.is_extra:
             self.retry_budget(branch.service).refund()
-        if decide_retry(branch, self.now()) is not RetryDecision.WAIT:
+        now = self.now()
+        decision = decide_retry(branch, now)
+        if decision is RetryDecision.RETRY:
+            # The server began to leave or to pause while the connection was opened.
+            await self._send(branch, "retry" if branch.write_count else "first", now)
+        elif decision is RetryDecision.GIVE_UP:
             await self._fail_branch(branch, "no time left")
 
     async def on_reply(self, exchange, reply):
@@ -487,8 +531,10 @@
         if exchange.is_finished:
             return
         if reply.is_misdirected:
+            # Another server answered, so its headers say nothing about this one.
             await self.on_failure(exchange, Failure.MISDIRECTED, "421", reply)
             return
+        self._note_announcements(exchange, reply)
         if reply.is_not_run:
             await self.on_failure(exchange, Failure.NOT_RUN, "not run", reply)
             return
@@ -521,6 +567,37 @@
         if branch.service in self._service_queues:
             await self._send_waiting(branch.service)
 
+    def _note_announcements(self, exchange, reply):
+        """Record that the server leaves or wants no requests for a while."""
+        upstream = exchange.upstream
+        now = self.now()
+        if reply.is_leaving:
+            was_announced = upstream.announced_until != math.inf
+            upstream.announce_end(now + self.settings.drain_s - LEAVING_MARGIN_S)
+            if not was_announced:
+                self.counts["ends_announced"] += 1
+                self._log.info(
+                    "server_announced_end",
+                    server=upstream.server.id,
+                    service=upstream.server.service,
+                    id=exchange.request.id,
+                    serves_ms=int(max(0.0, upstream.serves_until - now) * 1000),
+                )
+        if reply.has_invalid_pause:
+            self.counts["pauses_invalid"] += 1
+            self._log.debug("pause_invalid", server=upstream.server.id)
+        if reply.pause_s:
+            self.counts["pauses"] += 1
+            upstream.pause(now + min(reply.pause_s, self.max_pause_s))
+            self._log.info(
+                "server_paused",
+                server=upstream.server.id,
+                service=upstream.server.service,
+                id=exchange.request.id,
+                asked_ms=int(min(reply.pause_s, MAX_LOGGED_PAUSE_S) * 1000),
+                for_ms=int((upstream.paused_until - now) * 1000),
+            )
+
     async def on_failure(self, exchange, failure, reason, reply):
         """Handle a failed exchange: retry or fail its branch."""
         if exchange.is_finished:
--- a/almondtide/entry/http_messages.py
+++ b/almondtide/entry/http_messages.py
@@ -36,16 +36,22 @@
     ``is_not_run`` means that the server states that it did not run the request.
     ``is_misdirected`` means that another server has the address. ``keep_alive_s`` is
     how long the server keeps an idle connection open, in seconds: 0.0 if it closes
-    the connection now, None if it does not say.
+    the connection now, None if it does not say. ``is_leaving`` means that the server
+    announces its end. ``pause_s`` is how long the server, which turned the request
+    away, wants no other from this entry, in seconds, or None; ``has_invalid_pause``
+    tells that it states a time that cannot be read.
     """
 
     __slots__ = (
         "body",
+        "has_invalid_pause",
         "headers",
         "is_encoded",
+        "is_leaving",
         "is_misdirected",
         "is_not_run",
         "keep_alive_s",
+        "pause_s",
         "request_id",
         "server_stamp",
         "status",
@@ -60,7 +66,10 @@
         self.is_not_run = False
         self.is_misdirected = False
         self.is_encoded = False
+        self.is_leaving = False
         self.keep_alive_s = None
+        self.pause_s = None
+        self.has_invalid_pause = False
 
     @property
     def is_success(self):
--- a/almondtide/entry/upstreams.py
+++ b/almondtide/entry/upstreams.py
@@ -1,4 +1,10 @@
-"""Load and health of servers as seen by this entry, and the choice of a server."""
+"""Load and health of servers as seen by this entry, and the choice of a server.
+
+A server's end is known from the store and from the server's own announcement; the
+earlier one holds. A server that turns requests away may ask for a pause, during which
+it gets none. Both belong to one incarnation of the server and outlast its entry in
+the store, which may lapse and come back.
+"""
 
 import enum
 import math
@@ -42,6 +48,9 @@
 # entries that were active before and still hold some connections.
 CONNECTION_FRACTION = 0.75
 MIN_CONNECTIONS = 2
+# How long the announced end and the pause of a server that the store no longer lists
+# are kept, in s, in case it is listed again.
+REMOVED_RETENTION_S = 60.0
 # All entries together have at most so many requests at a server: as many as its slots
 # serve within this fraction of the objective, at least its slots and at most
 # MAX_DEPTH_PER_SLOT times its slots. More would wait in the server's own queue, which
@@ -87,6 +96,7 @@
         "_pending",
         "_sampled_at",
         "_slowness",
+        "announced_until",
         "connection_count",
         "ejected_until",
         "full_until",
@@ -95,8 +105,9 @@
         "is_removed",
         "is_retired",
         "last_reply_at",
+        "listed_until",
+        "paused_until",
         "server",
-        "serves_until",
     )
 
     def __init__(self, server):
@@ -115,8 +126,12 @@
         self.is_removed = False
         # Whether the store no longer lists it.
         self.is_retired = False
-        # The time from which a leaving server may have ended.
-        self.serves_until = math.inf
+        # The time from which a leaving server may have ended, by its entry in the store
+        # and by its own announcement.
+        self.listed_until = math.inf
+        self.announced_until = math.inf
+        # Until when the server wants no request from this entry.
+        self.paused_until = 0.0
         # Open connections, and how many of them are idle; the pool updates both.
         self.connection_count = 0
         self.idle_connection_count = 0
@@ -238,10 +253,39 @@
             or self.silent_s(now) > LOST_AFTER_S
         )
 
+    @property
+    def serves_until(self):
+        """The time from which it may have ended, infinite if it is not leaving."""
+        return min(self.listed_until, self.announced_until)
+
+    def announce_end(self, until):
+        """Record that the server itself says that it leaves.
+
+        No later announcement or entry in the store extends the time.
+        """
+        self.announced_until = min(self.announced_until, until)
+
+    def pause(self, until):
+        """Record that the server wants no request until a time."""
+        self.paused_until = max(self.paused_until, until)
+
+    def inherit(self, earlier):
+        """Take over what an earlier ``Upstream`` of the same incarnation was told."""
+        self.announce_end(earlier.announced_until)
+        self.pause(earlier.paused_until)
+
     def is_usable(self, now):
         """Return whether requests may be sent to it, whatever its health."""
         return not self.is_removed and now < self.serves_until
 
+    def accepts_requests(self, now):
+        """Return whether it is usable and wants requests.
+
+        Placement, queued work, hedges, retries, probes and kept connections all ask
+        this.
+        """
+        return self.is_usable(now) and self.paused_until <= now
+
     @property
     def is_leaving(self):
         """Whether the server leaves, so that it is only used if others are worse."""
@@ -270,7 +314,14 @@
 class UpstreamTable:
     """The servers of all services; ``domain`` is the failure domain of this entry."""
 
-    __slots__ = ("_by_id", "_by_service", "connection_limits", "domain", "entry_count")
+    __slots__ = (
+        "_by_id",
+        "_by_service",
+        "_removed",
+        "connection_limits",
+        "domain",
+        "entry_count",
+    )
 
     def __init__(self, domain):
         self.domain = domain
@@ -280,6 +331,8 @@
         self.connection_limits = {}
         self._by_id = {}
         self._by_service = {}
+        # Id -> (time of removal, upstream) of servers that were removed lately.
+        self._removed = {}
 
     def __iter__(self):
         return iter(self._by_id.values())
@@ -301,12 +354,16 @@
                 and not known.is_removed
             ):
                 known.server = server
-                known.serves_until = usable_until
+                known.listed_until = usable_until
                 known.is_retired = False
                 return None
             self.remove(server.id)
         upstream = Upstream(server)
-        upstream.serves_until = usable_until
+        upstream.listed_until = usable_until
+        _, earlier = self._removed.pop(server.id, (None, None))
+        earlier = known or earlier
+        if earlier is not None and earlier.server.is_same_incarnation(server):
+            upstream.inherit(earlier)
         self._by_id[server.id] = upstream
         self._by_service.setdefault(server.service, {})[server.id] = upstream
         return known
@@ -320,9 +377,9 @@
         upstream = self._by_id.get(server_id)
         if upstream is None:
             return None
-        upstream.serves_until = min(upstream.serves_until, serves_until)
+        upstream.listed_until = min(upstream.listed_until, serves_until)
         upstream.is_retired = True
-        return None if now < upstream.serves_until else self.remove(server_id)
+        return None if now < upstream.serves_until else self._forget(server_id, now)
 
     def remove_expired(self, now):
         """Remove retired servers that may have ended; return their upstreams."""
@@ -331,7 +388,15 @@
             for upstream in self._by_id.values()
             if upstream.is_retired and upstream.serves_until <= now
         ]
-        return [self.remove(server_id) for server_id in expired_ids]
+        for server_id, (removed_at, _) in list(self._removed.items()):
+            if now - removed_at > REMOVED_RETENTION_S:
+                del self._removed[server_id]
+        return [self._forget(server_id, now) for server_id in expired_ids]
+
+    def _forget(self, server_id, now):
+        upstream = self.remove(server_id)
+        self._removed[server_id] = now, upstream
+        return upstream
 
     def remove(self, server_id):
         """Remove a server; return its ``Upstream``, or None if it is unknown."""
@@ -388,11 +453,29 @@
         return upstream.connection_count < share
 
     def total_slots(self, service, now):
-        """Return the number of slots of all usable servers of a service."""
+        """Return the number of slots of all servers of a service that want requests."""
         return sum(
-            upstream.server.slots for upstream in self.usable_upstreams(service, now)
+            upstream.server.slots
+            for upstream in self.usable_upstreams(service, now)
+            if upstream.accepts_requests(now)
         )
 
+    def next_room_at(self, service, now, excluded_ids=()):
+        """Return when a server that is not lost wants requests, or None if none will.
+
+        The time is ``now`` if one does already. A server that leaves before its pause
+        ends will not.
+        """
+        times = [
+            max(now, upstream.paused_until)
+            for upstream in self.usable_upstreams(service, now)
+            if upstream.server.id not in excluded_ids
+            and upstream.paused_until < upstream.serves_until
+            and upstream.ejected_until <= now
+            and not upstream.is_lost(now)
+        ]
+        return min(times, default=None)
+
     def choose(self, service, now, excluded_ids=(), objective_ratio=MAX_DEPTH_PER_SLOT):
         """Return the upstream of a service with the least cost, or None.
 
@@ -405,6 +488,8 @@
         for upstream in self.usable_upstreams(service, now):
             if upstream.server.id in excluded_ids:
                 continue
+            if not upstream.accepts_requests(now):
+                continue
             if upstream.ejected_until > now or upstream.full_until > now:
                 continue
             if upstream.is_lost(now) and (
@@ -421,12 +506,3 @@
             if best is None or cost < best_cost:
                 best, best_cost = upstream, cost
         return best
-
-    def may_have_room_soon(self, service, now, excluded_ids=()):
-        """Return whether a server that is not lost may take a request soon."""
-        return any(
-            upstream.server.id not in excluded_ids
-            and upstream.ejected_until <= now
-            and not upstream.is_lost(now)
-            for upstream in self.usable_upstreams(service, now)
-        )
--- a/almondtide/platform/headers.py
+++ b/almondtide/platform/headers.py
@@ -28,9 +28,12 @@
 EXPECT_INSTANCE = b"expect-instance"
 NOT_RUN = b"not-run"
 SERVER_STAMP = b"server-stamp"
+SERVER_LEAVING = b"server-leaving"
+RETRY_AFTER = b"retry-after"
 PART_STAMPS = b"Part-Stamps"
 MISSING_PARTS = b"Missing-Parts"
 MISDIRECTED_STATUS = 421
+TURNED_AWAY_STATUS = 503
 
 # Hop-by-hop headers (RFC 9110, section 7.6.1), and those that are generated anew.
 _NOT_FORWARDED = frozenset(
@@ -119,6 +122,11 @@
             reply.request_id = value.decode("latin-1")
         elif name == NOT_RUN:
             reply.is_not_run = True
+        elif name == SERVER_LEAVING:
+            reply.is_leaving = value.strip() not in (b"", b"0")
+        elif name == RETRY_AFTER and status == TURNED_AWAY_STATUS:
+            reply.pause_s = _parse_seconds(value)
+            reply.has_invalid_pause = reply.pause_s is None
         elif name == b"content-encoding":
             reply.is_encoded = True
         elif name == b"keep-alive":
@@ -129,6 +137,14 @@
     return reply
 
 
+def _parse_seconds(value):
+    try:
+        seconds = float(value)
+    except ValueError:
+        return None
+    return seconds if 0 <= seconds < float("inf") else None
+
+
 def _parse_idle_s(value):
     for item in value.split(b","):
         name, _, seconds = item.partition(b"=")
--- a/tests/entry/test_upstreams.py
+++ b/tests/entry/test_upstreams.py
@@ -63,7 +63,7 @@
             upstream.start(placed, 0.0, EXPECTED_S)
             placed += 1
         self.assertEqual(3 * 3 * MAX_DEPTH_PER_SLOT, placed)
-        self.assertTrue(table.may_have_room_soon("a", 0.0))
+        self.assertEqual(0.0, table.next_room_at("a", 0.0))
 
     def test_entries_share_the_depth_of_a_server(self):
         table = _three()
