Play restorations, announced ends and pauses in the soak

Change: faults restore, announce and turn-away, checks announced-end and pause, a break for each check. A break is detected only by the check of its own promise; the one of the drain ignores the end of a server.

--- a/soak/broken.py
+++ b/soak/broken.py
@@ -4,11 +4,12 @@
 promise NAME; the soak test must detect each.
 """
 
+import math
 import sys
 
 from almondtide.entry import answers, connections, daemon, dispatch, retries
 from almondtide.entry.process import main
-from almondtide.entry.upstreams import UpstreamTable
+from almondtide.entry.upstreams import Upstream
 from almondtide.registry import Registry
 
 __all__ = ["FAULTS_BY_BREAK", "breaks"]
@@ -21,6 +22,8 @@
     "drain": ["replace"],
     "planned-stop": ["stop", "slow"],
     "final-answer-in-time": ["silence"],
+    "announced-end": ["announce"],
+    "pause": ["turn-away"],
 }
 
 breaks = Registry("break")
@@ -58,15 +61,7 @@
 @breaks.register("drain")
 def use_draining_servers():
     """Send requests to draining servers as to ready ones."""
-
-    def usable_upstreams(self, service):
-        return [
-            upstream
-            for upstream in self._by_service.get(service, {}).values()
-            if not upstream.is_removed
-        ]
-
-    UpstreamTable.usable_upstreams = usable_upstreams
+    Upstream.serves_until = property(lambda self: math.inf)
 
 
 @breaks.register("planned-stop")
@@ -92,6 +87,18 @@
     dispatch.may_send_again = lambda branch, now: len(branch.sends) < 2
 
 
+@breaks.register("announced-end")
+def ignore_announced_ends():
+    """Use a server as before after it has announced its end."""
+    Upstream.announce_end = lambda self, until: None
+
+
+@breaks.register("pause")
+def ignore_pauses():
+    """Send requests to a server that asked for a pause."""
+    Upstream.pause = lambda self, until: None
+
+
 if __name__ == "__main__":
     breaks.get(sys.argv.pop(1))()
     sys.exit(main())
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -6,7 +6,7 @@
 
 from almondtide.entry.merge import merge_records
 from almondtide.registry import Registry
-from standins.entry_fleet import SHARDS
+from standins.entry_fleet import DRAIN_S, SHARDS
 from standins.shard import make_records
 
 __all__ = ["checks", "find_violations"]
@@ -24,6 +24,12 @@
 # any time from this long before the drain was published: a daemon may not have the
 # notice then.
 CALM_BEFORE_DRAIN_S = 4.0
+# A daemon may send this many requests to a server that turned it away, from this long
+# after the refusal until the end of the pause that the server asked for.
+MAX_REQUESTS_IN_PAUSE = 2
+PAUSE_NOTICE_S = 0.5
+# Faults after which a daemon need not remember what a server announced.
+FORGETTING_FAULTS = ("pause", "kill", "stop")
 
 checks = Registry("check")
 
@@ -135,6 +141,53 @@
                 yield f"{request_id}: reached {id} {at - published:.2f} s late"
 
 
+@checks.register("announced-end")
+def check_announced_ends(history):
+    """A request that is sent after a server's announced end doesn't reach it.
+
+    The time runs for each daemon since it passed an announcement on to a caller.
+    """
+    for server in history.servers.values():
+        passed_on = {}
+        for request_id, _ in server.announcements:
+            record = history.records.get(request_id)
+            if record is not None and record.status == 200:
+                known = passed_on.get(record.daemon, record.ended)
+                passed_on[record.daemon] = min(known, record.ended)
+        for request_id, _, at in server.runs:
+            record = history.records.get(request_id)
+            if record is None or record.daemon not in passed_on:
+                continue
+            since = passed_on[record.daemon]
+            if record.sent > since + DRAIN_S and not history.had_fault(
+                "daemon", record.daemon, since, at, FORGETTING_FAULTS
+            ):
+                yield f"{record}: reached {server.id} {at - since:.2f} s late"
+
+
+@checks.register("pause")
+def check_pauses(history):
+    """A server that asked a daemon for a pause gets next to nothing from it."""
+    for server in history.servers.values():
+        arrivals = [(id, at) for id, at, _ in server.refusals]
+        arrivals += [(id, at) for id, _, at in server.runs]
+        arrivals = [
+            (history.records[id].daemon, at)
+            for id, at in arrivals
+            if id in history.records
+        ]
+        for id, refused_at, until in server.refusals:
+            if id not in history.records:
+                continue
+            daemon = history.records[id].daemon
+            start = refused_at + PAUSE_NOTICE_S
+            count = sum(one == daemon and start < at < until for one, at in arrivals)
+            if count > MAX_REQUESTS_IN_PAUSE and not history.had_fault(
+                "daemon", daemon, refused_at, until, FORGETTING_FAULTS
+            ):
+                yield f"{server.id}: {count} requests of daemon {daemon} in its pause"
+
+
 @checks.register("own-ends")
 def check_process_ends(history):
     """No daemon exits or logs an error by itself; stopped ones exit with 0 in time."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,7 +6,7 @@
 import curio
 
 from almondtide.registry import Registry
-from standins.entry_fleet import GRACE_S, SHARDS, make_configuration
+from standins.entry_fleet import DRAIN_S, GRACE_S, SHARDS, make_configuration
 
 __all__ = ["faults"]
 
@@ -14,6 +14,9 @@
 MAX_FAULT_S = 3.0
 # A busy machine may delay the exit of a process beyond its grace time.
 EXIT_SLACK_S = 2.0
+# Servers write to the store at least this often, in s. An entry expires after three
+# times as long.
+SERVER_HEARTBEAT_S = 1.2
 
 
 def _draw_duration_s(rng):
@@ -115,6 +118,68 @@
         session.lapsed_keys.difference_update(lapsed)
 
 
+@faults.register("restore")
+async def restore_store(session, rng):
+    """Restore the store from a copy that is some seconds old.
+
+    The servers and the operator write again what they wrote since; entries of servers
+    that ended meanwhile expire.
+    """
+    store = session.fleet.store
+    if store.mode != "normal":
+        return
+    with session.record_fault("store", "restore", "store"):
+        copy = store.copy()
+        await curio.sleep(_draw_duration_s(rng))
+        if store.mode != "normal":
+            return
+        store.mode = "busy"
+        await curio.sleep(rng.uniform(0.1, 1.0))
+        await store.restore(copy)
+        store.mode = "normal"
+        ids = sorted(session.fleet.registered_states)
+        rng.shuffle(ids)
+        for id in ids:
+            await curio.sleep(SERVER_HEARTBEAT_S / len(ids))
+            state = session.fleet.registered_states.get(id)
+            if state is not None and f"servers/{id}" not in session.lapsed_keys:
+                await session.fleet.register(id, state)
+        await store.put("op/config", make_configuration(session.configuration_version))
+        await curio.sleep(2 * SERVER_HEARTBEAT_S)
+        for key in [key for key in store.items if key.startswith("servers/")]:
+            if key[len("servers/") :] not in session.fleet.registered_states:
+                await store.remove(key)
+
+
+@faults.register("announce")
+async def announce_end(session, rng):
+    """Let a server announce its end in its responses, never in the store."""
+    service = rng.choice([*SHARDS, "drafts"])
+    id = session.reserve_server(rng, service)
+    if id is None:
+        return
+    await session.fleet.add_server(service)
+    session.fleet.servers[id].is_leaving = True
+    await curio.sleep(DRAIN_S + rng.uniform(0.5, 2.0))
+    await session.deregister(id)
+    await curio.sleep(DRAIN_S)
+    await session.fleet.servers[id].close()
+
+
+@faults.register("turn-away")
+async def turn_requests_away(session, rng):
+    """Let one server or all of a service turn requests away for a while."""
+    service = rng.choice([*SHARDS, "drafts"])
+    servers = [
+        server for server in session.fleet.servers.values() if server.service == service
+    ]
+    if rng.random() < 0.5:
+        servers = [rng.choice(servers)]
+    until = time.monotonic() + _draw_duration_s(rng)
+    for server in servers:
+        server.away_until = until
+
+
 @faults.register("replace")
 async def replace_server(session, rng):
     """Start a new server, then drain, deregister and close an old one."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -72,7 +72,10 @@
     for name in names:
         for number in seeds:
             violations, session = run_seed(number, seconds, name, logs)
-            is_expected = bool(violations) if name else not violations
+            if name:
+                # Other checks may notice the defect too; the promise's own must.
+                violations = [text for text in violations if text.startswith(name)]
+            is_expected = bool(violations) == bool(name)
             has_passed = has_passed and is_expected
             verdict = (
                 ("detected" if violations else "unnoticed")
--- a/soak/session.py
+++ b/soak/session.py
@@ -132,6 +132,7 @@
         """Remove a server's entry from the store, if it is still there."""
         key = f"servers/{id}"
         self.lapsed_keys.discard(key)
+        self.fleet.registered_states.pop(id, None)
         if key in self.fleet.store.items:
             await self.fleet.store.remove(key)
 
--- a/standins/entry_fleet.py
+++ b/standins/entry_fleet.py
@@ -17,6 +17,7 @@
 
 __all__ = [
     "DOMAINS",
+    "DRAIN_S",
     "PORTS",
     "SHARDS",
     "EntryFleet",
@@ -32,6 +33,7 @@
 SHARDS = ("shard-0", "shard-1", "shard-2")
 UNSAFE_SERVICE = "drafts"
 GRACE_S = 3
+DRAIN_S = 3.0
 SLOTS_PER_SERVER = 3
 
 
@@ -102,6 +104,8 @@
         self.servers = {}
         self.links = {}
         self.entry_sequence = 1
+        # Server id -> state that it last wrote to the store.
+        self.registered_states = {}
         self.processes = {}
 
     async def __aenter__(self):
@@ -146,6 +150,7 @@
         """Write a server's entry to the store."""
         server = self.servers[id]
         self.entry_sequence += 1
+        self.registered_states[id] = state
         domain = DOMAINS[sum(map(ord, id)) % len(DOMAINS)]
         entry = server.store_entry(domain, state, self.entry_sequence)
         if id in self.links:
@@ -173,7 +178,11 @@
             "listen": {name: f"{host}:{port}" for name, port in PORTS.items()},
             "port_range": [GOSSIP_PORT, GOSSIP_PORT + 5],
             "seeds": [f"{self.hosts[0]}:{PORTS['control']}"],
-            "bounds": {"drain_ms": 3000, "grace_s": GRACE_S, "budget_slack": 100},
+            "bounds": {
+                "drain_ms": DRAIN_S * 1000,
+                "grace_s": GRACE_S,
+                "budget_slack": 100,
+            },
             "platform": {"address": f"{store_host}:{store_port}"},
         }
         with open(path, "wb") as file:
--- a/standins/shard.py
+++ b/standins/shard.py
@@ -37,6 +37,11 @@
     A request for another instance gets 421. One beyond ``slots`` gets 503 with the
     header ``not-run``. A request with a body gets the body back, another one gets
     ``make_records`` of the service and its id.
+
+    While ``is_leaving`` is set, all responses announce the server's end. Until
+    ``away_until`` (steady clock, in s) requests get 503 with the time left.
+    ``announcements`` holds (request id, time) of the responses that announced the end,
+    ``refusals`` (request id, time, end of the pause) of those that asked for a pause.
     """
 
     def __init__(self, id, service, slots=3, service_time_s=0.005):
@@ -47,6 +52,10 @@
         self.override_response = lambda request: None
         self.should_crash = lambda request: False
         self.runs = []
+        self.is_leaving = False
+        self.away_until = 0.0
+        self.announcements = []
+        self.refusals = []
         self.running_count = 0
         self.cancelled_count = 0
         self.listener = Listener(("127.0.0.1", 0), self._serve)
@@ -78,6 +87,14 @@
         await serve_http(sock, self._handle, log=Log())
 
     async def _handle(self, request):
+        response = await self._respond(request)
+        if self.is_leaving and response.status != 421:
+            response.headers["server-leaving"] = "1"
+            request_id = request.headers.get("request-id")
+            self.announcements.append((request_id, time.monotonic()))
+        return response
+
+    async def _respond(self, request):
         if request.headers.get("expect-instance") not in (None, self.id):
             return HTTPResponse(421, b"", {"instance-id": self.id})
         if request.path == "/health":
@@ -85,6 +102,11 @@
         if self.running_count >= self.slots:
             return HTTPResponse(503, b"", {"not-run": "1"})
         request_id = request.headers["request-id"]
+        now = time.monotonic()
+        if now < self.away_until:
+            self.refusals.append((request_id, now, self.away_until))
+            pause = f"{self.away_until - now:.3f}"
+            return HTTPResponse(503, b"", {"not-run": "1", "retry-after": pause})
         self.runs.append((request_id, request, time.monotonic()))
         self.running_count += 1
         try:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,8 +14,11 @@
 
 class _Server:
     def __init__(self, service):
+        self.id = f"i-{service}"
         self.service = service
         self.runs = []
+        self.announcements = []
+        self.refusals = []
 
 
 class _History:
@@ -146,8 +149,40 @@
         history.drain_times["i-drafts"] = 6.0
         self.assert_violation(history, "drain")
 
+    def test_request_after_an_announced_end(self):
+        # The announcement reached the caller at 10.1; requests were sent at 10.0.
+        for sent, names in ((13.0, []), (13.2, ["announced-end"])):
+            history = _History()
+            history.add("w-1", "write", 200, ["i-drafts"], body=b"w-1")
+            history.servers["i-drafts"].announcements.append(("w-1", 10.05))
+            late = history.add("w-2", "write", 200, body=b"w-2")
+            late.sent = sent
+            late.ended = sent + 0.1
+            history.servers["i-drafts"].runs.append(("w-2", None, sent))
+            found = [text.partition(":")[0] for text in find_violations(history)]
+            self.assertEqual(names, found)
+            history.fault_intervals.append(FaultInterval("stop", ("daemon", 0), 11.0))
+            self.assertEqual([], find_violations(history))
+
+    def test_requests_in_a_pause(self):
+        for at, count, names in (
+            (10.4, 3, []),
+            (10.6, 2, []),
+            (10.6, 3, ["pause"]),
+            (12.1, 3, []),
+        ):
+            history = _History()
+            server = history.servers["i-drafts"]
+            history.add("w-1", "write", 503)
+            server.refusals.append(("w-1", 10.0, 12.0))
+            for number in range(count):
+                history.add(f"w-a{number}", "write", 502)
+                server.runs.append((f"w-a{number}", None, at))
+            found = [text.partition(":")[0] for text in find_violations(history)]
+            self.assertEqual(names, found, (at, count))
+
     def test_every_check_has_a_name(self):
-        self.assertEqual(7, len(checks.names()))
+        self.assertEqual(9, len(checks.names()))
 
 
 class RunTest(testtools.TestCase):
