Report settings of a wrong type in place of raising TypeError

Cause: drain_ms of another type than a number was divided before the problems were listed, and zones of another type was sorted. A stand-in fleet whose start failed left its processes behind.

Change: both are problems with their path; EntryFleet ends what it started.

Result: test_values_of_another_type_are_problems, which raised TypeError before.

--- a/almondtide/platform/settings.py
+++ b/almondtide/platform/settings.py
@@ -41,9 +41,7 @@
         instance=fields.string("node_name"),
         region=fields.string("region"),
         domain=fields.string("zone"),
-        domains=tuple(sorted(document.get("zones") or ()))
-        if isinstance(document, dict)
-        else (),
+        domains=_parse_domains(fields, document),
         caller_address=listen.address("front"),
         readiness_address=listen.address("readiness"),
         control_address=listen.address("control"),
@@ -57,7 +55,7 @@
         # A share of 0.5 of a core that is twice as fast as usual counts as 1.0.
         core_share=(limits.number("cpu_share", 1.0) * limits.number("cores", 1.0)),
         heartbeat_s=fields.number("heartbeat_ms", 1200) / 1000.0,
-        drain_s=bounds.number("drain_ms") / 1000.0 if bounds.has("drain_ms") else 3.0,
+        drain_s=bounds.number("drain_ms", 3000) / 1000.0,
         grace_s=bounds.number("grace_s", 6.0),
         config_apply_s=bounds.number("config_apply_ms", 3000) / 1000.0,
         extra_ratio=bounds.number("retry_budget_ratio", 0.2),
@@ -70,6 +68,16 @@
     return settings
 
 
+def _parse_domains(fields, document):
+    zones = document.get("zones", {}) if isinstance(document, dict) else {}
+    if not isinstance(zones, (dict, list)) or not all(
+        isinstance(name, str) for name in zones
+    ):
+        fields.problems.append("zones: not an object or a list of names")
+        return ()
+    return tuple(sorted(zones))
+
+
 def _parse_gossip_address(fields, document, ip):
     ports = document.get("port_range") if isinstance(document, dict) else None
     if (
--- a/standins/entry_fleet.py
+++ b/standins/entry_fleet.py
@@ -109,6 +109,14 @@
         self.processes = {}
 
     async def __aenter__(self):
+        try:
+            await self._start()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def _start(self):
         await self.store.start()
         for service in [*SHARDS, UNSAFE_SERVICE]:
             for _ in range(self.servers_per_service):
@@ -118,7 +126,6 @@
             self.start_daemon(number)
         for number in range(len(self.hosts)):
             await self.wait_until_ready(number)
-        return self
 
     async def __aexit__(self, *exc_info):
         for process in self.processes.values():
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -57,6 +57,18 @@
         ):
             self.assertIn(name, text)
 
+    def test_values_of_another_type_are_problems(self):
+        for changes, name in (
+            ({"bounds": {"drain_ms": "soon"}}, "bounds.drain_ms"),
+            ({"bounds": {"drain_ms": True}}, "bounds.drain_ms"),
+            ({"zones": 3}, "zones"),
+            ({"zones": [1, "nadi"]}, "zones"),
+            ({"limits": {"cpu_share": "half"}}, "limits.cpu_share"),
+        ):
+            document = orjson.dumps(settings_document(**changes))
+            exc = self.assertRaises(SettingsError, decode_settings, document)
+            self.assertIn(name, "\n".join(exc.problems))
+
     def test_not_json(self):
         self.assertRaises(SettingsError, decode_settings, b"{")
         self.assertRaises(SettingsError, decode_settings, b"[]")
