Leave connections of servers to active entries in a large fleet

The tests of an added route reach all 195 entries and go to one service of three servers that accept 125 connections each; each standby kept its connection for up to 20 s, and an entry whose new connection was reset opened the next one to the same server at once (history: first and retry at the same server, both reset).

Change: a standby keeps idle connections for 0.5 s, also those of its time as an active entry. After a reset of a new connection no other is opened to that server for 0.25 s, so that the retry goes to another one.

--- a/almondtide/entry/connections.py
+++ b/almondtide/entry/connections.py
@@ -22,6 +22,9 @@
 # server states, and within MAX_IDLE_S seconds in any case.
 IDLE_TIMEOUT_FRACTION = 0.7
 MAX_IDLE_S = 20.0
+# The same for a standby. It gets few requests, and the connections of many standbys
+# would use up those that a server accepts in all.
+STANDBY_MAX_IDLE_S = 0.5
 # A request that must run at most once only uses a connection that was idle for at most
 # this long, in s. If the server closed the connection, it would be unknown whether the
 # request ran.
@@ -47,6 +50,7 @@
         "exchange",
         "idle_since",
         "idle_until",
+        "is_proven",
         "pool",
         "task",
         "upstream",
@@ -58,6 +62,8 @@
         self.exchange = exchange
         self.idle_since = 0.0
         self.idle_until = 0.0
+        # Whether the server has replied on it.
+        self.is_proven = False
         self.task = None
         self._conn = None
         self._sock = None
@@ -133,18 +139,21 @@
             # The exchange became unnecessary while the connection was opened.
             self.exchange = None
             await exchange.on_skipped()
-            self._start_idle(MAX_IDLE_S)
+            self._start_idle(self.pool.max_idle_s)
             return not self.upstream.is_removed
         try:
             await self._send(exchange.request, exchange.remaining_s())
             reply = await self._receive(exchange.request)
         except (OSError, _ExchangeError, h11.RemoteProtocolError) as exc:
+            if not self.is_proven and isinstance(exc, ConnectionResetError):
+                self.upstream.note_connection_reset(self.pool.now())
             await self._fail(Failure.BROKEN, str(exc) or type(exc).__name__)
             return False
         except h11.LocalProtocolError as exc:
             # The request cannot be encoded; nothing was written.
             await self._fail(Failure.NOT_SENT, f"encode: {exc}")
             return False
+        self.is_proven = True
         is_reusable = self._is_reusable(reply)
         self.exchange = None
         await exchange.on_reply(reply)
@@ -228,7 +237,7 @@
             return False
         if conn.trailing_data[0] or conn.trailing_data[1]:
             return False
-        idle_s = MAX_IDLE_S
+        idle_s = self.pool.max_idle_s
         if reply.keep_alive_s is not None:
             idle_s = min(idle_s, reply.keep_alive_s * IDLE_TIMEOUT_FRACTION)
         if idle_s <= 0:
@@ -250,16 +259,27 @@
     written; ``remaining_s()`` and ``on_write()`` follow if it returns true. At the end
     one of the async methods ``on_reply(reply)``, ``on_skipped()`` and
     ``on_failure(failure, reason, reply)`` is called, once. A closed exchange gets none
-    of these calls.
+    of these calls. ``max_idle_s`` is how long idle connections are kept, see
+    ``set_active``.
     """
 
-    __slots__ = ("_idle", "now", "opened_count")
+    __slots__ = ("_idle", "max_idle_s", "now", "opened_count")
 
     def __init__(self, now):
         self.now = now
         self._idle = {}
+        self.max_idle_s = MAX_IDLE_S
         self.opened_count = 0
 
+    def set_active(self, is_active):
+        """Keep idle connections for as long as the role of this entry needs them."""
+        self.max_idle_s = MAX_IDLE_S if is_active else STANDBY_MAX_IDLE_S
+        if not is_active:
+            limit = self.now() + STANDBY_MAX_IDLE_S
+            for idle in self._idle.values():
+                for connection in idle:
+                    connection.idle_until = min(connection.idle_until, limit)
+
     async def send(self, exchange):
         """Start an exchange on an idle connection or a new one."""
         connection = await self._take_idle(exchange)
--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -89,6 +89,7 @@
         )
         self.table = UpstreamTable(settings.domain)
         self.pool = ConnectionPool(now)
+        self.pool.set_active(False)
         self.crash_detector = CrashDetector(now, log)
         self.dispatcher = Dispatcher(
             self.table, self.pool, settings, self.crash_detector, now, log
@@ -307,6 +308,7 @@
         is_active = local.name in names
         if is_active != local.is_active:
             local.is_active = is_active
+            self.pool.set_active(is_active)
             self.log.info("role_changed", carries=is_active, carriers=names)
         # A standby sends to the servers too, so it counts itself.
         entry_count = len(names) + (not is_active)
--- a/almondtide/entry/dispatch.py
+++ b/almondtide/entry/dispatch.py
@@ -490,8 +490,12 @@
                 exchange.branch.call, server_id
             )
             upstream = exchange.upstream
-            is_allowed = upstream.accepts_requests(self.now())
-            if needs_check and is_allowed and self._table.may_connect(upstream):
+            now = self.now()
+            if (
+                needs_check
+                and upstream.accepts_requests(now)
+                and self._table.may_connect(upstream, now)
+            ):
                 await self._pool.connect(_ReachabilityCheck(self, upstream))
         elif failure is Failure.NO_LISTENER:
             await self._record_server_end(server_id)
--- a/almondtide/entry/upstreams.py
+++ b/almondtide/entry/upstreams.py
@@ -48,6 +48,10 @@
 # entries that were active before and still hold some connections.
 CONNECTION_FRACTION = 0.75
 MIN_CONNECTIONS = 2
+# A server resets connections beyond its limit, and a limit that it lowers while its
+# queue is long. After a reset of a new connection no other one is opened for this
+# long, in s.
+CONNECT_BACKOFF_S = 0.25
 # How long the announced end and the pause of a server that the store no longer lists
 # are kept, in s, in case it is listed again.
 REMOVED_RETENTION_S = 60.0
@@ -97,6 +101,7 @@
         "_sampled_at",
         "_slowness",
         "announced_until",
+        "connect_after",
         "connection_count",
         "ejected_until",
         "full_until",
@@ -130,6 +135,8 @@
         # and by its own announcement.
         self.listed_until = math.inf
         self.announced_until = math.inf
+        # Until when no connection is opened to it.
+        self.connect_after = 0.0
         # Until when the server wants no request from this entry.
         self.paused_until = 0.0
         # Open connections, and how many of them are idle; the pool updates both.
@@ -265,6 +272,10 @@
         """
         self.announced_until = min(self.announced_until, until)
 
+    def note_connection_reset(self, now):
+        """Record that the server reset a new connection before it replied on it."""
+        self.connect_after = now + CONNECT_BACKOFF_S
+
     def pause(self, until):
         """Record that the server wants no request until a time."""
         self.paused_until = max(self.paused_until, until)
@@ -440,10 +451,12 @@
         )
         return max(1, round(total / self.entry_count))
 
-    def may_connect(self, upstream):
+    def may_connect(self, upstream, now):
         """Return whether the upstream has an idle connection or may get a new one."""
         if upstream.idle_connection_count:
             return True
+        if now < upstream.connect_after:
+            return False
         limit = self.connection_limits.get(upstream.server.service)
         if limit is None:
             return True
@@ -500,7 +513,7 @@
                 upstream.server.slots, objective_ratio
             ):
                 continue
-            if not self.may_connect(upstream):
+            if not self.may_connect(upstream, now):
                 continue
             cost = upstream.cost(now, self.domain)
             if best is None or cost < best_cost:
--- a/tests/entry/test_connections.py
+++ b/tests/entry/test_connections.py
@@ -6,7 +6,7 @@
 import testtools
 from curio import socket
 
-from almondtide.entry.connections import ConnectionPool
+from almondtide.entry.connections import STANDBY_MAX_IDLE_S, ConnectionPool
 from almondtide.entry.http_messages import Request
 from almondtide.entry.upstreams import Failure, Upstream
 from tests.entry.support import make_server
@@ -127,6 +127,45 @@
     return run(scenario)
 
 
+class LimitTest(testtools.TestCase):
+    """Guards against more connections than a server accepts from a large fleet.
+
+    The load: each of 195 entries gets a few requests for one service.
+    """
+
+    def test_a_reset_of_a_new_connection_delays_the_next_one(self):
+        _, _, [exchange] = _run_exchanges([["reset"]], [{}])
+        self.assertIs(Failure.BROKEN, exchange.result)
+        self.assertTrue(exchange.upstream.connect_after > 0.0)
+
+    def test_a_reset_after_a_reply_delays_nothing(self):
+        server, _, made = _run_exchanges([[_reply()], ["reset"]], [{}, {}])
+        self.assertEqual(1, server.connections)
+        self.assertIs(Failure.BROKEN, made[1].result)
+        self.assertEqual(0.0, made[1].upstream.connect_after)
+
+    def test_a_standby_keeps_idle_connections_for_a_short_time(self):
+        async def scenario():
+            now = [100.0]
+            async with _Server([[_reply()], [_reply()]]) as server:
+                pool = ConnectionPool(lambda: now[0])
+                upstream = Upstream(make_server("i-1", port=server.port))
+                counts = []
+                for is_active in (True, False):
+                    exchange = _Exchange(upstream)
+                    await pool.send(exchange)
+                    await exchange.done.wait()
+                    await curio.sleep(0.01)
+                    pool.set_active(is_active)
+                    now[0] += STANDBY_MAX_IDLE_S + 0.1
+                    await pool.close_expired()
+                    await curio.sleep(0.01)
+                    counts.append(upstream.connection_count)
+                return counts
+
+        self.assertEqual([1, 0], run(scenario))
+
+
 class ReplyTest(testtools.TestCase):
     """Guards against replies that are truncated, invalid or to another request."""
 
--- a/tests/entry/test_upstreams.py
+++ b/tests/entry/test_upstreams.py
@@ -3,6 +3,7 @@
 import testtools
 
 from almondtide.entry.upstreams import (
+    CONNECT_BACKOFF_S,
     ESTIMATE_DECAY_S,
     LOST_AFTER_S,
     MAX_DEPTH_PER_SLOT,
@@ -79,12 +80,21 @@
         table.connection_limits = {"a": 66}
         upstream = table.get("i-1")
         upstream.connection_count = 7
-        self.assertTrue(table.may_connect(upstream))
+        self.assertTrue(table.may_connect(upstream, 0.0))
         upstream.connection_count = 8
-        self.assertFalse(table.may_connect(upstream))
+        self.assertFalse(table.may_connect(upstream, 0.0))
         self.assertNotEqual("i-1", table.choose("a", 0.0).server.id)
         upstream.idle_connection_count = 1
-        self.assertTrue(table.may_connect(upstream))
+        self.assertTrue(table.may_connect(upstream, 0.0))
+
+    def test_no_connection_is_opened_after_a_reset(self):
+        table = _three()
+        upstream = table.get("i-1")
+        upstream.note_connection_reset(1.0)
+        self.assertNotEqual("i-1", table.choose("a", 1.1).server.id)
+        self.assertEqual("i-1", table.choose("a", 1.0 + CONNECT_BACKOFF_S).server.id)
+        upstream.idle_connection_count = 1
+        self.assertEqual("i-1", table.choose("a", 1.1).server.id)
 
     def test_slow_server_is_avoided_and_tried_again_later(self):
         table = _three()
