Explain a request from the logs of the entries

Change: almondtide explain ID LOG... reads the entries' logs, selects the lines of the request, of the entry and of the servers concerned in the 10 s before it, and states the causes of each attempt, as text or JSON.

--- a/almondtide/cli.py
+++ b/almondtide/cli.py
@@ -7,7 +7,7 @@
 import defopt
 import orjson
 
-from . import __version__, cli_configuration, cli_report
+from . import __version__, cli_configuration, cli_explain, cli_report
 from .addresses import format_address
 from .cli_arguments import (
     ADMIN_VARIABLE,
@@ -406,6 +406,7 @@
     },
     "drain": drain,
     "timeline": timeline,
+    "explain": cli_explain.explain,
     "fleet": cli_report.fleet,
     "report": cli_report.report,
     "version": version,
