Replay load patterns against the dispatcher in virtual time

Change: python -m bench.replay PATTERN... plays a TOML file of services, routes, bursts and faults with the real dispatchers of several entries, with another checkout or other constants side by side.

Result: equal seeds give equal figures.

--- /dev/null
+++ b/bench/replay.py
@@ -0,0 +1,355 @@
+"""Replays load patterns against the dispatcher of the entry, in virtual time.
+
+``python -m bench.replay PATTERN...`` prints what callers get. A pattern is a TOML file
+(``bench/patterns``): services with modelled servers, routes with their rates, and
+faults. With ``--other DIR`` the same patterns are also replayed by the checkout in
+that directory, with ``--replace module.NAME=VALUE`` by this one with another constant;
+both are shown side by side.
+"""
+
+import importlib
+import json
+import pathlib
+import random
+import subprocess
+import sys
+import tomllib
+
+import curio
+import defopt
+
+from almondtide.entry.crash_detector import CrashDetector
+from almondtide.entry.dispatch import Dispatcher
+from almondtide.entry.upstreams import UpstreamTable
+from almondtide.model.published import Configuration, Route, Server, Settings
+from almondtide.presentation import format_table
+from almondtide.timers import Timers
+from standins.replacement import replace_attribute
+from standins.server_model import CallerModel, ModelPool, ServerFault, ServerModel
+from standins.virtual_time import VirtualClock, run_in_virtual_time
+
+__all__ = ["LoadReplay", "main", "read_pattern", "replay_pattern"]
+
+DOMAINS = ("lautoka", "nadi", "suva")
+# The results are divided into windows of this length by when callers began, in s.
+WINDOW_S = 2.0
+# Share of its value that an answer after the objective has.
+LATE_VALUE = 0.1
+COLUMNS = (
+    "pattern",
+    "run",
+    "requests",
+    "served",
+    "in objective",
+    "value",
+    "worst windows",
+    "refused",
+    "p50 ms",
+    "p99 ms",
+    "extra sends",
+)
+
+
+class _SilentLog:
+    """A log that drops all events."""
+
+    def _drop(self, name, **fields):
+        pass
+
+    info = warning = refusal = error = debug = trace = _drop
+
+
+def _make_settings(budget_ratio, budget_slack):
+    """Return the ``Settings`` of an entry; only those of the dispatcher are set."""
+    fields = dict.fromkeys(Settings.__slots__)
+    fields.update(
+        drain_s=3.0,
+        extra_ratio=budget_ratio,
+        extra_slack=budget_slack,
+        extra_window_s=10.0,
+    )
+    return Settings(**fields)
+
+
+class _ModelEntry:
+    """The dispatcher of one entry with its own view of the servers."""
+
+    def __init__(self, number, clock, servers, settings, entry_count, work_factors):
+        log = _SilentLog()
+        self.table = UpstreamTable(DOMAINS[number % len(DOMAINS)])
+        self.table.entry_count = entry_count
+        self.pool = ModelPool(servers, work_factors)
+        self.dispatcher = Dispatcher(
+            self.table,
+            self.pool,
+            settings,
+            CrashDetector(clock.monotonic, log),
+            clock.monotonic,
+            log,
+        )
+        self.dispatcher.budget_share = 1.0 / entry_count
+        self.timers = Timers(clock, self.dispatcher.on_timer)
+        self.dispatcher.set_timers(self.timers)
+
+
+class LoadReplay:
+    """Modelled servers and callers around the dispatchers of some active entries.
+
+    Add services before entries are needed; ``servers`` holds the ``ServerModel``
+    objects by id, ``i-SERVICE-NUMBER``.
+    """
+
+    def __init__(self, seed, entry_count=1, budget_ratio=0.2, budget_slack=116):
+        # The dispatcher spreads the return of callers at random.
+        random.seed(seed)
+        self.clock = VirtualClock()
+        self.servers = {}
+        self.work_factors = {}
+        self._rng = random.Random(f"{seed}/servers")
+        settings = _make_settings(budget_ratio, budget_slack)
+        self.entries = [
+            _ModelEntry(
+                number,
+                self.clock,
+                self.servers,
+                settings,
+                entry_count,
+                self.work_factors,
+            )
+            for number in range(entry_count)
+        ]
+        self.callers = CallerModel(
+            [entry.dispatcher for entry in self.entries],
+            Configuration(1),
+            self.clock,
+            seed,
+        )
+
+    def add_service(
+        self, name, server_count=3, slots=3, slowness=(1.0,), **server_options
+    ):
+        """Add a service whose servers are spread over the failure domains.
+
+        ``slowness`` holds the service times of its servers, as multiples, in turn.
+        """
+        for number in range(server_count):
+            id = f"i-{name}-{number}"
+            self.servers[id] = ServerModel(
+                self.clock,
+                self._rng,
+                slots=slots,
+                slowness=slowness[number % len(slowness)],
+                **server_options,
+            )
+            address = ("127.0.0.1", 1024 + len(self.servers))
+            server = Server(id, name, address, DOMAINS[number % 3], slots)
+            for entry in self.entries:
+                entry.table.apply(server)
+
+    def servers_of(self, *services):
+        """Return the servers of some services."""
+        prefixes = tuple(f"i-{service}-" for service in services)
+        return [self.servers[id] for id in self.servers if id.startswith(prefixes)]
+
+    def add_fault(self, kind, services, after_s, for_s, share=1.0, x=1.0):
+        """Let a share of the servers of some services, drawn at random, fail."""
+        servers = self.servers_of(*services)
+        start = self.clock.monotonic() + after_s
+        for server in self._rng.sample(servers, round(share * len(servers))):
+            server.faults.append(ServerFault(kind, start, start + for_s, x))
+
+    def run(self, loads):
+        """Play loads together; each is (route, rate, seconds, deadline in s).
+
+        Return the ``CallerResult`` objects of all.
+        """
+
+        async def play():
+            for entry in self.entries:
+                await entry.timers.start()
+            tasks = [await curio.spawn(self.callers.run, *load) for load in loads]
+            for task in tasks:
+                await task.join()
+
+        run_in_virtual_time(play, clock=self.clock)
+        return self.callers.results
+
+    def extra_share(self):
+        """Return the extra sends as a share of the first ones."""
+        extra = first = 0
+        for entry in self.entries:
+            counts = entry.dispatcher.counts
+            extra += counts["hedges"] + counts["retries"]
+            first += counts["sends"] - counts["hedges"] - counts["retries"]
+        return extra / max(1, first)
+
+
+def read_pattern(path):
+    """Return the pattern in a TOML file; raises ``ValueError`` if it is none."""
+    with open(path, "rb") as file:
+        pattern = tomllib.load(file)
+    for key in ("load", "seconds", "services", "routes"):
+        if key not in pattern:
+            raise ValueError(f"{path}: {key} is missing")
+    return pattern
+
+
+def _make_route(fields):
+    shards = [f"{fields['services']}{n}" for n in range(fields.get("shards", 0))]
+    return Route(
+        fields["name"],
+        "h",
+        "/p/",
+        is_idempotent=True,
+        weighted_services=() if shards else [(f"{fields['services']}0", 1)],
+        shards=shards,
+        max_servers=2,
+        timeout_s=fields["deadline_ms"] / 1000.0,
+        objective_s=fields["objective_ms"] / 1000.0,
+        priority_rank=fields.get("priority", 0),
+        top_records=5,
+        min_coverage=fields.get("min_coverage", 0.0),
+    )
+
+
+def replay_pattern(pattern, seed):
+    """Play a pattern; return a dict with the figures of ``COLUMNS`` from "requests"."""
+    replay = LoadReplay(
+        seed,
+        pattern.get("entries", 1),
+        budget_slack=pattern.get("budget_slack", 116),
+    )
+    for service in pattern["services"]:
+        options = {
+            name: service[f"{name[:-2]}_ms"] / 1000.0
+            for name in ("work_s", "pause_s", "handshake_s")
+            if f"{name[:-2]}_ms" in service
+        }
+        for name in ("slots", "max_queue", "pause_every_s", "spread", "slowness"):
+            if name in service:
+                options[name] = service[name]
+        for number in range(service.get("count", 1)):
+            replay.add_service(
+                f"{service['name']}{number}", service.get("servers", 3), **options
+            )
+    for fault in pattern.get("faults", ()):
+        names = [
+            f"{fault['services']}{number}"
+            for number in range(fault.get("first", 0), fault.get("count", 1))
+        ]
+        replay.add_fault(
+            fault["kind"],
+            names,
+            fault["at_s"],
+            fault["for_s"],
+            fault.get("share", 1.0),
+            fault.get("x", 1.0),
+        )
+    loads = []
+    for fields in pattern["routes"]:
+        replay.work_factors[fields["name"]] = fields.get("work", 1.0)
+        rate = _rate(fields["per_s"], pattern.get("bursts", ()))
+        deadline_s = fields["deadline_ms"] / 1000.0
+        loads.append((_make_route(fields), rate, pattern["seconds"], deadline_s))
+    results = replay.run(loads)
+    return {**summarize(results), "extra sends": round(replay.extra_share(), 3)}
+
+
+def _rate(per_s, bursts):
+    def rate(elapsed_s):
+        factor = 1.0
+        for burst in bursts:
+            if 0 <= elapsed_s - burst["at_s"] < burst["for_s"]:
+                factor *= burst["x"]
+        return per_s * factor
+
+    return rate
+
+
+def _value(result):
+    if not result.is_served:
+        return 0.0
+    return result.covered**2 * (1.0 if result.is_in_time else LATE_VALUE)
+
+
+def summarize(results):
+    """Return what callers got, as a dict of shares and latencies."""
+    start = min(result.sent_at for result in results)
+    windows = {}
+    for result in results:
+        window = int((result.sent_at - start) / WINDOW_S)
+        windows.setdefault(window, []).append(_value(result))
+    means = sorted(sum(values) / len(values) for values in windows.values())
+    latencies = sorted(r.latency_s * 1000.0 for r in results if r.is_served) or [0.0]
+    count = len(results)
+    return {
+        "requests": count,
+        "served": round(sum(r.is_served for r in results) / count, 3),
+        "in objective": round(sum(r.is_in_time for r in results) / count, 3),
+        "value": round(sum(map(_value, results)) / count, 3),
+        "worst windows": round(sum(means[:2]) / len(means[:2]), 3),
+        "refused": round(sum(r.refused_s is not None for r in results) / count, 3),
+        "p50 ms": round(latencies[len(latencies) // 2], 1),
+        "p99 ms": round(latencies[int(0.99 * len(latencies))], 1),
+    }
+
+
+def _replace_constant(text):
+    name, _, value = text.partition("=")
+    module, _, attribute = name.rpartition(".")
+    target = importlib.import_module(f"almondtide.entry.{module}")
+    replace_attribute(target, attribute, float(value))
+
+
+def _replay_elsewhere(directory, arguments):
+    """Replay in a process of its own; return the rows that it printed as JSON."""
+    result = subprocess.run(
+        [sys.executable, "-m", "bench.replay", *arguments, "--output", "json"],
+        cwd=directory,
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    if result.returncode:
+        raise SystemExit(f"{directory}: {result.stderr.strip()[-500:]}")
+    return json.loads(result.stdout)
+
+
+def main(
+    *patterns: str,
+    seed: int = 1,
+    other: str | None = None,
+    replace: list[str] | None = None,
+    output: str = "text",
+):
+    """Replay load patterns and print what callers get.
+
+    :param patterns: files of patterns
+    :param other: also replay with the checkout in this directory
+    :param replace: module.NAME=VALUE of constants of almondtide.entry; the patterns are
+        replayed with and without them
+    :param output: text or json
+    """
+    paths = [str(pathlib.Path(path).resolve()) for path in patterns]
+    arguments = [*paths, "--seed", str(seed)]
+    rows = []
+    if replace and output != "json":
+        rows += _replay_elsewhere(pathlib.Path.cwd(), arguments)
+    if other is not None:
+        rows += [{**row, "run": other} for row in _replay_elsewhere(other, arguments)]
+    for text in replace or ():
+        _replace_constant(text)
+    for path in paths:
+        figures = replay_pattern(read_pattern(path), seed)
+        run = " ".join(replace) if replace else "this"
+        rows.append({"pattern": pathlib.Path(path).stem, "run": run, **figures})
+    if output == "json":
+        print(json.dumps(rows))
+        return
+    rows.sort(key=lambda row: row["pattern"])
+    lines = [[str(row[column]) for column in COLUMNS] for row in rows]
+    print(format_table(COLUMNS, lines))
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- a/standins/server_model.py
+++ b/standins/server_model.py
@@ -13,20 +13,53 @@
 from almondtide.entry.upstreams import Failure
 from almondtide.model.http_messages import Reply, Request
 
-__all__ = ["CallerModel", "CallerResult", "ModelPool", "ServerModel"]
+__all__ = [
+    "FAULT_KINDS",
+    "CallerModel",
+    "CallerResult",
+    "ModelPool",
+    "ServerFault",
+    "ServerModel",
+]
 
 # A caller that is refused honours a retry-after time up to this fraction of what is
 # left until its deadline.
 HONOURED_FRACTION = 1.0 / 3.0
+# Pause of a caller that is refused without a time to come back, in s.
+DEFAULT_CALLER_PAUSE_S = 0.02
+# Longer than any deadline.
+SILENCE_S = 3600.0
+# This share of the requests takes so many times as long as the others.
+TAIL_SHARE = 0.01
+TAIL_FACTOR = 5.0
+# What a fault does to the requests that arrive while it lasts:
+# "away": refused as not run, with the time left as pause. "shed": a share ``x`` is
+# refused as not run, without a pause. "slow": they take ``x`` times as long. "silent":
+# never answered. "reset": the connection of a share ``x`` breaks.
+FAULT_KINDS = ("away", "shed", "slow", "silent", "reset")
+
+
+class ServerFault:
+    """A fault of a server from ``start`` until ``end``; see ``FAULT_KINDS``."""
+
+    __slots__ = ("end", "kind", "start", "x")
+
+    def __init__(self, kind, start, end, x=1.0):
+        if kind not in FAULT_KINDS:
+            raise ValueError(f"fault {kind!r} is unknown")
+        self.kind = kind
+        self.start = start
+        self.end = end
+        self.x = x
 
 
 class ServerModel:
-    """One server: slots, a queue, a speed, pauses, and times when it turns work away.
+    """One server: slots, a queue, a speed, pauses and faults.
 
-    ``work_s`` is the mean service time, with a log-normal spread of ``spread``. With
-    ``pause_every_s`` the server stands still for ``pause_s`` each time. Requests from
-    ``away_from`` until ``away_until`` get a refusal with the time to the end of that
-    span if ``states_pause``. ``arrivals`` holds the time of each request.
+    ``work_s`` is the mean service time, with a log-normal spread of ``spread`` and a
+    tail of longer requests; ``slowness`` multiplies it. With ``pause_every_s`` the
+    server stands still for ``pause_s`` each time. ``arrivals`` holds the time of each
+    request.
     """
 
     def __init__(
@@ -37,12 +70,10 @@
         max_queue=18,
         work_s=0.02,
         spread=0.35,
+        slowness=1.0,
         handshake_s=0.006,
         pause_s=0.0,
         pause_every_s=math.inf,
-        away_from=math.inf,
-        away_until=math.inf,
-        states_pause=True,
     ):
         self._clock = clock
         self._rng = rng
@@ -51,26 +82,35 @@
         self.max_queue = max_queue
         self.work_s = work_s
         self.spread = spread
+        self.slowness = slowness
         self.handshake_s = handshake_s
         self.pause_s = pause_s
         self.pause_every_s = pause_every_s
-        self.away_from = away_from
-        self.away_until = away_until
-        self.states_pause = states_pause
         self.pause_offset_s = 0.0
         if math.isfinite(pause_every_s):
             self.pause_offset_s = rng.random() * pause_every_s
+        self.faults = []
         self.arrivals = []
 
-    async def serve(self):
-        """Run one request; returns the ``Reply``, or a refusal as not run."""
+    def _active_faults(self):
+        now = self._clock.monotonic()
+        return [fault for fault in self.faults if fault.start <= now < fault.end]
+
+    async def serve(self, work_x=1.0):
+        """Run one request; return its ``Reply``, or None for a broken connection.
+
+        ``work_x`` is the service time of the request's route as a multiple of the
+        server's.
+        """
         now = self._clock.monotonic()
         self.arrivals.append(now)
-        if self.away_from <= now < self.away_until:
-            reply = _refusal()
-            if self.states_pause:
-                reply.pause_s = self.away_until - now
-            return reply
+        for fault in self._active_faults():
+            if fault.kind == "away":
+                return _refusal(fault.end - now)
+            if fault.kind == "silent":
+                await curio.sleep(SILENCE_S)
+            if fault.kind in ("shed", "reset") and self._rng.random() < fault.x:
+                return _refusal() if fault.kind == "shed" else None
         if self._slots.locked() and self._waiting >= self.max_queue:
             return _refusal()
         self._waiting += 1
@@ -79,8 +119,11 @@
         finally:
             self._waiting -= 1
         try:
-            mu = math.log(self.work_s) - self.spread**2 / 2.0
-            await self._work(self._rng.lognormvariate(mu, self.spread))
+            mu = math.log(self.work_s * work_x) - self.spread**2 / 2.0
+            seconds = self._rng.lognormvariate(mu, self.spread)
+            if self._rng.random() < TAIL_SHARE:
+                seconds *= TAIL_FACTOR
+            await self._work(seconds * self.slowness)
         finally:
             await self._slots.release()
         reply = Reply(200, [], b"")
@@ -93,6 +136,9 @@
             await self._work(self.handshake_s)
 
     async def _work(self, seconds):
+        for fault in self._active_faults():
+            if fault.kind == "slow":
+                seconds *= fault.x
         if math.isfinite(self.pause_every_s):
             now = self._clock.monotonic()
             phase = (now + self.pause_offset_s) % self.pause_every_s
@@ -101,17 +147,23 @@
         await curio.sleep(seconds)
 
 
-def _refusal():
+def _refusal(pause_s=None):
     reply = Reply(503, [], b"")
     reply.is_not_run = True
+    reply.pause_s = pause_s
     return reply
 
 
 class ModelPool:
-    """A connection pool whose servers are ``ServerModel`` objects by id."""
+    """A connection pool whose servers are ``ServerModel`` objects by id.
+
+    ``work_factors`` holds by route the service time of its requests as a multiple of
+    the server's, 1.0 by default. ``delay_s`` is the time of one way to a server.
+    """
 
-    def __init__(self, servers, delay_s=0.0007):
+    def __init__(self, servers, work_factors=None, delay_s=0.0007):
         self.servers = servers
+        self.work_factors = work_factors or {}
         self.delay_s = delay_s
         self.opened_count = 0
 
@@ -149,14 +201,15 @@
                 return
             exchange.on_write()
             await curio.sleep(self.delay_s)
-            reply = await server.serve()
-            reply.request_id = exchange.request.id
+            route = exchange.branch.call.route
+            reply = await server.serve(self.work_factors.get(route.name, 1.0))
             await curio.sleep(self.delay_s)
-            is_reusable = True
             if reply is None:
-                await exchange.on_failure(Failure.BROKEN, "lost", None)
-            else:
-                await exchange.on_reply(reply)
+                await exchange.on_failure(Failure.BROKEN, "reset", None)
+                return
+            reply.request_id = exchange.request.id
+            is_reusable = True
+            await exchange.on_reply(reply)
         finally:
             if is_reusable:
                 upstream.idle_connection_count += 1
@@ -167,9 +220,19 @@
 class CallerResult:
     """What one caller got: the final status, the latency and its attempts."""
 
-    __slots__ = ("attempts", "covered", "latency_s", "refused_s", "status")
-
-    def __init__(self):
+    __slots__ = (
+        "attempts",
+        "covered",
+        "latency_s",
+        "objective_s",
+        "refused_s",
+        "sent_at",
+        "status",
+    )
+
+    def __init__(self, sent_at, objective_s):
+        self.sent_at = sent_at
+        self.objective_s = objective_s
         self.status = None
         self.latency_s = 0.0
         self.attempts = 0
@@ -178,16 +241,25 @@
         # How long the first refusal took, or None.
         self.refused_s = None
 
-    def is_in_time(self, objective_s):
-        """Return whether it was a success within the objective."""
-        return self.status == 200 and self.latency_s <= objective_s
+    @property
+    def is_served(self):
+        """Whether it was a success."""
+        return self.status == 200
+
+    @property
+    def is_in_time(self):
+        """Whether it was a success within the objective."""
+        return self.is_served and self.latency_s <= self.objective_s
 
 
 class CallerModel:
-    """Sends requests at a rate and tries again as callers of the platform do."""
+    """Sends requests at a rate and tries again as callers of the platform do.
 
-    def __init__(self, dispatcher, configuration, clock, seed, retries=1):
-        self._dispatcher = dispatcher
+    Each request goes to a random one of ``dispatchers``, one for each active entry.
+    """
+
+    def __init__(self, dispatchers, configuration, clock, seed, retries=1):
+        self._dispatchers = dispatchers
         self._configuration = configuration
         self._clock = clock
         self._rng = random.Random(f"{seed}/callers")
@@ -196,19 +268,23 @@
         self.results = []
 
     async def run(self, route, per_s, seconds, deadline_s):
-        """Send requests on a route; returns when all have ended."""
+        """Send requests on a route; return when all have ended.
+
+        ``per_s`` is the rate, or a function from the time since the start to it.
+        """
         tasks = []
-        end = self._clock.monotonic() + seconds
-        while self._clock.monotonic() < end:
+        start = self._clock.monotonic()
+        while (elapsed_s := self._clock.monotonic() - start) < seconds:
             tasks.append(await curio.spawn(self._send, route, deadline_s))
-            await curio.sleep(self._rng.expovariate(per_s))
+            rate = per_s(elapsed_s) if callable(per_s) else per_s
+            await curio.sleep(self._rng.expovariate(rate))
         for task in tasks:
             await task.join()
 
     async def _send(self, route, deadline_s):
-        result = CallerResult()
-        self.results.append(result)
         started_at = self._clock.monotonic()
+        result = CallerResult(started_at, route.objective_s)
+        self.results.append(result)
         while result.attempts <= self.retries:
             left_s = started_at + deadline_s - self._clock.monotonic()
             if left_s <= 0.01:
@@ -218,7 +294,7 @@
             result.status = answer.status
             result.covered = call.answered_count / len(call.branches)
             result.latency_s = self._clock.monotonic() - started_at
-            if answer.status == 200:
+            if result.is_served:
                 break
             if result.refused_s is None:
                 result.refused_s = result.latency_s
@@ -232,10 +308,10 @@
         call = Call(
             request, route, services, self._configuration, self._clock.monotonic()
         )
-        return await self._dispatcher.run(call), call
+        return await self._rng.choice(self._dispatchers).run(call), call
 
     def _pause_s(self, answer, left_s):
         for name, value in answer.headers:
             if name == b"retry-after":
                 return min(float(value), left_s * HONOURED_FRACTION)
-        return 0.02
+        return DEFAULT_CALLER_PAUSE_S
--- a/tests/entry/test_load.py
+++ b/tests/entry/test_load.py
@@ -1,22 +1,10 @@
 """Replays of loads against the dispatcher, in virtual time with modelled servers."""
 
-import random
-
-import orjson
 import testtools
 
-from almondtide.entry.crash_detector import CrashDetector
-from almondtide.entry.dispatch import Dispatcher
-from almondtide.entry.upstreams import UpstreamTable
-from almondtide.model.published import Configuration
-from almondtide.platform.settings import decode_settings
-from almondtide.timers import Timers
-from standins.server_model import CallerModel, ModelPool, ServerModel
-from standins.virtual_time import VirtualClock, run_in_virtual_time
-from tests.entry.support import make_route, make_server, settings_document
-from tests.support import MemoryLog
-
-DOMAINS = ("lautoka", "nadi", "suva")
+from bench.replay import LoadReplay
+from tests.entry.support import make_route
+
 SHARDS = tuple(f"shard-{number}" for number in range(10))
 # A machine may get this many requests to a server that turned it away, from half a
 # second after the refusal until the end of the pause (rule BUDGET of the platform).
@@ -24,69 +12,25 @@
 PAUSE_NOTICE_S = 0.5
 
 
-class LoadReplay:
-    """The dispatcher of one entry, with modelled servers and callers."""
-
-    def __init__(self, seed, services, slots=3, **server_options):
-        random.seed(seed)
-        self.clock = VirtualClock()
-        rng = random.Random(f"{seed}/servers")
-        self.servers = {}
-        self.table = UpstreamTable("lautoka")
-        for service in services:
-            for number, domain in enumerate(DOMAINS):
-                id = f"i-{service}-{number}"
-                self.servers[id] = ServerModel(
-                    self.clock, rng, slots=slots, **server_options
-                )
-                self.table.apply(make_server(id, service, domain, slots))
-        now = self.clock.monotonic
-        self.log = MemoryLog()
-        self.pool = ModelPool(self.servers)
-        self.dispatcher = Dispatcher(
-            self.table,
-            self.pool,
-            decode_settings(orjson.dumps(settings_document())),
-            CrashDetector(now, self.log),
-            now,
-            self.log,
-        )
-        self.timers = Timers(self.clock, self.dispatcher.on_timer)
-        self.dispatcher.set_timers(self.timers)
-        self.callers = CallerModel(self.dispatcher, Configuration(1), self.clock, seed)
-
-    def servers_of(self, *services):
-        return [
-            server
-            for id, server in self.servers.items()
-            if any(id.startswith(f"i-{service}-") for service in services)
-        ]
+def _replay(seed, services, **server_options):
+    """Return the replay of one entry with the services."""
+    replay = LoadReplay(seed)
+    for service in services:
+        replay.add_service(service, **server_options)
+    return replay
 
-    def turn_away(self, services, after_s, for_s):
-        """Let all servers of some services turn work away for a span of time."""
-        start = self.clock.monotonic() + after_s
-        for server in self.servers_of(*services):
-            server.away_from, server.away_until = start, start + for_s
-
-    def run(self, route, per_s, seconds, deadline_s):
-        """Play the load; returns the ``CallerResult`` objects."""
-
-        async def play():
-            await self.timers.start()
-            await self.callers.run(route, per_s, seconds, deadline_s)
-
-        run_in_virtual_time(play, clock=self.clock)
-        return self.callers.results
-
-    def most_requests_in_pause(self):
-        """Return the most requests that a server got in a pause it had asked for."""
-        return max(
-            sum(
-                server.away_from + PAUSE_NOTICE_S < at < server.away_until
-                for at in server.arrivals
-            )
-            for server in self.servers.values()
-        )
+
+def _run(replay, route, per_s, seconds, deadline_s):
+    return replay.run([(route, per_s, seconds, deadline_s)])
+
+
+def _most_requests_in_pause(replay):
+    """Return the most requests that a server got in a pause it had asked for."""
+    return max(
+        sum(fault.start + PAUSE_NOTICE_S < at < fault.end for at in server.arrivals)
+        for server in replay.servers.values()
+        for fault in server.faults
+    )
 
 
 def _share(results, condition):
@@ -100,8 +44,8 @@
         route = make_route(shards=SHARDS, objective_s=0.12, timeout_s=2.0)
         latencies = []
         for seed in (1, 1, 2):
-            replay = LoadReplay(seed, SHARDS, pause_s=0.15, pause_every_s=3.6)
-            results = replay.run(route, 30, 5.0, 2.0)
+            replay = _replay(seed, SHARDS, pause_s=0.15, pause_every_s=3.6)
+            results = _run(replay, route, 30, 5.0, 2.0)
             latencies.append([result.latency_s for result in results])
         self.assertEqual(latencies[0], latencies[1])
         self.assertNotEqual(latencies[0], latencies[2])
@@ -117,20 +61,20 @@
     def test_servers_get_no_requests_while_they_pause(self):
         route = make_route(weighted_services=(("a", 1),), objective_s=0.5, timeout_s=8)
         for seed in range(3):
-            replay = LoadReplay(seed, ["a"], work_s=0.05)
-            replay.turn_away(["a"], 2.0, 2.0)
-            results = replay.run(route, 20, 6.0, 8.0)
-            self.assertTrue(replay.most_requests_in_pause() <= MAX_REQUESTS_IN_PAUSE)
+            replay = _replay(seed, ["a"], work_s=0.05)
+            replay.add_fault("away", ["a"], 2.0, 2.0)
+            results = _run(replay, route, 20, 6.0, 8.0)
+            self.assertTrue(_most_requests_in_pause(replay) <= MAX_REQUESTS_IN_PAUSE)
             served = _share(results, lambda result: result.status == 200)
             self.assertTrue(served >= 0.97, served)
 
     def test_callers_are_refused_at_once(self):
         route = make_route(weighted_services=(("a", 1),), objective_s=0.5, timeout_s=8)
-        replay = LoadReplay(4, ["a"], work_s=0.05)
-        replay.turn_away(["a"], 2.0, 2.0)
+        replay = _replay(4, ["a"], work_s=0.05)
+        replay.add_fault("away", ["a"], 2.0, 2.0)
         refused = [
             result.refused_s
-            for result in replay.run(route, 20, 6.0, 8.0)
+            for result in _run(replay, route, 20, 6.0, 8.0)
             if result.refused_s is not None
         ]
         self.assertTrue(len(refused) > 10, len(refused))
@@ -138,46 +82,46 @@
 
     def test_callers_do_not_return_before_the_end_or_all_at_once(self):
         route = make_route(weighted_services=(("a", 1),), objective_s=0.5, timeout_s=8)
-        replay = LoadReplay(5, ["a"], work_s=0.05)
-        replay.turn_away(["a"], 1.0, 2.0)
-        results = replay.run(route, 20, 3.0, 8.0)
+        replay = _replay(5, ["a"], work_s=0.05)
+        replay.add_fault("away", ["a"], 1.0, 2.0)
+        results = _run(replay, route, 20, 3.0, 8.0)
         again = [result for result in results if result.refused_s is not None]
         self.assertTrue(all(result.attempts == 2 for result in again))
-        end = next(iter(replay.servers.values())).away_until
+        end = next(iter(replay.servers.values())).faults[0].end
         after = [at - end for s in replay.servers.values() for at in s.arrivals]
         first = [at for at in after if 0 <= at <= 0.05]
         self.assertTrue(len(first) < 0.5 * len(again), (len(first), len(again)))
 
     def test_a_short_pause_is_waited_for(self):
         route = make_route(weighted_services=(("a", 1),), objective_s=0.5, timeout_s=8)
-        replay = LoadReplay(6, ["a"], work_s=0.05)
-        replay.turn_away(["a"], 1.0, 0.2)
-        results = replay.run(route, 20, 3.0, 8.0)
-        in_time = _share(results, lambda result: result.is_in_time(route.objective_s))
+        replay = _replay(6, ["a"], work_s=0.05)
+        replay.add_fault("away", ["a"], 1.0, 0.2)
+        results = _run(replay, route, 20, 3.0, 8.0)
+        in_time = _share(results, lambda result: result.is_in_time)
         self.assertTrue(in_time >= 0.99, in_time)
 
     def test_one_shard_that_pauses_is_left_out(self):
         route = make_route(
             shards=SHARDS, min_coverage=0.89, objective_s=0.12, timeout_s=2.0
         )
-        replay = LoadReplay(7, SHARDS)
-        replay.turn_away(SHARDS[:1], 1.0, 3.0)
-        results = replay.run(route, 30, 6.0, 2.0)
-        in_time = _share(results, lambda result: result.is_in_time(0.12))
+        replay = _replay(7, SHARDS)
+        replay.add_fault("away", SHARDS[:1], 1.0, 3.0)
+        results = _run(replay, route, 30, 6.0, 2.0)
+        in_time = _share(results, lambda result: result.is_in_time)
         self.assertTrue(in_time >= 0.97, in_time)
-        self.assertTrue(replay.most_requests_in_pause() <= MAX_REQUESTS_IN_PAUSE)
+        self.assertTrue(_most_requests_in_pause(replay) <= MAX_REQUESTS_IN_PAUSE)
 
     def test_a_query_that_cannot_reach_its_coverage_is_refused_until_the_end(self):
         route = make_route(
             shards=SHARDS, min_coverage=0.89, objective_s=0.12, timeout_s=6.0
         )
-        replay = LoadReplay(8, SHARDS)
-        replay.turn_away(SHARDS[:2], 1.0, 1.5)
-        results = replay.run(route, 30, 4.0, 6.0)
+        replay = _replay(8, SHARDS)
+        replay.add_fault("away", SHARDS[:2], 1.0, 1.5)
+        results = _run(replay, route, 30, 4.0, 6.0)
         refused = [item.refused_s for item in results if item.refused_s is not None]
         self.assertTrue(refused)
         slow = [refused_s for refused_s in refused if refused_s > 0.25 * 0.12]
         self.assertTrue(len(slow) <= 0.1 * len(refused), slow)
         served = _share(results, lambda result: result.status == 200)
         self.assertTrue(served >= 0.97, served)
-        self.assertTrue(replay.most_requests_in_pause() <= MAX_REQUESTS_IN_PAUSE)
+        self.assertTrue(_most_requests_in_pause(replay) <= MAX_REQUESTS_IN_PAUSE)
