--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test lint demo prove prove-naive soak soak-naive bench clean
+.PHONY: setup test lint demo prove prove-naive soak soak-naive bench regress clean
 
 setup: $(VENV)/.ready
 
@@ -36,6 +36,12 @@
 soak-naive: setup
 	$(BIN)/python -m soak.run --naive --seed $(SEED)
 
+# BENCH is the program of the users' bench, SITES are its site files.
+JOBS ?= 2
+
+regress: setup
+	$(BIN)/python tools/regress.py --bench $(BENCH) --jobs $(JOBS) $(SITES)
+
 bench: setup
 	$(BIN)/python -m bench.run
 
