Log eras that cannot be read, and test restorations in a row

Cause: an unreadable era was ignored without a trace; restorations in a row, of an entry that is cut from the store, and a revision with another content were untested.

--- a/almondtide/entry/reader.py
+++ b/almondtide/entry/reader.py
@@ -130,6 +130,8 @@
             self._note_failure(exc, started_at)
             return
         self._note_success()
+        if self._store.invalid_era is not None:
+            self._log.warning("store_era_invalid", text=self._store.invalid_era[:40])
         await self._send_updates(changed, self._replica.configuration_version != before)
         await self._gossip.trigger_heartbeat()
 
--- a/almondtide/platform/store.py
+++ b/almondtide/platform/store.py
@@ -34,6 +34,18 @@
     """The store did not answer a call in time."""
 
 
+def parse_era(text):
+    """Return the era in a header's text, or None if it states none.
+
+    >>> parse_era("7"), parse_era("-1"), parse_era("seven")
+    (7, None, None)
+    """
+    if not text.isascii() or not text.isdigit() or len(text) > len(str(MAX_ERA)):
+        return None
+    era = int(text)
+    return era if era <= MAX_ERA else None
+
+
 class StoreItem:
     """One item or change; ``value`` is the bytes, or None for a removed key.
 
@@ -53,10 +65,18 @@
 
     Every call raises ``PlatformError`` if the store refuses it or does not answer
     within ``timeout_s``. ``call_count`` counts all calls, since the platform charges
-    for each. ``era`` is that of the last answer.
+    for each. ``era`` is that of the last answer that states one; ``invalid_era`` is the
+    text of a newer answer that cannot be read, or None.
     """
 
-    __slots__ = ("_address", "_client", "call_count", "era", "timeout_s")
+    __slots__ = (
+        "_address",
+        "_client",
+        "call_count",
+        "era",
+        "invalid_era",
+        "timeout_s",
+    )
 
     def __init__(self, address, timeout_s):
         self._address = address
@@ -64,6 +84,7 @@
         self.timeout_s = timeout_s
         self.call_count = 0
         self.era = 0
+        self.invalid_era = None
 
     async def get(self, key):
         """Return the ``StoreItem`` at ``key``, or None if there is none."""
@@ -144,10 +165,14 @@
 
     def _note_era(self, text):
         """Take over the era of an answer; one that states none keeps the last."""
-        if text is not None and text.isascii() and text.isdigit():
-            era = int(text)
-            if era <= MAX_ERA:
-                self.era = era
+        if text is None:
+            return
+        era = parse_era(text)
+        if era is None:
+            self.invalid_era = text
+        else:
+            self.era = era
+            self.invalid_era = None
 
     async def _exchange(self, path):
         client = self._client
--- a/tests/entry/test_restoration.py
+++ b/tests/entry/test_restoration.py
@@ -390,6 +390,76 @@
 
         self._run_scenario(scenario)
 
+    def test_two_restorations_in_a_row(self):
+        async def scenario(store, daemon, reader, client):
+            copy = store.copy()
+            await store.put("servers/i-3", ENTRY)
+            await reader._read()
+            await store.restore(copy)
+            daemon.now += 0.5
+            await reader._read()
+            await store.put("servers/i-1", {**ENTRY, "state": "draining"})
+            await reader._read()
+            await store.restore(copy)
+            daemon.now += 0.5
+            await reader._read()
+            self.assertEqual(NEW_ERA + 1, era_of(daemon.feed.cursor))
+            self.assertTrue(daemon.record(1).server.leaving)
+            self.assertEqual(3, len(daemon.known()))
+            await store.put("servers/i-3", ENTRY)
+            daemon.now += RESTORATION_HOLD_S + 0.1
+            await reader._read_if_due()
+            self.assertEqual(3, len(daemon.known()))
+
+        self._run_scenario(scenario)
+
+    def test_a_revision_is_given_out_again_with_another_content(self):
+        async def scenario(store, daemon, reader, client):
+            copy = store.copy()
+            await store.put("servers/i-1", {**ENTRY, "capacity": 4})
+            before = store.revision
+            await reader._read()
+            await store.restore(copy)
+            await store.put("servers/i-1", {**ENTRY, "capacity": 5})
+            self.assertEqual(before, store.revision)
+            await reader._read()
+            self.assertEqual(5, daemon.record(1).server.slots)
+
+        self._run_scenario(scenario)
+
+    def test_a_restoration_while_the_entry_is_cut_from_the_store(self):
+        async def scenario(store, daemon, reader, client):
+            copy = store.copy()
+            await store.put("servers/i-3", ENTRY)
+            await reader._read()
+            store.mode = "busy"
+            daemon.now += 4.0
+            await reader._read()
+            store.mode = "normal"
+            await store.restore(copy)
+            await store.remove("servers/i-2")
+            await store.put("servers/i-3", ENTRY)
+            await reader._read()
+            self.assertEqual(3, len(daemon.known()))
+            daemon.now += RESTORATION_HOLD_S + 0.1
+            await reader._read_if_due()
+            self.assertEqual(["servers/i-1", "servers/i-3"], daemon.known())
+
+        self._run_scenario(scenario)
+
+    def test_an_era_that_cannot_be_read_is_logged_and_ignored(self):
+        async def scenario(store, daemon, reader, client):
+            await reader._read()
+            for era in ("seven", "-1", "9" * 30, "5.0"):
+                store.era = era
+                await store.put("servers/i-1", {**ENTRY, "capacity": len(era)})
+                await reader._read()
+                self.assertEqual(len(era), daemon.record(1).server.slots)
+                self.assertEqual(OLD_ERA, daemon.feed.era)
+            self.assertEqual(4, daemon.log.names().count("store_era_invalid"))
+
+        self._run_scenario(scenario)
+
     def test_the_client_reports_a_restoration(self):
         async def scenario(store, daemon, reader, client):
             copy = store.copy()
