--- a/almondtide/cli_report.py
+++ b/almondtide/cli_report.py
@@ -1,5 +1,6 @@
 """Commands ``fleet`` and ``report``: state of entries and results of benchmark days."""
 
+import datetime
 import importlib
 import re
 
@@ -22,7 +23,12 @@
 MIN_SERVER_ERROR_STATUS = 500
 # Number of prices of a day in the table, highest first.
 MAX_SHOWN_PRICES = 2
-PLOT_WIDTH, PLOT_HEIGHT = 9.0, 5.0
+# Width of a plot and height of a site's panel, in inches.
+PLOT_WIDTH, PANEL_HEIGHT = 9.0, 2.6
+# Most days of a site with a line of their own in a plot.
+MAX_NAMED_DAYS = 8
+# Lower plays are cut off, since one of them would flatten all others.
+LEAST_SHOWN_WORTH = -0.2
 
 _SAMPLE_PATTERN = re.compile(r"(\w+)(?:\{(.*)\})? (\S+)")
 _LABEL_PATTERN = re.compile(r'(\w+)="((?:[^"\\]|\\.)*)"')
@@ -178,7 +184,7 @@
     :param site: only days of this site
     :param day: only days whose name starts with this text
     :param last: only this number of newest runs; 0 for all
-    :param plot: write a plot of worth by run to this file (png, svg, pdf)
+    :param plot: write a plot of worth over time, a panel a site (png, svg, pdf)
     :param output: text or json
     """
     if last < 0:
@@ -224,7 +230,11 @@
 
 
 def _plot(rows, path):
-    """Plot the worth of each day over the runs, one line for each day."""
+    """Plot the worth of the days over time, with one panel for each site.
+
+    The days that were played most have lines of their own, whose legend states the
+    spread over all plays; the others are grey points.
+    """
     try:
         # An optional dependency, needed only for --plot.
         matplotlib = importlib.import_module("matplotlib")
@@ -232,24 +242,52 @@
         pyplot = importlib.import_module("matplotlib.pyplot")
     except ImportError as exc:
         raise UsageError(f"--plot needs the extra 'plots': {exc}") from exc
-    run_times = sorted({row["at"] for row in rows})
-    figure, axes = pyplot.subplots(figsize=(PLOT_WIDTH, PLOT_HEIGHT))
-    lines = {}
-    for row in rows:
-        lines.setdefault(f"{row['site']} {row['day']}", []).append(row)
-    for label, points in sorted(lines.items()):
-        positions = [run_times.index(point["at"]) for point in points]
-        axes.plot(
-            positions, [point["worth"] for point in points], marker="o", label=label
-        )
-    axes.set_xlabel("run, oldest first")
-    axes.set_ylabel("worth of the day")
-    axes.grid(visible=True, alpha=0.3)
-    if lines:
-        axes.legend(fontsize="x-small", ncols=2)
+    panels = _group_rows(rows) or {"no days": {}}
+    figure, axes = pyplot.subplots(
+        len(panels),
+        1,
+        sharex=True,
+        squeeze=False,
+        figsize=(PLOT_WIDTH, PANEL_HEIGHT * len(panels)),
+    )
+    for panel, (site, days) in zip(axes[:, 0], panels.items(), strict=True):
+        _plot_site(panel, site, days)
+    figure.autofmt_xdate()
     try:
-        figure.savefig(path)
+        figure.savefig(path, bbox_inches="tight")
     except (OSError, ValueError) as exc:
         raise UsageError(f"--plot: {exc}") from exc
     finally:
         pyplot.close(figure)
+
+
+def _group_rows(rows):
+    """Return by site and day the (time, worth) of all plays, oldest first."""
+    panels = {}
+    for row in sorted(rows, key=lambda row: row["at"]):
+        if row["worth"] is None:
+            continue
+        at = datetime.datetime.fromisoformat(row["at"].replace("Z", "+00:00"))
+        days = panels.setdefault(row["site"], {})
+        days.setdefault(row["day"], []).append((at, row["worth"]))
+    return dict(sorted(panels.items()))
+
+
+def _plot_site(panel, site, days):
+    by_plays = sorted(days, key=lambda name: (-len(days[name]), name))
+    named = sorted(name for name in by_plays[:MAX_NAMED_DAYS] if len(days[name]) > 1)
+    for name, points in days.items():
+        if name not in named:
+            panel.plot(*zip(*points, strict=True), ".", color="0.7", markersize=3)
+    for name in named:
+        times, worths = zip(*days[name], strict=True)
+        spread = f"{min(worths):.2f} to {max(worths):.2f}, {len(worths)} plays"
+        panel.plot(times, worths, marker="o", markersize=3, label=f"{name}: {spread}")
+    lowest = min((worth for points in days.values() for _, worth in points), default=0)
+    if lowest < LEAST_SHOWN_WORTH:
+        panel.set_ylim(bottom=LEAST_SHOWN_WORTH)
+    panel.set_title(site, fontsize="small", loc="left")
+    panel.set_ylabel("worth")
+    panel.grid(visible=True, alpha=0.3)
+    if named:
+        panel.legend(fontsize="x-small", loc="upper left", bbox_to_anchor=(1.01, 1.0))
--- a/tests/test_cli_report.py
+++ b/tests/test_cli_report.py
@@ -14,7 +14,7 @@
 import testtools
 
 from almondtide import cli
-from almondtide.cli_report import summarize_metrics
+from almondtide.cli_report import _group_rows, summarize_metrics
 from almondtide.entry.metrics import LatencyHistogram, MetricFamily, render_metrics
 from tests.platform.test_journal import RUN
 
@@ -155,6 +155,21 @@
         self.assertEqual(0, status)
         self.assertTrue(path.read_bytes().startswith(b"\x89PNG"))
 
+    def test_a_plot_has_a_panel_for_each_site(self):
+        rows = [
+            {"at": f"2026-12-0{day}T01:00:00Z", "site": site, "day": name, "worth": w}
+            for day, site, name, w in (
+                (2, "b", "quiet-1", 0.8),
+                (1, "b", "quiet-1", 0.7),
+                (1, "a", "scale-1", 0.6),
+                (1, "a", "scale-2", None),
+            )
+        ]
+        panels = _group_rows(rows)
+        self.assertEqual(["a", "b"], list(panels))
+        self.assertEqual([0.7, 0.8], [worth for _, worth in panels["b"]["quiet-1"]])
+        self.assertEqual(["scale-1"], list(panels["a"]))
+
     def test_plot_to_an_invalid_path(self):
         path = str(self.folder / "none" / "plot.png")
         status, _, err = _run("report", str(self.folder), "--plot", path)
