Let standbys share a tenth of the retry slack, and spread returns to empty entries

The tests of an added route reach all 195 entries and go to one service, whose servers turned requests away. Entries had no configuration from 36.8 to 38.2 s and asked callers, which try again once, to come back after 0.1 s: 303 came back in vain.

Changes: the parts of all entries make up 1.0: active entries share 0.9, standbys 0.1. An entry without a configuration asks for a time that grows with its own wait, 0.1 to 1 s.

--- a/almondtide/entry/admission.py
+++ b/almondtide/entry/admission.py
@@ -6,6 +6,7 @@
     "AdmissionDecision",
     "ServiceState",
     "decide_admission",
+    "not_ready_retry_s",
     "pause_wait_s",
     "retry_after_s",
 ]
@@ -20,6 +21,11 @@
 PAUSE_RETURN_SPREAD = 0.25
 
 
+# Bounds of the retry-after time while an entry has no configuration, in s.
+MIN_NOT_READY_RETRY_S = 0.1
+MAX_NOT_READY_RETRY_S = 1.0
+
+
 class ServiceState(enum.Enum):
     """Whether a service can take a new request."""
 
@@ -108,6 +114,21 @@
     return sorted(waits_s)[needed - 1] if len(waits_s) >= needed else 0.0
 
 
+def not_ready_retry_s(waited_s, jitter):
+    """Return the retry-after time while an entry has no configuration, in seconds.
+
+    The entry has waited for one for ``waited_s`` since its start, and ``jitter`` is a
+    random number between 0 and 1. Answers the load pattern in which all entries start
+    again while the store is away: callers try again once only, so they come back after
+    about as long as the wait has lasted.
+
+    >>> not_ready_retry_s(0.02, 0.0), not_ready_retry_s(0.6, 0.0)
+    (0.1, 0.6)
+    """
+    base_s = min(MAX_NOT_READY_RETRY_S, max(MIN_NOT_READY_RETRY_S, waited_s))
+    return base_s * (1.0 + RETRY_AFTER_JITTER * jitter)
+
+
 def retry_after_s(waiting, slots, expected_s, jitter, pause_s=0.0):
     """Return the time after which a refused caller should retry, in seconds.
 
--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -24,6 +24,7 @@
 from .metrics import MetricFamily, render_metrics
 from .reader import StoreReader
 from .replica import StoreReplica
+from .retry_budget import slack_share
 from .upstreams import UpstreamTable
 
 __all__ = ["EntryDaemon"]
@@ -100,7 +101,9 @@
         self.gossip.set_loss_handler(self.crash_detector.merge_peer_losses)
         self.timers = Timers(BoottimeClock(), self.dispatcher.on_timer)
         self.dispatcher.set_timers(self.timers)
-        self.frontend = Frontend(self.dispatcher, self.replica, self.view, now, log)
+        self.frontend = Frontend(
+            self.dispatcher, self.replica, self.view, self.started_at, now, log
+        )
         self._caller_listener = Listener(
             settings.caller_address, self.frontend.serve_connection, log
         )
@@ -314,8 +317,11 @@
             self.log.info("role_changed", carries=is_active, carriers=names)
         # A standby sends to the servers too, so it counts itself.
         entry_count = len(names) + (not is_active)
-        self.dispatcher.budget_share = 1.0 / entry_count
         self.table.entry_count = entry_count
+        # Whether this entry is ready or not, it counts itself among the standbys.
+        alive_count = len(self.view.alive_members(now))
+        standby_count = max(int(not is_active), alive_count - len(names))
+        self.dispatcher.budget_share = slack_share(is_active, len(names), standby_count)
 
     # Metrics
 
--- a/almondtide/entry/frontend.py
+++ b/almondtide/entry/frontend.py
@@ -1,9 +1,12 @@
 """Serves callers: finds the route, runs the call and logs the request."""
 
+import random
+
 import curio
 
 from ..errors import ResultCode
 from ..model.published import CallerLimits
+from .admission import not_ready_retry_s
 from .answers import error_answer
 from .callers import CallerConnection
 from .calls import Call
@@ -14,8 +17,6 @@
 
 __all__ = ["Frontend"]
 
-# Retry-after time for callers while there is no configuration, in s.
-NOT_READY_RETRY_S = 0.1
 # Maximum number of branches in the log line of a request.
 MAX_LOGGED_BRANCHES = 6
 # Answers with this status or a higher one are failures of the tier or of servers.
@@ -32,16 +33,18 @@
         "_log",
         "_now",
         "_replica",
+        "_started_at",
         "_view",
         "answer_counts",
         "routes",
         "running_requests",
     )
 
-    def __init__(self, dispatcher, replica, view, now, log):
+    def __init__(self, dispatcher, replica, view, started_at, now, log):
         self._dispatcher = dispatcher
         self._replica = replica
         self._view = view
+        self._started_at = started_at
         self._now = now
         self._log = log
         self._connections = {}
@@ -89,7 +92,10 @@
         arrived_at = self._now()
         if self.routes is None:
             answer = error_answer(
-                503, ResultCode.NOT_READY, "no configuration yet", NOT_READY_RETRY_S
+                503,
+                ResultCode.NOT_READY,
+                "no configuration yet",
+                not_ready_retry_s(arrived_at - self._started_at, random.random()),
             )
             return self._record_answer(request, None, answer, arrived_at)
         route = self.routes.find_route(request.host, request.path)
--- a/almondtide/entry/retry_budget.py
+++ b/almondtide/entry/retry_budget.py
@@ -1,11 +1,31 @@
 """Budget for retries and hedges, per service."""
 
-__all__ = ["RetryBudget"]
+__all__ = ["RetryBudget", "slack_share"]
 
 BUCKET_COUNT = 20
 # Fraction of the allowance that is used. The rest covers differences between this
 # window and the windows in which others count the sends.
 USABLE_FRACTION = 0.85
+# Fraction of the slack that all standbys together may use.
+STANDBY_SLACK_FRACTION = 0.1
+
+
+def slack_share(is_active, active_count, standby_count):
+    """Return the part of the fleet's slack that one entry may use, 0.0 to 1.0.
+
+    The parts of all entries make up 1.0. Answers the load pattern in which every entry
+    of a large fleet gets a few requests for one service whose servers turn them away:
+    each standby makes few extra sends, but there are many standbys.
+
+    >>> slack_share(True, 10, 185), round(slack_share(False, 10, 185), 5)
+    (0.09, 0.00054)
+    >>> slack_share(True, 6, 0)
+    0.16666666666666666
+    """
+    if not is_active:
+        return STANDBY_SLACK_FRACTION / max(1, standby_count)
+    fraction = 1.0 - STANDBY_SLACK_FRACTION if standby_count else 1.0
+    return fraction / max(1, active_count)
 
 
 class RetryBudget:
--- a/bench/replay.py
+++ b/bench/replay.py
@@ -20,6 +20,7 @@
 
 from almondtide.entry.crash_detector import CrashDetector
 from almondtide.entry.dispatch import Dispatcher
+from almondtide.entry.retry_budget import slack_share
 from almondtide.entry.upstreams import UpstreamTable
 from almondtide.model.published import Configuration, Route, Server, Settings
 from almondtide.presentation import format_table
@@ -87,19 +88,22 @@
             clock.monotonic,
             log,
         )
-        self.dispatcher.budget_share = 1.0 / entry_count
         self.timers = Timers(clock, self.dispatcher.on_timer)
         self.dispatcher.set_timers(self.timers)
 
 
 class LoadReplay:
-    """Modelled servers and callers around the dispatchers of some active entries.
+    """Modelled servers and callers around the dispatchers of some entries.
+
+    The first ``entry_count`` entries are active, further ``standby_count`` are not.
 
     Add services before entries are needed; ``servers`` holds the ``ServerModel``
     objects by id, ``i-SERVICE-NUMBER``.
     """
 
-    def __init__(self, seed, entry_count=1, budget_ratio=0.2, budget_slack=116):
+    def __init__(
+        self, seed, entry_count=1, budget_ratio=0.2, budget_slack=116, standby_count=0
+    ):
         # The dispatcher spreads the return of callers at random.
         random.seed(seed)
         self.clock = VirtualClock()
@@ -116,8 +120,12 @@
                 entry_count,
                 self.work_factors,
             )
-            for number in range(entry_count)
+            for number in range(entry_count + standby_count)
         ]
+        for number, entry in enumerate(self.entries):
+            entry.dispatcher.budget_share = slack_share(
+                number < entry_count, entry_count, standby_count
+            )
         self.callers = CallerModel(
             [entry.dispatcher for entry in self.entries],
             Configuration(1),
--- a/tests/entry/test_admission.py
+++ b/tests/entry/test_admission.py
@@ -8,6 +8,7 @@
     RETRY_AFTER_JITTER,
     ServiceState,
     decide_admission,
+    not_ready_retry_s,
     retry_after_s,
 )
 
@@ -56,6 +57,16 @@
         self.assertIn("no servers", decide_admission([EMPTY], 1).reason)
 
 
+class NotReadyTest(testtools.TestCase):
+    """Guards against callers that come back before the store does, or much later."""
+
+    def test_callers_wait_for_about_as_long_as_the_entry_has(self):
+        for waited_s, least_s in ((0.0, 0.1), (0.5, 0.5), (30.0, 1.0)):
+            for jitter in (0.0, 0.5, 1.0):
+                time_s = not_ready_retry_s(waited_s, jitter)
+                self.assertTrue(least_s <= time_s <= 1.5 * least_s, (waited_s, jitter))
+
+
 class RetryAfterTest(testtools.TestCase):
     """Guards against callers that retry together, immediately or too late."""
 
--- a/tests/entry/test_load.py
+++ b/tests/entry/test_load.py
@@ -125,3 +125,26 @@
         served = _share(results, lambda result: result.status == 200)
         self.assertTrue(served >= 0.97, served)
         self.assertTrue(_most_requests_in_pause(replay) <= MAX_REQUESTS_IN_PAUSE)
+
+
+class ManyEntriesTest(testtools.TestCase):
+    """The load: every entry of a large fleet gets requests for one service.
+
+    All its servers turn a share of the requests away, without a pause. Guards against
+    extra sends of all entries together beyond the budget of the service (rule BUDGET
+    of the platform).
+    """
+
+    RATIO, SLACK, WINDOW_S = 0.2, 100, 10.0
+
+    def test_the_extra_sends_of_all_entries_stay_within_the_budget(self):
+        replay = LoadReplay(1, 4, self.RATIO, self.SLACK, standby_count=60)
+        replay.add_service("a", slots=12)
+        replay.add_fault("shed", ["a"], 0.0, 60.0, x=0.6)
+        route = make_route(weighted_services=(("a", 1),), objective_s=0.5, timeout_s=8)
+        # Not longer than the window, so that it holds all sends.
+        results = _run(replay, route, 50, self.WINDOW_S - 1.0, 0.8)
+        requests = sum(result.attempts for result in results)
+        arrivals = sum(len(server.arrivals) for server in replay.servers.values())
+        allowed = self.RATIO * requests + self.SLACK
+        self.assertTrue(arrivals - requests <= allowed, (arrivals, requests, allowed))
--- a/tests/entry/test_retry_budget.py
+++ b/tests/entry/test_retry_budget.py
@@ -4,13 +4,32 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from almondtide.entry.retry_budget import USABLE_FRACTION, RetryBudget
+from almondtide.entry.retry_budget import (
+    USABLE_FRACTION,
+    RetryBudget,
+    slack_share,
+)
 
 RATIO = 0.2
 SLACK = 100
 WINDOW_S = 10.0
 
 
+class SlackShareTest(testtools.TestCase):
+    """Guards against entries that use the slack of the fleet several times."""
+
+    @given(st.integers(1, 40), st.integers(0, 4000))
+    def test_the_shares_of_all_entries_make_up_the_slack(self, active, standbys):
+        total = active * slack_share(True, active, standbys)
+        total += standbys * slack_share(False, active, standbys)
+        self.assertAlmostEqual(1.0, total)
+
+    def test_a_standby_of_a_small_fleet_may_retry(self):
+        share = slack_share(False, 6, 9)
+        budget = RetryBudget(RATIO, 116, WINDOW_S, share)
+        self.assertTrue(budget.try_spend(50.0))
+
+
 class RetryBudgetTest(testtools.TestCase):
     """Guards against more hedges and retries than the budget allows."""
 
