--- a/standins/server_model.py
+++ b/standins/server_model.py
@@ -58,7 +58,7 @@
 
     ``work_s`` is the mean service time, with a log-normal spread of ``spread`` and a
     tail of longer requests; ``slowness`` multiplies it. With ``pause_every_s`` the
-    server stands still for ``pause_s`` each time. ``arrivals`` holds the time of each
+    server does no work for ``pause_s`` each time. ``arrivals`` holds the time of each
     request.
     """
 
