--- a/almondtide/entry/connections.py
+++ b/almondtide/entry/connections.py
@@ -7,6 +7,7 @@
 from curio import socket
 
 from ..platform.headers import decode_reply, forwarded_request_headers
+from ..supervision import TASK_FAILURES, error_place
 from .upstreams import Failure
 
 __all__ = ["ConnectionPool"]
@@ -16,7 +17,8 @@
 # it again after a second.
 CONNECT_TIMEOUT_S = 0.3
 # A connection is closed if the server acknowledges nothing for this long, in ms.
-# Otherwise it would hang during a network partition.
+# Otherwise it would hang during a network partition. A request that must run at most
+# once is not given up before its deadline: its server may only be silent for a while.
 TCP_USER_TIMEOUT_MS = 2500
 # An idle connection is reused within this fraction of the keep-alive time that the
 # server states, and within MAX_IDLE_S seconds in any case.
@@ -46,6 +48,7 @@
     __slots__ = (
         "_conn",
         "_sock",
+        "_user_timeout_ms",
         "_wake",
         "exchange",
         "idle_since",
@@ -67,6 +70,7 @@
         self.task = None
         self._conn = None
         self._sock = None
+        self._user_timeout_ms = 0
         self._wake = curio.Event()
 
     async def run(self):
@@ -80,6 +84,8 @@
                 self._wake.clear()
                 if self.exchange is None:
                     return
+        except Exception as exc:
+            await self._fail_after_error(exc)
         finally:
             if self._sock is not None:
                 self._sock._socket.close()
@@ -104,11 +110,7 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sock = sock
         sock.setsockopt(stdlib_socket.IPPROTO_TCP, stdlib_socket.TCP_NODELAY, 1)
-        sock.setsockopt(
-            stdlib_socket.IPPROTO_TCP,
-            stdlib_socket.TCP_USER_TIMEOUT,
-            TCP_USER_TIMEOUT_MS,
-        )
+        self._set_user_timeout(TCP_USER_TIMEOUT_MS)
         try:
             async with curio.timeout_after(CONNECT_TIMEOUT_S):
                 await sock.connect(self.upstream.server.address)
@@ -126,6 +128,18 @@
         )
         return True
 
+    async def _fail_after_error(self, exc):
+        """Log an unexpected error; end the exchange, if there is one, as broken."""
+        TASK_FAILURES["exchange"] += 1
+        self.pool.log.error(
+            "exchange_error",
+            server=self.upstream.server.id,
+            error=repr(exc),
+            at=error_place(exc),
+        )
+        if self.exchange is not None:
+            await self._fail(Failure.BROKEN, repr(exc))
+
     async def _fail(self, failure, reason):
         exchange, self.exchange = self.exchange, None
         await exchange.on_failure(failure, reason, None)
@@ -170,14 +184,28 @@
         if request.body:
             data += conn.send(h11.Data(data=request.body))
         data += conn.send(h11.EndOfMessage())
+        timeout_ms = TCP_USER_TIMEOUT_MS
+        if self.exchange.is_at_most_once:
+            timeout_ms = max(timeout_ms, int(remaining_s * 1000))
+        if timeout_ms != self._user_timeout_ms:
+            self._set_user_timeout(timeout_ms)
         self.exchange.on_write()
         await self._sock.sendall(data)
 
+    def _set_user_timeout(self, timeout_ms):
+        self._user_timeout_ms = timeout_ms
+        self._sock.setsockopt(
+            stdlib_socket.IPPROTO_TCP, stdlib_socket.TCP_USER_TIMEOUT, timeout_ms
+        )
+
     async def _receive(self, request):
         for _ in range(MAX_REPLIES_PER_REQUEST):
             reply = await self._read_reply()
-            if reply.request_id is None or reply.request_id == request.id:
+            if reply.request_id == request.id:
                 return reply
+            if reply.request_id is None:
+                # It may be a late copy of an earlier reply.
+                raise _ExchangeError("a reply without a request id")
             # A reply to an earlier request on this connection; ours follows.
             self._restart_reading(request)
         raise _ExchangeError("replies to other requests")
@@ -263,10 +291,11 @@
     ``set_active``.
     """
 
-    __slots__ = ("_idle", "max_idle_s", "now", "opened_count")
+    __slots__ = ("_idle", "log", "max_idle_s", "now", "opened_count")
 
-    def __init__(self, now):
+    def __init__(self, now, log):
         self.now = now
+        self.log = log
         self._idle = {}
         self.max_idle_s = MAX_IDLE_S
         self.opened_count = 0
--- a/almondtide/owner.py
+++ b/almondtide/owner.py
@@ -119,7 +119,7 @@
         # so request ids must differ between owners.
         self._id_prefix = secrets.token_hex(4)
         self._attempt_numbers = itertools.count(1)
-        self._timers = Timers(clock, self._handle_timer)
+        self._timers = Timers(clock, self._handle_timer, log)
 
     def _setting(self, name):
         return self._cfg().service_setting(self.service, name)
--- a/almondtide/timers.py
+++ b/almondtide/timers.py
@@ -5,6 +5,8 @@
 
 import curio
 
+from .supervision import TASK_FAILURES, error_place
+
 __all__ = ["Timers"]
 
 
@@ -12,13 +14,15 @@
     """Calls ``await on_timer(kind, item)`` at the times that were scheduled.
 
     Times are in seconds of the monotonic clock. Timers cannot be cancelled; the
-    callback must ignore a timer that its item no longer needs.
+    callback must ignore a timer that its item no longer needs. A callback that fails
+    is written to ``log`` and counted; the other timers still fire.
     """
 
-    __slots__ = ("_clock", "_heap", "_on_timer", "_order", "_task", "_wake")
+    __slots__ = ("_clock", "_heap", "_log", "_on_timer", "_order", "_task", "_wake")
 
-    def __init__(self, clock, on_timer):
+    def __init__(self, clock, on_timer, log):
         self._clock = clock
+        self._log = log
         self._on_timer = on_timer
         self._heap = []
         self._order = itertools.count()
@@ -57,4 +61,10 @@
         now = self._clock.monotonic()
         while self._heap and self._heap[0][0] <= now:
             _, _, kind, item = heapq.heappop(self._heap)
-            await self._on_timer(kind, item)
+            try:
+                await self._on_timer(kind, item)
+            except Exception as exc:
+                TASK_FAILURES["timer"] += 1
+                self._log.error(
+                    "timer_failed", kind=kind, error=repr(exc), at=error_place(exc)
+                )
--- a/bench/replay.py
+++ b/bench/replay.py
@@ -88,7 +88,7 @@
             clock.monotonic,
             log,
         )
-        self.timers = Timers(clock, self.dispatcher.on_timer)
+        self.timers = Timers(clock, self.dispatcher.on_timer, log)
         self.dispatcher.set_timers(self.timers)
 
 
--- a/standins/shard.py
+++ b/standins/shard.py
@@ -95,18 +95,20 @@
         return response
 
     async def _respond(self, request):
-        if request.headers.get("expect-instance") not in (None, self.id):
-            return HTTPResponse(421, b"", {"instance-id": self.id})
         if request.path == "/health":
             return HTTPResponse(200, b"", {"instance-id": self.id})
-        if self.running_count >= self.slots:
-            return HTTPResponse(503, b"", {"not-run": "1"})
         request_id = request.headers["request-id"]
+        echo = {"request-id": request_id}
+        if request.headers.get("expect-instance") not in (None, self.id):
+            return HTTPResponse(421, b"", {"instance-id": self.id, **echo})
+        if self.running_count >= self.slots:
+            return HTTPResponse(503, b"", {"not-run": "1", **echo})
         now = time.monotonic()
         if now < self.away_until:
             self.refusals.append((request_id, now, self.away_until))
             pause = f"{self.away_until - now:.3f}"
-            return HTTPResponse(503, b"", {"not-run": "1", "retry-after": pause})
+            headers = {"not-run": "1", "retry-after": pause, **echo}
+            return HTTPResponse(503, b"", headers)
         self.runs.append((request_id, request, time.monotonic()))
         self.running_count += 1
         try:
@@ -122,9 +124,6 @@
         override = self.override_response(request)
         if override is not None:
             return override
-        headers = {
-            "server-stamp": f"{self.id}.{request_id}",
-            "request-id": request_id,
-        }
+        headers = {"server-stamp": f"{self.id}.{request_id}", **echo}
         body = request.body or make_records(self.service, request_id)
         return HTTPResponse(200, body, headers)
--- a/tests/entry/test_connections.py
+++ b/tests/entry/test_connections.py
@@ -6,11 +6,15 @@
 import testtools
 from curio import socket
 
-from almondtide.entry.connections import STANDBY_MAX_IDLE_S, ConnectionPool
+from almondtide.entry.connections import (
+    STANDBY_MAX_IDLE_S,
+    TCP_USER_TIMEOUT_MS,
+    ConnectionPool,
+)
 from almondtide.entry.upstreams import Failure, Upstream
 from almondtide.model.http_messages import Request
 from tests.entry.support import make_server
-from tests.support import run
+from tests.support import MemoryLog, run
 
 
 class _Server:
@@ -112,7 +116,7 @@
 
     async def scenario():
         async with _Server(replies) as server:
-            pool = ConnectionPool(time.monotonic)
+            pool = ConnectionPool(time.monotonic, MemoryLog())
             upstream = Upstream(make_server("i-1", port=server.port))
             made = []
             for options in exchanges:
@@ -148,7 +152,7 @@
         async def scenario():
             now = [100.0]
             async with _Server([[_reply()], [_reply()]]) as server:
-                pool = ConnectionPool(lambda: now[0])
+                pool = ConnectionPool(lambda: now[0], MemoryLog())
                 upstream = Upstream(make_server("i-1", port=server.port))
                 counts = []
                 for is_active in (True, False):
@@ -227,7 +231,7 @@
 
     def test_refused_connection_sent_nothing(self):
         async def scenario():
-            pool = ConnectionPool(time.monotonic)
+            pool = ConnectionPool(time.monotonic, MemoryLog())
             exchange = _Exchange(Upstream(make_server("i-1", port=1)))
             await pool.send(exchange)
             await exchange.done.wait()
@@ -289,3 +293,114 @@
         self.assertEqual(("skipped", 0), (first.result, first.written))
         self.assertEqual((1, 1), (server.connections, len(server.received)))
         self.assertEqual(b"ok", second.result.body)
+
+
+class SecondCopyTest(testtools.TestCase):
+    """Guards against an answer that a caller gets though it is not its own.
+
+    The fault: a server sends a second copy of an answer, late, on a connection that is
+    in use again.
+    """
+
+    def test_a_late_copy_without_an_id_is_not_taken_for_the_next_reply(self):
+        copy = b"HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nContent-Length: 5\r\n\r\nfirst"
+        replies = [[_reply(b"first")], [copy, _reply(b"second", b"id-2")]]
+        _, _, made = _run_exchanges(replies, [{}, {"request_id": "id-2"}])
+        self.assertEqual(b"first", made[0].result.body)
+        self.assertIs(Failure.BROKEN, made[1].result)
+
+    def test_a_late_refusal_without_an_id_does_not_say_that_the_request_has_not_run(
+        self,
+    ):
+        refusal = b"HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+        options = {"request_id": "id-2", "is_at_most_once": True}
+        _, _, made = _run_exchanges([[refusal]], [options])
+        self.assertIs(Failure.BROKEN, made[0].result)
+
+    def test_a_late_copy_with_its_id_is_skipped(self):
+        replies = [[_reply(b"first")], [_reply(b"first"), _reply(b"second", b"id-2")]]
+        _, _, made = _run_exchanges(replies, [{}, {"request_id": "id-2"}])
+        self.assertEqual(b"second", made[1].result.body)
+
+    def test_a_copy_in_two_pieces_around_the_next_request_is_skipped(self):
+        copy = _reply(b"first")
+        replies = [[_reply(b"first")], [copy[:20], copy[20:] + _reply(b"2", b"id-2")]]
+        _, _, made = _run_exchanges(replies, [{}, {"request_id": "id-2"}])
+        self.assertEqual(b"2", made[1].result.body)
+
+
+class BrokenOffTest(testtools.TestCase):
+    """Guards against an answer that broke off halfway and counts as complete."""
+
+    HEAD = b"HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nRequest-Id: id-1\r\n"
+
+    def assert_broken(self, *parts):
+        _, _, made = _run_exchanges([list(parts)], [{}])
+        self.assertIs(Failure.BROKEN, made[0].result)
+
+    def test_chunks_without_the_last_one(self):
+        head = self.HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+        self.assert_broken(head + b"4\r\nabcd\r\n", "close")
+
+    def test_a_chunk_that_is_cut(self):
+        head = self.HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+        self.assert_broken(head + b"8\r\nabcd", "close")
+
+    def test_a_length_that_is_not_reached(self):
+        self.assert_broken(self.HEAD + b"Content-Length: 8\r\n\r\nabcd", "close")
+
+    def test_a_reset_in_a_body_that_ends_with_the_connection(self):
+        self.assert_broken(self.HEAD + b"\r\nabcd", "reset")
+
+    def test_a_head_that_is_cut(self):
+        self.assert_broken(self.HEAD, "close")
+
+
+class SilentServerTest(testtools.TestCase):
+    """Guards against running work that is given up since its server is silent."""
+
+    def _user_timeout_ms(self, **options):
+        async def scenario():
+            async with _Server([[], []]) as server:
+                pool = ConnectionPool(time.monotonic, MemoryLog())
+                upstream = Upstream(make_server("i-1", port=server.port))
+                exchange = _Exchange(upstream, **options)
+                exchange.remaining_s = lambda: 6.0
+                await pool.send(exchange)
+                await curio.sleep(0.1)
+                sock = exchange.connection._sock._socket
+                found = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+                await pool.close(exchange.connection)
+                return found
+
+        return run(scenario)
+
+    def test_a_request_that_may_run_once_waits_until_its_deadline(self):
+        self.assertEqual(6000, self._user_timeout_ms(is_at_most_once=True))
+
+    def test_a_request_that_may_be_sent_again_does_not(self):
+        self.assertEqual(TCP_USER_TIMEOUT_MS, self._user_timeout_ms())
+
+    def test_an_error_of_its_own_ends_one_exchange_only(self):
+        class Failing(_Exchange):
+            def remaining_s(self):
+                raise ValueError("unexpected")
+
+        async def scenario():
+            async with _Server([[_reply()]]) as server:
+                log = MemoryLog()
+                pool = ConnectionPool(time.monotonic, log)
+                upstream = Upstream(make_server("i-1", port=server.port))
+                for kind in (Failing, _Exchange):
+                    exchange = kind(upstream)
+                    await pool.send(exchange)
+                    async with curio.timeout_after(5):
+                        await exchange.done.wait()
+                    results.append(exchange.result)
+                return log
+
+        results = []
+        log = run(scenario)
+        self.assertIs(Failure.BROKEN, results[0])
+        self.assertEqual(b"ok", results[1].body)
+        self.assertIn("exchange_error", log.names())
--- a/tests/entry/test_dispatch.py
+++ b/tests/entry/test_dispatch.py
@@ -112,7 +112,7 @@
         )
         self.losses = []
         self.dispatcher.set_loss_reporter(self._take_losses)
-        self.timers = Timers(_Clock(), self.dispatcher.on_timer)
+        self.timers = Timers(_Clock(), self.dispatcher.on_timer, MemoryLog())
         self.dispatcher.set_timers(self.timers)
 
     async def _take_losses(self, losses):
