--- a/almondtide/adapters/listener.py
+++ b/almondtide/adapters/listener.py
@@ -5,11 +5,15 @@
 import curio
 from curio import socket
 
+from ..supervision import TASK_FAILURES, error_place
+
 __all__ = ["Listener", "connect", "linger_before_close"]
 
 BACKLOG = 512
 LINGER_TIMEOUT_S = 1.0
 RECEIVE_BYTES = 65536
+# Delay after a connection that could not be accepted, in s.
+ACCEPT_RETRY_S = 0.05
 
 
 async def connect(address, timeout_s):
@@ -91,14 +95,23 @@
         while True:
             try:
                 client, peer = await self._sock.accept()
-            except OSError:
+                await self._start_serving(client, peer)
+            except OSError as exc:
                 # No file descriptor is left, or the connection was aborted. The daemon
                 # must keep accepting, so try again.
-                await curio.sleep(0.05)
-                continue
+                if self._log is not None:
+                    self._log.warning("accept_failed", error=str(exc))
+                await curio.sleep(ACCEPT_RETRY_S)
+
+    async def _start_serving(self, client, peer):
+        try:
             client.setsockopt(stdlib_socket.IPPROTO_TCP, stdlib_socket.TCP_NODELAY, 1)
-            task = await curio.spawn(self._serve, client, peer, daemon=True)
-            self._connection_tasks.add(task)
+        except OSError:
+            # The caller has already reset the connection.
+            await client.close()
+            return
+        task = await curio.spawn(self._serve, client, peer, daemon=True)
+        self._connection_tasks.add(task)
 
     async def _serve(self, client, peer):
         task = await curio.current_task()
@@ -112,18 +125,38 @@
         except Exception as exc:
             if self._log is None:
                 raise
-            self._log.error("connection_failed", peer=peer[0], error=repr(exc))
+            TASK_FAILURES["connection"] += 1
+            self._log.error(
+                "connection_failed",
+                peer=peer[0],
+                error=repr(exc),
+                at=error_place(exc),
+            )
         finally:
             self._connection_tasks.discard(task)
 
     async def stop(self):
-        """Stop accepting; open connections are still served."""
+        """Stop accepting; open connections are still served.
+
+        Connections that wait to be accepted are accepted first, since closing the
+        socket would reset them, and their callers may have sent requests.
+        """
         if self._accept_task is not None:
             await self._accept_task.cancel()
             self._accept_task = None
-        if self._sock is not None:
-            await self._sock.close()
-            self._sock = None
+        if self._sock is None:
+            return
+        sock, self._sock = self._sock, None
+        waiting = []
+        try:
+            while True:
+                waiting.append(sock._socket.accept())
+        except OSError:
+            # None is left.
+            await sock.close()
+        for client, peer in waiting:
+            client.setblocking(False)
+            await self._start_serving(curio.io.Socket(client), peer)
 
     async def close(self):
         """Stop accepting and cancel the tasks of all connections."""
--- a/almondtide/entry/callers.py
+++ b/almondtide/entry/callers.py
@@ -1,5 +1,7 @@
 """Connections of callers: HTTP/1.1 parsed by h11, one request at a time."""
 
+import socket as stdlib_socket
+
 import curio
 import h11
 
@@ -156,6 +158,10 @@
             raise _BadRequestError(
                 400, ResultCode.BAD_REQUEST, "a host and a request id are needed"
             )
+        if request.has_invalid_deadline:
+            raise _BadRequestError(
+                400, ResultCode.BAD_REQUEST, "the deadline is not a number"
+            )
         return request
 
     async def _send(self, answer, close=False):
@@ -174,10 +180,25 @@
             await self._sock.sendall(wire)
 
     async def close_if_idle(self, task):
-        """Close the connection, served by ``task``, if no request is in progress."""
-        if self.is_idle:
+        """Close the connection, served by ``task``, unless a request has arrived.
+
+        Bytes of a request that wait in the socket count as well: closing it then
+        resets the connection, and the caller cannot know what became of its request.
+        """
+        if self.is_idle and not self._has_request_bytes():
             await task.cancel(blocking=False)
 
+    def _has_request_bytes(self):
+        """Return whether a part of the next request has arrived."""
+        conn = self._conn
+        if conn.their_state is h11.SEND_BODY or conn.trailing_data[0]:
+            return True
+        try:
+            return bool(self._sock._socket.recv(1, stdlib_socket.MSG_PEEK))
+        except OSError:
+            # Nothing has arrived, or the connection is broken.
+            return False
+
 
 class _BadRequestError(Exception):
     """A request that is refused; arguments are status, code and message."""
--- a/almondtide/entry/frontend.py
+++ b/almondtide/entry/frontend.py
@@ -6,6 +6,7 @@
 
 from ..errors import ResultCode
 from ..model.published import CallerLimits
+from ..supervision import TASK_FAILURES, error_place
 from .admission import not_ready_retry_s
 from .answers import error_answer
 from .callers import CallerConnection
@@ -117,13 +118,30 @@
         connection.call = call
         self.running_requests += 1
         try:
-            answer = await self._dispatcher.run(call)
+            answer = await self._run(call)
         finally:
             self.running_requests -= 1
             connection.call = None
         self._record_answer(request, call, answer, arrived_at)
         return None if call.is_abandoned else answer
 
+    async def _run(self, call):
+        """Run a call; an unexpected error ends this call only."""
+        try:
+            return await self._dispatcher.run(call)
+        except Exception as exc:
+            TASK_FAILURES["request"] += 1
+            self._log.error(
+                "request_error",
+                id=call.request.id,
+                error=repr(exc),
+                at=error_place(exc),
+            )
+            await self._dispatcher.abandon(call)
+            call.is_abandoned = False
+            # Whether the request has run is unknown.
+            return error_answer(502, ResultCode.INTERNAL, "internal error")
+
     def _record_answer(self, request, call, answer, arrived_at):
         duration_s = self._now() - arrived_at
         route = call.route.name if call else ""
--- a/almondtide/model/http_messages.py
+++ b/almondtide/model/http_messages.py
@@ -8,10 +8,20 @@
 
     ``headers`` are the (name, value) pairs to forward, without the hop-by-hop
     headers. ``allowed_s`` is the caller's deadline as the time from now, in seconds,
-    or None if the request has none.
+    or None if the request has none. ``has_invalid_deadline`` tells that it states one
+    that cannot be read.
     """
 
-    __slots__ = ("allowed_s", "body", "headers", "host", "id", "method", "target")
+    __slots__ = (
+        "allowed_s",
+        "body",
+        "has_invalid_deadline",
+        "headers",
+        "host",
+        "id",
+        "method",
+        "target",
+    )
 
     def __init__(self, method, target, host, id, allowed_s, headers, body):
         self.method = method
@@ -21,6 +31,7 @@
         self.allowed_s = allowed_s
         self.headers = headers
         self.body = body
+        self.has_invalid_deadline = False
 
     @property
     def path(self):
--- a/almondtide/platform/headers.py
+++ b/almondtide/platform/headers.py
@@ -1,5 +1,7 @@
 """Headers of requests and responses, and the paths of look-ups and checks."""
 
+import re
+
 import orjson
 
 from ..model.http_messages import Reply, Request
@@ -34,6 +36,8 @@
 MISSING_PARTS = b"Missing-Parts"
 MISDIRECTED_STATUS = 421
 TURNED_AWAY_STATUS = 503
+# A decimal number without sign, exponent or the underscores that ``float`` takes.
+_NUMBER = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,12})?")
 
 # Hop-by-hop headers (RFC 9110, section 7.6.1), and those that are generated anew.
 _NOT_FORWARDED = frozenset(
@@ -64,18 +68,21 @@
 def decode_request(method, target, headers, body):
     """Return the ``Request`` of a caller; header names must be lower case."""
     host = request_id = allowed_s = None
+    has_invalid_deadline = False
     tokens = _connection_tokens(headers)
     forwarded = []
     for name, value in headers:
         if name == DEADLINE_MS:
-            allowed_s = _parse_milliseconds(value)
+            allowed_ms = _parse_number(value)
+            has_invalid_deadline = allowed_ms is None
+            allowed_s = None if allowed_ms is None else allowed_ms / 1000.0
         elif name not in _NOT_FORWARDED_IN_REQUESTS and name not in tokens:
             if name == REQUEST_ID:
                 request_id = value.decode("latin-1")
             elif name == b"host":
                 host = value.decode("latin-1").lower()
             forwarded.append((name, value))
-    return Request(
+    request = Request(
         method.decode("latin-1"),
         target.decode("latin-1"),
         host.partition(":")[0] if host else "",
@@ -84,14 +91,18 @@
         forwarded,
         body,
     )
+    request.has_invalid_deadline = has_invalid_deadline
+    return request
+
 
+def _parse_number(value):
+    """Return a decimal number, or None for any other text.
 
-def _parse_milliseconds(value):
-    try:
-        seconds = float(value) / 1000.0
-    except ValueError:
-        return None
-    return seconds if 0 <= seconds < 1e6 else None
+    >>> _parse_number(b"1.5"), _parse_number(b"1_0"), _parse_number(b"inf")
+    (1.5, None, None)
+    """
+    value = value.strip()
+    return float(value) if _NUMBER.fullmatch(value) else None
 
 
 def forwarded_request_headers(request, server_id, remaining_s):
@@ -125,7 +136,7 @@
         elif name == SERVER_LEAVING:
             reply.is_leaving = value.strip() not in (b"", b"0")
         elif name == RETRY_AFTER and status == TURNED_AWAY_STATUS:
-            reply.pause_s = _parse_seconds(value)
+            reply.pause_s = _parse_number(value)
             reply.has_invalid_pause = reply.pause_s is None
         elif name == b"content-encoding":
             reply.is_encoded = True
@@ -137,14 +148,6 @@
     return reply
 
 
-def _parse_seconds(value):
-    try:
-        seconds = float(value)
-    except ValueError:
-        return None
-    return seconds if 0 <= seconds < float("inf") else None
-
-
 def _parse_idle_s(value):
     for item in value.split(b","):
         name, _, seconds = item.partition(b"=")
--- a/tests/entry/test_callers.py
+++ b/tests/entry/test_callers.py
@@ -169,3 +169,80 @@
         data = _exchange(_Frontend(), REQUEST.replace(b"GET", b"HEAD") % b"one")
         self.assertTrue(data.endswith(b"\r\n\r\n"))
         self.assertIn(b"content-length: 3", data.lower())
+
+
+class PlannedStopTest(testtools.TestCase):
+    """Guards against requests that a stop cuts off although they have arrived."""
+
+    def _stop_after(self, data):
+        """Return what the caller gets if connections close right after ``data``."""
+
+        async def scenario():
+            ours, theirs = socket_pair()
+            frontend = _Frontend(is_leaving=True)
+            connection = CallerConnection(theirs, frontend)
+
+            async def serve():
+                async with theirs:
+                    await connection.run()
+
+            task = await curio.spawn(serve)
+            await curio.sleep(0.01)
+            # The task has not run since the bytes arrived.
+            ours.sendall(data)
+            await connection.close_if_idle(task)
+            await curio.sleep(0.05)
+            if len(data) < len(REQUEST % b"id-1"):
+                await connection.close_if_idle(task)
+                ours.sendall((REQUEST % b"id-1")[len(data) :])
+            ours.settimeout(0.5)
+            received = b""
+            try:
+                while part := await curio.run_in_thread(ours.recv, 65536):
+                    received += part
+            except OSError:
+                pass
+            ours.close()
+            await task.cancel()
+            return received
+
+        return run(scenario)
+
+    def test_a_request_that_waits_in_the_socket_is_answered(self):
+        received = self._stop_after(REQUEST % b"id-1")
+        self.assertTrue(received.startswith(b"HTTP/1.1 200"), received)
+        self.assertIn(b"connection: close", received.lower())
+
+    def test_a_request_that_has_arrived_in_part_is_answered(self):
+        received = self._stop_after((REQUEST % b"id-1")[:25])
+        self.assertTrue(received.startswith(b"HTTP/1.1 200"), received)
+
+    def test_an_idle_connection_is_closed(self):
+        async def scenario():
+            ours, theirs = socket_pair()
+            connection = CallerConnection(theirs, _Frontend())
+            task = await curio.spawn(connection.run)
+            await curio.sleep(0.01)
+            await connection.close_if_idle(task)
+            await curio.sleep(0.01)
+            ours.close()
+            return task.cancelled
+
+        self.assertTrue(run(scenario))
+
+
+class DeadlineTest(testtools.TestCase):
+    """Guards against a deadline that is guessed from text that is no number."""
+
+    def test_text_that_is_no_number_is_refused(self):
+        for text in (b"1_0", b"inf", b"nan", b"-5", b"1e3", b"soon", b""):
+            request = (REQUEST % b"id-1")[:-2] + b"Deadline-Ms: %b\r\n\r\n" % text
+            frontend = _Frontend()
+            received = _exchange(frontend, request)
+            self.assertTrue(received.startswith(b"HTTP/1.1 400"), (text, received))
+            self.assertEqual([], frontend.requests)
+
+    def test_a_fraction_is_read(self):
+        frontend = _Frontend()
+        _exchange(frontend, (REQUEST % b"id-1")[:-2] + b"Deadline-Ms: 1.5\r\n\r\n")
+        self.assertEqual(0.0015, frontend.requests[0].allowed_s)
