--- a/almondtide/entry/codec.py
+++ b/almondtide/entry/codec.py
@@ -6,6 +6,7 @@
 import cbor2
 
 from ..errors import DocumentError
+from ..model.position import MAX_POSITION
 from ..model.published import Server
 from .members import Member, MemberState
 
@@ -14,6 +15,7 @@
     "EndAnnouncement",
     "Heartbeat",
     "LossReport",
+    "Snapshot",
     "decode_message",
     "decode_snapshot",
     "encode_end_announcement",
@@ -41,8 +43,17 @@
 # Longest time, in ms, for which a message may say that a leaving server still serves.
 MAX_SERVING_MS = 600_000
 
+# Longest age that a message may state, in ms.
+MAX_AGE_MS = 10**10
+MAX_INTEGER = (1 << 64) - 1
+MAX_PORT = (1 << 16) - 1
+# Largest share of a core, scaled by its speed, that a member may state.
+MAX_CPU_CAPACITY = 1e6
+# Limit of a decompressed configuration, which the store limits to the same size.
+MAX_CONFIGURATION_BYTES = 1 << 20
+
 # Exceptions of the decoders below for messages of another shape.
-_MALFORMED = (cbor2.CBORDecodeError, ValueError, TypeError, IndexError, KeyError)
+_MALFORMED = (ValueError, TypeError, IndexError, KeyError)
 
 
 class Heartbeat:
@@ -99,10 +110,10 @@
 
 
 class EndAnnouncement:
-    """The end that a server announced to the sender.
+    """The end that a server announced in its replies.
 
     The incarnation of ``server_id`` that was born at ``born_ms`` serves for
-    ``serves_s`` more.
+    ``serves_s`` more, 0.0 if it may have ended.
     """
 
     __slots__ = ("born_ms", "server_id", "serves_s")
@@ -113,6 +124,40 @@
         self.serves_s = serves_s
 
 
+class Snapshot:
+    """A whole replica: records, configuration and announced ends.
+
+    ``position`` and ``age_s`` are those of the replica, ``records`` tuples of key,
+    position and ``Server`` or None, ``ends`` a list of ``EndAnnouncement``.
+    ``configuration_raw`` is the configuration's document.
+    """
+
+    __slots__ = (
+        "age_s",
+        "configuration_position",
+        "configuration_raw",
+        "ends",
+        "position",
+        "records",
+    )
+
+    def __init__(
+        self,
+        age_s,
+        position,
+        configuration_position,
+        configuration_raw,
+        records,
+        ends=(),
+    ):
+        self.age_s = age_s
+        self.position = position
+        self.configuration_position = configuration_position
+        self.configuration_raw = configuration_raw
+        self.records = records
+        self.ends = list(ends)
+
+
 def _pack_member(member, now):
     return [
         member.name,
@@ -130,29 +175,73 @@
     name, incarnation, host, domain, state, cpu_capacity, is_active, age_ms = item
     return Member(
         _check_string(name),
-        int(incarnation),
+        _check_integer(incarnation),
         _check_string(host),
         _check_string(domain),
-        MemberState(state),
-        float(cpu_capacity),
+        MemberState(_check_integer(state)),
+        float(_check_number(cpu_capacity, MAX_CPU_CAPACITY)),
         bool(is_active),
-        now - max(0.0, float(age_ms) / 1000.0),
+        now - _check_number(age_ms, MAX_AGE_MS) / 1000.0,
     )
 
 
+def _load(raw):
+    """Decode CBOR; raises ``ValueError`` for any bytes that it cannot decode."""
+    try:
+        return cbor2.loads(raw)
+    except Exception as exc:
+        # The decoders of tagged values raise errors of many other classes.
+        raise ValueError(f"not CBOR: {exc!r}") from exc
+
+
+def _decompress(raw, max_bytes):
+    """Return the whole decompressed content; raises ``ValueError``."""
+    decompressor = zlib.decompressobj()
+    try:
+        content = decompressor.decompress(raw, max_bytes)
+    except zlib.error as exc:
+        raise ValueError(f"not compressed: {exc}") from exc
+    if decompressor.unconsumed_tail:
+        raise ValueError(f"over {max_bytes} bytes")
+    if not decompressor.eof:
+        raise ValueError("the compressed content is cut off")
+    return content
+
+
 def _check_string(value):
     if not isinstance(value, str) or not value:
         raise ValueError(f"{value!r} is not a non-empty string")
     return value
 
 
+def _check_integer(value, maximum=MAX_INTEGER):
+    if (
+        not isinstance(value, int)
+        or isinstance(value, bool)
+        or not 0 <= value <= maximum
+    ):
+        raise ValueError(f"{value!r} is not an integer of 0 to {maximum}")
+    return value
+
+
+def _check_number(value, maximum):
+    # Also false for a NaN, which compares as smaller than nothing.
+    if (
+        not isinstance(value, (int, float))
+        or isinstance(value, bool)
+        or not 0 <= value <= maximum
+    ):
+        raise ValueError(f"{value!r} is not a number of 0 to {maximum}")
+    return value
+
+
 def _pack_age(age_s):
     # Rounded up, so that a replica never seems newer than it is.
     return None if age_s is None else math.ceil(age_s * 1000)
 
 
 def _unpack_age(age_ms):
-    return None if age_ms is None else max(0.0, float(age_ms) / 1000.0)
+    return None if age_ms is None else _check_number(age_ms, MAX_AGE_MS) / 1000.0
 
 
 def encode_heartbeat(heartbeat, now):
@@ -196,12 +285,12 @@
     return Server(
         _check_string(id),
         _check_string(service),
-        (_check_string(host), int(port)),
+        (_check_string(host), _check_integer(port, MAX_PORT)),
         _check_string(domain),
-        max(1, int(slots)),
+        max(1, _check_integer(slots)),
         bool(leaving),
         bool(cold),
-        int(born_ms),
+        _check_integer(born_ms),
     )
 
 
@@ -259,8 +348,15 @@
 
 def _unpack_end_announcement(message):
     _, _, server_id, born_ms, serving_ms = message
+    return _unpack_end((server_id, born_ms, serving_ms))
+
+
+def _unpack_end(item):
+    server_id, born_ms, serving_ms = item
     return EndAnnouncement(
-        _check_string(server_id), int(born_ms), _unpack_serving_time(serving_ms)
+        _check_string(server_id),
+        _check_integer(born_ms),
+        _unpack_serving_time(serving_ms),
     )
 
 
@@ -268,11 +364,11 @@
     """Return a message of a peer, or (records, configuration) of an update.
 
     Records are tuples of key, position, ``Server`` or None, and the time in s for
-    which a leaving server may still be used. The configuration is None or a list of
-    position and compressed bytes. Raises ``DocumentError`` for anything else.
+    which a leaving server may still be used. The configuration is None or a pair of
+    position and document. Raises ``DocumentError`` for anything else.
     """
     try:
-        message = cbor2.loads(raw)
+        message = _load(raw)
         if message[0] != PROTOCOL_VERSION:
             raise ValueError(f"version {message[0]!r} is unknown")
         if message[1] == HEARTBEAT:
@@ -293,12 +389,23 @@
         if message[1] == END_ANNOUNCEMENT:
             return _unpack_end_announcement(message)
         if message[1] == UPDATE:
-            return [_unpack_update(item) for item in message[2]], message[3]
+            records = [_unpack_update(item) for item in message[2]]
+            return records, _unpack_configuration(message[3])
     except _MALFORMED as exc:
         raise DocumentError(f"message: {exc}") from exc
     raise DocumentError(f"message: kind {message[1]!r} is unknown")
 
 
+def _unpack_configuration(item):
+    if item is None:
+        return None
+    position, packed = item
+    return (
+        _check_integer(position, MAX_POSITION),
+        _decompress(packed, MAX_CONFIGURATION_BYTES),
+    )
+
+
 def _unpack_heartbeat(message, now):
     (
         _,
@@ -314,12 +421,12 @@
     cursor_age_ms = message[9] if len(message) > 9 else None
     return Heartbeat(
         _unpack_member(sender, now),
-        int(digest),
-        int(configuration_version),
+        _check_integer(digest),
+        _check_integer(configuration_version),
         _unpack_age(age_ms),
         [_unpack_member(item, now) for item in members],
         bool(wants_reply),
-        int(cursor),
+        _check_integer(cursor, MAX_POSITION),
         _unpack_age(cursor_age_ms),
     )
 
@@ -328,71 +435,67 @@
     key, position, server, *rest = item
     return (
         _check_string(key),
-        int(position),
+        _check_integer(position, MAX_POSITION),
         _unpack_server(server),
         _unpack_serving_time(rest[0]) if rest else 0.0,
     )
 
 
 def _unpack_serving_time(value):
-    serving_ms = float(value)
-    if not 0.0 <= serving_ms <= MAX_SERVING_MS:
-        raise ValueError(f"{value!r} is not a remaining serving time")
-    return serving_ms / 1000.0
+    return _check_number(value, MAX_SERVING_MS) / 1000.0
 
 
 def _unpack_records(items):
     return [
-        (_check_string(key), int(position), _unpack_server(server))
+        (
+            _check_string(key),
+            _check_integer(position, MAX_POSITION),
+            _unpack_server(server),
+        )
         for key, position, server in items
     ]
 
 
-def encode_snapshot(replica, age_s):
-    """Return a whole replica as one compressed body."""
-    body = cbor2.dumps(
+def encode_snapshot(replica, age_s, ends=None):
+    """Return a whole replica as one compressed body.
+
+    ``ends`` is a list of ``EndAnnouncement``, or None for a peer of a build whose
+    decoder does not take them.
+    """
+    message = [
+        PROTOCOL_VERSION,
+        age_s,
+        replica.position,
+        replica.configuration_position,
+        replica.configuration_raw,
         [
-            PROTOCOL_VERSION,
-            age_s,
-            replica.position,
-            replica.configuration_position,
-            replica.configuration_raw,
-            [
-                [record.key, record.position, _pack_server(record.server)]
-                for record in replica.all_records()
-            ],
-        ]
-    )
-    return zlib.compress(body, SNAPSHOT_COMPRESSION_LEVEL)
+            [record.key, record.position, _pack_server(record.server)]
+            for record in replica.all_records()
+        ],
+    ]
+    if ends is not None:
+        message.append(
+            [[end.server_id, end.born_ms, int(end.serves_s * 1000)] for end in ends]
+        )
+    return zlib.compress(cbor2.dumps(message), SNAPSHOT_COMPRESSION_LEVEL)
 
 
 def decode_snapshot(raw):
-    """Return (age in s, position, configuration position, raw, records).
-
-    ``raw`` is the configuration's document. Raises ``DocumentError``.
-    """
+    """Return the ``Snapshot`` in a body; raises ``DocumentError``."""
     try:
-        decompressor = zlib.decompressobj()
-        body = decompressor.decompress(raw, MAX_SNAPSHOT_BYTES)
-        if decompressor.unconsumed_tail:
-            raise ValueError(f"over {MAX_SNAPSHOT_BYTES} bytes")
-        version, age_s, position, cfg_position, cfg_raw, records = cbor2.loads(body)
+        message = _load(_decompress(raw, MAX_SNAPSHOT_BYTES))
+        version, age_s, position, cfg_position, cfg_raw, records, *rest = message
         if version != PROTOCOL_VERSION:
             raise ValueError(f"version {version!r} is unknown")
         if not isinstance(cfg_raw, bytes):
             raise ValueError("the configuration is not bytes")
-        return (
-            float(age_s),
-            int(position),
-            int(cfg_position),
+        return Snapshot(
+            _check_number(age_s, MAX_AGE_MS / 1000.0),
+            _check_integer(position, MAX_POSITION),
+            _check_integer(cfg_position, MAX_POSITION),
             cfg_raw,
             _unpack_records(records),
+            [_unpack_end(item) for item in (rest[0] if rest else ())],
         )
-    except (
-        zlib.error,
-        cbor2.CBORDecodeError,
-        ValueError,
-        TypeError,
-        IndexError,
-    ) as exc:
+    except _MALFORMED as exc:
         raise DocumentError(f"snapshot: {exc}") from exc
--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -11,6 +11,7 @@
 from ..model.position import revision_of
 from ..platform.documents import SERVER_PREFIX
 from ..platform.store import StoreClient
+from ..supervision import TASK_FAILURES, Supervised
 from ..timers import Timers
 from .boottime import BoottimeClock, boottime_now
 from .connections import ConnectionPool
@@ -89,7 +90,7 @@
             log,
         )
         self.table = UpstreamTable(settings.domain)
-        self.pool = ConnectionPool(now)
+        self.pool = ConnectionPool(now, log)
         self.pool.set_active(False)
         self.crash_detector = CrashDetector(now, log)
         self.dispatcher = Dispatcher(
@@ -99,7 +100,7 @@
         self.dispatcher.set_end_reporter(self.gossip.send_end_announcement)
         self.gossip.set_end_handler(self.table.announce_end)
         self.gossip.set_loss_handler(self.crash_detector.merge_peer_losses)
-        self.timers = Timers(BoottimeClock(), self.dispatcher.on_timer)
+        self.timers = Timers(BoottimeClock(), self.dispatcher.on_timer, log)
         self.dispatcher.set_timers(self.timers)
         self.frontend = Frontend(
             self.dispatcher, self.replica, self.view, self.started_at, now, log
@@ -148,8 +149,10 @@
             seeds=len(settings.seeds),
             first=settings.is_first_start,
         )
-        for function in (self.reader.run, self._housekeeping):
-            self._tasks.append(await curio.spawn(function, daemon=True))
+        tasks = {"reader": self.reader.run, "housekeeping": self._housekeeping}
+        for name, function in tasks.items():
+            task = Supervised(name, function, boottime_now, self.log)
+            self._tasks.append(await curio.spawn(task.run, daemon=True))
         while True:
             signum = await self._signals.next()
             if signum != signal.SIGHUP:
@@ -205,7 +208,7 @@
                 continue
             await self._caller_listener.stop()
             await self.frontend.close_idle_connections()
-            if not self.frontend.running_requests:
+            if not self._caller_listener.connection_count:
                 break
         if self.frontend.running_requests:
             self.log.warning("requests_ended", running=self.frontend.running_requests)
@@ -286,6 +289,9 @@
         else:
             replaced = self.table.apply(server, record.serves_until)
             change = "leaving" if server.leaving else "usable"
+            announced_until = self.replica.announced_until(record.key)
+            if announced_until is not None:
+                self.table.announce_end(server_id, server.born_ms, announced_until)
         upstream = self.table.get(server_id)
         if upstream is not None and upstream.is_leaving:
             await self.pool.close_idle(upstream)
@@ -339,6 +345,7 @@
             "exchanges": ("Exchanges with servers by kind.", self.dispatcher.counts),
             "gossip": ("Datagrams and their bytes.", self.gossip.counts),
             "lookups": ("Look-ups at the directory.", self.directory.counts),
+            "task_failures": ("Failures of tasks that were restarted.", TASK_FAILURES),
         }
         metric_families = [
             MetricFamily(
--- a/almondtide/entry/gossip.py
+++ b/almondtide/entry/gossip.py
@@ -14,6 +14,8 @@
 from ..adapters.http import HTTPClient, HTTPResponse
 from ..errors import DocumentError, UpstreamError
 from ..model.position import era_of
+from ..platform.documents import SERVER_PREFIX
+from ..supervision import Supervised, error_place
 from .codec import (
     MAX_DATAGRAM_BYTES,
     EndAnnouncement,
@@ -32,6 +34,8 @@
 __all__ = ["Gossip"]
 
 SNAPSHOT_PATH = "/snapshot"
+# Query of a peer whose decoder takes announced ends in a snapshot.
+SNAPSHOT_QUERY_WITH_ENDS = "ends=1"
 # Time between two heartbeats, in s. Active members send more often, so that their
 # failure is detected sooner. A daemon whose replica is incomplete asks its peers, at
 # first often, then at intervals that grow by a factor.
@@ -53,8 +57,10 @@
 # Number of other members whose state a heartbeat relays.
 RELAYED_MEMBERS = 3
 LARGE_RELAYED_ACTIVE_MEMBERS = 8
-# Number of members in the reply to a daemon that has just started.
+# Number of members in the reply to a daemon that has just started, and most announced
+# ends that are sent with it. The rest follows with a snapshot.
 REPLY_MEMBERS = 12
+REPLY_ENDS = 16
 # A digest may differ for this time, in s, because an update is still in transit. In a
 # large fleet snapshots of other failure domains are delayed further, so that mostly
 # those of the own domain are pulled.
@@ -63,7 +69,6 @@
 PULL_TIMEOUT_S = 1.0
 # Number of failed members that also get each heartbeat, in case they are back.
 SILENT_PROBED = 1
-MAX_CONFIGURATION_BYTES = 1 << 20
 
 
 class Gossip:
@@ -106,7 +111,13 @@
         self._digest_differs_since = None
         self._last_pull_at = 0.0
         self._heartbeat_requested = curio.Event()
-        self.counts = {"datagrams_out": 0, "datagrams_in": 0, "bytes_out": 0}
+        self.counts = {
+            "datagrams_out": 0,
+            "datagrams_in": 0,
+            "bytes_out": 0,
+            "datagrams_invalid": 0,
+            "datagrams_failed": 0,
+        }
 
     def set_loss_handler(self, function):
         """Set the function called with (fingerprint, ids of servers) from peers."""
@@ -124,8 +135,10 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         sock.bind(self.settings.gossip_address)
         self._sock = sock
-        for function in (self._receive, self._run_heartbeats):
-            self._tasks.append(await curio.spawn(function, daemon=True))
+        tasks = {"gossip": self._receive, "heartbeats": self._run_heartbeats}
+        for name, function in tasks.items():
+            task = Supervised(name, function, self._now, self._log)
+            self._tasks.append(await curio.spawn(task.run, daemon=True))
 
     async def stop(self):
         """End the tasks and close the socket."""
@@ -332,17 +345,32 @@
                 await self._send(raw, member.host)
 
     async def send_end_announcement(self, server, serves_s):
-        """Tell the active members that a server leaves, and when it ends.
+        """Record that a server says that it leaves, and tell other members.
 
-        They may not have heard it from the server itself, nor from the store yet.
+        They may not have heard it from the server itself, and the store may never say
+        so.
         """
-        raw = encode_end_announcement(
-            EndAnnouncement(server.id, server.born_ms, serves_s)
-        )
-        active_members = [m for m in self._other_members(self._now()) if m.is_active]
-        for member in _sample(active_members, UPDATE_FANOUT):
+        now = self._now()
+        key = SERVER_PREFIX + server.id
+        if self._replica.announce_end(key, server.born_ms, now + serves_s):
+            end = EndAnnouncement(server.id, server.born_ms, serves_s)
+            await self._send_end(end, self._update_targets(now, False))
+
+    async def _send_end(self, end, members):
+        raw = encode_end_announcement(end)
+        for member in members:
             await self._send(raw, member.host)
 
+    def _announced_ends(self, now):
+        """Return ``EndAnnouncement`` objects for all announced ends, newest first."""
+        ends = [
+            EndAnnouncement(
+                key[len(SERVER_PREFIX) :], end.born_ms, max(0.0, end.until - now)
+            )
+            for key, end in self._replica.announced_ends()
+        ]
+        return sorted(ends, key=lambda end: -end.serves_s)
+
     # Receiving
 
     async def _receive(self):
@@ -356,25 +384,57 @@
                 self._log.debug("datagram_not_received", error=str(exc))
                 continue
             self.counts["datagrams_in"] += 1
-            now = self._now()
-            try:
-                message = decode_message(raw, now)
-            except DocumentError as exc:
-                self._log.warning("datagram_invalid", host=host, reason=exc.message)
-                continue
-            if isinstance(message, Heartbeat):
-                await self._on_heartbeat(message, host, now, arrived_after)
-            elif isinstance(message, EndAnnouncement):
-                self._on_end_announced(
-                    message.server_id,
-                    message.born_ms,
-                    arrived_after + message.serves_s,
-                )
-            elif isinstance(message, LossReport):
-                for fingerprint, servers in message.losses:
-                    self._on_loss(fingerprint, servers)
-            else:
-                await self._on_updates(*message, host, now, arrived_after)
+            await self.receive_datagram(raw, host, arrived_after)
+
+    async def receive_datagram(self, raw, host, arrived_after):
+        """Handle one datagram; one that cannot be handled is logged and counted.
+
+        ``arrived_after`` is a time before it can have arrived.
+        """
+        now = self._now()
+        try:
+            message = decode_message(raw, now)
+        except DocumentError as exc:
+            self.counts["datagrams_invalid"] += 1
+            self._log.warning("datagram_invalid", host=host, reason=exc.message[:200])
+            return
+        try:
+            await self._on_message(message, host, now, arrived_after)
+        except Exception as exc:
+            self.counts["datagrams_failed"] += 1
+            self._log.error(
+                "datagram_failed", host=host, error=repr(exc), at=error_place(exc)
+            )
+
+    async def _on_message(self, message, host, now, arrived_after):
+        if isinstance(message, Heartbeat):
+            await self._on_heartbeat(message, host, now, arrived_after)
+        elif isinstance(message, EndAnnouncement):
+            if self._learn_end(message, arrived_after) and self.view.is_large:
+                await self._send_end(message, self._update_targets(now, True))
+        elif isinstance(message, LossReport):
+            for fingerprint, servers in message.losses:
+                self._on_loss(fingerprint, servers)
+        else:
+            await self._on_updates(*message, host, now, arrived_after)
+
+    def _learn_end(self, end, counted_from):
+        """Record an end that a peer knows; return whether it was not known.
+
+        The time for which the server still serves runs from ``counted_from``.
+        """
+        until = counted_from + end.serves_s
+        is_new = self._replica.announce_end(
+            SERVER_PREFIX + end.server_id, end.born_ms, until
+        )
+        self._on_end_announced(end.server_id, end.born_ms, until)
+        if is_new:
+            self._log.info(
+                "server_end_learned",
+                server=end.server_id,
+                serves_ms=int(end.serves_s * 1000),
+            )
+        return is_new
 
     async def _on_heartbeat(self, heartbeat, host, now, arrived_after):
         self._feed.note_era(era_of(heartbeat.cursor), now)
@@ -407,6 +467,8 @@
         await self._send(
             encode_heartbeat(self._make_heartbeat(members, now, False), now), host
         )
+        for end in self._announced_ends(now)[:REPLY_ENDS]:
+            await self._send(encode_end_announcement(end), host)
 
     async def _compare_replicas(self, heartbeat, host, now, arrived_after):
         replica = self._replica
@@ -468,38 +530,35 @@
         ]
         is_configuration_new = False
         if configuration is not None:
-            is_configuration_new = self._receive_configuration(configuration, host)
+            position, raw = configuration
+            is_configuration_new = self._feed.merge_configuration(raw, position)
         if changed or is_configuration_new:
             await self._on_changes(changed, is_configuration_new, f"peer {host}")
             if self.view.is_large:
                 await self.send_updates(changed, is_configuration_new, host)
 
-    def _receive_configuration(self, configuration, host):
-        try:
-            position, packed = configuration
-            decompressor = zlib.decompressobj()
-            raw = decompressor.decompress(packed, MAX_CONFIGURATION_BYTES)
-            return self._feed.merge_configuration(raw, int(position))
-        except (zlib.error, TypeError, ValueError) as exc:
-            self._log.warning("datagram_invalid", host=host, reason=str(exc))
-            return False
-
     # Snapshots
 
     async def handle_request(self, request):
         """Answer a peer's request for a snapshot on the control address."""
         if request.path != SNAPSHOT_PATH or not self._replica.is_complete:
             return HTTPResponse(404)
-        age_s = self._replica.age_s(self._now())
-        return HTTPResponse(200, encode_snapshot(self._replica, age_s))
+        now = self._now()
+        ends = None
+        if request.query == SNAPSHOT_QUERY_WITH_ENDS:
+            ends = self._announced_ends(now)
+        age_s = self._replica.age_s(now)
+        return HTTPResponse(200, encode_snapshot(self._replica, age_s, ends))
 
     async def _pull_snapshot(self, host):
         address = (host, self.settings.control_address[1])
+        path = f"{SNAPSHOT_PATH}?{SNAPSHOT_QUERY_WITH_ENDS}"
+        asked_at = self._now()
         try:
             async with curio.timeout_after(PULL_TIMEOUT_S):
                 client = await HTTPClient.open(address, PULL_TIMEOUT_S)
                 try:
-                    response = await client.request("GET", SNAPSHOT_PATH)
+                    response = await client.request("GET", path)
                 finally:
                     await client.close()
             if response.status != 200:
@@ -508,27 +567,32 @@
         except (OSError, UpstreamError, DocumentError, curio.TaskTimeout) as exc:
             self._log.warning("snapshot_failed", host=host, error=str(exc))
             return
-        await self._apply_snapshot(snapshot, host)
+        await self._apply_snapshot(snapshot, host, asked_at)
 
-    async def _apply_snapshot(self, snapshot, host):
-        age_s, position, cfg_position, cfg_raw, records = snapshot
+    async def _apply_snapshot(self, snapshot, host, asked_at):
+        records = snapshot.records
         now = self._now()
         replica = self._replica
-        self._feed.note_era(era_of(position), now)
-        is_configuration_new = self._feed.merge_configuration(cfg_raw, cfg_position)
+        self._feed.note_era(era_of(snapshot.position), now)
+        is_configuration_new = self._feed.merge_configuration(
+            snapshot.configuration_raw, snapshot.configuration_position
+        )
+        # Before the records, so that none of these servers is used in between.
+        for end in snapshot.ends:
+            self._learn_end(end, asked_at)
         keys = {key for key, _, _ in records}
         missing = [
             key
-            for key in replica.keys_missing_from(keys, position)
+            for key in replica.keys_missing_from(keys, snapshot.position)
             if self._feed.unconfirmed_until(key, now) is None
         ]
-        records.extend((key, position, None) for key in missing)
+        records.extend((key, snapshot.position, None) for key in missing)
         changed = [
             record
             for record in (replica.merge_server(*record, now) for record in records)
             if record is not None
         ]
-        replica.mark_fresh(now - age_s)
+        replica.mark_fresh(now - snapshot.age_s)
         self._digest_differs_since = None
         if changed or is_configuration_new:
             await self._on_changes(changed, is_configuration_new, f"snapshot {host}")
--- a/almondtide/model/position.py
+++ b/almondtide/model/position.py
@@ -11,11 +11,19 @@
 (2, 7)
 """
 
-__all__ = ["MAX_ERA", "MAX_REVISION", "era_of", "make_position", "revision_of"]
+__all__ = [
+    "MAX_ERA",
+    "MAX_POSITION",
+    "MAX_REVISION",
+    "era_of",
+    "make_position",
+    "revision_of",
+]
 
 REVISION_BITS = 48
 MAX_REVISION = (1 << REVISION_BITS) - 1
 MAX_ERA = (1 << 32) - 1
+MAX_POSITION = MAX_ERA << REVISION_BITS | MAX_REVISION
 
 
 def make_position(era, revision):
--- /dev/null
+++ b/bench/ablate.py
@@ -0,0 +1,305 @@
+"""Plays days of the users' bench with one mechanism of the entry switched off.
+
+``python -m bench.ablate NAME... --bench PROGRAM --site FILE`` makes a clone for each
+mechanism, appends the replaced constants and functions to its modules, plays the same
+days with the same seeds in each clone and in one of the unchanged code, and prints the
+differences in worth. The journal entries of the plays are copied to this repository.
+``python -m bench.ablate --list`` names the mechanisms.
+"""
+
+import concurrent.futures
+import pathlib
+import re
+import shutil
+import statistics
+import subprocess
+import sys
+
+import defopt
+import orjson
+
+from almondtide.presentation import format_table, print_error, print_text
+from almondtide.registry import Registry
+
+__all__ = ["Play", "apply_mechanism", "compare_plays", "main", "mechanisms"]
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+REFERENCE = "reference"
+# The bench names the journal entry of a play in its last line.
+SNAPSHOT_LINE = re.compile(r"^snapshot ([0-9a-f]+)\s*$", re.MULTILINE)
+COLUMNS = ("mechanism", "day", "plays", "with", "without", "gain", "least", "most")
+
+mechanisms = Registry("mechanism")
+
+
+def _mechanism(name, purpose, **sources):
+    """Register a mechanism that ``sources`` switch off.
+
+    Each keyword is a module of ``almondtide.entry``, its value the Python source that
+    is appended to it.
+    """
+    mechanisms.register(name)((purpose, sources))
+
+
+_mechanism(
+    "two-active-entries",
+    "two active entries in each failure domain in place of one",
+    members="select_active_members.__defaults__ = (1,)",
+)
+_mechanism(
+    "shared-depth",
+    "a bound on the requests that all entries have at one server",
+    upstreams="UpstreamTable.max_in_flight = lambda *args: 1 << 20",
+)
+_mechanism(
+    "hedging",
+    "a second exchange for a slow one",
+    dispatch="may_hedge = lambda branch, now: False",
+)
+_mechanism(
+    "hedge-delay-bound",
+    "a hedge delay of some medians where a quantile would be longer",
+    route_latency="MAX_HEDGE_DELAY_MEDIANS = 1e9",
+)
+_mechanism(
+    "retry-reserve",
+    "the part of the budget that hedges leave to retries",
+    dispatch="RETRY_RESERVE_FRACTION = 0.0",
+)
+_mechanism(
+    "slowness",
+    "servers that were slow cost more",
+    upstreams="Upstream.slowness = lambda self, now: 1.0",
+)
+_mechanism(
+    "failure-rate",
+    "servers that failed cost more",
+    upstreams="Upstream.failure_rate = lambda self, now: 0.0",
+)
+_mechanism(
+    "silence",
+    "servers that are overdue cost more and count as lost",
+    upstreams="Upstream.silent_s = lambda self, now: 0.0",
+)
+_mechanism(
+    "other-domain-cost",
+    "servers of another failure domain cost more",
+    upstreams="OTHER_DOMAIN_COST = 0.0",
+)
+_mechanism(
+    "cold-and-leaving-costs",
+    "servers that start or leave cost more",
+    upstreams="COLD_COST = LEAVING_COST = 0.0",
+)
+_mechanism(
+    "ejection",
+    "servers that are lost get nothing for a while, then one probe",
+    upstreams="Upstream._eject = lambda self, now: None",
+)
+_mechanism(
+    "full-backoff",
+    "a pause after a server said that it is full",
+    upstreams="MIN_FULL_BACKOFF_S = MAX_FULL_BACKOFF_S = 0.0",
+)
+_mechanism(
+    "connection-limits",
+    "a share of a server's connections, and a pause after a reset",
+    upstreams="CONNECT_BACKOFF_S = 0.0\nMIN_CONNECTIONS = 1 << 20",
+)
+_mechanism(
+    "answer-at-objective",
+    "a merged answer leaves in time with the parts that are in",
+    dispatch="ANSWER_MARGIN_S = MAX_ANSWER_MARGIN_FRACTION = -1e6",
+)
+_mechanism(
+    "admission",
+    "requests are refused at once where their services cannot serve them",
+    dispatch="""
+decide_admission = lambda states, needed: type(
+    "Admitted", (), {"is_admitted": True, "reason": "", "states": states}
+)()
+""",
+)
+_mechanism(
+    "standby-connections",
+    "standbys close idle connections early",
+    connections="STANDBY_MAX_IDLE_S = MAX_IDLE_S",
+)
+_mechanism(
+    "crash-quarantine",
+    "requests that crash servers are refused",
+    crash_detector="CrashDetector.refused_for_s = lambda self, call: 0.0",
+)
+_mechanism(
+    "held-removals",
+    "entries that expired while the store was away are kept for a while",
+    feed="removal_held_until = lambda *args: None",
+)
+_mechanism(
+    "queue-order",
+    "branches that are late already wait behind those in time",
+    branch_queue="""
+BranchQueue.pop = lambda self, now: self._in_time.pop()
+""",
+)
+
+
+class Play:
+    """One play of a day: its worth, and the file name of its journal entry."""
+
+    __slots__ = ("broken", "day", "entry", "mechanism", "seed", "worth")
+
+    def __init__(self, mechanism, day, seed, worth, broken, entry):
+        self.mechanism = mechanism
+        self.day = day
+        self.seed = seed
+        self.worth = worth
+        self.broken = broken
+        self.entry = entry
+
+
+def apply_mechanism(folder, name):
+    """Switch a mechanism off in the checkout ``folder``; raises ``KeyError``."""
+    _, sources = mechanisms.get(name)
+    for module, source in sources.items():
+        path = folder / "almondtide" / "entry" / f"{module}.py"
+        text = path.read_text(encoding="utf-8")
+        path.write_text(f"{text}\n\n{source.strip()}\n", encoding="utf-8")
+
+
+def make_clone(folder, name):
+    """Return a clone of this repository's commit, with a mechanism switched off."""
+    clone = folder / name
+    if clone.exists():
+        shutil.rmtree(clone)
+    subprocess.run(["git", "clone", "-q", str(ROOT), str(clone)], check=True)
+    if name != REFERENCE:
+        apply_mechanism(clone, name)
+        commit = ["git", "commit", "-q", "-a", "-m", f"Switch {name} off"]
+        subprocess.run(commit, cwd=clone, check=True)
+    return clone
+
+
+def play_day(bench, site, clone, day, seed, options):
+    """Play a day in a clone; return its ``Play``, or None if the bench failed."""
+    command = [bench, "run", str(site), day, *options]
+    if seed is not None:
+        command += ["--seed", str(seed)]
+    why = f"ablation: {clone.name}"
+    result = subprocess.run(
+        [*command, "--why", why], cwd=clone, check=False, capture_output=True, text=True
+    )
+    found = SNAPSHOT_LINE.search(result.stdout)
+    if found is None:
+        print_error(f"{clone.name}, {day}: {(result.stdout + result.stderr)[-300:]}")
+        return None
+    [path] = (clone / "journal").glob(f"*-{found.group(1)}.json")
+    [played] = orjson.loads(path.read_bytes())["days"]
+    for target in ("journal", "journal/blobs", "journal/incidents"):
+        for source in (clone / target).glob("*.*"):
+            if not (ROOT / target / source.name).exists():
+                shutil.copy(source, ROOT / target)
+    return Play(
+        clone.name, day, seed, played["G"], sorted(played["rules"] or ()), path.name
+    )
+
+
+def compare_plays(plays):
+    """Return rows of ``COLUMNS``: what each mechanism is worth on each day.
+
+    The gain is the mean difference of the plays with equal seeds; least and most are
+    its range.
+    """
+    reference = {
+        (play.day, play.seed): play.worth
+        for play in plays
+        if play.mechanism == REFERENCE
+    }
+    rows = []
+    pairs = {}
+    for play in plays:
+        worth = reference.get((play.day, play.seed))
+        if play.mechanism != REFERENCE and worth is not None:
+            pairs.setdefault((play.mechanism, play.day), []).append((worth, play.worth))
+    for (name, day), found in pairs.items():
+        gains = [worth - without for worth, without in found]
+        rows.append(
+            [
+                name,
+                day,
+                len(found),
+                round(statistics.mean(worth for worth, _ in found), 4),
+                round(statistics.mean(without for _, without in found), 4),
+                round(statistics.mean(gains), 4),
+                round(min(gains), 4),
+                round(max(gains), 4),
+            ]
+        )
+    return rows
+
+
+def main(
+    *names: str,
+    bench: str | None = None,
+    site: str | None = None,
+    days: list[str] | None = None,
+    seeds: list[int] | None = None,
+    jobs: int = 2,
+    folder: str = "run/ablation",
+    no_cpu: bool = False,
+    list_only: bool = False,
+):
+    """Measure what mechanisms are worth.
+
+    :param names: mechanisms to switch off, one by one; all if none is named
+    :param bench: the program of the users' bench
+    :param site: a site file
+    :param days: days to play
+    :param seeds: seeds to play each day with; the day's own if none is given
+    :param jobs: plays at the same time
+    :param folder: where the clones are made
+    :param no_cpu: charge no processor time
+    :param list_only: only list the mechanisms
+    """
+    if list_only:
+        rows = [[name, mechanisms.get(name)[0]] for name in mechanisms.names()]
+        print_text(format_table(("mechanism", "what it does"), rows))
+        return
+    if bench is None or site is None:
+        print_error("--bench and --site are needed")
+        sys.exit(2)
+    unknown = [name for name in names if name not in mechanisms]
+    if unknown:
+        print_error(f"unknown mechanisms: {', '.join(unknown)}")
+        sys.exit(2)
+    place = (ROOT / folder).resolve()
+    site_path = pathlib.Path(site).resolve()
+    clones = [
+        make_clone(place, name) for name in (REFERENCE, *(names or mechanisms.names()))
+    ]
+    # Built here once each, so that plays in one clone do not build at the same time.
+    for clone in clones:
+        subprocess.run([bench, "build"], cwd=clone, check=True, capture_output=True)
+    tasks = [
+        (clone, day, seed)
+        for day in days or ["trouble-1", "scale-1"]
+        for seed in seeds or [None]
+        for clone in clones
+    ]
+    options = ["--no-cpu"] if no_cpu else []
+    with concurrent.futures.ThreadPoolExecutor(jobs) as pool:
+        futures = [
+            pool.submit(play_day, bench, site_path, clone, day, seed, options)
+            for clone, day, seed in tasks
+        ]
+        plays = [fut.result() for fut in futures]
+    plays = [play for play in plays if play is not None]
+    for play in plays:
+        if play.broken:
+            print_error(f"{play.mechanism}, {play.day}: broke {play.broken}")
+    print_text(format_table(COLUMNS, compare_plays(plays)))
+    sys.exit(len(plays) < len(tasks))
+
+
+if __name__ == "__main__":
+    defopt.run(main, no_negated_flags=True, cli_options="all")
--- a/soak/session.py
+++ b/soak/session.py
@@ -241,7 +241,7 @@
                 _, _, body = await self.fleet.get_from_daemon(
                     daemon, "control", SNAPSHOT_PATH
                 )
-                *_, records = decode_snapshot(body)
+                records = decode_snapshot(body).records
             except (OSError, curio.TaskTimeout, DocumentError) as exc:
                 self.violations.append(f"replica: daemon {daemon}: {exc!r}")
                 continue
--- a/tests/entry/test_codec.py
+++ b/tests/entry/test_codec.py
@@ -93,8 +93,9 @@
     def test_removal_and_configuration(self):
         replica = _replica(1)
         record = replica.merge_server("servers/i-0", 9, None, 0.0)
-        raws = list(encode_updates([record], (5, b"packed"), now=0.0))
-        self.assertEqual(([], [5, b"packed"]), decode_message(raws[0], 0.0))
+        packed = zlib.compress(b"document")
+        raws = list(encode_updates([record], (5, packed), now=0.0))
+        self.assertEqual(([], (5, b"document")), decode_message(raws[0], 0.0))
         found = ([("servers/i-0", 9, None, 0.0)], None)
         self.assertEqual(found, decode_message(raws[1], 0.0))
 
@@ -139,12 +140,12 @@
     def test_round_trip(self):
         replica = _replica(3)
         replica.merge_configuration(Configuration(4), b"raw", 12)
-        age_s, revision, cfg_revision, raw, records = decode_snapshot(
-            encode_snapshot(replica, 0.5)
-        )
-        self.assertEqual((0.5, 3, 12, b"raw"), (age_s, revision, cfg_revision, raw))
+        snapshot = decode_snapshot(encode_snapshot(replica, 0.5))
+        self.assertEqual((0.5, 3), (snapshot.age_s, snapshot.position))
+        self.assertEqual(12, snapshot.configuration_position)
+        self.assertEqual(b"raw", snapshot.configuration_raw)
         other = StoreReplica()
-        for record in records:
+        for record in snapshot.records:
             other.merge_server(*record, 0.0)
         self.assertEqual(replica.digest, other.digest)
 
--- a/tests/entry/test_gossip.py
+++ b/tests/entry/test_gossip.py
@@ -1,11 +1,23 @@
 """Tests of the gossip's targets and updates, the directory and the store's reader."""
 
+import zlib
+
+import cbor2
 import curio
 import orjson
 import testtools
 
 from almondtide.adapters.http import HTTPRequest, HTTPResponse
-from almondtide.entry.codec import Heartbeat, decode_message
+from almondtide.entry.codec import (
+    EndAnnouncement,
+    Heartbeat,
+    Snapshot,
+    decode_message,
+    decode_snapshot,
+    encode_end_announcement,
+    encode_heartbeat,
+    encode_snapshot,
+)
 from almondtide.entry.directory import DISCOVERY_S, Directory
 from almondtide.entry.feed import StoreFeed
 from almondtide.entry.gossip import (
@@ -266,7 +278,8 @@
             daemon = _Daemon(40)
             daemon.view.local_member.is_active = is_active
             raw = orjson.dumps({"version": 4, "routes": [], "services": []})
-            run(daemon.gossip._apply_snapshot, (0.1, 5, 5, raw, []), "127.0.0.1")
+            snapshot = Snapshot(0.1, 5, 5, raw, [])
+            run(daemon.gossip._apply_snapshot, snapshot, "127.0.0.1", 0.0)
             self.assertEqual(is_active, daemon.gossip._heartbeat_requested.is_set())
 
     def test_an_older_heartbeat_is_ignored(self):
@@ -466,3 +479,154 @@
             self.assertEqual([], store.calls)
 
         self._run_scenario(scenario)
+
+
+def _server_record(daemon, born_ms=7):
+    """Let a daemon know a server; return it."""
+    entry = orjson.dumps({**ENTRY, "born": born_ms})
+    server = decode_server("servers/i-1", entry)
+    daemon.replica.merge_server("servers/i-1", 1, server, 0.0)
+    return server
+
+
+class AnnouncedEndTest(testtools.TestCase):
+    """Guards against a leaving server that is in use again after a restart.
+
+    The fault: one process knows from the server itself that it leaves; another one
+    starts, takes over, or missed the only datagram that told it.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.ends = []
+        self.told = _Daemon(3)
+        self.other = _Daemon(3, local_number=1)
+        for daemon in (self.told, self.other):
+            daemon.gossip.set_end_handler(lambda *args: self.ends.append(args))
+        self.server = _server_record(self.told)
+
+    def announce(self):
+        run(self.told.gossip.send_end_announcement, self.server, 2.0)
+
+    def pull(self):
+        """Let the other daemon pull the snapshot of the first one."""
+        request = HTTPRequest("GET", "/snapshot?ends=1", {}, b"")
+        self.told.replica.configuration = Configuration(1)
+        self.told.replica.configuration_raw = orjson.dumps(
+            {"version": 1, "routes": [], "services": []}
+        )
+        self.told.replica.mark_fresh(0.0)
+        response = run(self.told.gossip.handle_request, request)
+        snapshot = decode_snapshot(response.body)
+        run(self.other.gossip._apply_snapshot, snapshot, "10.0.0.1", 0.0)
+
+    def test_a_standby_is_told_too(self):
+        self.announce()
+        hosts = {host for _, host in self.told.gossip._sock.sent}
+        self.assertEqual({"10.0.0.2", "10.0.0.3"}, hosts)
+
+    def test_a_daemon_that_starts_learns_it_with_the_snapshot(self):
+        self.announce()
+        self.pull()
+        self.assertEqual([("i-1", 7, 2.0)], self.ends)
+        self.assertEqual(2.0, self.other.replica.announced_until("servers/i-1"))
+
+    def test_a_daemon_that_starts_learns_it_with_the_reply_to_its_heartbeat(self):
+        self.announce()
+        self.told.gossip._sock.sent.clear()
+        run(self.told.gossip._send_reply, "10.0.0.2", 0.5)
+        raws = [raw for raw, _ in self.told.gossip._sock.sent]
+        for raw in raws:
+            run(self.other.gossip.receive_datagram, raw, "10.0.0.1", 0.5)
+        self.assertEqual([("i-1", 7, 2.0)], self.ends)
+
+    def test_digests_differ_until_both_know_it(self):
+        _server_record(self.other)
+        self.assertEqual(self.told.replica.digest, self.other.replica.digest)
+        self.announce()
+        self.assertNotEqual(self.told.replica.digest, self.other.replica.digest)
+        self.pull()
+        self.assertEqual(self.told.replica.digest, self.other.replica.digest)
+
+    def test_the_entry_in_the_store_does_not_take_it_back(self):
+        self.announce()
+        self.told.replica.merge_server("servers/i-1", 2, None, 3.0)
+        self.told.replica.merge_server("servers/i-1", 3, self.server, 4.0)
+        self.assertEqual(2.0, self.told.replica.announced_until("servers/i-1"))
+
+    def test_a_new_start_of_the_server_does(self):
+        self.announce()
+        _server_record(self.told, born_ms=8)
+        entry = orjson.dumps({**ENTRY, "born": 8})
+        newer = decode_server("servers/i-1", entry)
+        self.told.replica.merge_server("servers/i-1", 2, newer, 1.0)
+        self.assertIsNone(self.told.replica.announced_until("servers/i-1"))
+        # A late announcement of the earlier start changes nothing.
+        end = EndAnnouncement("i-1", 7, 0.5)
+        raw = encode_end_announcement(end)
+        run(self.told.gossip.receive_datagram, raw, "10.0.0.2", 1.0)
+        self.assertIsNone(self.told.replica.announced_until("servers/i-1"))
+
+    def test_it_is_known_before_the_server(self):
+        raw = encode_end_announcement(EndAnnouncement("i-1", 7, 2.0))
+        run(self.other.gossip.receive_datagram, raw, "10.0.0.1", 0.0)
+        _server_record(self.other)
+        self.assertEqual(2.0, self.other.replica.announced_until("servers/i-1"))
+
+    def test_it_is_forgotten_only_when_the_server_is_no_longer_listed(self):
+        self.announce()
+        self.told.replica.remove_expired_tombstones(500.0)
+        self.assertEqual(2.0, self.told.replica.announced_until("servers/i-1"))
+        self.told.replica.merge_server("servers/i-1", 2, None, 500.0)
+        self.told.replica.remove_expired_tombstones(700.0)
+        self.assertEqual([], self.told.replica.announced_ends())
+
+    def test_a_peer_of_an_earlier_build_gets_a_snapshot_that_it_can_read(self):
+        self.announce()
+        raw = encode_snapshot(self.told.replica, 0.1)
+        self.assertEqual([], decode_snapshot(raw).ends)
+
+
+class MalformedTest(testtools.TestCase):
+    """Guards against a daemon that is deaf after one malformed datagram."""
+
+    def setUp(self):
+        super().setUp()
+        self.daemon = _Daemon(3)
+
+    def receive(self, *raws):
+        async def scenario():
+            for raw in raws:
+                await self.daemon.gossip.receive_datagram(raw, "10.0.0.2", 0.0)
+
+        run(scenario)
+
+    def test_a_position_of_infinity(self):
+        packed = zlib.compress(b"{}")
+        raw = cbor2.dumps([1, 2, [], [float("inf"), packed]])
+        self.receive(raw)
+        self.assertEqual(1, self.daemon.gossip.counts["datagrams_invalid"])
+        self.assertIn("datagram_invalid", self.daemon.log.names())
+
+    def test_an_age_of_infinity(self):
+        heartbeat = Heartbeat(_member(1), 7, 3, 0.2, [], False, 12, 0.1)
+        message = cbor2.loads(encode_heartbeat(heartbeat, 1.0))
+        for place in (5, 9):
+            altered = list(message)
+            altered[place] = float("inf")
+            self.receive(cbor2.dumps(altered))
+        self.assertEqual(2, self.daemon.gossip.counts["datagrams_invalid"])
+        self.assertIsNone(self.daemon.replica.fresh_at)
+
+    def test_an_error_while_a_datagram_is_handled(self):
+        def fail(*args):
+            raise RuntimeError("unexpected")
+
+        self.daemon.gossip.set_end_handler(fail)
+        heartbeat = Heartbeat(_member(1), 7, 3, None, [], False)
+        self.receive(
+            encode_end_announcement(EndAnnouncement("i-1", 7, 1.0)),
+            encode_heartbeat(heartbeat, 1.0),
+        )
+        self.assertEqual(1, self.daemon.gossip.counts["datagrams_failed"])
+        self.assertIn("front-1", self.daemon.view.members)
--- a/tests/entry/test_processes.py
+++ b/tests/entry/test_processes.py
@@ -157,7 +157,7 @@
                     status, headers, _ = await fleet.search(number, f"q-{query}")
                     self.assertEqual((200, "0"), (status, headers["missing-parts"]))
                 _, _, body = await fleet.get_from_daemon(number, "control", "/snapshot")
-                versions.append(decode_snapshot(body)[3])
+                versions.append(decode_snapshot(body).configuration_raw)
             # Its drain time is over, and only the copy lists it as ready.
             self.assertEqual(before, len(fleet.servers[drained].runs))
             self.assertTrue(fleet.servers[added].runs)
--- a/tests/entry/test_restoration.py
+++ b/tests/entry/test_restoration.py
@@ -77,7 +77,7 @@
 
     def pull_snapshot_of(self, other):
         snapshot = decode_snapshot(encode_snapshot(other.replica, 0.1))
-        run(self.gossip._apply_snapshot, snapshot, "127.0.0.9")
+        run(self.gossip._apply_snapshot, snapshot, "127.0.0.9", self.now)
 
     def heartbeat(self):
         cursor, _ = self.feed.shared_position
