--- a/almondtide/admission.py
+++ b/almondtide/admission.py
@@ -5,6 +5,7 @@
     "QUERY_WAIT_SHARE",
     "LoadEstimate",
     "LoadTable",
+    "execution_wait_ends_at",
     "refusal_retry_ms",
     "refusal_share",
 ]
@@ -37,6 +38,22 @@
         self.service_s = service_s
 
 
+def execution_wait_ends_at(now, deadline, allowed_s):
+    """Return when an execution that still waits at an owner is refused, in seconds.
+
+    ``deadline`` ends the time ``allowed_s`` that began when the caller's request
+    arrived at the tier; 0.0 stands for a beginning ``now``. Answers the load pattern in
+    which overloaded daemons pass executions on late: what they took of the time is
+    taken from the wait, so that the refusal still arrives early.
+
+    >>> execution_wait_ends_at(10.0, 11.0, 0.0), execution_wait_ends_at(10.0, 10.9, 1.0)
+    (10.25, 10.15)
+    """
+    allowed_s = max(allowed_s, deadline - now)
+    ends_at = deadline - (1.0 - EXECUTION_WAIT_SHARE) * allowed_s
+    return max(now, round(ends_at, 6))
+
+
 def refusal_retry_ms(estimate, remaining_s, wait_share=QUERY_WAIT_SHARE):
     """Return None if the work is admitted, else the delay before a retry in ms.
 
--- a/almondtide/executions.py
+++ b/almondtide/executions.py
@@ -296,8 +296,8 @@
         self._find_shard(workload, req.body)
         home = (execution_id.instance, execution_id.incarnation)
         if home == (self.instance, self.incarnation):
-            return await self._run_at_home(execution_id, req, deadline)
-        return await self._forward(execution_id, req, deadline)
+            return await self._run_at_home(execution_id, req, deadline, deadline_ms)
+        return await self._forward(execution_id, req, deadline, deadline_ms)
 
     def _workload(self, name):
         workload = self._cfg().workloads.get(name)
@@ -318,13 +318,14 @@
         except KeyError:
             raise BadRequestError(f"key {key} is outside the key space") from None
 
-    async def _forward(self, execution_id, req, deadline):
+    async def _forward(self, execution_id, req, deadline, allowed_ms):
         remaining_s = deadline - self._clock.monotonic()
         message = ForwardRevise(
             workload=req.workload,
             execution_id=str(execution_id),
             request_id=req.request_id,
             remaining_ms=remaining_s * 1000.0,
+            allowed_ms=allowed_ms,
             body=req.body,
         )
         # Only the home can compare the incarnation: the one known here may be
@@ -382,9 +383,9 @@
         req = ReviseRequest(
             message.request_id, message.workload, message.execution_id, message.body
         )
-        return await self._run_at_home(execution_id, req, deadline)
+        return await self._run_at_home(execution_id, req, deadline, message.allowed_ms)
 
-    async def _run_at_home(self, execution_id, req, deadline):
+    async def _run_at_home(self, execution_id, req, deadline, allowed_ms):
         fingerprint = request_fingerprint(req.workload, "revise", req.body)
         record = self._records.get(str(execution_id))
         if record is not None:
@@ -399,7 +400,13 @@
         # The execution continues if the caller or the daemon that received the request
         # disconnects, so that its outcome is stored.
         await curio.spawn(
-            self._execute, str(execution_id), record, req, deadline, daemon=True
+            self._execute,
+            str(execution_id),
+            record,
+            req,
+            deadline,
+            allowed_ms,
+            daemon=True,
         )
         return await self._wait_for_outcome(record, fingerprint, deadline)
 
@@ -440,16 +447,18 @@
                 return
             del self._records[id_text]
 
-    async def _execute(self, id_text, record, req, deadline):
+    async def _execute(self, id_text, record, req, deadline, allowed_ms):
         self.running_count += 1
         try:
-            await self._execute_and_record(id_text, record, req, deadline)
+            await self._execute_and_record(id_text, record, req, deadline, allowed_ms)
         finally:
             self.running_count -= 1
 
-    async def _execute_and_record(self, id_text, record, req, deadline):
+    async def _execute_and_record(self, id_text, record, req, deadline, allowed_ms):
         try:
-            outcome = await self._dispatch(id_text, record.fingerprint, req, deadline)
+            outcome = await self._dispatch(
+                id_text, record.fingerprint, req, deadline, allowed_ms
+            )
         except AlmondtideError as exc:
             outcome = Outcome(
                 exc.code,
@@ -473,7 +482,7 @@
             not_run=outcome.not_run,
         )
 
-    async def _dispatch(self, id_text, fingerprint, req, deadline):
+    async def _dispatch(self, id_text, fingerprint, req, deadline, allowed_ms):
         shard = self._find_shard(self._workload(req.workload), req.body)
         tried_count = 0
         for target in self._membership.view().ranked_instances(shard.service):
@@ -488,6 +497,7 @@
                 service=shard.service,
                 execution_id=id_text,
                 remaining_ms=remaining_s * 1000.0,
+                allowed_ms=allowed_ms,
                 fingerprint=fingerprint,
                 suspect=self._quarantine.is_suspect(fingerprint),
                 avoid=self._quarantine.lost_servers(fingerprint),
--- a/almondtide/messages.py
+++ b/almondtide/messages.py
@@ -362,21 +362,34 @@
     request to an owner.
     """
 
-    __slots__ = ("body", "execution_id", "remaining_ms", "request_id", "workload")
+    __slots__ = (
+        "allowed_ms",
+        "body",
+        "execution_id",
+        "remaining_ms",
+        "request_id",
+        "workload",
+    )
     FIELDS = {
         "workload": (_is_str, Message.REQUIRED),
         "execution_id": (_is_str, Message.REQUIRED),
         "request_id": (_is_str, ""),
         "remaining_ms": (_is_number, Message.REQUIRED),
+        "allowed_ms": (_is_number, 0.0),
         "body": (_accept_any, None),
     }
 
 
 @_register_message("execute")
 class Execute(Message):
-    """A non-idempotent request that its home sends to the owner of a service."""
+    """A non-idempotent request that its home sends to the owner of a service.
+
+    ``remaining_ms`` is what is left of ``allowed_ms``, the caller's deadline from the
+    arrival of its request, which is 0 if the sender does not state it.
+    """
 
     __slots__ = (
+        "allowed_ms",
         "avoid",
         "body",
         "execution_id",
@@ -391,6 +404,7 @@
         "service": (_is_str, Message.REQUIRED),
         "execution_id": (_is_str, Message.REQUIRED),
         "remaining_ms": (_is_number, Message.REQUIRED),
+        "allowed_ms": (_is_number, 0.0),
         "fingerprint": (_is_str, ""),
         "suspect": (_is_bool, False),
         "avoid": (_STR_LIST, list),
--- a/almondtide/owner.py
+++ b/almondtide/owner.py
@@ -8,6 +8,7 @@
     MIN_RETRY_AFTER_MS,
     QUERY_WAIT_SHARE,
     LoadEstimate,
+    execution_wait_ends_at,
     refusal_retry_ms,
 )
 from .attempts import Attempt, WorkItem
@@ -222,9 +223,12 @@
         self._enqueue(item)
         await self._timers.schedule(sub.deadline, _EXPIRE, item)
         await self._dispatch()
-        if item.is_queued and not sub.is_idempotent:
-            overdue_at = now + EXECUTION_WAIT_SHARE * (sub.deadline - now)
-            await self._timers.schedule(overdue_at, _OVERDUE, item)
+        if not item.done and not sub.is_idempotent:
+            await self._timers.schedule(
+                execution_wait_ends_at(now, sub.deadline, sub.allowed_s),
+                _OVERDUE,
+                item,
+            )
 
     def _check_admission(self, item, now):
         """Return None if the item is admitted, else its ``SubResult``."""
@@ -519,7 +523,8 @@
                 item, self._failed_result(item, ResultCode.DEADLINE_EXCEEDED)
             )
         elif kind == _OVERDUE:
-            if item.is_queued:
+            # Also when a server shed it and it waits for another one.
+            if not item.running_attempts and item.maybe_run_count == 0:
                 await self._finish_overloaded(item)
         elif item.running_attempts and not item.is_hedged:
             item.is_hedged = True
--- a/almondtide/owners.py
+++ b/almondtide/owners.py
@@ -230,6 +230,7 @@
             is_suspect=message.suspect,
             avoid=message.avoid,
             execution_id=message.execution_id,
+            allowed_s=message.allowed_ms / 1000.0,
         )
 
         async def deliver(result):
--- a/almondtide/subrequests.py
+++ b/almondtide/subrequests.py
@@ -13,9 +13,12 @@
     the caller's request in the quarantine. A request with ``is_suspect`` needs a
     server that runs no other suspect, and ``avoid`` lists servers that were lost
     while they ran it. ``execution_id`` is set for a non-idempotent request only.
+    ``allowed_s`` is the time from the request's arrival to the deadline, 0.0 if it is
+    not known.
     """
 
     __slots__ = (
+        "allowed_s",
         "avoid",
         "body",
         "deadline",
@@ -45,7 +48,9 @@
         is_suspect=False,
         avoid=(),
         execution_id=None,
+        allowed_s=0.0,
     ):
+        self.allowed_s = allowed_s
         self.query_id = query_id
         self.workload = workload
         self.service = service
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -235,6 +235,25 @@
         self.assertTrue(elapsed < 0.5, elapsed)
         self.assertFalse(any(request.startswith("q20") for request in self.ran()))
 
+    def test_time_that_passed_before_is_taken_from_the_wait(self):
+        # Overloaded daemons passed the execution on late: 0.4 s of 1 s are gone.
+        async def scenario():
+            for number in range(6):
+                await self.result(self.sub(number))
+            for server in self.servers:
+                server.service_s = 0.9
+            for number in range(10, 13):
+                await self.submit(self.sub(number))
+            started = self.clock.monotonic()
+            sub = self.sub(20, deadline_s=0.6, execution_id="a~b~0~c")
+            sub.allowed_s = 1.0
+            result = await self.result(sub)
+            return result, self.clock.monotonic() - started
+
+        result, elapsed = self.run_scenario(scenario)
+        self.assertEqual(ResultCode.OVERLOADED, result.code)
+        self.assertTrue(elapsed < 0.1, elapsed)
+
     def test_waiting_sub_request_of_a_query_keeps_waiting(self):
         async def scenario():
             for number in range(6):
