--- a/almondtide/entry/reader.py
+++ b/almondtide/entry/reader.py
@@ -15,11 +15,10 @@
 
 # How long a daemon that is no seed waits for a snapshot from peers, in s, before it
 # reads the store itself. At the first start of the fleet there are no callers yet.
-# Later the whole fleet may have failed while callers wait, so the delay is short, and
-# the jitter lets one daemon read before the others.
+# Later the whole fleet may have failed while callers wait, so there is only a jitter
+# that spreads the reads of a fleet that starts at once.
 FIRST_START_READ_DELAY_S = 0.35
-RESTART_READ_DELAY_S = 0.05
-RESTART_READ_JITTER_S = 0.15
+RESTART_READ_JITTER_S = 0.05
 # Each heartbeat of a server is a change of the store, so a watch is mostly answered at
 # once.
 WATCH_WAIT_MS = 20
@@ -115,7 +114,7 @@
         if self.settings.is_first_start:
             delay_s = FIRST_START_READ_DELAY_S
         else:
-            delay_s = RESTART_READ_DELAY_S + random.random() * RESTART_READ_JITTER_S
+            delay_s = random.random() * RESTART_READ_JITTER_S
         end = self._started_at + delay_s
         while not self._replica.is_complete and self._now() < end:
             await curio.sleep(PEER_POLL_S)
