--- a/almondtide/adapters/upstream.py
+++ b/almondtide/adapters/upstream.py
@@ -63,10 +63,12 @@
 class HTTPUpstreamConnection(BaseUpstreamConnection):
     """One HTTP connection to a server."""
 
-    __slots__ = ("_client",)
+    __slots__ = ("_client", "_exchange_count")
 
     def __init__(self, client):
         self._client = client
+        # Exchanges begun on this connection.
+        self._exchange_count = 0
 
     @property
     def is_usable(self):
@@ -96,6 +98,7 @@
             "x-request-id": request_id,
             "x-deadline-ms": str(max(0, int(remaining_s * 1000))),
         }
+        self._exchange_count += 1
         response = await self._client.request("POST", "/v1/search", headers, body)
         reply = _decode_reply(response)
         self._check_identity(response, reply, "request_id", request_id)
@@ -104,10 +107,14 @@
     def _check_identity(self, response, reply, field, expected_id):
         """Raise ``UpstreamError`` when the response belongs to another request.
 
-        A successful response has the id in ``field`` of its body. A refusal may have
-        it in the header X-Request-Id; without the header, it is not checked.
+        A successful response has the id in ``field`` of its body, a refusal in the
+        header X-Request-Id. A refusal without the header is only accepted on a new
+        connection: on one that was used before it may be a late copy of the refusal
+        of an earlier request, and say "not run" of this one.
         """
-        actual_id = response.headers.get("x-request-id", expected_id)
+        actual_id = response.headers.get("x-request-id")
+        if actual_id is None and self._exchange_count == 1:
+            actual_id = expected_id
         if reply.code == ResultCode.OK:
             actual_id = reply.body.get(field) if isinstance(reply.body, dict) else None
         if actual_id != expected_id:
@@ -128,6 +135,7 @@
             "x-deadline-ms": str(max(0, int(remaining_s * 1000))),
         }
         body = orjson.dumps({"workload": sub.workload, "revision": sub.body})
+        self._exchange_count += 1
         response = await self._client.request(
             "POST", "/v1/revise", headers, body, before_write
         )
--- a/almondtide/deferred.py
+++ b/almondtide/deferred.py
@@ -1,4 +1,4 @@
-"""Imports that libraries make and this process mostly doesn't need, made on first use."""
+"""Modules that libraries import and this process mostly doesn't use."""
 
 import importlib
 import sys
--- a/tests/adapters/test_upstream.py
+++ b/tests/adapters/test_upstream.py
@@ -6,8 +6,10 @@
 from hypothesis import strategies as st
 
 from almondtide.adapters.http import HTTPResponse
-from almondtide.adapters.upstream import _decode_reply
+from almondtide.adapters.upstream import HTTPUpstreamConnection, _decode_reply
 from almondtide.errors import ResultCode, UpstreamError
+from almondtide.subrequests import SubRequest
+from tests.support import run
 
 LATIN1_TEXT = st.text(st.characters(max_codepoint=255), max_size=12)
 
@@ -37,3 +39,62 @@
         for value, expected in ((True, True), (1, False), ("true", False)):
             body = orjson.dumps({"code": "shed", "not_run": value})
             self.assertEqual(expected, _decode_reply(HTTPResponse(503, body)).not_run)
+
+
+class _Client:
+    """Answers each request with the next of ``responses``."""
+
+    def __init__(self, *responses):
+        self.responses = list(responses)
+        self.is_usable = True
+
+    async def request(self, method, path, headers, body, before_write=None):
+        return self.responses.pop(0)
+
+
+class SecondCopyTest(testtools.TestCase):
+    """Guards against the answer to another request on a connection in use again."""
+
+    REFUSAL = orjson.dumps({"code": "shed", "not_run": True})
+
+    def _revise(self, *responses):
+        """Return the reply to the last of some revisions on one connection."""
+        client = _Client(*responses)
+        connection = HTTPUpstreamConnection(client)
+
+        async def scenario():
+            for number in range(len(responses)):
+                sub = SubRequest(
+                    "q", "w", "s", 1.0, body={}, execution_id=f"a~b~0~{number}"
+                )
+                reply = await connection.revise(1.0, sub, lambda: None)
+            return reply
+
+        try:
+            return run(scenario)
+        except UpstreamError as exc:
+            self.assertFalse(client.is_usable)
+            return exc
+
+    def _refusal(self, **headers):
+        return HTTPResponse(503, self.REFUSAL, headers)
+
+    def _success(self, number):
+        return HTTPResponse(200, orjson.dumps({"execution_id": f"a~b~0~{number}"}))
+
+    def test_a_late_refusal_without_an_id_says_nothing_of_the_next_request(self):
+        result = self._revise(self._success(0), self._refusal())
+        self.assertIsInstance(result, UpstreamError)
+        self.assertEqual(ResultCode.BAD_RESPONSE, result.code)
+        self.assertFalse(result.not_run)
+
+    def test_a_refusal_with_its_id_is_believed(self):
+        refusal = self._refusal(**{"x-request-id": "a~b~0~1"})
+        self.assertTrue(self._revise(self._success(0), refusal).not_run)
+
+    def test_a_refusal_on_a_new_connection_is_believed(self):
+        self.assertTrue(self._revise(self._refusal()).not_run)
+
+    def test_a_second_copy_of_a_success_is_discarded(self):
+        result = self._revise(self._success(0), self._success(0))
+        self.assertEqual(ResultCode.BAD_RESPONSE, result.code)
