--- a/almondtide/adapters/peer.py
+++ b/almondtide/adapters/peer.py
@@ -7,6 +7,7 @@
 from ..errors import AlmondtideError, PeerError, PeerSilentError, ResultCode
 from ..messages import ErrorReply, Hello, Ping, Pong, decode_frame
 from ..ports import BasePeers, LocalCall, unreachable_error
+from ..supervision import Supervised
 from .peer_link import (
     SILENT_AFTER_S,
     SUSPECT_AFTER_S,
@@ -203,7 +204,10 @@
             self._dial_blocked_until.pop(instance, None)
             self._links[instance] = link
             if self._monitor_task is None:
-                self._monitor_task = await curio.spawn(self._monitor, daemon=True)
+                monitor = Supervised(
+                    "peers", self._monitor, self.clock.monotonic, self.log
+                )
+                self._monitor_task = await curio.spawn(monitor.run, daemon=True)
         self.log.debug("peer_link_opened", peer=instance)
         return link
 
--- a/almondtide/adapters/peer_link.py
+++ b/almondtide/adapters/peer_link.py
@@ -6,6 +6,7 @@
 
 from ..errors import AlmondtideError, PeerError, PeerSilentError
 from ..messages import ErrorReply, Hello, Ping, Pong, decode_frame, encode_frame
+from ..supervision import TASK_FAILURES, error_place
 from .websocket import open_websocket
 
 __all__ = ["OutboundLink", "Outbox", "PeerCall"]
@@ -165,6 +166,19 @@
             await self._outbox.run()
         except PeerError as exc:
             await self._close_with_error(exc)
+        except Exception as exc:
+            await self._close_with_error(self._record_error(exc))
+
+    def _record_error(self, exc):
+        """Log an unexpected error, which ends this link only; return its reason."""
+        TASK_FAILURES["peer_link"] += 1
+        self._network.log.error(
+            "peer_link_failed",
+            peer=self.instance,
+            error=repr(exc),
+            at=error_place(exc),
+        )
+        return PeerError(f"the link to {self.instance} failed: {exc!r}")
 
     async def _read(self):
         reason = PeerError(f"{self.instance} closed the link")
@@ -180,6 +194,8 @@
                     await self._deliver(message)
         except PeerError as exc:
             reason = exc
+        except Exception as exc:
+            reason = self._record_error(exc)
         await self._close_with_error(reason)
 
     async def _record_contact(self):
--- a/almondtide/daemon.py
+++ b/almondtide/daemon.py
@@ -40,6 +40,7 @@
 from .quarantine import Quarantine
 from .reports import connection_counts, gauge_values, get_task_table, limits_report
 from .startup import StartupGuard
+from .supervision import Supervised
 
 __all__ = ["Daemon", "main"]
 
@@ -485,8 +486,10 @@
         await self._dissemination.start_exchange()
         await self._listeners[2].start()
         await curio.spawn(self._become_ready, daemon=True)
-        await curio.spawn(self._detect_pauses, daemon=True)
-        await curio.spawn(self._run_housekeeping, daemon=True)
+        tasks = {"pauses": self._detect_pauses, "housekeeping": self._run_housekeeping}
+        for name, function in tasks.items():
+            task = Supervised(name, function, self.clock.monotonic, self.log)
+            await curio.spawn(task.run, daemon=True)
         await curio.spawn(self._watch_signals, daemon=True)
         self.log.info("daemon_started", domain=self.settings.domain)
         await self._drain.requested.wait()
--- a/almondtide/dissemination.py
+++ b/almondtide/dissemination.py
@@ -1,5 +1,7 @@
 """Distribution of documents by gossip between daemons and watches of the platform."""
 
+from functools import partial
+
 import curio
 
 from .errors import DocumentError, PeerError, PlatformError
@@ -7,6 +9,7 @@
 from .messages import Digest, DocumentReply, DocumentRequest
 from .rendezvous import rank
 from .sampling import PeerSample
+from .supervision import Supervised
 
 __all__ = ["Dissemination", "LocalState"]
 
@@ -172,12 +175,16 @@
 
     async def start_exchange(self):
         """Start the periodic exchange of digests."""
-        self._tasks.append(await curio.spawn(self._exchange_loop, daemon=True))
+        await self._start_task("exchange", self._exchange_loop)
 
     async def start_watches(self):
         """Start a task for each document that watches the platform when needed."""
         for name in self.store.names():
-            self._tasks.append(await curio.spawn(self._watch_loop, name, daemon=True))
+            await self._start_task(f"watch {name}", partial(self._watch_loop, name))
+
+    async def _start_task(self, name, function):
+        task = Supervised(name, function, self._clock.monotonic, self._log)
+        self._tasks.append(await curio.spawn(task.run, daemon=True))
 
     async def stop(self):
         """Cancel all tasks."""
--- a/tests/adapters/test_peer.py
+++ b/tests/adapters/test_peer.py
@@ -1,6 +1,7 @@
 """Tests of peer links over the loopback interface."""
 
 import types
+from unittest import mock
 
 import cbor2
 import curio
@@ -8,6 +9,7 @@
 
 from almondtide.adapters.listener import Listener
 from almondtide.adapters.peer import PeerNetwork
+from almondtide.adapters.peer_link import OutboundLink
 from almondtide.adapters.websocket import accept_websocket, open_websocket
 from almondtide.clock import HybridLogicalClock, SystemClock
 from almondtide.errors import PeerError, RefusedError, ResultCode
@@ -203,6 +205,57 @@
         self.assertEqual(ResultCode.PEER_SUSPECT, error.code)
         self.assertIsInstance(reply, ErrorReply)
 
+    def test_work_at_a_silent_peer_is_neither_given_up_nor_sent_again(self):
+        """The fault: a machine that is only silent for a while loses its work."""
+
+        async def scenario():
+            resumed = curio.Event()
+            links = []
+
+            async def serve(sock, address):
+                links.append(address)
+                websocket = await accept_websocket(sock)
+                await resumed.wait()
+                await self.server.serve_websocket(websocket, address)
+
+            await self.listener.close()
+            listener = Listener(LOOPBACK, serve)
+            await listener.start()
+            self.client.resolve = {"b": listener.address}.get
+            request = ServiceStatusRequest(services=[])
+            task = await curio.spawn(self.client.request, "b", request, 5.0)
+            await self.wait_for_event("suspected")
+            self.assertFalse(task.terminated)
+            await resumed.set()
+            reply = await task.join()
+            await listener.close()
+            return reply, len(links)
+
+        reply, link_count = self.run_pair(scenario)
+        self.assertIsInstance(reply, ErrorReply)
+        self.assertEqual(1, link_count)
+
+    def test_an_error_while_a_frame_is_handled_ends_its_link_only(self):
+        async def scenario():
+            request = ServiceStatusRequest(services=[])
+            await self.client.request("b", request, 2.0)
+
+            async def fail(link, message):
+                raise ValueError("unexpected")
+
+            with mock.patch.object(OutboundLink, "_deliver", fail):
+                try:
+                    await self.client.request("b", request, 2.0)
+                except PeerError as exc:
+                    error = exc
+            reply = await self.client.request("b", request, 2.0)
+            return error, reply
+
+        error, reply = self.run_pair(scenario)
+        self.assertIn("unexpected", error.message)
+        self.assertFalse(error.not_run)
+        self.assertIsInstance(reply, ErrorReply)
+
     async def wait_for_event(self, name):
         async with curio.timeout_after(5.0):
             while name not in self.client.observer.names():
