--- a/almondtide/daemon.py
+++ b/almondtide/daemon.py
@@ -547,9 +547,11 @@
         # This daemon must leave its own view as well. Otherwise it would still use
         # the slots of services that other daemons own from now on.
         await self._membership.set_leaving()
-        complete = await self._drain.wait(
-            self._count_running_requests, self.settings.drain_timeout_s
-        )
+        timeout_s = self.settings.drain_timeout_s
+        await self._drain.wait(self._count_running_requests, timeout_s)
+        # Connections that wait to be accepted may carry requests; they are served too.
+        await self._listeners[2].stop()
+        complete = await self._drain.wait(self._count_running_requests, timeout_s)
         self.log.info(
             "drain_ended", complete=complete, running=self._count_running_requests()
         )
--- a/almondtide/draining.py
+++ b/almondtide/draining.py
@@ -60,9 +60,12 @@
         while True:
             now = self._clock.monotonic()
             if now >= earliest_end and count_running() == 0:
-                # The last responses may not have been written yet.
+                # The last responses may not have been written yet, and requests may
+                # have arrived that nothing has read.
                 await curio.sleep(POLL_INTERVAL_S)
-                return True
+                if count_running() == 0:
+                    return True
+                continue
             if now >= deadline:
                 return False
             await curio.sleep(POLL_INTERVAL_S)
