--- a/bench/ablate.py
+++ b/bench/ablate.py
@@ -1,10 +1,11 @@
-"""Plays days of the users' bench with one mechanism of the entry switched off.
+"""Measures what each mechanism of the entry is worth, by switching it off.
 
 ``python -m bench.ablate NAME... --bench PROGRAM --site FILE`` makes a clone for each
 mechanism, appends the replaced constants and functions to its modules, plays the same
-days with the same seeds in each clone and in one of the unchanged code, and prints the
-differences in worth. The journal entries of the plays are copied to this repository.
-``python -m bench.ablate --list`` names the mechanisms.
+days of the users' bench with the same seeds in each clone and in one of the unchanged
+code, and prints the differences in worth. The journal entries of the plays are copied
+to this repository. With ``--patterns FILE...`` the clones replay load patterns in
+virtual time instead, see ``bench.replay``. ``--list-only`` names the mechanisms.
 """
 
 import concurrent.futures
@@ -204,6 +205,19 @@
     )
 
 
+def replay_patterns(clone, patterns):
+    """Replay load patterns in a clone; return a ``Play`` for each.
+
+    The worth is the value that callers get. Raises ``CalledProcessError``.
+    """
+    command = [sys.executable, "-m", "bench.replay", *patterns, "--output", "json"]
+    result = subprocess.run(command, cwd=clone, check=True, capture_output=True)
+    return [
+        Play(clone.name, row["pattern"], None, row["value"], [], None)
+        for row in orjson.loads(result.stdout)
+    ]
+
+
 def compare_plays(plays):
     """Return rows of ``COLUMNS``: what each mechanism is worth on each day.
 
@@ -244,6 +258,7 @@
     site: str | None = None,
     days: list[str] | None = None,
     seeds: list[int] | None = None,
+    patterns: list[str] | None = None,
     jobs: int = 2,
     folder: str = "run/ablation",
     no_cpu: bool = False,
@@ -256,6 +271,7 @@
     :param site: a site file
     :param days: days to play
     :param seeds: seeds to play each day with; the day's own if none is given
+    :param patterns: files of load patterns to replay instead of days
     :param jobs: plays at the same time
     :param folder: where the clones are made
     :param no_cpu: charge no processor time
@@ -265,18 +281,25 @@
         rows = [[name, mechanisms.get(name)[0]] for name in mechanisms.names()]
         print_text(format_table(("mechanism", "what it does"), rows))
         return
-    if bench is None or site is None:
-        print_error("--bench and --site are needed")
+    if not patterns and (bench is None or site is None):
+        print_error("--bench and --site, or --patterns, are needed")
         sys.exit(2)
     unknown = [name for name in names if name not in mechanisms]
     if unknown:
         print_error(f"unknown mechanisms: {', '.join(unknown)}")
         sys.exit(2)
     place = (ROOT / folder).resolve()
-    site_path = pathlib.Path(site).resolve()
     clones = [
         make_clone(place, name) for name in (REFERENCE, *(names or mechanisms.names()))
     ]
+    if patterns:
+        paths = [str(pathlib.Path(path).resolve()) for path in patterns]
+        with concurrent.futures.ThreadPoolExecutor(jobs) as pool:
+            futures = [pool.submit(replay_patterns, clone, paths) for clone in clones]
+            plays = [play for fut in futures for play in fut.result()]
+        print_text(format_table(COLUMNS, compare_plays(plays)))
+        return
+    site_path = pathlib.Path(site).resolve()
     # Built here once each, so that plays in one clone do not build at the same time.
     for clone in clones:
         subprocess.run([bench, "build"], cwd=clone, check=True, capture_output=True)
