--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -324,8 +324,6 @@
         # A standby sends to the servers too, so it counts itself.
         entry_count = len(names) + (not is_active)
         self.table.entry_count = entry_count
-        local_members = active_members.get(local.domain, ())
-        self.table.domain_entry_count = len(local_members) or 1
         # Whether this entry is ready or not, it counts itself among the standbys.
         alive_count = len(self.view.alive_members(now))
         standby_count = max(int(not is_active), alive_count - len(names))
--- a/almondtide/entry/upstreams.py
+++ b/almondtide/entry/upstreams.py
@@ -331,16 +331,13 @@
         "_removed",
         "connection_limits",
         "domain",
-        "domain_entry_count",
         "entry_count",
     )
 
     def __init__(self, domain):
         self.domain = domain
-        # Number of entries that send to these servers, including this one, and of
-        # those in this failure domain.
+        # Number of entries that send to these servers, including this one.
         self.entry_count = 1
-        self.domain_entry_count = 1
         # Service -> most connections that each of its servers accepts in total.
         self.connection_limits = {}
         self._by_id = {}
@@ -450,23 +447,15 @@
             upstream.is_lost(now) for upstream in self.usable_upstreams(service, now)
         )
 
-    def max_in_flight(self, slots, objective_ratio, is_local=False):
+    def max_in_flight(self, slots, objective_ratio):
         """Return how many requests this entry may have at a server at a time.
 
         ``objective_ratio`` is the objective as a multiple of the expected latency.
-        With ``is_local`` the server is in the failure domain of this entry: it is
-        mostly used by the entries of that domain, each of which may fill its slots.
-        Answers the load pattern in which the local server works on one request when
-        the next one arrives, and a short wait costs less than another domain.
         """
         total = slots * min(
             MAX_DEPTH_PER_SLOT, max(1.0, DEPTH_OBJECTIVE_FRACTION * objective_ratio)
         )
-        depth = max(1, round(total / self.entry_count))
-        if is_local:
-            local_depth = round(total / self.domain_entry_count)
-            depth = max(depth, min(slots, local_depth))
-        return depth
+        return max(1, round(total / self.entry_count))
 
     def may_connect(self, upstream, now):
         """Return whether the upstream has an idle connection or may get a new one."""
@@ -527,9 +516,7 @@
             ):
                 continue
             if upstream.in_flight >= self.max_in_flight(
-                upstream.server.slots,
-                objective_ratio,
-                upstream.server.domain == self.domain,
+                upstream.server.slots, objective_ratio
             ):
                 continue
             if not self.may_connect(upstream, now):
