--- a/almondtide/entry/frontend.py
+++ b/almondtide/entry/frontend.py
@@ -138,6 +138,7 @@
                 at=error_place(exc),
             )
             await self._dispatcher.abandon(call)
+            # The caller is still there and gets an answer.
             call.is_abandoned = False
             # Whether the request has run is unknown.
             return error_answer(502, ResultCode.INTERNAL, "internal error")
--- a/almondtide/entry/gossip.py
+++ b/almondtide/entry/gossip.py
@@ -58,7 +58,7 @@
 RELAYED_MEMBERS = 3
 LARGE_RELAYED_ACTIVE_MEMBERS = 8
 # Number of members in the reply to a daemon that has just started, and most announced
-# ends that are sent with it. The rest follows with a snapshot.
+# ends that are sent to one peer at a time. The rest follows with the next snapshot.
 REPLY_MEMBERS = 12
 REPLY_ENDS = 16
 # A digest may differ for this time, in s, because an update is still in transit. In a
@@ -598,6 +598,22 @@
             await self._on_changes(changed, is_configuration_new, f"snapshot {host}")
         if is_configuration_new and self.view.local_member.is_active:
             await self.trigger_heartbeat()
+        await self._send_missing_ends(snapshot, host, now)
+
+    async def _send_missing_ends(self, snapshot, host, now):
+        """Tell a peer the announced ends that its snapshot does not contain.
+
+        A peer whose replica stays newer, as that of the store's reader does, pulls no
+        snapshot from here, and the digests would differ for good.
+        """
+        known = {(end.server_id, end.born_ms) for end in snapshot.ends}
+        missing = [
+            end
+            for end in self._announced_ends(now)
+            if (end.server_id, end.born_ms) not in known
+        ]
+        for end in missing[:REPLY_ENDS]:
+            await self._send(encode_end_announcement(end), host)
 
 
 def _sample(members, count):
--- a/tests/entry/test_gossip.py
+++ b/tests/entry/test_gossip.py
@@ -567,6 +567,20 @@
         run(self.told.gossip.receive_datagram, raw, "10.0.0.2", 1.0)
         self.assertIsNone(self.told.replica.announced_until("servers/i-1"))
 
+    def test_a_peer_whose_snapshot_lacks_it_is_told(self):
+        # The datagram to the store's reader was lost, and no replica is newer than its.
+        self.announce()
+        self.told.gossip._sock.sent.clear()
+        _server_record(self.other)
+        raw = orjson.dumps({"version": 1, "routes": [], "services": []})
+        self.other.replica.merge_configuration(Configuration(1), raw, 1)
+        snapshot = decode_snapshot(encode_snapshot(self.other.replica, 0.0, []))
+        run(self.told.gossip._apply_snapshot, snapshot, "10.0.0.2", 0.0)
+        [(raw, host)] = self.told.gossip._sock.sent
+        self.assertEqual("10.0.0.2", host)
+        run(self.other.gossip.receive_datagram, raw, "10.0.0.1", 0.0)
+        self.assertEqual(self.told.replica.digest, self.other.replica.digest)
+
     def test_it_is_known_before_the_server(self):
         raw = encode_end_announcement(EndAnnouncement("i-1", 7, 2.0))
         run(self.other.gossip.receive_datagram, raw, "10.0.0.1", 0.0)
