--- a/tests/adapters/test_http.py
+++ b/tests/adapters/test_http.py
@@ -5,8 +5,18 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from almondtide.adapters.http import json_response, refuse_connection, serve_http
-from almondtide.errors import BadRequestError, RefusedError, ResultCode
+from almondtide.adapters.http import (
+    HTTPClient,
+    json_response,
+    refuse_connection,
+    serve_http,
+)
+from almondtide.errors import (
+    BadRequestError,
+    RefusedError,
+    ResultCode,
+    UpstreamError,
+)
 from tests.support import (
     HTTPServer,
     MemoryLog,
@@ -270,3 +280,40 @@
         self.assertNotIn("http_handler_failed", names)
         if data.strip(b"\r\n"):
             self.assertTrue(answer.startswith(b"HTTP/1.1 "), (data, answer))
+
+
+class BrokenOffTest(testtools.TestCase):
+    """Guards against a response that broke off halfway and counts as complete."""
+
+    def _request(self, *parts):
+        async def scenario():
+            ours, theirs = socket_pair()
+            client = HTTPClient(theirs, "h")
+            task = await curio.spawn(client.request, "GET", "/")
+            await curio.run_in_thread(ours.recv, 65536)
+            for part in parts:
+                ours.sendall(part)
+            ours.close()
+            try:
+                return await task.join()
+            except curio.TaskError as exc:
+                return exc.__cause__
+
+        return run(scenario)
+
+    def test_what_ends_early_is_an_error(self):
+        chunked = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+        for data in (
+            b"HTTP/1.1 200 OK\r\ncontent-length: 8\r\n\r\nabcd",
+            chunked + b"4\r\nabcd\r\n",
+            chunked + b"8\r\nabcd",
+            b"HTTP/1.1 200 OK\r\ncontent-le",
+            b"",
+        ):
+            result = self._request(data)
+            self.assertIsInstance(result, UpstreamError, data)
+            self.assertFalse(result.not_run)
+
+    def test_a_body_without_length_ends_with_the_connection(self):
+        result = self._request(b"HTTP/1.1 200 OK\r\n\r\nabcd")
+        self.assertEqual(b"abcd", result.body)
--- a/tests/entry/test_processes.py
+++ b/tests/entry/test_processes.py
@@ -309,6 +309,36 @@
 
         self.run_scenario(scenario)
 
+    def test_a_restarted_daemon_does_not_use_a_server_that_announced_its_end(self):
+        # The store never reports the end; only replies did, before the restart.
+        async def scenario(fleet):
+            server = next(s for id, s in fleet.servers.items() if "shard-1" in id)
+            others = [
+                one
+                for one in fleet.servers.values()
+                if one.service == server.service and one is not server
+            ]
+            server.is_leaving = True
+            for other in others:
+                other.away_until = time.monotonic() + 1.0
+            for query in range(10):
+                await fleet.search(0, f"a-{query}")
+            self.assertTrue(server.announcements)
+            await curio.sleep(DRAIN_S)
+            fleet.processes[1].kill()
+            fleet.processes[1].wait()
+            fleet.start_daemon(1)
+            await fleet.wait_until_ready(1)
+            await curio.sleep(0.3)
+            for other in others:
+                other.away_until = time.monotonic() + 1.0
+            before = len(server.runs)
+            for query in range(20):
+                await fleet.search(1, f"b-{query}")
+            self.assertEqual(before, len(server.runs))
+
+        self.run_scenario(scenario)
+
     def test_work_ends_when_the_caller_closes_its_connection(self):
         async def scenario(fleet):
             for server in fleet.servers.values():
