--- a/bench/ablate.py
+++ b/bench/ablate.py
@@ -33,116 +33,130 @@
 mechanisms = Registry("mechanism")
 
 
-def _mechanism(name, purpose, **sources):
-    """Register a mechanism that ``sources`` switch off.
+# Each function tells what its mechanism does, and returns the source that switches it
+# off: by module of ``almondtide.entry``, the Python source that is appended to it.
 
-    Each keyword is a module of ``almondtide.entry``, its value the Python source that
-    is appended to it.
-    """
-    mechanisms.register(name)((purpose, sources))
-
-
-_mechanism(
-    "two-active-entries",
-    "two active entries in each failure domain in place of one",
-    members="select_active_members.__defaults__ = (1,)",
-)
-_mechanism(
-    "shared-depth",
-    "a bound on the requests that all entries have at one server",
-    upstreams="UpstreamTable.max_in_flight = lambda *args: 1 << 20",
-)
-_mechanism(
-    "hedging",
-    "a second exchange for a slow one",
-    dispatch="may_hedge = lambda branch, now: False",
-)
-_mechanism(
-    "hedge-delay-bound",
-    "a hedge delay of some medians where a quantile would be longer",
-    route_latency="MAX_HEDGE_DELAY_MEDIANS = 1e9",
-)
-_mechanism(
-    "retry-reserve",
-    "the part of the budget that hedges leave to retries",
-    dispatch="RETRY_RESERVE_FRACTION = 0.0",
-)
-_mechanism(
-    "slowness",
-    "servers that were slow cost more",
-    upstreams="Upstream.slowness = lambda self, now: 1.0",
-)
-_mechanism(
-    "failure-rate",
-    "servers that failed cost more",
-    upstreams="Upstream.failure_rate = lambda self, now: 0.0",
-)
-_mechanism(
-    "silence",
-    "servers that are overdue cost more and count as lost",
-    upstreams="Upstream.silent_s = lambda self, now: 0.0",
-)
-_mechanism(
-    "other-domain-cost",
-    "servers of another failure domain cost more",
-    upstreams="OTHER_DOMAIN_COST = 0.0",
-)
-_mechanism(
-    "cold-and-leaving-costs",
-    "servers that start or leave cost more",
-    upstreams="COLD_COST = LEAVING_COST = 0.0",
-)
-_mechanism(
-    "ejection",
-    "servers that are lost get nothing for a while, then one probe",
-    upstreams="Upstream._eject = lambda self, now: None",
-)
-_mechanism(
-    "full-backoff",
-    "a pause after a server said that it is full",
-    upstreams="MIN_FULL_BACKOFF_S = MAX_FULL_BACKOFF_S = 0.0",
-)
-_mechanism(
-    "connection-limits",
-    "a share of a server's connections, and a pause after a reset",
-    upstreams="CONNECT_BACKOFF_S = 0.0\nMIN_CONNECTIONS = 1 << 20",
-)
-_mechanism(
-    "answer-at-objective",
-    "a merged answer leaves in time with the parts that are in",
-    dispatch="ANSWER_MARGIN_S = MAX_ANSWER_MARGIN_FRACTION = -1e6",
-)
-_mechanism(
-    "admission",
-    "requests are refused at once where their services cannot serve them",
-    dispatch="""
+
+@mechanisms.register("two-active-entries")
+def _two_active_entries():
+    """Two active entries in each failure domain in place of one."""
+    return {"members": "select_active_members.__defaults__ = (1,)"}
+
+
+@mechanisms.register("shared-depth")
+def _shared_depth():
+    """A bound on the requests that all entries have at one server."""
+    return {"upstreams": "UpstreamTable.max_in_flight = lambda *args: 1 << 20"}
+
+
+@mechanisms.register("hedging")
+def _hedging():
+    """A second exchange for a slow one."""
+    return {"dispatch": "may_hedge = lambda branch, now: False"}
+
+
+@mechanisms.register("hedge-delay-bound")
+def _hedge_delay_bound():
+    """A hedge delay of some medians where a quantile would be longer."""
+    return {"route_latency": "MAX_HEDGE_DELAY_MEDIANS = 1e9"}
+
+
+@mechanisms.register("retry-reserve")
+def _retry_reserve():
+    """The part of the budget that hedges leave to retries."""
+    return {"dispatch": "RETRY_RESERVE_FRACTION = 0.0"}
+
+
+@mechanisms.register("slowness")
+def _slowness():
+    """Servers that were slow cost more."""
+    return {"upstreams": "Upstream.slowness = lambda self, now: 1.0"}
+
+
+@mechanisms.register("failure-rate")
+def _failure_rate():
+    """Servers that failed cost more."""
+    return {"upstreams": "Upstream.failure_rate = lambda self, now: 0.0"}
+
+
+@mechanisms.register("silence")
+def _silence():
+    """Servers that are overdue cost more and count as lost."""
+    return {"upstreams": "Upstream.silent_s = lambda self, now: 0.0"}
+
+
+@mechanisms.register("other-domain-cost")
+def _other_domain_cost():
+    """Servers of another failure domain cost more."""
+    return {"upstreams": "OTHER_DOMAIN_COST = 0.0"}
+
+
+@mechanisms.register("cold-and-leaving-costs")
+def _cold_and_leaving_costs():
+    """Servers that start or leave cost more."""
+    return {"upstreams": "COLD_COST = LEAVING_COST = 0.0"}
+
+
+@mechanisms.register("ejection")
+def _ejection():
+    """Servers that are lost get nothing for a while, then one probe."""
+    return {"upstreams": "Upstream._eject = lambda self, now: None"}
+
+
+@mechanisms.register("full-backoff")
+def _full_backoff():
+    """A pause after a server said that it is full."""
+    return {"upstreams": "MIN_FULL_BACKOFF_S = MAX_FULL_BACKOFF_S = 0.0"}
+
+
+@mechanisms.register("connection-limits")
+def _connection_limits():
+    """A share of a server's connections, and a pause after a reset."""
+    return {"upstreams": "CONNECT_BACKOFF_S = 0.0\nMIN_CONNECTIONS = 1 << 20"}
+
+
+@mechanisms.register("answer-at-objective")
+def _answer_at_objective():
+    """A merged answer leaves in time with the parts that are in."""
+    return {"dispatch": "ANSWER_MARGIN_S = MAX_ANSWER_MARGIN_FRACTION = -1e6"}
+
+
+@mechanisms.register("admission")
+def _admission():
+    """Requests are refused at once where their services cannot serve them."""
+    return {
+        "dispatch": """
 decide_admission = lambda states, needed: type(
     "Admitted", (), {"is_admitted": True, "reason": "", "states": states}
 )()
-""",
-)
-_mechanism(
-    "standby-connections",
-    "standbys close idle connections early",
-    connections="STANDBY_MAX_IDLE_S = MAX_IDLE_S",
-)
-_mechanism(
-    "crash-quarantine",
-    "requests that crash servers are refused",
-    crash_detector="CrashDetector.refused_for_s = lambda self, call: 0.0",
-)
-_mechanism(
-    "held-removals",
-    "entries that expired while the store was away are kept for a while",
-    feed="removal_held_until = lambda *args: None",
-)
-_mechanism(
-    "queue-order",
-    "branches that are late already wait behind those in time",
-    branch_queue="""
-BranchQueue.pop = lambda self, now: self._in_time.pop()
-""",
-)
+"""
+    }
+
+
+@mechanisms.register("standby-connections")
+def _standby_connections():
+    """Standbys close idle connections early."""
+    return {"connections": "STANDBY_MAX_IDLE_S = MAX_IDLE_S"}
+
+
+@mechanisms.register("crash-quarantine")
+def _crash_quarantine():
+    """Requests that crash servers are refused."""
+    return {"crash_detector": "CrashDetector.refused_for_s = lambda self, call: 0.0"}
+
+
+@mechanisms.register("held-removals")
+def _held_removals():
+    """Entries that expired while the store was away are kept for a while."""
+    return {"feed": "removal_held_until = lambda *args: None"}
+
+
+@mechanisms.register("queue-order")
+def _queue_order():
+    """Branches that are late already wait behind those in time."""
+    return {
+        "branch_queue": "\nBranchQueue.pop = lambda self, now: self._in_time.pop()\n"
+    }
 
 
 class Play:
@@ -161,8 +175,7 @@
 
 def apply_mechanism(folder, name):
     """Switch a mechanism off in the checkout ``folder``; raises ``KeyError``."""
-    _, sources = mechanisms.get(name)
-    for module, source in sources.items():
+    for module, source in mechanisms.get(name)().items():
         path = folder / "almondtide" / "entry" / f"{module}.py"
         text = path.read_text(encoding="utf-8")
         path.write_text(f"{text}\n\n{source.strip()}\n", encoding="utf-8")
@@ -278,7 +291,7 @@
     :param list_only: only list the mechanisms
     """
     if list_only:
-        rows = [[name, mechanisms.get(name)[0]] for name in mechanisms.names()]
+        rows = [[name, mechanisms.get(name).__doc__] for name in mechanisms.names()]
         print_text(format_table(("mechanism", "what it does"), rows))
         return
     if not patterns and (bench is None or site is None):
--- a/tests/bench/test_ablate.py
+++ b/tests/bench/test_ablate.py
@@ -22,8 +22,7 @@
 
     def test_each_switch_replaces_names_that_exist(self):
         for name in mechanisms.names():
-            _, sources = mechanisms.get(name)
-            for module_name, source in sources.items():
+            for module_name, source in mechanisms.get(name)().items():
                 module = importlib.import_module(f"almondtide.entry.{module_name}")
                 for line in source.strip().splitlines():
                     target = line.partition(" = ")[0]
@@ -41,7 +40,7 @@
                 target = folder / "almondtide" / "entry"
                 shutil.copytree(ROOT / "almondtide" / "entry", target)
                 apply_mechanism(folder, name)
-                for module_name in mechanisms.get(name)[1]:
+                for module_name in mechanisms.get(name)():
                     path = target / f"{module_name}.py"
                     compile(path.read_text(encoding="utf-8"), path.name, "exec")
 
