--- a/bench/ablate.py
+++ b/bench/ablate.py
@@ -338,4 +338,4 @@
 
 
 if __name__ == "__main__":
-    defopt.run(main, no_negated_flags=True, cli_options="all")
+    defopt.run(main, no_negated_flags=True)
