Log the rate that a server announces, and the requests sent to it by kind

The logs could not tell whether entries ignore an announced rate, each keep to it alone, or exceed it by hedges and retries. The header is decoded, kept by incarnation, and the requests written to such a server are logged once a second. Nothing acts on it yet.

--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -37,6 +37,8 @@
 SETTINGS_CHECK_INTERVAL_S = 2.0
 # Delay of a housekeeping round, in s, from which on the process counts as paused.
 PAUSE_THRESHOLD_S = 1.0
+# How often the requests to servers that limit their rate are logged, in s.
+LIMITED_SENDS_INTERVAL_S = 1.0
 # Fractions of the grace time for a stop: when idle connections begin to close, and
 # when the remaining requests are ended.
 CLOSE_IDLE_FRACTION = 0.6
@@ -234,7 +236,7 @@
         await self.store.close()
 
     async def _housekeeping(self):
-        last_round_at = settings_checked_at = boottime_now()
+        last_round_at = settings_checked_at = sends_logged_at = boottime_now()
         while True:
             await curio.sleep(HOUSEKEEPING_INTERVAL_S)
             now = boottime_now()
@@ -245,6 +247,9 @@
             if now - settings_checked_at > SETTINGS_CHECK_INTERVAL_S:
                 settings_checked_at = now
                 self._reload("check")
+            if now - sends_logged_at >= LIMITED_SENDS_INTERVAL_S:
+                sends_logged_at = now
+                self.dispatcher.log_limited_sends()
             await self.pool.close_expired()
             for upstream in self.table.remove_expired(now):
                 await self.pool.close_idle(upstream)
--- a/almondtide/entry/dispatch.py
+++ b/almondtide/entry/dispatch.py
@@ -99,6 +99,8 @@
         self.is_written = True
         self.branch.write_count += 1
         self.branch.possible_run_count += 1
+        if self.upstream.rate_limit is not None:
+            self.upstream.rate_limit.count_send(self.kind)
 
     async def on_reply(self, reply):
         await self._dispatcher.on_reply(self, reply)
@@ -182,6 +184,8 @@
             "pauses": 0,
             "pauses_invalid": 0,
             "ends_announced": 0,
+            "rate_limits": 0,
+            "rate_limits_invalid": 0,
         }
 
     def set_timers(self, timers):
@@ -614,6 +618,39 @@
                 for_ms=int((upstream.paused_until - now) * 1000),
             )
 
+        self._note_rate_limit(exchange, reply, now)
+
+    def _note_rate_limit(self, exchange, reply, now):
+        server = exchange.upstream.server
+        if reply.has_invalid_rate_limit:
+            self.counts["rate_limits_invalid"] += 1
+            self._log.debug("rate_limit_invalid", server=server.id)
+            return
+        if exchange.upstream.note_rate_limit(reply.rate_limit, now):
+            self.counts["rate_limits"] += reply.rate_limit is not None
+            self._log.info(
+                "server_limited",
+                server=server.id,
+                service=server.service,
+                id=exchange.request.id,
+                rate="none" if reply.rate_limit is None else reply.rate_limit,
+            )
+
+    def log_limited_sends(self):
+        """Log the requests sent to each server that limits its rate, by kind."""
+        for upstream in self._table:
+            limit = upstream.rate_limit
+            if limit is None or not limit.send_counts:
+                continue
+            counts = limit.reset_counts()
+            self._log.info(
+                "limited_sends",
+                server=upstream.server.id,
+                service=upstream.server.service,
+                rate=limit.rate,
+                **{kind: counts.get(kind, 0) for kind in ("first", "retry", "hedge")},
+            )
+
     async def on_failure(self, exchange, failure, reason, reply):
         """Handle a failed exchange: retry or fail its branch."""
         if exchange.is_finished:
--- a/almondtide/entry/upstreams.py
+++ b/almondtide/entry/upstreams.py
@@ -9,6 +9,8 @@
 import enum
 import math
 
+from .rate_limits import RateLimit
+
 __all__ = ["Failure", "Upstream", "UpstreamTable"]
 
 # Weight of a new sample in the moving averages of slowness and failure rate.
@@ -112,6 +114,7 @@
         "last_reply_at",
         "listed_until",
         "paused_until",
+        "rate_limit",
         "server",
     )
 
@@ -139,6 +142,8 @@
         self.connect_after = 0.0
         # Until when the server wants no request from this entry.
         self.paused_until = 0.0
+        # The ``RateLimit`` that it announces, or None.
+        self.rate_limit = None
         # Open connections, and how many of them are idle; the pool updates both.
         self.connection_count = 0
         self.idle_connection_count = 0
@@ -280,10 +285,25 @@
         """Record that the server wants no request until a time."""
         self.paused_until = max(self.paused_until, until)
 
+    def note_rate_limit(self, rate, now):
+        """Record the rate that a reply states, or None if it states none.
+
+        Return whether the server has begun or ceased to state one.
+        """
+        was_limited = self.rate_limit is not None
+        if rate is None:
+            self.rate_limit = None
+        elif was_limited:
+            self.rate_limit.note(rate, now)
+        else:
+            self.rate_limit = RateLimit(rate, now)
+        return was_limited != (rate is not None)
+
     def inherit(self, earlier):
         """Take over what an earlier ``Upstream`` of the same incarnation was told."""
         self.announce_end(earlier.announced_until)
         self.pause(earlier.paused_until)
+        self.rate_limit = earlier.rate_limit
 
     def is_usable(self, now):
         """Return whether requests may be sent to it, whatever its health."""
--- a/almondtide/model/http_messages.py
+++ b/almondtide/model/http_messages.py
@@ -50,12 +50,15 @@
     the connection now, None if it does not say. ``is_leaving`` means that the server
     announces its end. ``pause_s`` is how long the server, which turned the request
     away, wants no other from this entry, in seconds, or None; ``has_invalid_pause``
-    tells that it states a time that cannot be read.
+    tells that it states a time that cannot be read. ``rate_limit`` is how many
+    requests a second the server takes from all entries together, or None, and
+    ``has_invalid_rate_limit`` tells that it states a rate that cannot be read.
     """
 
     __slots__ = (
         "body",
         "has_invalid_pause",
+        "has_invalid_rate_limit",
         "headers",
         "is_encoded",
         "is_leaving",
@@ -63,6 +66,7 @@
         "is_not_run",
         "keep_alive_s",
         "pause_s",
+        "rate_limit",
         "request_id",
         "server_stamp",
         "status",
@@ -81,6 +85,8 @@
         self.keep_alive_s = None
         self.pause_s = None
         self.has_invalid_pause = False
+        self.rate_limit = None
+        self.has_invalid_rate_limit = False
 
     @property
     def is_success(self):
--- a/almondtide/platform/headers.py
+++ b/almondtide/platform/headers.py
@@ -31,6 +31,7 @@
 NOT_RUN = b"not-run"
 SERVER_STAMP = b"server-stamp"
 SERVER_LEAVING = b"server-leaving"
+SERVER_LIMIT = b"server-limit"
 RETRY_AFTER = b"retry-after"
 PART_STAMPS = b"Part-Stamps"
 MISSING_PARTS = b"Missing-Parts"
@@ -135,6 +136,9 @@
             reply.is_not_run = True
         elif name == SERVER_LEAVING:
             reply.is_leaving = value.strip() not in (b"", b"0")
+        elif name == SERVER_LIMIT:
+            reply.rate_limit = _parse_number(value)
+            reply.has_invalid_rate_limit = reply.rate_limit is None
         elif name == RETRY_AFTER and status == TURNED_AWAY_STATUS:
             reply.pause_s = _parse_number(value)
             reply.has_invalid_pause = reply.pause_s is None
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -137,3 +137,27 @@
     def test_entries(self):
         body = orjson.loads(encode_resolve_answer([("10.1.0.39", 8226)], 2))
         self.assertEqual({"addrs": ["10.1.0.39:8226"], "ttl_s": 2}, body)
+
+
+class RateLimitHeaderTest(testtools.TestCase):
+    """Guards against a rate that is misread, or read from nothing."""
+
+    def _reply(self, *values):
+        return decode_reply(200, [(b"server-limit", value) for value in values], b"")
+
+    def test_decimal_numbers(self):
+        for value, rate in ((b"15.2", 15.2), (b" 0 ", 0.0), (b"0.25", 0.25)):
+            reply = self._reply(value)
+            self.assertEqual(rate, reply.rate_limit)
+            self.assertFalse(reply.has_invalid_rate_limit)
+
+    def test_no_header_states_no_limit(self):
+        reply = self._reply()
+        self.assertIsNone(reply.rate_limit)
+        self.assertFalse(reply.has_invalid_rate_limit)
+
+    def test_values_that_cannot_be_read(self):
+        for value in (b"", b"-1", b"inf", b"nan", b"1e3", b"many", b"1_0", b"9" * 40):
+            reply = self._reply(value)
+            self.assertIsNone(reply.rate_limit, value)
+            self.assertTrue(reply.has_invalid_rate_limit, value)
