Share the rate that a server announces over all entries by their demand

Servers that announced 15 to 20 requests a second got 24 to 48: entries did not read the header, and placement knew requests in progress only.

Each entry uses the part of the rate that its demand has in that of all entries, which heartbeats carry; admission and the time to come back count it.

--- a/almondtide/entry/admission.py
+++ b/almondtide/entry/admission.py
@@ -129,16 +129,15 @@
     return base_s * (1.0 + RETRY_AFTER_JITTER * jitter)
 
 
-def retry_after_s(waiting, slots, expected_s, jitter, pause_s=0.0):
+def retry_after_s(drain_s, jitter, pause_s=0.0):
     """Return the time after which a refused caller should retry, in seconds.
 
-    ``waiting`` requests must first be served by ``slots`` at ``expected_s`` each,
-    after the servers have paused for ``pause_s``. ``jitter`` is a random number
-    between 0 and 1. Answers the load patterns in which more work waits than is served
-    in time, and in which servers turn work away for a while; callers that were refused
-    together don't return together.
+    The servers take ``drain_s`` for the requests that wait, after they have paused for
+    ``pause_s``. ``jitter`` is a random number between 0 and 1. Answers the load
+    patterns in which more work waits than is served in time, and in which servers turn
+    work away for a while or limit their rate; callers that were refused together don't
+    return together.
     """
-    drained_s = waiting * expected_s / max(1, slots)
-    base_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, drained_s))
+    base_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, drain_s))
     spread_s = max(RETRY_AFTER_JITTER * base_s, PAUSE_RETURN_SPREAD * pause_s)
     return pause_s + base_s + jitter * spread_s
--- a/almondtide/entry/codec.py
+++ b/almondtide/entry/codec.py
@@ -1,6 +1,7 @@
 """Messages between daemons: CBOR arrays in datagrams and in snapshot bodies."""
 
 import math
+import struct
 import zlib
 
 import cbor2
@@ -43,6 +44,11 @@
 # Longest time, in ms, for which a message may say that a leaving server still serves.
 MAX_SERVING_MS = 600_000
 
+# Key of a service and demand for it, in units of 0.1 requests a second.
+_DEMAND = struct.Struct(">IH")
+DEMAND_UNITS_PER_S = 10
+MAX_PACKED_DEMAND = (1 << 16) - 1
+
 # Longest age that a message may state, in ms.
 MAX_AGE_MS = 10**10
 MAX_INTEGER = (1 << 64) - 1
@@ -62,7 +68,8 @@
     ``digest`` is that of ``StoreReplica``. ``age_s`` is the age of the replica, None
     before the first read. The replica has all changes up to the store's position
     ``cursor``; later ones are younger than ``cursor_age_s``, None if unknown. With
-    ``wants_reply`` the sender asks for a heartbeat in return.
+    ``wants_reply`` the sender asks for a heartbeat in return. ``demands`` maps keys of
+    services whose servers limit their rate to the sender's demand in requests a second.
     """
 
     __slots__ = (
@@ -70,6 +77,7 @@
         "configuration_version",
         "cursor",
         "cursor_age_s",
+        "demands",
         "digest",
         "members",
         "sender",
@@ -86,6 +94,7 @@
         wants_reply,
         cursor=0,
         cursor_age_s=None,
+        demands=None,
     ):
         self.sender = sender
         self.digest = digest
@@ -95,6 +104,7 @@
         self.wants_reply = wants_reply
         self.cursor = cursor
         self.cursor_age_s = cursor_age_s
+        self.demands = demands or {}
 
 
 class LossReport:
@@ -258,9 +268,24 @@
         heartbeat.cursor,
         _pack_age(heartbeat.cursor_age_s),
     ]
+    if heartbeat.demands:
+        message.append(_pack_demands(heartbeat.demands))
     return cbor2.dumps(message)
 
 
+def _pack_demands(demands):
+    return b"".join(
+        _DEMAND.pack(key, min(MAX_PACKED_DEMAND, round(per_s * DEMAND_UNITS_PER_S)))
+        for key, per_s in demands.items()
+    )
+
+
+def _unpack_demands(raw):
+    if not isinstance(raw, bytes) or len(raw) % _DEMAND.size:
+        raise ValueError("the demands are not pairs of key and number")
+    return {key: units / DEMAND_UNITS_PER_S for key, units in _DEMAND.iter_unpack(raw)}
+
+
 def _pack_server(server):
     if server is None:
         return None
@@ -418,7 +443,9 @@
         wants_reply,
         cursor,
     ) = message[:9]
+    # Peers of earlier builds leave out the fields after the cursor.
     cursor_age_ms = message[9] if len(message) > 9 else None
+    demands = message[10] if len(message) > 10 else b""
     return Heartbeat(
         _unpack_member(sender, now),
         _check_integer(digest),
@@ -428,6 +455,7 @@
         bool(wants_reply),
         _check_integer(cursor, MAX_POSITION),
         _unpack_age(cursor_age_ms),
+        _unpack_demands(demands),
     )
 
 
--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -92,6 +92,8 @@
             log,
         )
         self.table = UpstreamTable(settings.domain)
+        self.table.rate_shares.local_name = settings.instance
+        self.gossip.set_rate_shares(self.table.rate_shares)
         self.pool = ConnectionPool(now, log)
         self.pool.set_active(False)
         self.crash_detector = CrashDetector(now, log)
@@ -253,6 +255,7 @@
             await self.pool.close_expired()
             for upstream in self.table.remove_expired(now):
                 await self.pool.close_idle(upstream)
+            self.table.refresh_limited_services(now)
             for name in self.view.remove_expired(now):
                 self.log.info("member_forgotten", member=name)
             self.replica.remove_expired_tombstones(now)
@@ -329,6 +332,7 @@
         # A standby sends to the servers too, so it counts itself.
         entry_count = len(names) + (not is_active)
         self.table.entry_count = entry_count
+        self.table.rate_shares.active_names = tuple(names)
         # Whether this entry is ready or not, it counts itself among the standbys.
         alive_count = len(self.view.alive_members(now))
         standby_count = max(int(not is_active), alive_count - len(names))
--- a/almondtide/entry/dispatch.py
+++ b/almondtide/entry/dispatch.py
@@ -235,6 +235,11 @@
             return error_answer(
                 503, ResultCode.QUARANTINED, "the request crashes servers", refused_s
             )
+        limited_services = self._table.limited_services
+        if limited_services:
+            for branch in call.branches:
+                if branch.service in limited_services:
+                    self._table.rate_shares.count(branch.service, now)
         states = [self._service_state(call, branch, now) for branch in call.branches]
         decision = decide_admission(states, call.needed_count)
         if not decision.is_admitted:
@@ -273,35 +278,41 @@
         latency = self.route_latency(call.route)
         spare_s = latency.objective_s * MAX_QUEUE_FRACTION - latency.expected_s
         room_at = self._table.next_room_at(service, now)
-        if room_at is not None and room_at - now > max(0.0, spare_s):
+        if room_at is None or room_at - now > max(0.0, spare_s):
+            return ServiceState.FULL
+        drain_s = self._queue_drain_s(service, now, latency.expected_s)
+        if drain_s and drain_s > spare_s:
             return ServiceState.FULL
-        queue = self._service_queues.get(service)
-        waiting = len(queue) if queue is not None else 0
-        if waiting:
-            slots = self._table.total_slots(service, now) / self._table.entry_count
-            if waiting * latency.expected_s > slots * spare_s:
-                return ServiceState.FULL
         return ServiceState.OPEN
 
+    def _queue_drain_s(self, service, now, expected_s, with_paused=False):
+        """Return how long the servers of a service take for its queue, in seconds.
+
+        Servers that pause take part in it only ``with_paused``.
+        """
+        queue = self._service_queues.get(service)
+        if queue is None or not len(queue):
+            return 0.0
+        per_s = self._table.throughput(service, now, expected_s, with_paused)
+        return len(queue) / per_s if per_s > 0.0 else math.inf
+
     def _retry_after_s(self, call):
         """Return the retry-after time of a call that has not run, in seconds."""
         now = self.now()
-        waiting, slots = 0, 1
+        expected_s = self.route_latency(call.route).expected_s
+        drain_s = 0.0
         waits_s = []
         for branch in call.branches:
             room_at = self._table.next_room_at(branch.service, now)
             if room_at is not None:
                 waits_s.append(room_at - now)
-            queue = self._service_queues.get(branch.service)
-            if queue is not None and len(queue) > waiting:
-                waiting = len(queue)
-                slots = (
-                    self._table.total_slots(branch.service, now)
-                    / self._table.entry_count
-                )
-        expected_s = self.route_latency(call.route).expected_s
+            # The time until a pause ends is added to the time that the queue takes.
+            drain_s = max(
+                drain_s,
+                self._queue_drain_s(branch.service, now, expected_s, with_paused=True),
+            )
         pause_s = pause_wait_s(waits_s, call.needed_count)
-        return retry_after_s(waiting, slots, expected_s, random.random(), pause_s)
+        return retry_after_s(drain_s, random.random(), pause_s)
 
     async def _wait(self, call):
         if call.is_merged:
@@ -373,8 +384,13 @@
     async def _send(self, branch, kind, now):
         """Send a branch to a server, or queue or fail it; return whether it is sent."""
         latency = self.route_latency(branch.call.route)
+        # The rate that is left goes to branches that wait before it goes to hedges.
         upstream = self._table.choose(
-            branch.service, now, branch.tried_ids, latency.objective_ratio
+            branch.service,
+            now,
+            branch.tried_ids,
+            latency.objective_ratio,
+            spares_limited=kind == "hedge" and self._has_waiting(branch.service),
         )
         if upstream is None and kind != "hedge":
             upstream = self._choose_tried(branch, now, latency)
@@ -405,6 +421,10 @@
             )
         return True
 
+    def _has_waiting(self, service):
+        queue = self._service_queues.get(service)
+        return queue is not None and len(queue) > 0
+
     def _choose_tried(self, branch, now, latency):
         """Choose among servers that were tried, unless an exchange is in progress."""
         if branch.open_exchanges or not branch.tried_ids:
@@ -626,7 +646,7 @@
             self.counts["rate_limits_invalid"] += 1
             self._log.debug("rate_limit_invalid", server=server.id)
             return
-        if exchange.upstream.note_rate_limit(reply.rate_limit, now):
+        if self._table.note_rate_limit(exchange.upstream, reply.rate_limit, now):
             self.counts["rate_limits"] += reply.rate_limit is not None
             self._log.info(
                 "server_limited",
@@ -648,6 +668,7 @@
                 server=upstream.server.id,
                 service=upstream.server.service,
                 rate=limit.rate,
+                share=round(limit.share, 2),
                 **{kind: counts.get(kind, 0) for kind in ("first", "retry", "hedge")},
             )
 
--- a/almondtide/entry/gossip.py
+++ b/almondtide/entry/gossip.py
@@ -61,6 +61,8 @@
 # ends that are sent to one peer at a time. The rest follows with the next snapshot.
 REPLY_MEMBERS = 12
 REPLY_ENDS = 16
+# Most services whose demand a heartbeat reports. Of more, a random part is reported.
+MAX_REPORTED_DEMANDS = 64
 # A digest may differ for this time, in s, because an update is still in transit. In a
 # large fleet snapshots of other failure domains are delayed further, so that mostly
 # those of the own domain are pulled.
@@ -88,6 +90,7 @@
         "_on_changes",
         "_on_end_announced",
         "_on_loss",
+        "_rate_shares",
         "_replica",
         "_sock",
         "_tasks",
@@ -104,6 +107,7 @@
         self._on_changes = on_changes
         self._on_end_announced = None
         self._on_loss = None
+        self._rate_shares = None
         self._now = now
         self._log = log
         self._sock = None
@@ -130,6 +134,10 @@
         """
         self._on_end_announced = function
 
+    def set_rate_shares(self, rate_shares):
+        """Set the ``RateShares`` whose demands heartbeats exchange."""
+        self._rate_shares = rate_shares
+
     async def start(self):
         """Bind the socket and start the tasks."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -302,8 +310,17 @@
             wants_reply,
             cursor,
             None if read_at is None else max(0.0, now - read_at),
+            self._demands_to_report(now),
         )
 
+    def _demands_to_report(self, now):
+        if self._rate_shares is None:
+            return {}
+        demands = self._rate_shares.local_demands(now)
+        if len(demands) <= MAX_REPORTED_DEMANDS:
+            return demands
+        return dict(random.sample(list(demands.items()), MAX_REPORTED_DEMANDS))
+
     async def _send(self, raw, host):
         self.counts["datagrams_out"] += 1
         self.counts["bytes_out"] += len(raw)
@@ -441,6 +458,8 @@
         self._update_member(heartbeat.sender, now)
         for member in heartbeat.members:
             self._update_member(member, now)
+        if heartbeat.demands and self._rate_shares is not None:
+            self._rate_shares.note_report(heartbeat.sender.name, heartbeat.demands, now)
         if heartbeat.wants_reply:
             await self._send_reply(host, now)
         if heartbeat.age_s is not None:
--- a/almondtide/entry/upstreams.py
+++ b/almondtide/entry/upstreams.py
@@ -9,7 +9,7 @@
 import enum
 import math
 
-from .rate_limits import RateLimit
+from .rate_limits import RateLimit, RateShares
 
 __all__ = ["Failure", "Upstream", "UpstreamTable"]
 
@@ -46,6 +46,8 @@
 # Cost of a leaving server. It still serves for some time, and is used when the others
 # are lost, silent, full or much slower.
 LEAVING_COST = 2.0
+# Cost of a server that limits its rate, which is spared while others are as good.
+LIMITED_COST = 0.3
 # Fraction of a server's connections that the current entries use. The rest is for
 # entries that were active before and still hold some connections.
 CONNECTION_FRACTION = 0.75
@@ -178,6 +180,8 @@
     def start(self, exchange, now, expected_s):
         """Record the start of an exchange, which probes the server if it is lost."""
         self._pending[exchange] = (now, expected_s)
+        if self.rate_limit is not None:
+            self.rate_limit.take(now)
         self.is_probing = self._consecutive_losses > 0
 
     def abandon(self, exchange, now):
@@ -191,7 +195,9 @@
 
     def cancel(self, exchange):
         """Remove an exchange that was not sent, which says nothing about the server."""
-        self._pending.pop(exchange, None)
+        known = self._pending.pop(exchange, None)
+        if known is not None and self.rate_limit is not None:
+            self.rate_limit.refund()
         self.is_probing = False
 
     def succeed(self, exchange, now):
@@ -336,6 +342,8 @@
             cost += COLD_COST
         if self.is_leaving:
             cost += LEAVING_COST
+        if self.rate_limit is not None:
+            cost += LIMITED_COST
         silent_for_s = self.silent_s(now)
         if silent_for_s:
             cost += SILENT_COST + silent_for_s
@@ -352,12 +360,17 @@
         "connection_limits",
         "domain",
         "entry_count",
+        "limited_services",
+        "rate_shares",
     )
 
     def __init__(self, domain):
         self.domain = domain
         # Number of entries that send to these servers, including this one.
         self.entry_count = 1
+        self.rate_shares = RateShares()
+        # Services with a server that limits its rate.
+        self.limited_services = set()
         # Service -> most connections that each of its servers accepts in total.
         self.connection_limits = {}
         self._by_id = {}
@@ -446,6 +459,42 @@
                 del self._by_service[upstream.server.service]
         return upstream
 
+    def note_rate_limit(self, upstream, rate, now):
+        """Record the rate that a reply of an upstream states, or None for no rate.
+
+        Return whether the server has begun or ceased to state one.
+        """
+        if rate is not None:
+            self.limited_services.add(upstream.server.service)
+        has_changed = upstream.note_rate_limit(rate, now)
+        # The time from which this entry's part is saved up.
+        self.rate_room_at(upstream, now)
+        return has_changed
+
+    def refresh_limited_services(self, now):
+        """Forget the demand for services whose servers no longer limit their rate."""
+        self.limited_services = {
+            upstream.server.service
+            for upstream in self._by_id.values()
+            if upstream.rate_limit is not None
+        }
+        self.rate_shares.remove_expired(now, self.limited_services)
+
+    def rate_room_at(self, upstream, now):
+        """Return when the announced rate of an upstream leaves room for a request.
+
+        The time is ``now`` without a limit, and infinite if this entry has no part of
+        the rate.
+        """
+        limit = upstream.rate_limit
+        if limit is None:
+            return now
+        if now >= limit.share_expires_at:
+            limit.set_share(
+                self.rate_shares.share(upstream.server, limit.rate, now), now
+            )
+        return limit.next_send_at(now)
+
     def get(self, server_id):
         """Return the ``Upstream`` with this id, or None."""
         return self._by_id.get(server_id)
@@ -491,13 +540,23 @@
         )
         return upstream.connection_count < share
 
-    def total_slots(self, service, now):
-        """Return the number of slots of all servers of a service that want requests."""
-        return sum(
-            upstream.server.slots
-            for upstream in self.usable_upstreams(service, now)
-            if upstream.accepts_requests(now)
-        )
+    def throughput(self, service, now, expected_s, with_paused=False):
+        """Return how many requests a second this entry can have served by a service.
+
+        ``expected_s`` is the time that a server takes for one. A server that limits its
+        rate counts with this entry's part of the rate, a server that pauses only
+        ``with_paused``.
+        """
+        total = 0.0
+        for upstream in self.usable_upstreams(service, now):
+            if not with_paused and not upstream.accepts_requests(now):
+                continue
+            per_s = upstream.server.slots / max(0.001, expected_s) / self.entry_count
+            if upstream.rate_limit is not None:
+                self.rate_room_at(upstream, now)
+                per_s = min(per_s, upstream.rate_limit.share)
+            total += per_s
+        return total
 
     def next_room_at(self, service, now, excluded_ids=()):
         """Return when a server that is not lost wants requests, or None if none will.
@@ -506,21 +565,30 @@
         ends will not.
         """
         times = [
-            max(now, upstream.paused_until)
+            max(self.rate_room_at(upstream, now), upstream.paused_until)
             for upstream in self.usable_upstreams(service, now)
             if upstream.server.id not in excluded_ids
             and upstream.paused_until < upstream.serves_until
             and upstream.ejected_until <= now
             and not upstream.is_lost(now)
         ]
-        return min(times, default=None)
-
-    def choose(self, service, now, excluded_ids=(), objective_ratio=MAX_DEPTH_PER_SLOT):
+        room_at = min(times, default=math.inf)
+        return None if room_at == math.inf else room_at
+
+    def choose(
+        self,
+        service,
+        now,
+        excluded_ids=(),
+        objective_ratio=MAX_DEPTH_PER_SLOT,
+        spares_limited=False,
+    ):
         """Return the upstream of a service with the least cost, or None.
 
         ``excluded_ids`` are the ids of servers that were tried. Servers that failed are
         ejected for some time. After that they get one request at a time as a probe,
-        until one succeeds.
+        until one succeeds. With ``spares_limited``, servers that limit their rate are
+        left to others.
         """
         best = None
         best_cost = 0.0
@@ -535,6 +603,10 @@
                 upstream.is_probing or upstream.silent_s(now)
             ):
                 continue
+            if upstream.rate_limit is not None and (
+                spares_limited or self.rate_room_at(upstream, now) > now
+            ):
+                continue
             if upstream.in_flight >= self.max_in_flight(
                 upstream.server.slots, objective_ratio
             ):
--- a/bench/replay.py
+++ b/bench/replay.py
@@ -34,6 +34,8 @@
 DOMAINS = ("lautoka", "nadi", "suva")
 # The results are divided into windows of this length by when callers began, in s.
 WINDOW_S = 2.0
+# Entries tell each other their demand for limited servers at this interval, in s.
+HEARTBEAT_S = 0.3
 # Share of its value that an answer after the objective has.
 LATE_VALUE = 0.1
 COLUMNS = (
@@ -79,6 +81,8 @@
         log = _SilentLog()
         self.table = UpstreamTable(DOMAINS[number % len(DOMAINS)])
         self.table.entry_count = entry_count
+        self.name = f"entry-{number}"
+        self.table.rate_shares.local_name = self.name
         self.pool = ModelPool(servers, work_factors)
         self.dispatcher = Dispatcher(
             self.table,
@@ -122,7 +126,9 @@
             )
             for number in range(entry_count + standby_count)
         ]
+        active_names = tuple(entry.name for entry in self.entries[:entry_count])
         for number, entry in enumerate(self.entries):
+            entry.table.rate_shares.active_names = active_names
             entry.dispatcher.budget_share = slack_share(
                 number < entry_count, entry_count, standby_count
             )
@@ -175,6 +181,7 @@
         async def play():
             for entry in self.entries:
                 await entry.timers.start()
+                await curio.spawn(self._send_heartbeats, entry, daemon=True)
             tasks = [await curio.spawn(self.callers.run, *load) for load in loads]
             for task in tasks:
                 await task.join()
@@ -182,6 +189,19 @@
         run_in_virtual_time(play, clock=self.clock)
         return self.callers.results
 
+    async def _send_heartbeats(self, entry):
+        """Report the demand of an entry to the others, as heartbeats do."""
+        # Not at the same moments, and without a draw from the servers' numbers.
+        await curio.sleep(self.entries.index(entry) / len(self.entries) * HEARTBEAT_S)
+        while True:
+            now = self.clock.monotonic()
+            entry.table.refresh_limited_services(now)
+            demands = entry.table.rate_shares.local_demands(now)
+            for other in self.entries:
+                if other is not entry:
+                    other.table.rate_shares.note_report(entry.name, demands, now)
+            await curio.sleep(HEARTBEAT_S)
+
     def extra_share(self):
         """Return the extra sends as a share of the first ones."""
         extra = first = 0
--- a/standins/server_model.py
+++ b/standins/server_model.py
@@ -35,8 +35,9 @@
 # What a fault does to the requests that arrive while it lasts:
 # "away": refused as not run, with the time left as pause. "shed": a share ``x`` is
 # refused as not run, without a pause. "slow": they take ``x`` times as long. "silent":
-# never answered. "reset": the connection of a share ``x`` breaks.
-FAULT_KINDS = ("away", "shed", "slow", "silent", "reset")
+# never answered. "reset": the connection of a share ``x`` breaks. "limited": replies
+# state that the server takes ``x`` requests a second.
+FAULT_KINDS = ("away", "shed", "slow", "silent", "reset", "limited")
 
 
 class ServerFault:
@@ -102,6 +103,14 @@
         ``work_x`` is the service time of the request's route as a multiple of the
         server's.
         """
+        reply = await self._answer(work_x)
+        if reply is not None:
+            for fault in self._active_faults():
+                if fault.kind == "limited":
+                    reply.rate_limit = fault.x
+        return reply
+
+    async def _answer(self, work_x):
         now = self._clock.monotonic()
         self.arrivals.append(now)
         for fault in self._active_faults():
--- a/tests/entry/test_admission.py
+++ b/tests/entry/test_admission.py
@@ -1,5 +1,7 @@
 """Tests of the admission of calls under overload and with lost services."""
 
+import math
+
 import testtools
 
 from almondtide.entry.admission import (
@@ -71,14 +73,14 @@
     """Guards against callers that retry together, immediately or too late."""
 
     def test_grows_with_the_queue(self):
-        self.assertEqual(MIN_RETRY_AFTER_S, retry_after_s(0, 3, 0.03, 0.0))
-        self.assertAlmostEqual(0.2, retry_after_s(20, 3, 0.03, 0.0))
-        self.assertEqual(MAX_RETRY_AFTER_S, retry_after_s(5000, 3, 0.03, 0.0))
+        self.assertEqual(MIN_RETRY_AFTER_S, retry_after_s(0.0, 0.0))
+        self.assertAlmostEqual(0.2, retry_after_s(20 * 0.03 / 3, 0.0))
+        self.assertEqual(MAX_RETRY_AFTER_S, retry_after_s(math.inf, 0.0))
 
     def test_jitter_spreads_the_times(self):
-        times = [retry_after_s(20, 3, 0.03, number / 10) for number in range(11)]
+        times = [retry_after_s(20 * 0.03 / 3, number / 10) for number in range(11)]
         self.assertEqual(11, len(set(times)))
         self.assertAlmostEqual((1 + RETRY_AFTER_JITTER) * times[0], times[-1])
 
     def test_service_without_slots(self):
-        self.assertTrue(retry_after_s(5, 0, 0.03, 0.5) > 0)
+        self.assertTrue(retry_after_s(0.0, 0.5) > 0)
--- a/tests/entry/test_announcements.py
+++ b/tests/entry/test_announcements.py
@@ -160,7 +160,7 @@
         upstream.pause(2.0)
         self.assertIsNone(table.choose("a", 3.9))
         self.assertEqual(4.0, table.next_room_at("a", 3.0))
-        self.assertEqual(0, table.total_slots("a", 3.9))
+        self.assertEqual(0, table.throughput("a", 3.9, 0.03))
         self.assertIsNotNone(table.choose("a", 4.0))
 
     def test_success_of_another_exchange_does_not_end_a_pause(self):
