Serve late branches of a queue now and then, so that none waits to its deadline

Callers were held to their deadline (4.0 s at an objective of 0.5 s) and then got "not run": a branch whose objective passes in the queue came after all others, and under lasting overload there are always others.

--- a/tests/entry/test_branch_queue.py
+++ b/tests/entry/test_branch_queue.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from almondtide.entry.branch_queue import BranchQueue
+from almondtide.entry.branch_queue import LATE_TURN, BranchQueue
 from almondtide.entry.calls import Branch
 from tests.entry.support import make_call, make_route
 
@@ -33,6 +33,16 @@
         # Late branches are still served when no other branch waits.
         self.assertIs(late, queue.pop(100.35))
 
+    def test_late_branches_are_not_starved_by_those_in_time(self):
+        queue = BranchQueue()
+        late = _branch(100.0)
+        queue.push(late)
+        popped = []
+        for number in range(LATE_TURN):
+            queue.push(_branch(100.3 + number / 100))
+            popped.append(queue.pop(100.35))
+        self.assertEqual(LATE_TURN - 1, popped.index(late))
+
     def test_urgent_routes_get_more_turns_and_no_route_starves(self):
         queue = BranchQueue()
         urgent = [_branch(100.0, priority_rank=0) for _ in range(12)]
--- a/tests/entry/test_rate_limits.py
+++ b/tests/entry/test_rate_limits.py
@@ -307,6 +307,13 @@
         in_time = sum(result.is_in_time for result in results) / len(results)
         self.assertTrue(in_time >= 0.99, in_time)
 
+    def test_what_cannot_be_served_is_refused_at_once(self):
+        _, results = self._replay(8, 6, 6.0)
+        refused = [r.refused_s for r in results if r.refused_s is not None]
+        self.assertTrue(len(refused) > 50, len(refused))
+        # Objective 0.5 s: nobody waits for a quarter of it only to be refused.
+        self.assertTrue(max(refused) <= 0.125, max(refused))
+
     def test_standbys_that_get_some_requests(self):
         replay, _ = self._replay(9, 3, 6.0, standby_count=20)
         self._assert_kept(replay, 6.0)
