Serve callers of an entry that has lost its links to servers

Membership and directory knew whether a process lives, not whether it reaches the servers; no role changed for 12 s.

An entry suspects its links when several servers fail at once, probes five others, and counts them as lost if no probe is accepted while heartbeats show that servers reply to peers. It leaves the directory then, and hands what still reaches it to a peer, once, with the deadline that is left.

--- a/almondtide/entry/answers.py
+++ b/almondtide/entry/answers.py
@@ -7,7 +7,10 @@
 from .calls import BranchState
 from .merge import merge_records
 
-__all__ = ["Answer", "build_answer", "error_answer"]
+__all__ = ["Answer", "build_answer", "error_answer", "relayed_answer"]
+
+# Statuses that promise that a request has not run and will not run.
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 
 class Answer:
@@ -21,6 +24,11 @@
         self.body = body
         self.code = code
 
+    def state_request_id(self, request_id):
+        """Add the id of the request, by which a peer matches the answer to it."""
+        if not any(name.lower() == wire.REQUEST_ID for name, _ in self.headers):
+            self.headers.append((wire.REQUEST_ID, request_id.encode("latin-1")))
+
 
 def error_answer(status, code, message, retry_after_s=None):
     """Return an answer that no server sent, with its result code as JSON body.
@@ -31,6 +39,22 @@
     return Answer(status, wire.refusal_answer_headers(retry_after_s), body, code)
 
 
+def relayed_answer(call, reply):
+    """Return the answer of a peer that ran a call for this entry.
+
+    A peer's statement that it did not run the call says nothing about the servers that
+    this entry had sent it to.
+    """
+    if reply.status in NOT_RUN_STATUSES and call.may_have_run:
+        return error_answer(502, ResultCode.PEER_LOST, "handed on, and refused there")
+    code = ResultCode.OK
+    if reply.status in NOT_RUN_STATUSES:
+        code = ResultCode.OVERLOADED
+    elif reply.status >= 300:
+        code = ResultCode.UPSTREAM_ERROR
+    return Answer(reply.status, wire.forwarded_reply_headers(reply), reply.body, code)
+
+
 def build_answer(call, is_late, retry_after_s):
     """Return the final answer to a call.
 
--- a/almondtide/entry/callers.py
+++ b/almondtide/entry/callers.py
@@ -9,6 +9,7 @@
 from ..errors import ResultCode
 from ..platform.headers import decode_request
 from .answers import error_answer
+from .relay import take_relay_mark
 from .transit_time import round_trip_s
 
 __all__ = ["CallerConnection"]
@@ -89,6 +90,8 @@
         if answer is None:
             return False
         try:
+            if request.relay_mark is not None:
+                answer.state_request_id(request.id)
             await self._send(answer, close=self._frontend.is_closing())
         except (OSError, curio.TaskTimeout) as exc:
             self._frontend.record_undelivered(request, exc)
@@ -154,6 +157,7 @@
         request = decode_request(
             head.method, head.target, list(head.headers), b"".join(chunks)
         )
+        request.relay_mark = take_relay_mark(request)
         if not request.host or not request.id:
             raise _BadRequestError(
                 400, ResultCode.BAD_REQUEST, "a host and a request id are needed"
--- a/almondtide/entry/calls.py
+++ b/almondtide/entry/calls.py
@@ -133,10 +133,14 @@
         "expires_at",
         "fingerprint",
         "is_abandoned",
+        "is_relayed",
         "needed_count",
         "objective_at",
         "pending_count",
         "refusal_reason",
+        "relay",
+        "relay_names",
+        "relay_run_count",
         "request",
         "route",
     )
@@ -169,6 +173,16 @@
         self.is_abandoned = False
         # Why it was not admitted, or an empty text.
         self.refusal_reason = ""
+        # Whether a peer has handed it on, so that it is not handed on again.
+        self.is_relayed = request.relay_mark is not None
+        for branch in self.branches:
+            branch.possible_run_count = request.relay_mark or 0
+        # The exchange with the peer that runs it in place of this entry, or None.
+        self.relay = None
+        # Names of the peers that it was handed to, and how many of them may have run it
+        # without an answer.
+        self.relay_names = []
+        self.relay_run_count = 0
         # Digest that is equal for a resent request; None until it is first needed.
         self.fingerprint = None
         self.changed = curio.Event()
@@ -181,7 +195,13 @@
     @property
     def may_have_run(self):
         """Whether a server may have started to run the request."""
-        return any(branch.may_have_run for branch in self.branches)
+        return self.run_count > 0
+
+    @property
+    def run_count(self):
+        """How many servers may have run one of its parts, at most."""
+        counts = [branch.possible_run_count for branch in self.branches]
+        return max(counts, default=0) + self.relay_run_count
 
     def history(self):
         """Return the histories of the branches without a reply and of the slowest."""
--- a/almondtide/entry/codec.py
+++ b/almondtide/entry/codec.py
@@ -70,6 +70,8 @@
     ``cursor``; later ones are younger than ``cursor_age_s``, None if unknown. With
     ``wants_reply`` the sender asks for a heartbeat in return. ``demands`` maps keys of
     services whose servers limit their rate to the sender's demand in requests a second.
+    A server last replied to the sender ``reply_age_s`` ago, None for never, and
+    ``has_failing_links`` tells that it can reach no server.
     """
 
     __slots__ = (
@@ -79,7 +81,9 @@
         "cursor_age_s",
         "demands",
         "digest",
+        "has_failing_links",
         "members",
+        "reply_age_s",
         "sender",
         "wants_reply",
     )
@@ -95,6 +99,8 @@
         cursor=0,
         cursor_age_s=None,
         demands=None,
+        reply_age_s=None,
+        has_failing_links=False,
     ):
         self.sender = sender
         self.digest = digest
@@ -105,6 +111,8 @@
         self.cursor = cursor
         self.cursor_age_s = cursor_age_s
         self.demands = demands or {}
+        self.reply_age_s = reply_age_s
+        self.has_failing_links = has_failing_links
 
 
 class LossReport:
@@ -267,9 +275,10 @@
         heartbeat.wants_reply,
         heartbeat.cursor,
         _pack_age(heartbeat.cursor_age_s),
+        _pack_demands(heartbeat.demands),
+        _pack_age(heartbeat.reply_age_s),
+        heartbeat.has_failing_links,
     ]
-    if heartbeat.demands:
-        message.append(_pack_demands(heartbeat.demands))
     return cbor2.dumps(message)
 
 
@@ -445,7 +454,9 @@
     ) = message[:9]
     # Peers of earlier builds leave out the fields after the cursor.
     cursor_age_ms = message[9] if len(message) > 9 else None
-    demands = message[10] if len(message) > 10 else b""
+    demands, reply_age_ms, has_failing_links = b"", None, False
+    if len(message) > 10:
+        demands, reply_age_ms, has_failing_links = message[10:13]
     return Heartbeat(
         _unpack_member(sender, now),
         _check_integer(digest),
@@ -456,6 +467,8 @@
         _check_integer(cursor, MAX_POSITION),
         _unpack_age(cursor_age_ms),
         _unpack_demands(demands),
+        _unpack_age(reply_age_ms),
+        bool(has_failing_links),
     )
 
 
--- a/almondtide/entry/connections.py
+++ b/almondtide/entry/connections.py
@@ -126,6 +126,8 @@
         self._conn = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES
         )
+        if self.exchange is not None:
+            self.exchange.on_connected()
         return True
 
     async def _fail_after_error(self, exc):
@@ -178,6 +180,7 @@
         headers = forwarded_request_headers(
             request, self.upstream.server.id, remaining_s
         )
+        headers += self.exchange.extra_headers()
         data = conn.send(
             h11.Request(method=request.method, target=request.target, headers=headers)
         )
@@ -283,9 +286,10 @@
     """Connections to all servers, which are kept open while idle.
 
     Exchanges have the attributes ``request``, ``upstream`` and ``is_at_most_once``, and
-    ``connection``, which is set here. ``is_wanted()`` is called before the request is
-    written; ``remaining_s()`` and ``on_write()`` follow if it returns true. At the end
-    one of the async methods ``on_reply(reply)``, ``on_skipped()`` and
+    ``connection``, which is set here. ``on_connected()`` is called when a connection
+    was opened for them. ``is_wanted()`` is called before the request is written;
+    ``remaining_s()``, ``extra_headers()`` and ``on_write()`` follow if it returns true.
+    At the end one of the async methods ``on_reply(reply)``, ``on_skipped()`` and
     ``on_failure(failure, reason, reply)`` is called, once. A closed exchange gets none
     of these calls. ``max_idle_s`` is how long idle connections are kept, see
     ``set_active``.
@@ -370,6 +374,11 @@
         for connection in self._idle.pop(upstream, ()):
             await connection.assign(None)
 
+    async def close_all_idle(self):
+        """Close all idle connections, which may be dead without a sign."""
+        for upstream in list(self._idle):
+            await self.close_idle(upstream)
+
     async def close_expired(self):
         """Close idle connections whose idle time is over."""
         now = self.now()
--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -21,9 +21,11 @@
 from .feed import StoreFeed
 from .frontend import Frontend
 from .gossip import Gossip
+from .link_watch import LinkWatch
 from .members import Member, MembershipView, MemberState
 from .metrics import MetricFamily, render_metrics
 from .reader import StoreReader
+from .relay import RelayPeers
 from .replica import StoreReplica
 from .retry_budget import slack_share
 from .upstreams import UpstreamTable
@@ -68,7 +70,7 @@
             secrets.randbits(48),
             settings.caller_address[0],
             settings.domain,
-            MemberState.STARTING,
+            MemberState.NOT_READY,
             settings.core_share,
             False,
             self.started_at,
@@ -104,6 +106,20 @@
         self.dispatcher.set_end_reporter(self.gossip.send_end_announcement)
         self.gossip.set_end_handler(self.table.announce_end)
         self.gossip.set_loss_handler(self.crash_detector.merge_peer_losses)
+        self.link_watch = LinkWatch(
+            self.table,
+            self.pool,
+            self._serving_peers,
+            lambda: self.view.local_member.is_active,
+            self._on_links_changed,
+            now,
+            log,
+        )
+        self.gossip.set_links(self.link_watch.monitor)
+        links = self.link_watch.monitor
+        self.dispatcher.set_links(
+            links, RelayPeers(self.view, links, settings.caller_address[1])
+        )
         self.timers = Timers(BoottimeClock(), self.dispatcher.on_timer, log)
         self.dispatcher.set_timers(self.timers)
         self.frontend = Frontend(
@@ -153,7 +169,11 @@
             seeds=len(settings.seeds),
             first=settings.is_first_start,
         )
-        tasks = {"reader": self.reader.run, "housekeeping": self._housekeeping}
+        tasks = {
+            "reader": self.reader.run,
+            "housekeeping": self._housekeeping,
+            "links": self.link_watch.run,
+        }
         for name, function in tasks.items():
             task = Supervised(name, function, boottime_now, self.log)
             self._tasks.append(await curio.spawn(task.run, daemon=True))
@@ -262,6 +282,31 @@
             self.crash_detector.remove_expired()
             self._update_role(now)
 
+    # Links to servers
+
+    def _serving_peers(self, now):
+        """Return the names of the live peers that callers are sent to."""
+        local = self.view.local_member
+        return {
+            member.name
+            for member in self.view.ready_members(now)
+            if member.is_active and member is not local
+        }
+
+    async def _on_links_changed(self):
+        """Leave the directory without links to servers, and return with them."""
+        local = self.view.local_member
+        links = self.link_watch.monitor
+        if links.is_lost and local.state is MemberState.READY:
+            local.state = MemberState.NOT_READY
+            self.directory.invalidate()
+        self._update_role(boottime_now())
+        await self.gossip.trigger_heartbeat()
+        if links.is_failing:
+            await self.dispatcher.hand_over_calls()
+        if links.is_lost:
+            await self.pool.close_all_idle()
+
     # Changes of the replica
 
     async def _on_changes(self, records, is_configuration_new, source):
@@ -318,7 +363,11 @@
     def _update_role(self, now):
         """Update whether this daemon is ready and active, and the number of entries."""
         local = self.view.local_member
-        if local.state is MemberState.STARTING and self.replica.is_complete:
+        if (
+            local.state is MemberState.NOT_READY
+            and self.replica.is_complete
+            and not self.link_watch.monitor.is_lost
+        ):
             local.state = MemberState.READY
             self.directory.invalidate()
             self.log.info("ready", after_s=round(now - self.started_at, 2))
--- a/almondtide/entry/dispatch.py
+++ b/almondtide/entry/dispatch.py
@@ -7,10 +7,12 @@
 
 from ..errors import ResultCode
 from .admission import ServiceState, decide_admission, pause_wait_s, retry_after_s
-from .answers import build_answer, error_answer
+from .answers import build_answer, error_answer, relayed_answer
 from .branch_queue import BranchQueue
 from .calls import BranchState
 from .feed import LEAVING_MARGIN_S
+from .links import LinkMonitor
+from .relay import RelayExchange, may_relay
 from .retries import RetryDecision, decide_retry, may_hedge, may_send_again
 from .retry_budget import RetryBudget
 from .route_latency import RouteLatency
@@ -26,6 +28,8 @@
 ANSWER_MARGIN_S = 0.006
 # Largest margin as a fraction of the objective.
 MAX_ANSWER_MARGIN_FRACTION = 0.25
+# How often it is checked that a peer which runs a call is still alive, in s.
+PEER_CHECK_INTERVAL_S = 0.25
 # How long a written exchange may go on after its call was answered, in s. If its reply
 # arrives in this time, the connection can be used again. Exchanges of a call that was
 # abandoned or has expired are closed immediately.
@@ -95,6 +99,12 @@
             and self.upstream.accepts_requests(now)
         )
 
+    def extra_headers(self):
+        return []
+
+    def on_connected(self):
+        self._dispatcher.links.note_connected()
+
     def on_write(self):
         self.is_written = True
         self.branch.write_count += 1
@@ -127,6 +137,9 @@
     def is_wanted(self):
         return False
 
+    def on_connected(self):
+        self._dispatcher.links.note_connected()
+
     async def on_skipped(self):
         await self._dispatcher.on_checked(self.upstream, None)
 
@@ -147,15 +160,18 @@
         "_crash_detector",
         "_log",
         "_pool",
+        "_relay_peers",
         "_report_end",
         "_report_losses",
         "_retry_budgets",
         "_route_latencies",
+        "_running_calls",
         "_service_queues",
         "_table",
         "_timers",
         "budget_share",
         "counts",
+        "links",
         "max_pause_s",
         "now",
         "settings",
@@ -167,6 +183,9 @@
         self._crash_detector = crash_detector
         self._report_end = None
         self._report_losses = None
+        self._relay_peers = None
+        self._running_calls = set()
+        self.links = LinkMonitor(now())
         self.settings = settings
         self._log = log
         self._timers = None
@@ -186,12 +205,18 @@
             "ends_announced": 0,
             "rate_limits": 0,
             "rate_limits_invalid": 0,
+            "relayed": 0,
         }
 
     def set_timers(self, timers):
         """Set the ``Timers`` that call ``on_timer``."""
         self._timers = timers
 
+    def set_links(self, links, relay_peers):
+        """Set the ``LinkMonitor``, and the ``RelayPeers`` for calls without links."""
+        self.links = links
+        self._relay_peers = relay_peers
+
     def set_loss_reporter(self, report):
         """Set the async function that reports lost servers to other daemons.
 
@@ -227,6 +252,13 @@
 
     async def run(self, call):
         """Run a call to its end and return its ``Answer``."""
+        self._running_calls.add(call)
+        try:
+            return await self._run(call)
+        finally:
+            self._running_calls.discard(call)
+
+    async def _run(self, call):
         now = self.now()
         refused_s = self._crash_detector.refused_for_s(call)
         if refused_s:
@@ -235,6 +267,11 @@
             return error_answer(
                 503, ResultCode.QUARANTINED, "the request crashes servers", refused_s
             )
+        if self.links.is_failing and may_relay(call):
+            answer = await self._relay(call)
+            if answer is not None:
+                return answer
+            now = self.now()
         limited_services = self._table.limited_services
         if limited_services:
             for branch in call.branches:
@@ -244,6 +281,8 @@
         decision = decide_admission(states, call.needed_count)
         if not decision.is_admitted:
             self.counts["refused"] += 1
+            if ServiceState.LOST in states:
+                self.links.note_unserved(now)
             call.refusal_reason = decision.describe(
                 [item.service for item in call.branches]
             )
@@ -262,6 +301,11 @@
                 continue
             await self._send(branch, "first", now)
         await self._wait(call)
+        if self._is_cut_off(call):
+            await self._finish(call, is_late=True)
+            answer = await self._relay(call)
+            if answer is not None:
+                return answer
         is_late = self.now() >= call.expires_at
         answer = build_answer(call, is_late, self._retry_after_s(call))
         await self._finish(call, is_late)
@@ -324,7 +368,7 @@
         await self._wait_until(call, call.expires_at)
 
     async def _wait_until(self, call, end):
-        while not call.is_decided():
+        while not call.is_decided() and not self._is_cut_off(call):
             # ``expires_at`` becomes earlier when the daemon stops.
             remaining_s = min(end, call.expires_at) - self.now()
             if remaining_s <= 0:
@@ -333,6 +377,71 @@
             async with curio.ignore_after(remaining_s):
                 await call.changed.wait()
 
+    def _is_cut_off(self, call):
+        """Return whether a peer should run a call that waits for silent servers."""
+        return (
+            self.links.is_failing
+            and self.links.is_silent(self.now())
+            and call.answered_count < call.needed_count
+            and may_relay(call)
+            and self._relay_peers is not None
+            and self._relay_peers.choose((), self.now()) is not None
+        )
+
+    async def hand_over_calls(self):
+        """Hand the calls that wait for silent servers to peers, if links are lost."""
+        for call in list(self._running_calls):
+            if self._is_cut_off(call):
+                await call.changed.set()
+
+    async def _relay(self, call):
+        """Let a peer run a call; return its ``Answer``, or None if none can."""
+        tried_names = set()
+        while self._relay_peers is not None and may_relay(call):
+            upstream = self._relay_peers.choose(tried_names, self.now())
+            if upstream is None or self.now() >= call.expires_at:
+                break
+            name = upstream.server.id
+            tried_names.add(name)
+            call.relay_names.append(name)
+            self.counts["relayed"] += 1
+            exchange = call.relay = RelayExchange(call, upstream, self.now)
+            await self._pool.send(exchange)
+            await self._wait_for_peer(call, exchange)
+            call.relay = None
+            if exchange.reply is not None and exchange.reply.status != 404:
+                return relayed_answer(call, exchange.reply)
+            if not exchange.has_ended:
+                await self._pool.close(exchange.connection)
+            if exchange.reply is None:
+                call.relay_run_count += exchange.is_written
+                self._relay_peers.note_failure(name, self.now())
+            self._log.info(
+                "relay_failed",
+                id=call.request.id,
+                peer=name,
+                written=exchange.is_written,
+                reason=exchange.reason or "no answer",
+            )
+        if call.relay_run_count:
+            is_late = self.now() >= call.expires_at
+            return error_answer(
+                504 if is_late else 502, ResultCode.PEER_LOST, "the peer did not answer"
+            )
+        return None
+
+    async def _wait_for_peer(self, call, exchange):
+        """Wait until a peer has answered, has failed, or the call has ended."""
+        name = exchange.upstream.server.id
+        while not exchange.has_ended and not call.is_abandoned:
+            now = self.now()
+            remaining_s = call.expires_at - now
+            if remaining_s <= 0 or not self._relay_peers.is_alive(name, now):
+                return
+            call.changed.clear()
+            async with curio.ignore_after(min(remaining_s, PEER_CHECK_INTERVAL_S)):
+                await call.changed.wait()
+
     async def _finish(self, call, is_late):
         """Fail open branches and close their exchanges, now or after a delay."""
         now = self.now()
@@ -362,6 +471,8 @@
         """End a call whose caller has disconnected, and close its exchanges."""
         call.is_abandoned = True
         await call.changed.set()
+        if call.relay is not None and call.relay.connection is not None:
+            await self._pool.close(call.relay.connection)
         for branch in call.branches:
             if branch.state is BranchState.OPEN:
                 branch.state = BranchState.FAILED
@@ -513,6 +624,11 @@
                 for_ms=int(max(0.0, upstream.ejected_until - now) * 1000),
             )
 
+    def _note_link_failure(self, upstream, failure, now):
+        is_connect = failure in (Failure.NOT_SENT, Failure.NO_LISTENER)
+        if is_connect or failure is Failure.BROKEN:
+            self.links.note_failure(upstream.server.id, is_connect, now)
+
     async def _record_crash_evidence(self, exchange, failure):
         """Tell the crash detector of a failure, and check the server if needed."""
         server_id = exchange.upstream.server.id
@@ -543,6 +659,7 @@
         """Handle the result of a reachability check; no failure means reachable."""
         if failure is not None:
             self._record_failure(upstream, None, failure, self.now())
+            self._note_link_failure(upstream, failure, self.now())
         if failure is Failure.NO_LISTENER:
             await self._record_server_end(upstream.server.id)
 
@@ -565,6 +682,7 @@
 
     async def on_reply(self, exchange, reply):
         """Handle a complete reply of a server, which may state a failure."""
+        self.links.note_reply(self.now())
         if exchange.is_finished:
             return
         if reply.is_misdirected:
@@ -681,6 +799,7 @@
         upstream = exchange.upstream
         branch = exchange.branch
         self._record_failure(upstream, exchange, failure, now)
+        self._note_link_failure(upstream, failure, now)
         branch.failures.append(f"{upstream.server.id}:{failure.value}:{reason}")
         await self._record_crash_evidence(exchange, failure)
         if failure.is_certainly_not_run:
--- a/almondtide/entry/frontend.py
+++ b/almondtide/entry/frontend.py
@@ -176,6 +176,10 @@
         fields["parts"] = f"{call.answered_count}/{len(call.branches)}"
         fields["left"] = call.is_abandoned
         fields["sends"] = sends
+        if call.relay_names:
+            fields["relays"] = " ".join(call.relay_names)
+        if call.is_relayed:
+            fields["relayed"] = True
         if call.refusal_reason:
             fields["refused"] = call.refusal_reason
         elif sends != len(call.branches) or call.answered_count < len(call.branches):
--- a/almondtide/entry/gossip.py
+++ b/almondtide/entry/gossip.py
@@ -85,6 +85,7 @@
         "_feed",
         "_heartbeat_requested",
         "_last_pull_at",
+        "_links",
         "_log",
         "_now",
         "_on_changes",
@@ -108,6 +109,7 @@
         self._on_end_announced = None
         self._on_loss = None
         self._rate_shares = None
+        self._links = None
         self._now = now
         self._log = log
         self._sock = None
@@ -134,6 +136,10 @@
         """
         self._on_end_announced = function
 
+    def set_links(self, links):
+        """Set the ``LinkMonitor`` whose state heartbeats exchange."""
+        self._links = links
+
     def set_rate_shares(self, rate_shares):
         """Set the ``RateShares`` whose demands heartbeats exchange."""
         self._rate_shares = rate_shares
@@ -311,6 +317,8 @@
             cursor,
             None if read_at is None else max(0.0, now - read_at),
             self._demands_to_report(now),
+            None if self._links is None else self._links.reply_age_s(now),
+            self._links is not None and self._links.is_failing,
         )
 
     def _demands_to_report(self, now):
@@ -458,6 +466,14 @@
         self._update_member(heartbeat.sender, now)
         for member in heartbeat.members:
             self._update_member(member, now)
+        if self._links is not None:
+            age_s = heartbeat.reply_age_s
+            self._links.note_peer(
+                heartbeat.sender.name,
+                None if age_s is None else now - age_s,
+                heartbeat.has_failing_links,
+                now,
+            )
         if heartbeat.demands and self._rate_shares is not None:
             self._rate_shares.note_report(heartbeat.sender.name, heartbeat.demands, now)
         if heartbeat.wants_reply:
--- a/almondtide/entry/members.py
+++ b/almondtide/entry/members.py
@@ -32,9 +32,12 @@
 
 
 class MemberState(enum.IntEnum):
-    """Lifecycle state of a member."""
+    """Lifecycle state of a member.
 
-    STARTING = 0
+    One that is not ready has started just now, or has lost its links to servers.
+    """
+
+    NOT_READY = 0
     READY = 1
     LEAVING = 2
 
@@ -177,11 +180,11 @@
     its updates are late. The first ranks are in different failure domains, if there
     are several.
     """
-    # If no member is ready yet, the starting ones are the candidates.
+    # If no member is ready yet, those that start are the candidates.
     candidates = view.ready_members(now) or [
         member
         for member in view.alive_members(now)
-        if member.state is MemberState.STARTING
+        if member.state is MemberState.NOT_READY
     ]
     if view.local_member not in candidates:
         candidates.append(view.local_member)
--- a/almondtide/entry/upstreams.py
+++ b/almondtide/entry/upstreams.py
@@ -56,6 +56,8 @@
 # queue is long. After a reset of a new connection no other one is opened for this
 # long, in s.
 CONNECT_BACKOFF_S = 0.25
+# Servers whose reply is overdue by this, in s, are a sign of lost links.
+OVERDUE_S = 0.15
 # How long the announced end and the pause of a server that the store no longer lists
 # are kept, in s, in case it is listed again.
 REMOVED_RETENTION_S = 60.0
@@ -507,6 +509,27 @@
             if upstream.is_usable(now)
         ]
 
+    def silent_ids(self, now):
+        """Return the ids of the servers whose reply is overdue."""
+        return {
+            upstream.server.id
+            for upstream in self._by_id.values()
+            if upstream.silent_s(now) > OVERDUE_S
+        }
+
+    def probe_candidates(self, count, now, rng):
+        """Return up to ``count`` usable servers at random, of different services."""
+        services = list(self._by_service)
+        rng.shuffle(services)
+        candidates = []
+        for service in services:
+            upstreams = self.usable_upstreams(service, now)
+            if upstreams:
+                candidates.append(rng.choice(upstreams))
+            if len(candidates) == count:
+                break
+        return candidates
+
     def is_service_lost(self, service, now):
         """Return whether all usable servers of the service seem to be down.
 
--- a/almondtide/model/http_messages.py
+++ b/almondtide/model/http_messages.py
@@ -9,7 +9,8 @@
     ``headers`` are the (name, value) pairs to forward, without the hop-by-hop
     headers. ``allowed_s`` is the caller's deadline as the time from now, in seconds,
     or None if the request has none. ``has_invalid_deadline`` tells that it states one
-    that cannot be read.
+    that cannot be read. ``relay_mark`` is None for a request of a caller; see
+    ``entry/relay.py``.
     """
 
     __slots__ = (
@@ -20,6 +21,7 @@
         "host",
         "id",
         "method",
+        "relay_mark",
         "target",
     )
 
@@ -32,6 +34,7 @@
         self.headers = headers
         self.body = body
         self.has_invalid_deadline = False
+        self.relay_mark = None
 
     @property
     def path(self):
--- a/standins/entry_fleet.py
+++ b/standins/entry_fleet.py
@@ -12,6 +12,7 @@
 import orjson
 
 from .link import Link
+from .partitioned_entry import CUT_SUFFIX
 from .shard import ShardServer
 from .store import StoreServer
 
@@ -202,6 +203,25 @@
                 stderr=log,
             )
 
+    def cut_links(self, number, mode):
+        """Cut the links of a daemon to all servers; see ``partitioned_entry``."""
+        path = os.path.join(self.folder, f"settings-{number}.json{CUT_SUFFIX}")
+        with open(path + ".new", "w") as file:
+            file.write(mode)
+        os.replace(path + ".new", path)
+
+    def restore_links(self, number):
+        """Let a daemon reach the servers again."""
+        os.remove(os.path.join(self.folder, f"settings-{number}.json{CUT_SUFFIX}"))
+
+    async def look_up(self, number, domain):
+        """Return the hosts that a daemon's directory names to callers of a domain."""
+        path = f"/v1/resolve?name=search.example&region=viti-levu&zone={domain}"
+        status, _, body = await self.get_from_daemon(number, "directory", path)
+        if status != 200:
+            return []
+        return sorted(a.partition(":")[0] for a in orjson.loads(body)["addrs"])
+
     def read_log(self, number):
         """Return the standard output and error of a daemon."""
         with open(os.path.join(self.folder, f"log-{number}"), "rb") as file:
--- a/tests/entry/test_connections.py
+++ b/tests/entry/test_connections.py
@@ -88,6 +88,12 @@
     def is_wanted(self):
         return self.wanted
 
+    def extra_headers(self):
+        return []
+
+    def on_connected(self):
+        pass
+
     def on_write(self):
         self.written += 1
 
--- a/tests/entry/test_members.py
+++ b/tests/entry/test_members.py
@@ -120,7 +120,7 @@
     def test_only_ready_members_serve(self):
         view = _view(_fleet(1))
         view.update(_member("nadi-0", "nadi", 1.0, state=MemberState.LEAVING))
-        view.update(_member("suva-0", "suva", 1.0, state=MemberState.STARTING))
+        view.update(_member("suva-0", "suva", 1.0, state=MemberState.NOT_READY))
         self.assertEqual(["lautoka-0"], [m.name for m in view.ready_members(1.0)])
 
     def test_members_that_failed_long_ago_are_removed(self):
@@ -154,7 +154,7 @@
         # The first start, before the store contains a configuration.
         fleet = _fleet()
         for member in fleet:
-            member.state = MemberState.STARTING
+            member.state = MemberState.NOT_READY
         ranks = [
             store_reader_rank(_view(fleet, local_index), 0.0)
             for local_index in range(len(fleet))
@@ -163,7 +163,7 @@
 
     def test_starting_daemons_do_not_read_while_others_are_ready(self):
         fleet = _fleet()
-        fleet[0].state = MemberState.STARTING
+        fleet[0].state = MemberState.NOT_READY
         fleet[5].state = MemberState.LEAVING
         ranks = [
             store_reader_rank(_view(fleet, local_index), 0.0)
@@ -172,5 +172,5 @@
         self.assertEqual(len(fleet) - 2, len({*ranks[1:5], *ranks[6:]}))
 
     def test_a_daemon_that_is_alone_reads(self):
-        view = MembershipView(_member("nadi-0", "nadi", state=MemberState.STARTING))
+        view = MembershipView(_member("nadi-0", "nadi", state=MemberState.NOT_READY))
         self.assertEqual(0, store_reader_rank(view, 0.0))
