Probe the links when open connections are too few and new ones fail

With few open connections only one or two servers refuse a new one within a second, and three are needed to suspect the links. A refused call with a recent failure of a connection is now a reason to probe.

--- a/almondtide/entry/dispatch.py
+++ b/almondtide/entry/dispatch.py
@@ -281,8 +281,7 @@
         decision = decide_admission(states, call.needed_count)
         if not decision.is_admitted:
             self.counts["refused"] += 1
-            if ServiceState.LOST in states:
-                self.links.note_unserved(now)
+            self.links.note_unserved(ServiceState.LOST in states, now)
             call.refusal_reason = decision.describe(
                 [item.service for item in call.branches]
             )
--- a/almondtide/entry/links.py
+++ b/almondtide/entry/links.py
@@ -75,7 +75,7 @@
         # Server id -> when a new connection to it failed. A new connection to any
         # server that succeeds clears it.
         self._connect_failures = {}
-        # When a call was last refused because its servers seemed to be down.
+        # When a call was last refused that the links may be the cause of.
         self._unserved_at = now - CONNECT_FAILURE_LIFETIME_S - 1.0
         # When the present failures began, or None.
         self._failing_since = None
@@ -101,9 +101,20 @@
         lost_at = self._peer_losses.get(name)
         return lost_at is not None and now - lost_at <= PEER_LOSS_LIFETIME_S
 
-    def note_unserved(self, now):
-        """Record that a call was refused because its servers seemed to be down."""
-        self._unserved_at = now
+    def note_unserved(self, has_lost_service, now):
+        """Record that a call was refused.
+
+        It counts if servers seemed to be down, or if new connections failed lately, so
+        that the open ones may be too few.
+        """
+        if has_lost_service or self._recent_connect_failures(now):
+            self._unserved_at = now
+
+    def _recent_connect_failures(self, now):
+        return sum(
+            now - failed_at <= CONNECT_FAILURE_LIFETIME_S
+            for failed_at in self._connect_failures.values()
+        )
 
     def reply_age_s(self, now):
         """Return how long ago a server last replied, in seconds, or None for never."""
@@ -157,12 +168,7 @@
             return True
         if now - self._unserved_at <= SUSPECT_PROBE_INTERVAL_S:
             return True
-        recent = [
-            failed_at
-            for failed_at in self._connect_failures.values()
-            if now - failed_at <= CONNECT_FAILURE_LIFETIME_S
-        ]
-        return len(recent) >= MIN_FAILING_SERVERS
+        return self._recent_connect_failures(now) >= MIN_FAILING_SERVERS
 
     def _is_unproven(self, now):
         """Return whether peers lost their links, and the own ones are not known."""
--- a/tests/entry/test_links.py
+++ b/tests/entry/test_links.py
@@ -63,10 +63,20 @@
 
     def test_a_call_that_no_server_can_take(self):
         monitor = _silent_monitor()
-        monitor.note_unserved(10.1)
+        monitor.note_unserved(True, 10.1)
         self.assertTrue(monitor.is_suspect((), 10.1))
         self.assertFalse(monitor.is_suspect((), 10.1 + SUSPECT_PROBE_INTERVAL_S + 0.1))
 
+    def test_a_call_for_which_the_open_connections_are_too_few(self):
+        monitor = _silent_monitor()
+        monitor.note_reply(10.1)
+        monitor.note_unserved(False, 10.1)
+        self.assertFalse(monitor.is_suspect((), 10.1))
+        monitor.note_failure("i-1", True, 10.2)
+        monitor.note_reply(10.2)
+        monitor.note_unserved(False, 10.2)
+        self.assertTrue(monitor.is_suspect((), 10.2))
+
     def test_a_connection_that_opens_ends_the_suspicion(self):
         monitor = _silent_monitor()
         for server in SERVERS:
