Cut entries off from all servers in the soak, and check their callers

The soak disturbed links of servers, which all entries share; an entry without servers was never played. The fault partition lets connections hang or refuses new ones for one entry.

--- a/soak/broken.py
+++ b/soak/broken.py
@@ -8,10 +8,12 @@
 import sys
 
 from almondtide.entry import answers, connections, daemon, dispatch, retries
+from almondtide.entry.links import LinkMonitor
 from almondtide.entry.process import main
 from almondtide.entry.upstreams import Upstream
 from almondtide.platform import store
 from almondtide.registry import Registry
+from standins import partitioned_entry
 from standins.replacement import replace_attribute
 
 __all__ = ["CHECKS_BY_BREAK", "FAULTS_BY_BREAK", "breaks"]
@@ -27,6 +29,7 @@
     "announced-end": ["announce"],
     "pause": ["turn-away"],
     "store-era": ["store-restore", "replace"],
+    "partition": ["partition"],
 }
 
 # Checks that must detect the breaks which are not named after their promise.
@@ -108,6 +111,12 @@
     replace_attribute(Upstream, "pause", lambda self, until: None)
 
 
+@breaks.register("partition")
+def ignore_lost_links():
+    """Serve on without links to servers."""
+    replace_attribute(LinkMonitor, "on_probed", lambda self, *args: False)
+
+
 @breaks.register("store-era")
 def ignore_eras():
     """Compare revisions of the store without their era."""
@@ -118,4 +127,5 @@
 
 if __name__ == "__main__":
     breaks.get(sys.argv.pop(1))()
+    partitioned_entry.install()
     sys.exit(main())
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -4,6 +4,8 @@
 object with the same records, servers and methods.
 """
 
+import math
+
 from almondtide.entry.merge import merge_records
 from almondtide.registry import Registry
 from standins.entry_fleet import DRAIN_S, SHARDS
@@ -31,6 +33,14 @@
 # Faults after which a daemon need not remember what a server announced.
 FORGETTING_FAULTS = ("pause", "kill", "stop")
 
+# From this long after a daemon lost its links to the servers, its callers must be
+# served at least this share as often as others, but for some failures (rule RECOVER of
+# the platform).
+PARTITION_NOTICE_S = 4.0
+MIN_SERVED_RATIO = 2 / 3
+ALLOWED_FAILURES = 10
+ALLOWED_FAILURE_SHARE = 0.02
+
 checks = Registry("check")
 
 
@@ -188,6 +198,35 @@
                 yield f"{server.id}: {count} requests of daemon {daemon} in its pause"
 
 
+@checks.register("partition")
+def check_partitions(history):
+    """Callers of a daemon without links to servers are served like the others."""
+    for fault in history.fault_intervals:
+        if fault.kind != "partition":
+            continue
+        start = fault.start + PARTITION_NOTICE_S
+        requests = [
+            record
+            for record in history.finished_requests()
+            if start <= record.sent and record.ended <= (fault.end or math.inf)
+        ]
+        daemon = fault.target[1]
+        here = [record.status == 200 for record in requests if record.daemon == daemon]
+        others = [
+            record.status == 200 for record in requests if record.daemon != daemon
+        ]
+        if not here or not others:
+            continue
+        failed = here.count(False)
+        ratio = (sum(here) / len(here)) / max(0.01, sum(others) / len(others))
+        allowed = ALLOWED_FAILURES + ALLOWED_FAILURE_SHARE * len(requests)
+        if ratio < MIN_SERVED_RATIO and failed > allowed:
+            yield (
+                f"daemon {daemon}: {failed} of {len(here)} failed without links, "
+                f"{others.count(False)} of {len(others)} elsewhere"
+            )
+
+
 @checks.register("own-ends")
 def check_process_ends(history):
     """No daemon exits or logs an error by itself; stopped ones exit with 0 in time."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,11 +7,14 @@
 
 from almondtide.registry import Registry
 from standins.entry_fleet import DRAIN_S, GRACE_S, SHARDS, make_configuration
+from standins.partitioned_entry import CUT_MODES
 
 __all__ = ["faults"]
 
 faults = Registry("fault")
 MAX_FAULT_S = 3.0
+# Partitions last longer: callers must be served from a certain time on.
+MAX_PARTITION_S = 7.0
 # A busy machine may delay the exit of a process beyond its grace time.
 EXIT_SLACK_S = 2.0
 # Servers write to the store at least this often, in s. An entry expires after three
@@ -77,6 +80,20 @@
     session.faulty_daemons.discard(number)
 
 
+@faults.register("partition")
+async def cut_links(session, rng):
+    """Cut the links of a daemon to all servers; callers and peers still reach it."""
+    number = session.reserve_daemon(rng)
+    if number is None:
+        return
+    mode = rng.choice(CUT_MODES)
+    with session.record_fault("daemon", number, "partition"):
+        session.fleet.cut_links(number, mode)
+        await curio.sleep(rng.uniform(1.0, MAX_PARTITION_S))
+        session.fleet.restore_links(number)
+    session.faulty_daemons.discard(number)
+
+
 @faults.register("hangup")
 async def send_sighup(session, rng):
     """Send SIGHUP to a daemon."""
--- a/soak/session.py
+++ b/soak/session.py
@@ -18,6 +18,7 @@
 
 __all__ = ["SoakSession"]
 
+PARTITIONED_ENTRY = ["-m", "standins.partitioned_entry"]
 CALLER_COUNT = 6
 DEADLINE_MS = 1200
 CALLER_PAUSE_S = 0.03
@@ -40,7 +41,7 @@
         self.seed = seed
         self.fault_names = fault_names or faults.names()
         self.seconds = seconds
-        self.fleet = EntryFleet(folder, argv=argv, links=True)
+        self.fleet = EntryFleet(folder, argv=argv or PARTITIONED_ENTRY, links=True)
         self.records = {}
         self.fault_intervals = []
         self.drain_times = {}
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -143,6 +143,24 @@
         history.fault_intervals.append(FaultInterval("kill", ("daemon", 0), 9.0))
         self.assertEqual([], find_violations(history))
 
+    def test_callers_of_a_partitioned_daemon(self):
+        for served, is_violation in ((0, True), (25, False)):
+            history = _History()
+            fault = FaultInterval("partition", ("daemon", 0), 0.0)
+            history.fault_intervals.append(fault)
+            for number in range(30):
+                status = 200 if number < served else 503
+                history.add(f"w-{number}", "write", status).body = b"w-%d" % number
+                history.add(f"o-{number}", "write", 200, body=b"o-%d" % number)
+                history.records[f"o-{number}"].daemon = 1
+            if is_violation:
+                self.assert_violation(history, "partition")
+            else:
+                self.assertEqual([], find_violations(history))
+            # The time in which the links may be found to be lost is not judged.
+            fault.start = 9.0
+            self.assertEqual([], find_violations(history))
+
     def test_request_to_a_drained_server(self):
         history = _History()
         history.add("w-1", "write", 200, ["i-drafts"], body=b"w-1")
@@ -182,7 +200,7 @@
             self.assertEqual(names, found, (at, count))
 
     def test_every_check_has_a_name(self):
-        self.assertEqual(9, len(checks.names()))
+        self.assertEqual(10, len(checks.names()))
 
 
 class RunTest(testtools.TestCase):
