Bound replies without end, and let other tasks run while one is read

A server that sent status lines 1xx without end stopped the whole entry: the loop that skips them had no bound, and reading from a socket that always has data gives no other task a turn, so no timeout could fire. A body was bounded by 16 MiB for each reply only, beyond the memory of a machine for some twelve at once. Heads, chunk sizes and other bytes had bounds already.

--- a/almondtide/adapters/http.py
+++ b/almondtide/adapters/http.py
@@ -30,6 +30,11 @@
 DEFAULT_MAX_HEADER_BYTES = 16 * 1024
 DEFAULT_MAX_BODY_BYTES = 256 * 1024
 DEFAULT_MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+# Most informational responses (status 1xx) before a response.
+MAX_INFORMATIONAL_RESPONSES = 8
+# Bytes of a response that are read at once before other tasks get a turn. A sender
+# that is faster than the parser always has more to read.
+TURN_BYTES = 4 * RECEIVE_BYTES
 DEFAULT_IDLE_TIMEOUT_S = 75.0
 READ_TIMEOUT_S = 10.0
 SEND_TIMEOUT_S = 10.0
@@ -394,6 +399,7 @@
         "_is_at_eof",
         "_max_response_bytes",
         "_sock",
+        "_turn_bytes",
         "is_usable",
     )
 
@@ -403,6 +409,8 @@
         self._max_response_bytes = max_response_bytes
         self._conn = h11.Connection(h11.CLIENT)
         self._is_at_eof = False
+        # Bytes that were read since other tasks last had a turn.
+        self._turn_bytes = 0
         self.is_usable = True
 
     @classmethod
@@ -472,11 +480,19 @@
             data = await self._sock.recv(RECEIVE_BYTES)
             self._is_at_eof = not data
             self._conn.receive_data(data)
+            self._turn_bytes += len(data)
+            if self._turn_bytes >= TURN_BYTES:
+                self._turn_bytes = 0
+                await curio.sleep(0)
 
     async def _read_response(self):
         event = await self._next_event()
-        while isinstance(event, h11.InformationalResponse):
+        for _ in range(MAX_INFORMATIONAL_RESPONSES):
+            if not isinstance(event, h11.InformationalResponse):
+                break
             event = await self._next_event()
+        if isinstance(event, h11.InformationalResponse):
+            raise UpstreamError("no response but status 1xx", ResultCode.BAD_RESPONSE)
         if not isinstance(event, h11.Response):
             raise UpstreamError(
                 "connection closed before a response", ResultCode.UPSTREAM_LOST
--- a/almondtide/entry/connections.py
+++ b/almondtide/entry/connections.py
@@ -32,6 +32,14 @@
 # request ran.
 MAX_IDLE_AT_MOST_ONCE_S = 1.0
 MAX_BODY_BYTES = 16 * 1024 * 1024
+# Most bytes of all replies that are not complete yet. Of several replies without end
+# each is below the limit of one for a while.
+MAX_BUFFERED_BYTES = 32 * 1024 * 1024
+# Most informational responses (status 1xx) before a reply.
+MAX_INFORMATIONAL_RESPONSES = 8
+# Bytes that are read at once before other tasks get a turn. A sender that is faster
+# than the parser always has more to read.
+TURN_BYTES = 4 * RECEIVE_BYTES
 # Most replies that are read for one request. Replies to earlier requests, which are
 # skipped, count as well.
 MAX_REPLIES_PER_REQUEST = 4
@@ -48,6 +56,7 @@
     __slots__ = (
         "_conn",
         "_sock",
+        "_turn_bytes",
         "_user_timeout_ms",
         "_wake",
         "exchange",
@@ -71,6 +80,8 @@
         self._conn = None
         self._sock = None
         self._user_timeout_ms = 0
+        # Bytes that were read since other tasks last had a turn.
+        self._turn_bytes = 0
         self._wake = curio.Event()
 
     async def run(self):
@@ -240,27 +251,42 @@
             event = conn.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            conn.receive_data(await self._sock.recv(RECEIVE_BYTES))
+            data = await self._sock.recv(RECEIVE_BYTES)
+            conn.receive_data(data)
+            self._turn_bytes += len(data)
+            if self._turn_bytes >= TURN_BYTES:
+                self._turn_bytes = 0
+                await curio.sleep(0)
 
     async def _read_reply(self):
         event = await self._next_event()
-        while type(event) is h11.InformationalResponse:
+        for _ in range(MAX_INFORMATIONAL_RESPONSES):
+            if type(event) is not h11.InformationalResponse:
+                break
             event = await self._next_event()
         if type(event) is not h11.Response:
-            raise _ExchangeError("closed before a reply")
+            raise _ExchangeError("no reply")
+        body = await self._read_body()
+        return decode_reply(event.status_code, list(event.headers), body)
+
+    async def _read_body(self):
         chunks = []
         size = 0
-        while True:
-            part = await self._next_event()
-            if type(part) is h11.EndOfMessage:
-                break
-            if type(part) is not h11.Data:
-                raise _ExchangeError("closed within a reply")
-            size += len(part.data)
-            if size > MAX_BODY_BYTES:
-                raise _ExchangeError("reply too large")
-            chunks.append(part.data)
-        return decode_reply(event.status_code, list(event.headers), b"".join(chunks))
+        try:
+            while True:
+                part = await self._next_event()
+                if type(part) is h11.EndOfMessage:
+                    return b"".join(chunks)
+                if type(part) is not h11.Data:
+                    raise _ExchangeError("closed within a reply")
+                if size + len(part.data) > MAX_BODY_BYTES:
+                    raise _ExchangeError("reply too large")
+                if not self.pool.reserve(len(part.data)):
+                    raise _ExchangeError("replies too large together")
+                size += len(part.data)
+                chunks.append(part.data)
+        finally:
+            self.pool.release(size)
 
     def _is_reusable(self, reply):
         conn = self._conn
@@ -295,7 +321,14 @@
     ``set_active``.
     """
 
-    __slots__ = ("_idle", "log", "max_idle_s", "now", "opened_count")
+    __slots__ = (
+        "_idle",
+        "buffered_bytes",
+        "log",
+        "max_idle_s",
+        "now",
+        "opened_count",
+    )
 
     def __init__(self, now, log):
         self.now = now
@@ -303,6 +336,19 @@
         self._idle = {}
         self.max_idle_s = MAX_IDLE_S
         self.opened_count = 0
+        # Bytes of replies that are not complete yet.
+        self.buffered_bytes = 0
+
+    def reserve(self, size):
+        """Count bytes of an incomplete reply; return whether there is room for them."""
+        if self.buffered_bytes + size > MAX_BUFFERED_BYTES:
+            return False
+        self.buffered_bytes += size
+        return True
+
+    def release(self, size):
+        """Stop counting the bytes of a reply that is complete or given up."""
+        self.buffered_bytes -= size
 
     def set_active(self, is_active):
         """Keep idle connections for as long as the role of this entry needs them."""
