--- a/almondtide/entry/dispatch.py
+++ b/almondtide/entry/dispatch.py
@@ -396,6 +396,7 @@
     async def _relay(self, call):
         """Let a peer run a call; return its ``Answer``, or None if none can."""
         tried_names = set()
+        refusal = None
         while self._relay_peers is not None and may_relay(call):
             upstream = self._relay_peers.choose(tried_names, self.now())
             if upstream is None or self.now() >= call.expires_at:
@@ -408,11 +409,16 @@
             await self._pool.send(exchange)
             await self._wait_for_peer(call, exchange)
             call.relay = None
-            if exchange.reply is not None and exchange.reply.status != 404:
-                return relayed_answer(call, exchange.reply)
+            reply = exchange.reply
+            if reply is not None and reply.status == 503 and refusal is None:
+                # Requests of several entries may meet at this peer.
+                refusal = reply
+                continue
+            if reply is not None and reply.status != 404:
+                return relayed_answer(call, reply)
             if not exchange.has_ended:
                 await self._pool.close(exchange.connection)
-            if exchange.reply is None:
+            if reply is None:
                 call.relay_run_count += exchange.is_written
                 self._relay_peers.note_failure(name, self.now())
             self._log.info(
@@ -422,6 +428,8 @@
                 written=exchange.is_written,
                 reason=exchange.reason or "no answer",
             )
+        if refusal is not None and not call.relay_run_count:
+            return relayed_answer(call, refusal)
         if call.relay_run_count:
             is_late = self.now() >= call.expires_at
             return error_answer(
--- a/almondtide/entry/links.py
+++ b/almondtide/entry/links.py
@@ -195,15 +195,13 @@
             return True
         return False
 
-    def _has_evidence(self, peer_names, now):
-        """Return whether servers have served a live peer since the failures began."""
+    def is_peer_served(self, name, now):
+        """Return whether servers have served a peer since the failures began here."""
         since = self._failing_since
         if since is None or self.is_silent(now):
             since = self.last_reply_at
-        return any(
-            name in peer_names and replied_at >= since + EVIDENCE_MARGIN_S
-            for name, replied_at in self._peer_replies.items()
-        )
+        replied_at = self._peer_replies.get(name)
+        return replied_at is not None and replied_at >= since + EVIDENCE_MARGIN_S
 
     def on_probed(self, has_connected, peer_names, is_active, now):
         """Record a round of probes; return whether the state has changed.
@@ -225,7 +223,7 @@
         self._proven_rounds = 0
         if self.is_lost:
             return False
-        has_evidence = self._has_evidence(peer_names, now) or not is_active
-        is_lost = bool(peer_names) and has_evidence
+        is_served = any(self.is_peer_served(name, now) for name in peer_names)
+        is_lost = bool(peer_names) and (is_served or not is_active)
         self.state = LinkState.LOST if is_lost else LinkState.FAILING
         return self.state is not earlier
--- a/almondtide/entry/relay.py
+++ b/almondtide/entry/relay.py
@@ -81,9 +81,10 @@
     def choose(self, tried_names, now):
         """Return the ``Upstream`` of a peer that callers are sent to, or None.
 
-        A peer that reaches no server itself is not chosen. The choice is at random
-        over all failure domains: a domain with one entry left would get all requests
-        of the others at once.
+        Peers that servers have replied to since the links failed here come first, since
+        others may have lost theirs without knowing it yet. Among equal ones the choice
+        is at random over all failure domains: a domain with one entry left would get
+        all requests of the others at once.
         """
         peers = [
             member
@@ -94,7 +95,8 @@
             and not self._links.is_peer_failing(member.name, now)
         ]
         active = [member for member in peers if member.is_active]
-        candidates = active or peers
+        served = [m for m in active if self._links.is_peer_served(m.name, now)]
+        candidates = served or active or peers
         return self._upstream(random.choice(candidates)) if candidates else None
 
     def is_alive(self, name, now):
