--- a/standins/shard.py
+++ b/standins/shard.py
@@ -38,10 +38,11 @@
     header ``not-run``. A request with a body gets the body back, another one gets
     ``make_records`` of the service and its id.
 
-    While ``is_leaving`` is set, all responses announce the server's end. Until
-    ``away_until`` (steady clock, in s) requests get 503 with the time left.
-    ``announcements`` holds (request id, time) of the responses that announced the end,
-    ``refusals`` (request id, time, end of the pause) of those that asked for a pause.
+    With ``closes_connections`` each response ends its connection. While ``is_leaving``
+    is set, all responses announce the server's end. Until ``away_until`` (steady clock,
+    in s) requests get 503 with the time left. ``announcements`` holds (request id,
+    time) of the responses that announced the end, ``refusals`` (request id, time, end
+    of the pause) of those that asked for a pause.
     """
 
     def __init__(self, id, service, slots=3, service_time_s=0.005):
@@ -53,6 +54,7 @@
         self.should_crash = lambda request: False
         self.runs = []
         self.is_leaving = False
+        self.closes_connections = False
         self.away_until = 0.0
         self.announcements = []
         self.refusals = []
@@ -92,6 +94,8 @@
             response.headers["server-leaving"] = "1"
             request_id = request.headers.get("request-id")
             self.announcements.append((request_id, time.monotonic()))
+        if self.closes_connections:
+            response.headers["connection"] = "close"
         return response
 
     async def _respond(self, request):
--- a/tests/entry/test_partition.py
+++ b/tests/entry/test_partition.py
@@ -101,8 +101,10 @@
     def test_callers_of_an_entry_whose_new_connections_are_refused_are_served(self):
         async def scenario(fleet):
             fleet.cut_links(0, "refuse")
-            # More callers than there are open connections; daemon 1 for comparison.
-            callers = [0, 1] * 10
+            # Connections end sooner or later, and then new ones are needed.
+            for server in fleet.servers.values():
+                server.closes_connections = True
+            callers = [0, 1]
             await self._send(fleet, callers, CONTACT_S)
             self._assert_served(await self._send(fleet, callers, 1.5), cut=[0])
             fleet.restore_links(0)
