Let servers announce rates in the soak, and count what they get

The fault limit lets one server or all of a service announce 0 to 8 requests a second; the check counts over all entries.

--- a/soak/broken.py
+++ b/soak/broken.py
@@ -10,7 +10,7 @@
 from almondtide.entry import answers, connections, daemon, dispatch, retries
 from almondtide.entry.links import LinkMonitor
 from almondtide.entry.process import main
-from almondtide.entry.upstreams import Upstream
+from almondtide.entry.upstreams import Upstream, UpstreamTable
 from almondtide.platform import store
 from almondtide.registry import Registry
 from standins import partitioned_entry
@@ -30,6 +30,7 @@
     "pause": ["turn-away"],
     "store-era": ["store-restore", "replace"],
     "partition": ["partition"],
+    "rate-limit": ["limit"],
 }
 
 # Checks that must detect the breaks which are not named after their promise.
@@ -117,6 +118,12 @@
     replace_attribute(LinkMonitor, "on_probed", lambda self, *args: False)
 
 
+@breaks.register("rate-limit")
+def ignore_rate_limits():
+    """Send to a server that limits its rate as to any other."""
+    replace_attribute(UpstreamTable, "rate_room_at", lambda self, upstream, now: now)
+
+
 @breaks.register("store-era")
 def ignore_eras():
     """Compare revisions of the store without their era."""
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -41,6 +41,13 @@
 ALLOWED_FAILURES = 10
 ALLOWED_FAILURE_SHARE = 0.02
 
+# From this long after a server first announced a rate, it may get so many times as much
+# in any window, and some requests more (rule LIMIT of the platform).
+LIMIT_NOTICE_S = 4.0
+LIMIT_WINDOW_S = 4.0
+LIMIT_OVERSHOOT = 1.5
+LIMIT_EXTRA_REQUESTS = 5
+
 checks = Registry("check")
 
 
@@ -227,6 +234,33 @@
             )
 
 
+@checks.register("rate-limit")
+def check_rate_limits(history):
+    """A server gets no more than it announces, summed over the daemons.
+
+    Daemons that were killed, paused or stopped meanwhile are excepted.
+    """
+    for limit in history.rate_limits:
+        start = limit.start + LIMIT_NOTICE_S
+        end = limit.end or math.inf
+        arrivals = []
+        for id, at in history.servers[limit.server_id].arrivals:
+            record = history.records.get(id)
+            if record is not None and start <= at < end:
+                span = ("daemon", record.daemon, limit.start, at)
+                if not history.had_fault(*span, FORGETTING_FAULTS):
+                    arrivals.append(at)
+        allowed = LIMIT_OVERSHOOT * limit.rate * LIMIT_WINDOW_S + LIMIT_EXTRA_REQUESTS
+        for at in arrivals:
+            count = sum(at <= other < at + LIMIT_WINDOW_S for other in arrivals)
+            if count > allowed:
+                yield (
+                    f"{limit.server_id}: {count} requests in {LIMIT_WINDOW_S:g} s, "
+                    f"{allowed:.0f} allowed at {limit.rate} a second"
+                )
+                break
+
+
 @checks.register("own-ends")
 def check_process_ends(history):
     """No daemon exits or logs an error by itself; stopped ones exit with 0 in time."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,12 +9,17 @@
 from standins.entry_fleet import DRAIN_S, GRACE_S, SHARDS, make_configuration
 from standins.partitioned_entry import CUT_MODES
 
+from .history import RateLimitInterval
+
 __all__ = ["faults"]
 
 faults = Registry("fault")
 MAX_FAULT_S = 3.0
 # Partitions last longer: callers must be served from a certain time on.
 MAX_PARTITION_S = 7.0
+# A limited server is judged from a certain time on, in windows of the same length.
+LIMIT_NOTICE_S = 4.0
+MAX_LIMIT_S = 10.0
 # A busy machine may delay the exit of a process beyond its grace time.
 EXIT_SLACK_S = 2.0
 # Servers write to the store at least this often, in s. An entry expires after three
@@ -204,6 +209,32 @@
         server.away_until = until
 
 
+@faults.register("limit")
+async def limit_servers(session, rng):
+    """Let one server or all of a service announce a rate that they take in all."""
+    service = rng.choice(SHARDS)
+    servers = [
+        server
+        for server in session.fleet.servers.values()
+        if server.service == service and server.rate_limit is None
+    ]
+    if not servers:
+        return
+    if rng.random() < 0.5:
+        servers = [rng.choice(servers)]
+    rate = round(rng.uniform(0.0, 8.0), 1)
+    limits = [
+        RateLimitInterval(server.id, rate, time.monotonic()) for server in servers
+    ]
+    session.rate_limits.extend(limits)
+    for server in servers:
+        server.rate_limit = rate
+    await curio.sleep(rng.uniform(LIMIT_NOTICE_S, MAX_LIMIT_S))
+    for server, limit in zip(servers, limits, strict=True):
+        server.rate_limit = None
+        limit.end = time.monotonic()
+
+
 @faults.register("replace")
 async def replace_server(session, rng):
     """Start a new server, then drain, deregister and close an old one."""
--- a/soak/history.py
+++ b/soak/history.py
@@ -1,6 +1,6 @@
 """Records of the requests of callers and of the times of faults."""
 
-__all__ = ["FaultInterval", "RequestRecord"]
+__all__ = ["FaultInterval", "RateLimitInterval", "RequestRecord"]
 
 
 class RequestRecord:
@@ -62,3 +62,15 @@
     def __str__(self):
         length = "now" if self.end is None else f"{self.end - self.start:.1f} s"
         return f"{self.kind} of {self.target} for {length}"
+
+
+class RateLimitInterval:
+    """A rate that a server announced from ``start`` to ``end`` (None while it does)."""
+
+    __slots__ = ("end", "rate", "server_id", "start")
+
+    def __init__(self, server_id, rate, start):
+        self.server_id = server_id
+        self.rate = rate
+        self.start = start
+        self.end = None
--- a/soak/session.py
+++ b/soak/session.py
@@ -44,6 +44,7 @@
         self.fleet = EntryFleet(folder, argv=argv or PARTITIONED_ENTRY, links=True)
         self.records = {}
         self.fault_intervals = []
+        self.rate_limits = []
         self.drain_times = {}
         self.process_problems = []
         self.faulty_daemons = set()
--- a/standins/shard.py
+++ b/standins/shard.py
@@ -38,6 +38,8 @@
     header ``not-run``. A request with a body gets the body back, another one gets
     ``make_records`` of the service and its id.
 
+    ``arrivals`` holds (request id, time) of all requests, also those that do not run.
+    While ``rate_limit`` is set, responses announce it in requests a second.
     With ``closes_connections`` each response ends its connection. While ``is_leaving``
     is set, all responses announce the server's end. Until ``away_until`` (steady clock,
     in s) requests get 503 with the time left. ``announcements`` holds (request id,
@@ -55,6 +57,8 @@
         self.runs = []
         self.is_leaving = False
         self.closes_connections = False
+        self.rate_limit = None
+        self.arrivals = []
         self.away_until = 0.0
         self.announcements = []
         self.refusals = []
@@ -89,7 +93,11 @@
         await serve_http(sock, self._handle, log=Log())
 
     async def _handle(self, request):
+        if "request-id" in request.headers:
+            self.arrivals.append((request.headers["request-id"], time.monotonic()))
         response = await self._respond(request)
+        if self.rate_limit is not None and response.status != 421:
+            response.headers["server-limit"] = str(self.rate_limit)
         if self.is_leaving and response.status != 421:
             response.headers["server-leaving"] = "1"
             request_id = request.headers.get("request-id")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,7 +3,7 @@
 import testtools
 
 from soak.checks import checks, find_violations
-from soak.history import FaultInterval, RequestRecord
+from soak.history import FaultInterval, RateLimitInterval, RequestRecord
 from soak.run import read_regression_seeds, run_seed
 from standins.entry_fleet import SHARDS
 from standins.shard import make_records
@@ -19,6 +19,7 @@
         self.runs = []
         self.announcements = []
         self.refusals = []
+        self.arrivals = []
 
 
 class _History:
@@ -31,6 +32,7 @@
         self.drain_times = {}
         self.process_problems = []
         self.fault_intervals = []
+        self.rate_limits = []
 
     def add(self, id, kind, status, ran=(), error=None, took_s=0.1, **answer):
         record = RequestRecord(id, kind, 0, 10.0, 1.2)
@@ -161,6 +163,21 @@
             fault.start = 9.0
             self.assertEqual([], find_violations(history))
 
+    def test_requests_beyond_an_announced_rate(self):
+        for count, is_violation in ((12, True), (11, False)):
+            history = _History()
+            history.add_search("s-1")
+            history.rate_limits.append(RateLimitInterval("i-shard-0", 1.0, 5.0))
+            history.servers["i-shard-0"].arrivals.extend(
+                ("s-1", 10.0 + number * 0.3) for number in range(count)
+            )
+            if is_violation:
+                self.assert_violation(history, "rate-limit")
+                history.fault_intervals.append(
+                    FaultInterval("kill", ("daemon", 0), 9.0)
+                )
+            self.assertEqual([], find_violations(history))
+
     def test_request_to_a_drained_server(self):
         history = _History()
         history.add("w-1", "write", 200, ["i-drafts"], body=b"w-1")
@@ -200,7 +217,7 @@
             self.assertEqual(names, found, (at, count))
 
     def test_every_check_has_a_name(self):
-        self.assertEqual(10, len(checks.names()))
+        self.assertEqual(11, len(checks.names()))
 
 
 class RunTest(testtools.TestCase):
