Compare callers without links with what others get in the soak

The rule says served less than two thirds as often as the others; with 0 there is no such share. Where others are served the check is as strict as before.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -225,12 +225,12 @@
         if not here or not others:
             continue
         failed = here.count(False)
-        ratio = (sum(here) / len(here)) / max(0.01, sum(others) / len(others))
+        least = MIN_SERVED_RATIO * sum(others) / len(others)
         allowed = ALLOWED_FAILURES + ALLOWED_FAILURE_SHARE * len(requests)
-        if ratio < MIN_SERVED_RATIO and failed > allowed:
+        if sum(here) / len(here) < least and failed > allowed:
             yield (
                 f"daemon {daemon}: {failed} of {len(here)} failed without links, "
-                f"{others.count(False)} of {len(others)} elsewhere"
+                f"{others.count(False)} of {len(others)} failed elsewhere"
             )
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -159,6 +159,12 @@
                 self.assert_violation(history, "partition")
             else:
                 self.assertEqual([], find_violations(history))
+            # Servers that serve nobody are no reason.
+            for number in range(30):
+                history.records[f"o-{number}"].status = 503
+            self.assertEqual([], find_violations(history))
+            for number in range(30):
+                history.records[f"o-{number}"].status = 200
             # The time in which the links may be found to be lost is not judged.
             fault.start = 9.0
             self.assertEqual([], find_violations(history))
