--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -441,6 +441,14 @@
                 "Requests refused since servers ended under them.",
                 self.crash_detector.counts["refused"],
             ),
+            "links_failing": (
+                "Whether no server can be reached.",
+                int(self.link_watch.monitor.is_failing),
+            ),
+            "limited_services": (
+                "Services with a server that limits its rate.",
+                len(self.table.limited_services),
+            ),
             "members": ("Daemons heard lately.", len(self.view.alive_members(now))),
             "store_calls": ("Calls of the store.", self.store.call_count),
             "connections_opened": ("Connections to servers.", self.pool.opened_count),
