--- a/almondtide/entry/link_watch.py
+++ b/almondtide/entry/link_watch.py
@@ -87,7 +87,9 @@
     async def check(self):
         """Probe the links if they are suspected or lost."""
         now = self._now()
-        silent_ids = self._table.silent_ids(now)
+        silent_ids = ()
+        if self.monitor.is_silent(now):
+            silent_ids = self._table.silent_ids(now)
         if not self.monitor.should_probe(silent_ids, now):
             return
         upstreams = self._table.probe_candidates(PROBES_PER_ROUND, now, random)
