Do not take an entry's own pause for silence of its servers

Cause: an entry that stood still for more than 0.45 s (frozen, or starved of processor time) handled requests that had arrived meanwhile, and timers, before the replies that waited in its sockets. The age of its exchanges was the silence of their servers, so all servers of a service counted as lost, were ejected when the calls ended, and requests were refused with 308 though every server served.

Change: entry/run_time.py counts the time that the process ran from ticks of 0.1 s; silence of a server is that time. A gap counts up to 0.15 s, so a process that is starved all the time still finds silent servers, later.

--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -28,6 +28,7 @@
 from .relay import RelayPeers
 from .replica import StoreReplica
 from .retry_budget import slack_share
+from .run_time import TICK_S
 from .upstreams import UpstreamTable
 
 __all__ = ["EntryDaemon"]
@@ -175,6 +176,7 @@
             "reader": self.reader.run,
             "housekeeping": self._housekeeping,
             "links": self.link_watch.run,
+            "run_time": self._tick,
         }
         for name, function in tasks.items():
             task = Supervised(name, function, boottime_now, self.log)
@@ -284,6 +286,11 @@
             self.crash_detector.remove_expired()
             self._update_role(now)
 
+    async def _tick(self):
+        while True:
+            self.table.run_time.tick(boottime_now())
+            await curio.sleep(TICK_S)
+
     def _on_limit_end(self, server_id, born_ms, at):
         if self.table.end_rate_limit(server_id, born_ms, at):
             self.log.info(
--- a/almondtide/entry/upstreams.py
+++ b/almondtide/entry/upstreams.py
@@ -10,6 +10,7 @@
 import math
 
 from .rate_limits import RateLimit, RateShares
+from .run_time import RunTime
 
 __all__ = ["Failure", "Upstream", "UpstreamTable"]
 
@@ -104,6 +105,7 @@
         "_consecutive_losses",
         "_failure_rate",
         "_pending",
+        "_run_time",
         "_sampled_at",
         "_slowness",
         "announced_until",
@@ -122,8 +124,10 @@
         "server",
     )
 
-    def __init__(self, server):
+    def __init__(self, server, run_time=None):
         self.server = server
+        # The ``RunTime`` of this process, which cannot see replies while it pauses.
+        self._run_time = RunTime() if run_time is None else run_time
         self._slowness = 1.0
         self._failure_rate = 0.0
         self._sampled_at = 0.0
@@ -175,8 +179,11 @@
         if not self._pending:
             return 0.0
         started, expected_s = next(iter(self._pending.values()))
-        silent_for_s = now - max(started, self.last_reply_at)
+        since = max(started, self.last_reply_at)
         due_s = max(MIN_SILENT_S, SILENT_FACTOR * expected_s * self.slowness(now))
+        if now - since <= due_s:
+            return 0.0
+        silent_for_s = self._run_time.ran_s(since, now)
         return silent_for_s if silent_for_s > due_s else 0.0
 
     def start(self, exchange, now, expected_s):
@@ -192,7 +199,8 @@
         if pending is None:
             return
         self.is_probing = False
-        if now - max(pending[0], self.last_reply_at) > LOST_AFTER_S:
+        since = max(pending[0], self.last_reply_at)
+        if self._run_time.ran_s(since, now) > LOST_AFTER_S:
             self._eject(now)
 
     def cancel(self, exchange):
@@ -364,10 +372,12 @@
         "entry_count",
         "limited_services",
         "rate_shares",
+        "run_time",
     )
 
     def __init__(self, domain):
         self.domain = domain
+        self.run_time = RunTime()
         # Number of entries that send to these servers, including this one.
         self.entry_count = 1
         self.rate_shares = RateShares()
@@ -404,7 +414,7 @@
                 known.is_retired = False
                 return None
             self.remove(server.id)
-        upstream = Upstream(server)
+        upstream = Upstream(server, self.run_time)
         upstream.listed_until = usable_until
         _, earlier = self._removed.pop(server.id, (None, None))
         earlier = known or earlier
--- a/tests/entry/test_upstreams.py
+++ b/tests/entry/test_upstreams.py
@@ -2,6 +2,7 @@
 
 import testtools
 
+from almondtide.entry.run_time import TICK_S
 from almondtide.entry.upstreams import (
     CONNECT_BACKOFF_S,
     ESTIMATE_DECAY_S,
@@ -186,6 +187,24 @@
         # The servers stay lost after the silent exchanges were given up.
         self.assertTrue(table.is_service_lost("a", LOST_AFTER_S + 0.02))
 
+    def test_a_pause_of_this_process_is_no_silence_of_its_servers(self):
+        # Replies wait unread meanwhile; new requests are placed before they are read.
+        table = _three()
+        table.run_time.tick(0.0)
+        for upstream in table:
+            upstream.start("x", 0.0, EXPECTED_S)
+            upstream.start("y", 0.0, EXPECTED_S)
+        self.assertFalse(table.is_service_lost("a", 3.0))
+        for upstream in table:
+            upstream.abandon("x", 3.0)
+        self.assertFalse(table.is_service_lost("a", 3.0))
+        # They count as lost if they are silent for long enough afterwards.
+        now = 3.0
+        while now < 3.0 + LOST_AFTER_S:
+            table.run_time.tick(now)
+            now += TICK_S
+        self.assertTrue(table.is_service_lost("a", now))
+
     def test_exchange_that_was_given_up_early_ejects_no_server(self):
         upstream = _table(make_server("i-1")).get("i-1")
         upstream.start("x", 0.0, EXPECTED_S)
