Tell stalls of the test's own process from a failed planned stop

Cause: test_planned_stop_while_callers_keep_connecting demanded 200 of every answer, while the servers run in the test's own process. If that stands still for 0.3 to 1.0 s, all servers are silent, and the entry refuses what they cannot serve in time (full) or at all (no servers), before its stop as well.

Change: the test measures the stalls of its process. Without one of 0.25 s every answer must be 200 as before; beside one a refusal must be a 503 with a time to return, and no server may have run the request, which was not checked before. A second test forces the stall, checks the refusals, and that service is back.

--- a/tests/entry/test_processes.py
+++ b/tests/entry/test_processes.py
@@ -24,8 +24,10 @@
     send_request,
 )
 from standins.shard import make_records
-from tests.support import run
+from tests.support import StallMeter, run
 
+# Servers that stand still for this long, in s, may seem to be full or down.
+SERVER_STALL_S = 0.25
 COUNTS = ("answers", "refused", "failed")
 
 
@@ -257,27 +259,74 @@
 
         self.run_scenario(scenario)
 
+    def check_refusals(self, fleet, refusals, stall_s):
+        """Check that requests were refused only while servers stood still, unrun.
+
+        ``refusals`` holds (request id, response) of requests without status 200.
+        ``stall_s`` is how long this process, which runs the servers, stood still.
+        """
+        if stall_s < SERVER_STALL_S:
+            self.assertEqual([], refusals)
+        run_ids = {id for server in fleet.servers.values() for id, _, _ in server.runs}
+        for id, (status, headers, body) in refusals:
+            self.assertEqual(503, status, body)
+            self.assertIn("retry-after", headers)
+            self.assertNotIn(id, run_ids)
+
+    def test_refusals_while_all_servers_stand_still_are_true(self):
+        async def scenario(fleet):
+            tasks = []
+
+            async def call_for(duration_s):
+                end = time.monotonic() + duration_s
+                while time.monotonic() < end:
+                    id = f"q-{len(tasks)}"
+                    search = curio.spawn(fleet.search, 0, id, daemon=True)
+                    tasks.append((id, await search))
+                    await curio.sleep(0.02)
+
+            await call_for(0.3)
+            # Stops the servers as well, and the callers' requests come in one burst.
+            time.sleep(2 * SERVER_STALL_S)
+            await call_for(0.3)
+            await curio.sleep(1.0)
+            settled_from = len(tasks)
+            await call_for(0.3)
+            answers = [(id, await task.join()) for id, task in tasks]
+            refusals = [item for item in answers if item[1][0] != 200]
+            self.check_refusals(fleet, refusals, SERVER_STALL_S)
+            late = [status for _, (status, _, _) in answers[settled_from:]]
+            self.assertEqual({200}, set(late))
+
+        self.run_scenario(scenario)
+
     def test_planned_stop_while_callers_keep_connecting(self):
         # A connection accepted while the tasks were cancelled made the exit fail: the
         # process ended with status 1, and a request got no answer (soak, seed 12).
         async def scenario(fleet):
             seen = {"answered": 0, "refused": 0}
+            refusals = []
+            meter = StallMeter()
+            await curio.spawn(meter.run, daemon=True)
 
             async def keep_calling(number):
                 while fleet.processes[0].poll() is None:
+                    id = f"q-{number}-{time.monotonic()}"
                     try:
-                        answer = await fleet.search(0, f"q-{number}-{time.monotonic()}")
+                        answer = await fleet.search(0, id)
                     except OSError:
                         seen["refused"] += 1
-                    else:
-                        self.assertEqual(200, answer[0])
-                        seen["answered"] += 1
+                        continue
+                    seen["answered"] += 1
+                    if answer[0] != 200:
+                        refusals.append((id, answer))
 
             tasks = [await curio.spawn(keep_calling, number) for number in range(6)]
             await curio.sleep(0.3)
             fleet.processes[0].send_signal(signal.SIGTERM)
             for task in tasks:
                 await task.join()
+            self.check_refusals(fleet, refusals, meter.longest_s)
             self.assertEqual(0, fleet.processes[0].returncode)
             self.assertTrue(seen["answered"] > 50 and seen["refused"] > 0, seen)
             for text in ("Traceback", "connection_failed"):
--- a/tests/support.py
+++ b/tests/support.py
@@ -1,6 +1,7 @@
 """Helpers for tests with sockets, HTTP and curio."""
 
 import socket
+import time
 
 import curio
 import curio.io
@@ -43,6 +44,24 @@
     return curio.run(bounded)
 
 
+class StallMeter:
+    """Measures for how long the kernel of a test stands still, in ``longest_s``."""
+
+    TICK_S = 0.02
+
+    def __init__(self):
+        self.longest_s = 0.0
+
+    async def run(self):
+        """Measure until cancelled."""
+        ticked_at = time.monotonic()
+        while True:
+            await curio.sleep(self.TICK_S)
+            now = time.monotonic()
+            self.longest_s = max(self.longest_s, now - ticked_at - self.TICK_S)
+            ticked_at = now
+
+
 class HTTPServer:
     """Serves ``handler`` on a loopback port in the kernel of the test."""
 
