Shut down the kernel of a test that makes the shutdown fail

Found by a plugin that records the birth of each kernel that is collected without a shutdown: one in a run of all tests but the processes and proofs.

Change: the test shuts its kernel down a second time, when no task starts another. Measured: with unraisable exceptions as errors the file fails before and passes in 3 of 3 runs after.

--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -26,7 +26,11 @@
             await curio.spawn(_spawn_when_cancelled, 1, daemon=True)
             await curio.sleep(0)
 
-        self.assertRaises(AssertionError, curio.run, main)
+        kernel = curio.Kernel()
+        kernel.run(main)
+        self.assertRaises(AssertionError, kernel.run, shutdown=True)
+        # The task that was started ends with the second shutdown.
+        kernel.run(shutdown=True)
 
     def test_tasks_that_start_others_are_cancelled(self):
         async def main():
