--- a/almondtide/entry/run_time.py
+++ b/almondtide/entry/run_time.py
@@ -13,8 +13,7 @@
 TICK_S = 0.1
 # Time without a tick that still counts as running, in s.
 MAX_GAP_S = 0.15
-# Number of pauses that are kept. With shorter pauses they cover at least 4 s, longer
-# than any exchange whose server is judged by it.
+# Number of pauses that are kept. Earlier ones count as time in which it ran.
 MAX_PAUSES = 16
 
 
