--- a/tests/entry/test_processes.py
+++ b/tests/entry/test_processes.py
@@ -26,7 +26,7 @@
 from standins.shard import make_records
 from tests.support import StallMeter, run
 
-# Servers that stand still for this long, in s, may seem to be full or down.
+# Servers that stall for this long, in s, may seem to be full or down.
 SERVER_STALL_S = 0.25
 COUNTS = ("answers", "refused", "failed")
 
@@ -260,10 +260,10 @@
         self.run_scenario(scenario)
 
     def check_refusals(self, fleet, refusals, stall_s):
-        """Check that requests were refused only while servers stood still, unrun.
+        """Check that requests were refused only during a stall, and have not run.
 
         ``refusals`` holds (request id, response) of requests without status 200.
-        ``stall_s`` is how long this process, which runs the servers, stood still.
+        ``stall_s`` is the longest stall of this process, which runs the servers.
         """
         if stall_s < SERVER_STALL_S:
             self.assertEqual([], refusals)
@@ -273,7 +273,7 @@
             self.assertIn("retry-after", headers)
             self.assertNotIn(id, run_ids)
 
-    def test_refusals_while_all_servers_stand_still_are_true(self):
+    def test_refusals_while_all_servers_stall_are_true(self):
         async def scenario(fleet):
             tasks = []
 
--- a/tests/support.py
+++ b/tests/support.py
@@ -45,7 +45,7 @@
 
 
 class StallMeter:
-    """Measures for how long the kernel of a test stands still, in ``longest_s``."""
+    """Measures the longest stall of the kernel of a test, ``longest_s``."""
 
     TICK_S = 0.02
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -73,6 +73,18 @@
         return any(item.kind in kinds for item in self.fault_intervals)
 
 
+def _paused_history(at, count):
+    """Return a history with ``count`` runs at a server that asked for 2 s of pause."""
+    history = _History()
+    server = history.servers["i-drafts"]
+    history.add("w-1", "write", 503)
+    server.refusals.append(("w-1", 10.0, 12.0))
+    for number in range(count):
+        history.add(f"w-a{number}", "write", 502)
+        server.runs.append((f"w-a{number}", None, at))
+    return history
+
+
 def _split(body):
     return [body[start : start + 16] for start in range(0, len(body), 16)]
 
@@ -212,26 +224,14 @@
             (10.6, 3, ["pause"]),
             (12.1, 3, []),
         ):
-            history = _History()
-            server = history.servers["i-drafts"]
-            history.add("w-1", "write", 503)
-            server.refusals.append(("w-1", 10.0, 12.0))
-            for number in range(count):
-                history.add(f"w-a{number}", "write", 502)
-                server.runs.append((f"w-a{number}", None, at))
+            history = _paused_history(at, count)
             found = [text.partition(":")[0] for text in find_violations(history)]
             self.assertEqual(names, found, (at, count))
 
     def test_requests_in_a_pause_that_a_peer_was_asked_for(self):
         # The requests of a partitioned daemon ran at a peer (soak, seed 63047).
         for kind, names in (("partition", []), ("announce", ["pause"])):
-            history = _History()
-            server = history.servers["i-drafts"]
-            history.add("w-1", "write", 503)
-            server.refusals.append(("w-1", 10.0, 12.0))
-            for number in range(3):
-                history.add(f"w-a{number}", "write", 502)
-                server.runs.append((f"w-a{number}", None, 11.0))
+            history = _paused_history(at=11.0, count=3)
             history.fault_intervals.append(FaultInterval(kind, ("daemon", 0), 9.5))
             found = [text.partition(":")[0] for text in find_violations(history)]
             self.assertEqual(names, found, kind)
