--- a/almondtide/model/http_messages.py
+++ b/almondtide/model/http_messages.py
@@ -1,6 +1,6 @@
 """Requests of callers and replies of servers, as decoded from HTTP."""
 
-__all__ = ["Reply", "Request"]
+__all__ = ["Reply", "ReportedLoad", "Request"]
 
 
 class Request:
@@ -42,6 +42,23 @@
         return self.target.partition("?")[0]
 
 
+class ReportedLoad:
+    """The load that a server reports in a reply.
+
+    ``running`` and ``waiting`` are numbers of requests, ``slots`` is how many it runs
+    at the same time. ``pace`` is how long work takes on its machine at this moment as
+    a multiple of the usual time, or None if the server does not say.
+    """
+
+    __slots__ = ("pace", "running", "slots", "waiting")
+
+    def __init__(self, running, waiting, slots, pace=None):
+        self.running = running
+        self.waiting = waiting
+        self.slots = slots
+        self.pace = pace
+
+
 class Reply:
     """A complete reply of a server.
 
@@ -56,10 +73,13 @@
     tells that it states a time that cannot be read. ``rate_limit`` is how many
     requests a second the server takes from all entries together, or None, and
     ``has_invalid_rate_limit`` tells that it states a rate that cannot be read.
+    ``reported_load`` is a ``ReportedLoad`` or None; ``has_invalid_load`` tells that the
+    server reports one of which a part or all cannot be read.
     """
 
     __slots__ = (
         "body",
+        "has_invalid_load",
         "has_invalid_pause",
         "has_invalid_rate_limit",
         "headers",
@@ -70,6 +90,7 @@
         "keep_alive_s",
         "pause_s",
         "rate_limit",
+        "reported_load",
         "request_id",
         "server_stamp",
         "status",
@@ -90,6 +111,8 @@
         self.has_invalid_pause = False
         self.rate_limit = None
         self.has_invalid_rate_limit = False
+        self.reported_load = None
+        self.has_invalid_load = False
 
     @property
     def is_success(self):
--- a/almondtide/model/published.py
+++ b/almondtide/model/published.py
@@ -38,10 +38,12 @@
     the latency objective. ``priority_rank`` 0 is the most urgent. ``max_servers``
     limits the servers that may run one request. Of merged records the greatest
     ``top_records`` are returned, if the share of shards that answered is at least
-    ``min_coverage``.
+    ``min_coverage``. With ``allowed_regions`` only servers of these regions may run its
+    requests.
     """
 
     __slots__ = (
+        "allowed_regions",
         "host",
         "is_idempotent",
         "max_servers",
@@ -71,6 +73,7 @@
         priority_rank=0,
         top_records=0,
         min_coverage=0.0,
+        allowed_regions=(),
     ):
         self.name = name
         self.host = host
@@ -84,6 +87,7 @@
         self.priority_rank = priority_rank
         self.top_records = top_records
         self.min_coverage = min_coverage
+        self.allowed_regions = tuple(allowed_regions)
 
     @property
     def services(self):
@@ -92,14 +96,28 @@
 
 
 class ServiceInfo(_Record):
-    """The configuration of a service."""
+    """The configuration of a service.
 
-    __slots__ = ("health_path", "max_connections", "name")
+    Its servers are cold for ``warmup_s`` after they start, and tolerate
+    ``warmup_per_s`` requests a second meanwhile; None stands for no bound.
+    """
+
+    __slots__ = (
+        "health_path",
+        "max_connections",
+        "name",
+        "warmup_per_s",
+        "warmup_s",
+    )
 
-    def __init__(self, name, health_path, max_connections):
+    def __init__(
+        self, name, health_path, max_connections, warmup_s=0.0, warmup_per_s=None
+    ):
         self.name = name
         self.health_path = health_path
         self.max_connections = max_connections
+        self.warmup_s = warmup_s
+        self.warmup_per_s = warmup_per_s
 
 
 class CallerLimits(_Record):
@@ -205,7 +223,15 @@
     configuration must be in force everywhere within ``config_apply_s``. The fields
     ``extra_ratio``, ``extra_slack`` and ``extra_window_s`` are the ratio, slack and
     window of ``RetryBudget``. ``core_share`` is the share of a processor core, scaled
-    by the core's speed.
+    by the core's speed. ``memory_bytes`` is the memory limit of the process, or None.
+    ``region_of_domain`` maps failure domains to regions.
+
+    Some fields switch on behaviour that a deployment asks for, and are None or False
+    elsewhere. ``evacuate_s`` is the time within which requests to an evacuated failure
+    domain end. A cold server may get ``warmup_overshoot`` times the rate that it
+    tolerates and ``warmup_slack`` requests more in a second. ``sheds_by_cost`` tells
+    that work is delayed and refused by what that costs callers. The path to the
+    platform counts as sound after ``contact_s`` without a disturbance.
 
     Log lines of reloads list changed settings by the names of these fields.
     """
@@ -213,12 +239,14 @@
     __slots__ = (
         "caller_address",
         "config_apply_s",
+        "contact_s",
         "control_address",
         "core_share",
         "directory_address",
         "domain",
         "domains",
         "drain_s",
+        "evacuate_s",
         "extra_ratio",
         "extra_slack",
         "extra_window_s",
@@ -228,11 +256,16 @@
         "instance",
         "is_first_start",
         "max_ttl_s",
+        "memory_bytes",
         "metrics_address",
         "readiness_address",
         "region",
+        "region_of_domain",
         "seeds",
+        "sheds_by_cost",
         "store_address",
+        "warmup_overshoot",
+        "warmup_slack",
     )
 
     def __init__(self, **fields):
--- a/almondtide/platform/documents.py
+++ b/almondtide/platform/documents.py
@@ -76,6 +76,7 @@
         priority_rank=fields.number("priority", 0),
         top_records=fields.integer("top_k", 0),
         min_coverage=fields.number("min_coverage", 0),
+        allowed_regions=fields.strings("allowed_regions", []),
     )
 
 
@@ -84,6 +85,9 @@
         fields.string("name"),
         fields.string("health_path", "/health"),
         fields.integer("max_connections", 1 << 16, 1),
+        fields.number("warmup_s", 0.0),
+        # The platform writes 0 for a service that states no bound.
+        fields.number("warmup_per_s", 0.0) or None,
     )
 
 
--- a/almondtide/platform/headers.py
+++ b/almondtide/platform/headers.py
@@ -4,7 +4,7 @@
 
 import orjson
 
-from ..model.http_messages import Reply, Request
+from ..model.http_messages import Reply, ReportedLoad, Request
 
 __all__ = [
     "READY_PATH",
@@ -32,6 +32,7 @@
 SERVER_STAMP = b"server-stamp"
 SERVER_LEAVING = b"server-leaving"
 SERVER_LIMIT = b"server-limit"
+SERVER_LOAD = b"server-load"
 RETRY_AFTER = b"retry-after"
 PART_STAMPS = b"Part-Stamps"
 MISSING_PARTS = b"Missing-Parts"
@@ -40,6 +41,11 @@
 # A decimal number without sign, exponent or the underscores that ``float`` takes.
 _NUMBER = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,12})?")
 
+# A count of requests or slots in a report of load; a larger one is taken as unreadable.
+_COUNT = re.compile(rb"[0-9]{1,6}")
+# Value of the fourth figure of a report of load while work takes as long as usual.
+USUAL_PACE = 100.0
+
 # Hop-by-hop headers (RFC 9110, section 7.6.1), and those that are generated anew.
 _NOT_FORWARDED = frozenset(
     (
@@ -139,6 +145,8 @@
         elif name == SERVER_LIMIT:
             reply.rate_limit = _parse_number(value)
             reply.has_invalid_rate_limit = reply.rate_limit is None
+        elif name == SERVER_LOAD:
+            reply.reported_load, reply.has_invalid_load = _parse_load(value)
         elif name == RETRY_AFTER and status == TURNED_AWAY_STATUS:
             reply.pause_s = _parse_number(value)
             reply.has_invalid_pause = reply.pause_s is None
@@ -152,6 +160,31 @@
     return reply
 
 
+def _parse_load(value):
+    """Return (``ReportedLoad`` or None, whether a part or all cannot be read).
+
+    An unreadable pace leaves the other figures in force.
+
+    >>> load, is_invalid = _parse_load(b"3,1,8,250")
+    >>> load.running, load.waiting, load.slots, load.pace, is_invalid
+    (3, 1, 8, 2.5, False)
+    >>> _parse_load(b"3,-1,8")
+    (None, True)
+    """
+    parts = [part.strip() for part in value.split(b",")]
+    if not 3 <= len(parts) <= 4 or not all(map(_COUNT.fullmatch, parts[:3])):
+        return None, True
+    running, waiting, slots = map(int, parts[:3])
+    if not slots:
+        return None, True
+    pace = None
+    if len(parts) == 4:
+        number = _parse_number(parts[3])
+        pace = number / USUAL_PACE if number else None
+    is_invalid = len(parts) == 4 and pace is None
+    return ReportedLoad(running, waiting, slots, pace), is_invalid
+
+
 def _parse_idle_s(value):
     for item in value.split(b","):
         name, _, seconds = item.partition(b"=")
--- a/almondtide/platform/settings.py
+++ b/almondtide/platform/settings.py
@@ -11,6 +11,9 @@
 SETTINGS_VARIABLE = "ALMONDTIDE_SETTINGS"
 # Port of the metrics, also declared to the platform in ``deploy/system.toml``.
 METRICS_PORT = 9464
+# Name in the list of contracts that asks for shedding by cost.
+PRESSURE_CONTRACT = "pressure"
+BYTES_PER_MB = 1_000_000
 
 
 def read_settings(path):
@@ -62,12 +65,39 @@
         extra_window_s=bounds.number("budget_window_s", 10.0),
         extra_slack=bounds.number("budget_slack", 0),
         max_ttl_s=bounds.number("ttl_max_s", 5.0),
+        contact_s=bounds.number("contact_ms", 5000) / 1000.0,
+        evacuate_s=_to_seconds(bounds.number("evacuate_ms", None)),
+        warmup_overshoot=bounds.number("warmup_overshoot", None),
+        warmup_slack=bounds.number("warmup_slack", None),
+        memory_bytes=_to_bytes(limits.number("memory_mb", None)),
+        region_of_domain=_parse_regions(document),
+        sheds_by_cost=PRESSURE_CONTRACT in fields.strings("contracts", []),
     )
     if fields.problems:
         raise SettingsError(fields.problems)
     return settings
 
 
+def _to_seconds(ms):
+    return None if ms is None else ms / 1000.0
+
+
+def _to_bytes(megabytes):
+    return None if megabytes is None else int(megabytes * BYTES_PER_MB)
+
+
+def _parse_regions(document):
+    """Return a dict from failure domain to region; domains without one are left out."""
+    zones = document.get("zones") if isinstance(document, dict) else None
+    if not isinstance(zones, dict):
+        return {}
+    return {
+        zone: region
+        for zone, region in zones.items()
+        if isinstance(region, str) and region
+    }
+
+
 def _parse_domains(fields, document):
     zones = document.get("zones", {}) if isinstance(document, dict) else {}
     if not isinstance(zones, (dict, list)) or not all(
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -173,6 +173,22 @@
             (limits.max_header_bytes, limits.max_body_bytes, limits.idle_timeout_s),
         )
 
+    def test_warm_up_and_regions(self):
+        service = {"name": "a", "warmup_s": 3.0, "warmup_per_s": 12}
+        route = {**ROUTES[1], "allowed_regions": ["lk-west"]}
+        configuration = decode_configuration(
+            _configuration(services=[service, {"name": "b"}], routes=[route])
+        )
+        service = configuration.services["a"]
+        self.assertEqual((3.0, 12), (service.warmup_s, service.warmup_per_s))
+        self.assertEqual(("lk-west",), configuration.routes[0].allowed_regions)
+
+    def test_a_rate_of_zero_states_no_bound(self):
+        services = [{"name": "a", "warmup_s": 3.0, "warmup_per_s": 0.0}, {"name": "b"}]
+        configuration = decode_configuration(_configuration(services=services))
+        for service in configuration.services.values():
+            self.assertIsNone(service.warmup_per_s)
+
     def test_requests_of_an_unknown_route_type_may_run_once(self):
         routes = [{**ROUTES[1], "route_type": "sometimes"}]
         (route,) = decode_configuration(_configuration(routes=routes)).routes
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -161,3 +161,36 @@
             reply = self._reply(value)
             self.assertIsNone(reply.rate_limit, value)
             self.assertTrue(reply.has_invalid_rate_limit, value)
+
+
+class ReportedLoadHeaderTest(testtools.TestCase):
+    """Guards against reports of load that are misread or that fail a request."""
+
+    def _decode(self, value):
+        return decode_reply(200, [(b"server-load", value)], b"")
+
+    def test_figures(self):
+        cases = {b"3,0,8": (3, 0, 8, None), b"1, 2, 4, 250": (1, 2, 4, 2.5)}
+        for value, expected in cases.items():
+            load = self._decode(value).reported_load
+            self.assertEqual(
+                expected, (load.running, load.waiting, load.slots, load.pace)
+            )
+
+    def test_no_header_reports_nothing(self):
+        reply = decode_reply(200, [], b"")
+        self.assertIsNone(reply.reported_load)
+        self.assertFalse(reply.has_invalid_load)
+
+    def test_figures_that_cannot_be_read(self):
+        for value in (b"", b"3", b"3,0", b"-1,0,8", b"3,0,0", b"1e3,0,8", b"9" * 30):
+            reply = self._decode(value)
+            self.assertIsNone(reply.reported_load, value)
+            self.assertTrue(reply.has_invalid_load, value)
+
+    def test_an_unreadable_pace_leaves_the_other_figures(self):
+        for value in (b"3,0,8,", b"3,0,8,-5", b"3,0,8,0", b"3,0,8,nan"):
+            reply = self._decode(value)
+            self.assertEqual(8, reply.reported_load.slots, value)
+            self.assertIsNone(reply.reported_load.pace, value)
+            self.assertTrue(reply.has_invalid_load, value)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -26,6 +26,30 @@
         )
         self.assertAlmostEqual(0.731, settings.core_share)
 
+    def test_fields_that_switch_behaviour_on(self):
+        document = settings_document(contracts=["base", "pressure"])
+        document["bounds"] |= {
+            "contact_ms": 4000,
+            "evacuate_ms": 5000,
+            "warmup_overshoot": 1.5,
+            "warmup_slack": 5,
+        }
+        settings = decode_settings(orjson.dumps(document))
+        self.assertEqual((4.0, 5.0), (settings.contact_s, settings.evacuate_s))
+        self.assertEqual((1.5, 5), (settings.warmup_overshoot, settings.warmup_slack))
+        self.assertTrue(settings.sheds_by_cost)
+        self.assertEqual(222_000_000, settings.memory_bytes)
+        self.assertEqual("viti-levu", settings.region_of_domain["suva"])
+
+    def test_behaviour_is_off_where_no_field_asks_for_it(self):
+        document = settings_document(limits={}, zones=["suva"])
+        settings = decode_settings(orjson.dumps(document))
+        self.assertIsNone(settings.evacuate_s)
+        self.assertIsNone(settings.warmup_overshoot)
+        self.assertIsNone(settings.memory_bytes)
+        self.assertFalse(settings.sheds_by_cost)
+        self.assertEqual({}, settings.region_of_domain)
+
     def test_first_start(self):
         for value, expected in ((True, True), (False, False)):
             document = settings_document(bootstrap=value)
