--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -133,7 +133,7 @@
         )
         self._listeners = []
         self._tasks = []
-        self.directory = Directory(settings, self.view, now)
+        self.directory = Directory(settings, self.view, now, log)
         # Components that get new settings after a reload.
         self.settings_users = (
             self.gossip,
--- a/almondtide/entry/directory.py
+++ b/almondtide/entry/directory.py
@@ -1,4 +1,8 @@
-"""Service discovery for callers, and the readiness check of the platform."""
+"""Service discovery for callers, and the readiness check of the platform.
+
+Answers the load pattern in which entries end one after the other: a standby that ended
+unnoticed must not be named when the active entries of its failure domain end as well.
+"""
 
 from ..adapters.http import HTTPResponse
 from ..platform.headers import (
@@ -9,7 +13,7 @@
 )
 from .members import MemberState, select_active_members
 
-__all__ = ["Directory"]
+__all__ = ["Directory", "max_named_age_s"]
 
 # How long callers may use an answer, in s. It bounds how long they keep connecting to
 # an entry that failed.
@@ -19,6 +23,21 @@
 DISCOVERY_S = 0.4
 # How long the selection of active members is cached, in s.
 ACTIVE_CACHE_S = 0.1
+# An entry that has ended may be named for ``contact_s`` and this time, in s.
+NAMED_AFTER_CONTACT_S = 3.0
+# Fraction of that time after which an entry without a heartbeat is no longer named. The
+# rest covers cached selections and a process that waits for a processor. A standby
+# sends a heartbeat every second, so the age must be well above that.
+NAMED_AGE_FRACTION = 0.6
+
+
+def max_named_age_s(contact_s):
+    """Return the age of the last heartbeat up to which an entry is named, in s.
+
+    >>> round(max_named_age_s(5.0), 3)
+    4.8
+    """
+    return NAMED_AGE_FRACTION * (contact_s + NAMED_AFTER_CONTACT_S)
 
 
 class Directory:
@@ -27,29 +46,68 @@
     __slots__ = (
         "_active_members",
         "_computed_at",
+        "_log",
+        "_named_members",
         "_now",
+        "_silent_names",
         "_started_at",
         "_view",
         "counts",
         "settings",
     )
 
-    def __init__(self, settings, view, now):
+    def __init__(self, settings, view, now, log):
         self.settings = settings
         self._view = view
         self._now = now
         self._started_at = now()
         self._computed_at = 0.0
+        self._log = log
         self._active_members = None
-        self.counts = {"answered": 0, "unknown": 0}
+        # Failure domain -> members to name to callers.
+        self._named_members = {}
+        # Names of the active members that are not named since they are silent.
+        self._silent_names = set()
+        self.counts = {"answered": 0, "unknown": 0, "silent_left_out": 0}
 
     def active_members(self, now):
         """Return a dict from failure domain to active members, from the cache."""
         if self._active_members is None or now - self._computed_at > ACTIVE_CACHE_S:
             self._computed_at = now
-            self._active_members = select_active_members(self._view.ready_members(now))
+            ready_members = self._view.ready_members(now)
+            self._active_members = select_active_members(ready_members)
+            self._select_named(ready_members, now)
         return self._active_members
 
+    def _select_named(self, ready_members, now):
+        """Select the members to name: those heard lately, or all if there are none.
+
+        Liveness for heartbeats is a longer time: in a large fleet most standbys are
+        heard through others, and a standby that ended would be named for 15 s.
+        """
+        limit_s = max_named_age_s(self.settings.contact_s)
+        heard = [
+            member
+            for member in ready_members
+            if member is self._view.local_member
+            or now - member.last_heard_at <= limit_s
+        ]
+        self._named_members = select_active_members(heard or ready_members)
+        silent = [
+            member
+            for members in self._active_members.values()
+            for member in members
+            if heard and member not in heard
+        ]
+        for member in silent:
+            if member.name not in self._silent_names:
+                self._log.info(
+                    "entry_not_named",
+                    member=member.name,
+                    silent_ms=int((now - member.last_heard_at) * 1000),
+                )
+        self._silent_names = {member.name for member in silent}
+
     def invalidate(self):
         """Drop the cached selection of active members."""
         self._active_members = None
@@ -60,11 +118,12 @@
 
     def entry_members(self, domain, now):
         """Return the members that callers from a failure domain should use."""
-        active_members = self.active_members(now)
-        chosen = active_members.get(domain)
+        self.active_members(now)
+        named_members = self._named_members
+        chosen = named_members.get(domain)
         if not chosen:
             chosen = [
-                member for members in active_members.values() for member in members
+                member for members in named_members.values() for member in members
             ]
         # A member that was selected just now may have failed, or not know it yet.
         confirmed = [member for member in chosen if member.is_active]
@@ -82,6 +141,7 @@
             self.counts["unknown"] += 1
             return HTTPResponse(503)
         self.counts["answered"] += 1
+        self.counts["silent_left_out"] += bool(self._silent_names)
         port = self.settings.caller_address[1]
         body = encode_resolve_answer(
             [(member.host, port) for member in chosen],
--- a/tests/entry/test_gossip.py
+++ b/tests/entry/test_gossip.py
@@ -294,7 +294,7 @@
     """Guards against callers that get no entry or failed ones."""
 
     def _names(self, daemon, domain):
-        directory = Directory(SETTINGS, daemon.view, lambda: daemon.now)
+        directory = Directory(SETTINGS, daemon.view, lambda: daemon.now, daemon.log)
         return [member.name for member in directory.entry_members(domain, daemon.now)]
 
     def test_entries_of_the_callers_domain(self):
@@ -314,7 +314,7 @@
 
     def test_a_daemon_that_has_just_started_does_not_return_only_itself(self):
         daemon = _Daemon(1)
-        directory = Directory(SETTINGS, daemon.view, lambda: daemon.now)
+        directory = Directory(SETTINGS, daemon.view, lambda: daemon.now, daemon.log)
         request = HTTPRequest("GET", "/v1/resolve?zone=lautoka", {}, b"")
         self.assertEqual(503, run(directory.resolve, request).status)
         daemon.now = DISCOVERY_S + 0.1
