--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -134,6 +134,7 @@
         self._listeners = []
         self._tasks = []
         self.directory = Directory(settings, self.view, now, log)
+        self.directory.set_routes(self.frontend.routes_of_host)
         # Components that get new settings after a reload.
         self.settings_users = (
             self.gossip,
@@ -345,8 +346,21 @@
                 routes=len(configuration.routes),
                 source=source,
             )
+            self._log_regions(configuration)
         self._update_role(boottime_now())
 
+    def _log_regions(self, configuration):
+        """Log the failure domains of each route that may use some regions only."""
+        for route in configuration.routes:
+            domains = self.dispatcher.allowed_domains(route)
+            if domains is not None:
+                self.log.info(
+                    "route_regions",
+                    route=route.name,
+                    regions=route.allowed_regions,
+                    domains=sorted(domains) or "none",
+                )
+
     async def _apply_record(self, record, source):
         now = boottime_now()
         server = record.server
--- a/almondtide/entry/directory.py
+++ b/almondtide/entry/directory.py
@@ -10,8 +10,11 @@
     RESOLVE_PATH,
     encode_resolve_answer,
     parse_caller_domain,
+    parse_caller_region,
+    parse_resolved_host,
 )
 from .members import MemberState, select_active_members
+from .regions import choose_entries, common_regions
 
 __all__ = ["Directory", "max_named_age_s"]
 
@@ -49,6 +52,7 @@
         "_log",
         "_named_members",
         "_now",
+        "_routes_of_host",
         "_silent_names",
         "_started_at",
         "_view",
@@ -68,7 +72,18 @@
         self._named_members = {}
         # Names of the active members that are not named since they are silent.
         self._silent_names = set()
-        self.counts = {"answered": 0, "unknown": 0, "silent_left_out": 0}
+        self._routes_of_host = _no_routes
+        self.counts = {
+            "answered": 0,
+            "unknown": 0,
+            "silent_left_out": 0,
+            "regional": 0,
+            "out_of_region": 0,
+        }
+
+    def set_routes(self, routes_of_host):
+        """Set the function that returns the routes of a host."""
+        self._routes_of_host = routes_of_host
 
     def active_members(self, now):
         """Return a dict from failure domain to active members, from the cache."""
@@ -116,15 +131,20 @@
         """Return whether heartbeats of other daemons may not have arrived yet."""
         return now < self._started_at + DISCOVERY_S
 
-    def entry_members(self, domain, now):
-        """Return the members that callers from a failure domain should use."""
+    def entry_members(self, domain, now, region="", regions=None):
+        """Return the members that callers from a failure domain should use.
+
+        ``region`` is that of the caller, and ``regions`` are those that all restricted
+        routes of the host allow, None without such a route.
+        """
         self.active_members(now)
-        named_members = self._named_members
-        chosen = named_members.get(domain)
-        if not chosen:
-            chosen = [
-                member for members in named_members.values() for member in members
-            ]
+        chosen = choose_entries(
+            self._named_members,
+            domain,
+            region,
+            regions,
+            self.settings.region_of_domain,
+        )
         # A member that was selected just now may have failed, or not know it yet.
         confirmed = [member for member in chosen if member.is_active]
         return confirmed or chosen
@@ -134,7 +154,11 @@
         if request.path != RESOLVE_PATH:
             return HTTPResponse(404)
         now = self._now()
-        chosen = self.entry_members(parse_caller_domain(request.query), now)
+        domain = parse_caller_domain(request.query)
+        region = self._caller_region(request.query, domain)
+        host = parse_resolved_host(request.query)
+        regions = common_regions(self._routes_of_host(host))
+        chosen = self.entry_members(domain, now, region, regions)
         if not chosen or (
             chosen == [self._view.local_member] and self.is_discovering(now)
         ):
@@ -142,6 +166,8 @@
             return HTTPResponse(503)
         self.counts["answered"] += 1
         self.counts["silent_left_out"] += bool(self._silent_names)
+        if regions is not None:
+            self._count_regional(host, chosen, {region, *regions})
         port = self.settings.caller_address[1]
         body = encode_resolve_answer(
             [(member.host, port) for member in chosen],
@@ -149,9 +175,34 @@
         )
         return HTTPResponse(200, body, {"content-type": "application/json"})
 
+    def _caller_region(self, query, domain):
+        """Return the region that a caller states, else that of its failure domain."""
+        region_of_domain = self.settings.region_of_domain
+        region = parse_caller_region(query)
+        if region in region_of_domain.values():
+            return region
+        return region_of_domain.get(domain, "")
+
+    def _count_regional(self, host, chosen, regions):
+        """Count an answer for a restricted host; log one that leaves the regions."""
+        self.counts["regional"] += 1
+        region_of_domain = self.settings.region_of_domain
+        outside = [
+            member.name
+            for member in chosen
+            if region_of_domain.get(member.domain) not in regions
+        ]
+        if outside:
+            self.counts["out_of_region"] += 1
+            self._log.info("entries_out_of_region", host=host, members=outside)
+
     async def readiness(self, request):
         """Answer the platform's readiness check: 200 if this daemon is ready."""
         if request.path != READY_PATH:
             return HTTPResponse(404)
         is_ready = self._view.local_member.state is MemberState.READY
         return HTTPResponse(200 if is_ready else 503)
+
+
+def _no_routes(host):
+    return ()
--- a/almondtide/entry/dispatch.py
+++ b/almondtide/entry/dispatch.py
@@ -12,6 +12,7 @@
 from .calls import BranchState
 from .feed import LEAVING_MARGIN_S
 from .links import LinkMonitor
+from .regions import allowed_domains, share_domains, union_domains
 from .relay import RelayExchange, may_relay
 from .retries import RetryDecision, decide_retry, may_hedge, may_send_again
 from .retry_budget import RetryBudget
@@ -92,11 +93,13 @@
     def is_wanted(self):
         branch = self.branch
         now = self._dispatcher.now()
+        domains = self._dispatcher.allowed_domains(branch.call.route)
         return (
             not self.is_finished
             and branch.state is BranchState.OPEN
             and may_send_again(branch, now)
             and self.upstream.accepts_requests(now)
+            and (domains is None or self.upstream.server.domain in domains)
         )
 
     def extra_headers(self):
@@ -208,6 +211,8 @@
             "rate_limits": 0,
             "rate_limits_invalid": 0,
             "relayed": 0,
+            "regional": 0,
+            "regional_refused": 0,
         }
 
     def set_timers(self, timers):
@@ -256,6 +261,12 @@
             latency = self._route_latencies[key] = RouteLatency(route.objective_s)
         return latency
 
+    def allowed_domains(self, route):
+        """Return the failure domains that a route may use, None for all."""
+        if not route.allowed_regions:
+            return None
+        return allowed_domains(route.allowed_regions, self.settings.region_of_domain)
+
     async def run(self, call):
         """Run a call to its end and return its ``Answer``."""
         self._running_calls.add(call)
@@ -285,12 +296,18 @@
                     self._table.rate_shares.count(branch.service, now)
         states = [self._service_state(call, branch, now) for branch in call.branches]
         decision = decide_admission(states, call.needed_count)
+        if call.route.allowed_regions:
+            self.counts["regional"] += 1
+            self.counts["regional_refused"] += not decision.is_admitted
         if not decision.is_admitted:
             self.counts["refused"] += 1
             self.links.note_unserved(ServiceState.LOST in states, now)
             call.refusal_reason = decision.describe(
                 [item.service for item in call.branches]
             )
+            if call.route.allowed_regions:
+                regions = " ".join(call.route.allowed_regions)
+                call.refusal_reason += f"; only in {regions}"
             code = ResultCode.OVERLOADED
             if ServiceState.FULL not in states:
                 code = ResultCode.NO_SERVER
@@ -319,31 +336,42 @@
     def _service_state(self, call, branch, now):
         """Return the ``ServiceState`` of the service of a branch."""
         service = branch.service
-        if not self._table.usable_upstreams(service, now):
+        domains = self.allowed_domains(call.route)
+        if not self._table.usable_upstreams(service, now, domains):
             return ServiceState.EMPTY
-        if self._table.is_service_lost(service, now):
-            probed = self._table.choose(service, now)
+        if self._table.is_service_lost(service, now, domains):
+            probed = self._table.choose(service, now, domains=domains)
             return ServiceState.LOST if probed is None else ServiceState.PROBE
         latency = self.route_latency(call.route)
         spare_s = latency.objective_s * MAX_QUEUE_FRACTION - latency.expected_s
-        room_at = self._table.next_room_at(service, now)
+        room_at = self._table.next_room_at(service, now, domains=domains)
         if room_at is None or room_at - now > max(0.0, spare_s):
             return ServiceState.FULL
-        drain_s = self._queue_drain_s(service, now, latency.expected_s)
+        drain_s = self._queue_drain_s(service, now, latency.expected_s, domains=domains)
         if drain_s and drain_s > spare_s:
             return ServiceState.FULL
         return ServiceState.OPEN
 
-    def _queue_drain_s(self, service, now, expected_s, with_paused=False):
-        """Return how long the servers of a service take for its queue, in seconds.
+    def _queue_drain_s(self, service, now, expected_s, with_paused=False, domains=None):
+        """Return how long the servers of a service take for its queues, in seconds.
 
-        Servers that pause take part in it only ``with_paused``.
+        Servers that pause take part in it only ``with_paused``. Of a service with
+        queues for different failure domains those count that share servers with
+        ``domains``, each with the servers of both.
         """
-        queue = self._service_queues.get(service)
-        if queue is None or not len(queue):
-            return 0.0
-        per_s = self._table.throughput(service, now, expected_s, with_paused)
-        return len(queue) / per_s if per_s > 0.0 else math.inf
+        total_s = 0.0
+        for queue_domains, queue in self._service_queues.get(service, {}).items():
+            if not len(queue) or not share_domains(queue_domains, domains):
+                continue
+            per_s = self._table.throughput(
+                service,
+                now,
+                expected_s,
+                with_paused,
+                union_domains(queue_domains, domains),
+            )
+            total_s += len(queue) / per_s if per_s > 0.0 else math.inf
+        return total_s
 
     def _retry_after_s(self, call):
         """Return the retry-after time of a call that has not run, in seconds."""
@@ -351,14 +379,15 @@
         expected_s = self.route_latency(call.route).expected_s
         drain_s = 0.0
         waits_s = []
+        domains = self.allowed_domains(call.route)
         for branch in call.branches:
-            room_at = self._table.next_room_at(branch.service, now)
+            room_at = self._table.next_room_at(branch.service, now, domains=domains)
             if room_at is not None:
                 waits_s.append(room_at - now)
             # The time until a pause ends is added to the time that the queue takes.
             drain_s = max(
                 drain_s,
-                self._queue_drain_s(branch.service, now, expected_s, with_paused=True),
+                self._queue_drain_s(branch.service, now, expected_s, True, domains),
             )
         pause_s = pause_wait_s(waits_s, call.needed_count)
         return retry_after_s(drain_s, random.random(), pause_s)
@@ -390,9 +419,14 @@
             and call.answered_count < call.needed_count
             and may_relay(call)
             and self._relay_peers is not None
-            and self._relay_peers.choose((), self.now()) is not None
+            and self._choose_peer(call, ()) is not None
         )
 
+    def _choose_peer(self, call, tried_names):
+        """Return the ``Upstream`` of a peer that may run a call, or None."""
+        domains = self.allowed_domains(call.route)
+        return self._relay_peers.choose(tried_names, self.now(), domains)
+
     async def hand_over_calls(self):
         """Hand the calls that wait for silent servers to peers, if links are lost."""
         for call in list(self._running_calls):
@@ -404,7 +438,7 @@
         tried_names = set()
         refusal = None
         while self._relay_peers is not None and may_relay(call):
-            upstream = self._relay_peers.choose(tried_names, self.now())
+            upstream = self._choose_peer(call, tried_names)
             if upstream is None or self.now() >= call.expires_at:
                 break
             name = upstream.server.id
@@ -515,6 +549,7 @@
             branch.tried_ids,
             latency.objective_ratio,
             spares_limited=kind == "hedge" and self._has_waiting(branch.service),
+            domains=self.allowed_domains(branch.call.route),
         )
         if upstream is None and kind != "hedge":
             upstream = self._choose_tried(branch, now, latency)
@@ -546,14 +581,20 @@
         return True
 
     def _has_waiting(self, service):
-        queue = self._service_queues.get(service)
-        return queue is not None and len(queue) > 0
+        queues = self._service_queues.get(service, {})
+        return any(len(queue) for queue in queues.values())
 
     def _choose_tried(self, branch, now, latency):
         """Choose among servers that were tried, unless an exchange is in progress."""
         if branch.open_exchanges or not branch.tried_ids:
             return None
-        return self._table.choose(branch.service, now, (), latency.objective_ratio)
+        return self._table.choose(
+            branch.service,
+            now,
+            (),
+            latency.objective_ratio,
+            domains=self.allowed_domains(branch.call.route),
+        )
 
     async def _wait_for_server(self, branch, kind, now):
         if (
@@ -562,33 +603,49 @@
             or branch.open_exchanges
         ):
             return
-        room_at = self._table.next_room_at(branch.service, now)
+        domains = self.allowed_domains(branch.call.route)
+        room_at = self._table.next_room_at(branch.service, now, domains=domains)
         if room_at is None or room_at >= branch.call.expires_at:
             await self._fail_branch(branch, "no server")
             return
         if branch.queue is None:
-            branch.queue = self._service_queue(branch.service)
+            branch.queue = self._service_queue(branch.service, domains)
             branch.queue.push(branch)
         # A server may get room without a reply to this entry, so poll as well.
         await self._timers.schedule(
-            max(now + RESEND_DELAY_S, room_at), RESEND_TIMER, branch.service
+            max(now + RESEND_DELAY_S, room_at), RESEND_TIMER, (branch.service, domains)
         )
 
-    def _service_queue(self, service):
-        queue = self._service_queues.get(service)
+    def _service_queue(self, service, domains):
+        """Return the queue of a service for routes that may use ``domains``.
+
+        Routes with regions have queues of their own, since a branch that waits for a
+        server in its region must not hold up those that another server could take.
+        """
+        queues = self._service_queues.setdefault(service, {})
+        queue = queues.get(domains)
         if queue is None:
-            queue = self._service_queues[service] = BranchQueue()
+            queue = queues[domains] = BranchQueue()
         return queue
 
     async def _send_waiting(self, service):
         """Send queued branches of a service while its servers have room."""
-        queue = self._service_queues.get(service)
+        queue_keys = list(self._service_queues.get(service, ()))
+        if len(queue_keys) > 1:
+            # None of the queues may get all the room that becomes free.
+            random.shuffle(queue_keys)
+        for domains in queue_keys:
+            await self._send_waiting_in(service, domains)
+
+    async def _send_waiting_in(self, service, domains):
+        """Send branches from the queue of a service for some failure domains."""
+        queue = self._service_queues.get(service, {}).get(domains)
         while queue is not None and len(queue):
             now = self.now()
-            if self._table.choose(service, now) is None:
-                room_at = self._table.next_room_at(service, now) or now
+            if self._table.choose(service, now, domains=domains) is None:
+                room_at = self._table.next_room_at(service, now, domains=domains) or now
                 await self._timers.schedule(
-                    max(now + RESEND_DELAY_S, room_at), RESEND_TIMER, service
+                    max(now + RESEND_DELAY_S, room_at), RESEND_TIMER, (service, domains)
                 )
                 return
             branch = queue.pop(now)
@@ -619,7 +676,7 @@
             if is_open and not self._crash_detector.is_suspect(branch.call):
                 await self._send(branch, "hedge", now)
         elif kind == RESEND_TIMER:
-            await self._send_waiting(item)
+            await self._send_waiting_in(*item)
         elif kind == CLOSE_TIMER:
             await self._close_exchange(item)
 
--- a/almondtide/entry/frontend.py
+++ b/almondtide/entry/frontend.py
@@ -59,6 +59,10 @@
         """Use the newest configuration for new requests."""
         self.routes = RouteTable(self._replica.configuration, self.routes)
 
+    def routes_of_host(self, host):
+        """Return the routes of a host in the configuration in force."""
+        return () if self.routes is None else self.routes.routes_of_host(host)
+
     async def serve_connection(self, sock, peer):
         """Serve one connection of a caller."""
         connection = CallerConnection(sock, self)
--- a/almondtide/entry/relay.py
+++ b/almondtide/entry/relay.py
@@ -78,19 +78,21 @@
         self._upstreams = {}
         self._failed_until = {}
 
-    def choose(self, tried_names, now):
+    def choose(self, tried_names, now, domains=None):
         """Return the ``Upstream`` of a peer that callers are sent to, or None.
 
         Peers that servers have replied to since the links failed here come first, since
         others may have lost theirs without knowing it yet. Among equal ones the choice
         is at random over all failure domains: a domain with one entry left would get
-        all requests of the others at once.
+        all requests of the others at once. ``domains`` restricts the peers to those in
+        some failure domains.
         """
         peers = [
             member
             for member in self._view.ready_members(now)
             if member is not self._view.local_member
             and member.name not in tried_names
+            and (domains is None or member.domain in domains)
             and self._failed_until.get(member.name, now) <= now
             and not self._links.is_peer_failing(member.name, now)
         ]
--- a/almondtide/entry/routing.py
+++ b/almondtide/entry/routing.py
@@ -38,6 +38,10 @@
                 return route
         return None
 
+    def routes_of_host(self, host):
+        """Return the routes of a host."""
+        return self._hosts.get(host, ())
+
     def pick_service(self, route):
         """Return the service for the next request of a route without shards."""
         weighted_services = route.weighted_services
--- a/almondtide/entry/upstreams.py
+++ b/almondtide/entry/upstreams.py
@@ -527,12 +527,13 @@
         """Return the ``Upstream`` with this id, or None."""
         return self._by_id.get(server_id)
 
-    def usable_upstreams(self, service, now):
-        """Return the usable upstreams of a service."""
+    def usable_upstreams(self, service, now, domains=None):
+        """Return the usable upstreams of a service in ``domains``, None for all."""
         return [
             upstream
             for upstream in self._by_service.get(service, {}).values()
             if upstream.is_usable(now)
+            and (domains is None or upstream.server.domain in domains)
         ]
 
     def silent_ids(self, now):
@@ -556,13 +557,15 @@
                 break
         return candidates
 
-    def is_service_lost(self, service, now):
+    def is_service_lost(self, service, now, domains=None):
         """Return whether all usable servers of the service seem to be down.
 
-        This is true for a service without usable servers.
+        This is true for a service without usable servers. ``domains`` restricts the
+        servers to those in some failure domains.
         """
         return all(
-            upstream.is_lost(now) for upstream in self.usable_upstreams(service, now)
+            upstream.is_lost(now)
+            for upstream in self.usable_upstreams(service, now, domains)
         )
 
     def max_in_flight(self, slots, objective_ratio):
@@ -589,15 +592,15 @@
         )
         return upstream.connection_count < share
 
-    def throughput(self, service, now, expected_s, with_paused=False):
+    def throughput(self, service, now, expected_s, with_paused=False, domains=None):
         """Return how many requests a second this entry can have served by a service.
 
         ``expected_s`` is the time that a server takes for one. A server that limits its
         rate counts with this entry's part of the rate, a server that pauses only
-        ``with_paused``.
+        ``with_paused``. ``domains`` restricts the servers to some failure domains.
         """
         total = 0.0
-        for upstream in self.usable_upstreams(service, now):
+        for upstream in self.usable_upstreams(service, now, domains):
             if not with_paused and not upstream.accepts_requests(now):
                 continue
             per_s = upstream.server.slots / max(0.001, expected_s) / self.entry_count
@@ -607,15 +610,15 @@
             total += per_s
         return total
 
-    def next_room_at(self, service, now, excluded_ids=()):
+    def next_room_at(self, service, now, excluded_ids=(), domains=None):
         """Return when a server that is not lost wants requests, or None if none will.
 
         The time is ``now`` if one does already. A server that leaves before its pause
-        ends will not.
+        ends will not. ``domains`` restricts the servers to some failure domains.
         """
         times = [
             max(self.rate_room_at(upstream, now), upstream.paused_until)
-            for upstream in self.usable_upstreams(service, now)
+            for upstream in self.usable_upstreams(service, now, domains)
             if upstream.server.id not in excluded_ids
             and upstream.paused_until < upstream.serves_until
             and upstream.ejected_until <= now
@@ -631,17 +634,18 @@
         excluded_ids=(),
         objective_ratio=MAX_DEPTH_PER_SLOT,
         spares_limited=False,
+        domains=None,
     ):
         """Return the upstream of a service with the least cost, or None.
 
         ``excluded_ids`` are the ids of servers that were tried. Servers that failed are
         ejected for some time. After that they get one request at a time as a probe,
         until one succeeds. With ``spares_limited``, servers that limit their rate are
-        left to others.
+        left to others. ``domains`` restricts the choice to some failure domains.
         """
         best = None
         best_cost = 0.0
-        for upstream in self.usable_upstreams(service, now):
+        for upstream in self.usable_upstreams(service, now, domains):
             if upstream.server.id in excluded_ids:
                 continue
             if not upstream.accepts_requests(now):
--- a/almondtide/platform/headers.py
+++ b/almondtide/platform/headers.py
@@ -16,11 +16,16 @@
     "forwarded_request_headers",
     "merged_answer_headers",
     "parse_caller_domain",
+    "parse_caller_region",
+    "parse_resolved_host",
     "refusal_answer_headers",
     "stable_headers",
 ]
 
-# Query parameter of a look-up with the caller's failure domain.
+# Query parameters of a look-up: the host that the caller asks for, the caller's region
+# and its failure domain.
+NAME_PARAMETER = "name"
+REGION_PARAMETER = "region"
 ZONE_PARAMETER = "zone"
 READY_PATH = "/v1/ready"
 RESOLVE_PATH = "/v1/resolve"
@@ -238,8 +243,30 @@
     >>> parse_caller_domain("a=1&zone=nadi")
     'nadi'
     """
+    return _query_value(query, ZONE_PARAMETER)
+
+
+def parse_caller_region(query):
+    """Return the caller's region from the query of a look-up, or "".
+
+    >>> parse_caller_region("zone=nadi&region=viti-levu")
+    'viti-levu'
+    """
+    return _query_value(query, REGION_PARAMETER)
+
+
+def parse_resolved_host(query):
+    """Return the host that a look-up asks for, in lower case without port, or "".
+
+    >>> parse_resolved_host("name=Search.Example:80&zone=nadi")
+    'search.example'
+    """
+    return _query_value(query, NAME_PARAMETER).lower().partition(":")[0]
+
+
+def _query_value(query, wanted):
     for pair in query.split("&"):
         name, _, value = pair.partition("=")
-        if name == ZONE_PARAMETER:
+        if name == wanted:
             return value
     return ""
