--- a/almondtide/entry/callers.py
+++ b/almondtide/entry/callers.py
@@ -1,6 +1,11 @@
 """Connections of callers: HTTP/1.1 parsed by h11, one request at a time."""
 
+import fcntl
+import random
 import socket as stdlib_socket
+import struct
+import sys
+import termios
 
 import curio
 import h11
@@ -8,6 +13,7 @@
 from ..adapters.listener import linger_before_close
 from ..errors import ResultCode
 from ..platform.headers import decode_request
+from .admission import retry_after_s
 from .answers import error_answer
 from .relay import take_relay_mark
 from .transit_time import round_trip_s
@@ -15,7 +21,16 @@
 __all__ = ["CallerConnection"]
 
 RECEIVE_BYTES = 65536
+# Longest time for sending an answer, in s, if there is no memory limit. With a limit
+# the ``CallerMemory`` decides which callers may not go on reading.
 SEND_TIMEOUT_S = 10.0
+# Base of the time, in s, after which a caller whose request body does not fit should
+# come back. Bodies are held until their answers are read, mostly some tenths of a
+# second.
+BODY_RETRY_S = 0.25
+# Closing a socket with this value of SO_LINGER resets its connection and frees what the
+# kernel still holds for it.
+LINGER_RESET = struct.pack("ii", 1, 0)
 BODYLESS_STATUSES = frozenset((204, 304))
 
 
@@ -24,7 +39,8 @@
 
     ``frontend`` is a ``Frontend``. The connection is also read while a request is
     answered: a caller that closes it no longer wants the answer, so the call is
-    abandoned. ``call`` is the ``Call`` in progress or None.
+    abandoned. ``call`` is the ``Call`` in progress or None, ``request_id`` the id of
+    the last request.
     """
 
     __slots__ = (
@@ -34,6 +50,7 @@
         "call",
         "is_head_request",
         "is_idle",
+        "request_id",
         "rtt_s",
     )
 
@@ -44,6 +61,7 @@
             h11.SERVER, max_incomplete_event_size=frontend.limits().max_header_bytes
         )
         self.call = None
+        self.request_id = ""
         self.is_head_request = False
         self.is_idle = True
         # Round-trip time to the caller, in s.
@@ -63,13 +81,16 @@
         except (OSError, curio.TaskTimeout):
             # The caller closed the connection or was idle for too long.
             pass
+        finally:
+            self._frontend.memory.forget(self)
 
-    async def _refuse(self, status, code, message):
+    async def _refuse(self, status, code, message, retry_s=None):
         if self._conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         self._frontend.record_refusal(code, message)
         try:
-            await self._send(error_answer(status, code, message), close=True)
+            answer = error_answer(status, code, message, retry_s)
+            await self._write(self._encode(answer, close=True))
             await linger_before_close(self._sock)
         except (OSError, curio.TaskTimeout, h11.LocalProtocolError):
             # The caller is gone, so the refusal cannot be delivered.
@@ -77,10 +98,17 @@
 
     async def _serve_request(self):
         """Serve one request; returns whether another may follow."""
+        try:
+            return await self._serve_one()
+        finally:
+            self._frontend.memory.release_body(self)
+
+    async def _serve_one(self):
         request = await self._read_request()
         if request is None:
             return False
         self.is_idle = False
+        self.request_id = request.id
         self.rtt_s = round_trip_s(self._sock._socket)
         watcher = await curio.spawn(self._watch_for_close, daemon=True)
         try:
@@ -92,7 +120,10 @@
         try:
             if request.relay_mark is not None:
                 answer.state_request_id(request.id)
-            await self._send(answer, close=self._frontend.is_closing())
+            wire = self._encode(answer, close=self._frontend.is_closing())
+            # The body is not held twice while the caller reads.
+            del answer
+            await self._write(wire)
         except (OSError, curio.TaskTimeout) as exc:
             self._frontend.record_undelivered(request, exc)
             return False
@@ -119,6 +150,7 @@
 
     async def _read_request(self):
         limits = self._frontend.limits()
+        memory = self._frontend.memory
         conn = self._conn
         timeout_s = limits.idle_timeout_s
         head = None
@@ -141,14 +173,14 @@
             elif type(event) is h11.Request:
                 head = event
                 self.is_head_request = event.method == b"HEAD"
+                if memory.is_bounded:
+                    self._check_stated_size(event, limits)
             elif type(event) is h11.Data:
                 body_bytes += len(event.data)
                 if body_bytes > limits.max_body_bytes:
-                    raise _BadRequestError(
-                        413,
-                        ResultCode.BODY_TOO_LARGE,
-                        f"over {limits.max_body_bytes} bytes",
-                    )
+                    raise _body_too_large(limits)
+                if not memory.hold_body(self, len(event.data)):
+                    raise _no_body_room()
                 chunks.append(event.data)
             elif type(event) is h11.EndOfMessage:
                 break
@@ -168,7 +200,16 @@
             )
         return request
 
-    async def _send(self, answer, close=False):
+    def _check_stated_size(self, head, limits):
+        """Refuse a request before its body, if that is too large or does not fit."""
+        stated_bytes = _stated_body_bytes(head)
+        if stated_bytes > limits.max_body_bytes:
+            raise _body_too_large(limits)
+        if not self._frontend.memory.has_body_room(stated_bytes):
+            raise _no_body_room()
+
+    def _encode(self, answer, close=False):
+        """Return the bytes of an answer."""
         conn = self._conn
         body = answer.body
         headers = list(answer.headers)
@@ -179,9 +220,42 @@
         wire = conn.send(h11.Response(status_code=answer.status, headers=headers))
         if body and not self.is_head_request and answer.status not in BODYLESS_STATUSES:
             wire += conn.send(h11.Data(data=body))
-        wire += conn.send(h11.EndOfMessage())
-        async with curio.timeout_after(SEND_TIMEOUT_S):
-            await self._sock.sendall(wire)
+        return wire + conn.send(h11.EndOfMessage())
+
+    async def _write(self, wire):
+        memory = self._frontend.memory
+        if not memory.is_bounded:
+            async with curio.timeout_after(SEND_TIMEOUT_S):
+                await self._sock.sendall(wire)
+            return
+        rest = memoryview(wire)
+        memory.hold_answer(self, len(rest))
+        while rest:
+            sent = await self._sock.send(rest)
+            rest = rest[sent:]
+            memory.note_sent(self, sent)
+
+    def queued_bytes(self):
+        """Return the bytes in the socket that the caller has not acknowledged."""
+        try:
+            raw = fcntl.ioctl(self._sock._socket, termios.TIOCOUTQ, bytes(4))
+        except OSError:
+            # The caller has closed the connection, so nothing is held for it.
+            return 0
+        return int.from_bytes(raw, sys.byteorder)
+
+    def drop(self):
+        """Reset the connection, whose caller reads too slowly."""
+        sock = self._sock._socket
+        try:
+            sock.setsockopt(
+                stdlib_socket.SOL_SOCKET, stdlib_socket.SO_LINGER, LINGER_RESET
+            )
+            # Wakes the task that writes, which closes the socket.
+            sock.shutdown(stdlib_socket.SHUT_RDWR)
+        except OSError:
+            # The caller has closed it meanwhile.
+            pass
 
     async def close_if_idle(self, task):
         """Close the connection, served by ``task``, unless a request has arrived.
@@ -204,5 +278,30 @@
             return False
 
 
+def _stated_body_bytes(head):
+    """Return the length of the body that a request states, or 0."""
+    for name, value in head.headers:
+        if name == b"content-length":
+            return int(value)
+    return 0
+
+
+def _body_too_large(limits):
+    return _BadRequestError(
+        413, ResultCode.BODY_TOO_LARGE, f"over {limits.max_body_bytes} bytes"
+    )
+
+
+def _no_body_room():
+    retry_s = retry_after_s(BODY_RETRY_S, random.random())
+    return _BadRequestError(
+        503, ResultCode.OVERLOADED, "no memory for the body", retry_s
+    )
+
+
 class _BadRequestError(Exception):
-    """A request that is refused; arguments are status, code and message."""
+    """A request that is refused.
+
+    Arguments are status, code, message and, for one that may be sent again, the time
+    to come back in seconds.
+    """
--- a/almondtide/entry/connections.py
+++ b/almondtide/entry/connections.py
@@ -55,10 +55,12 @@
 
     __slots__ = (
         "_conn",
+        "_is_written",
         "_sock",
         "_turn_bytes",
         "_user_timeout_ms",
         "_wake",
+        "_writer",
         "exchange",
         "idle_since",
         "idle_until",
@@ -83,6 +85,10 @@
         # Bytes that were read since other tasks last had a turn.
         self._turn_bytes = 0
         self._wake = curio.Event()
+        # The task that writes the rest of a request, or None, and whether the last
+        # request was written to its end.
+        self._writer = None
+        self._is_written = True
 
     async def run(self):
         """Connect, then run exchanges in sequence until one fails or none follows."""
@@ -180,8 +186,10 @@
             # The request cannot be encoded; nothing was written.
             await self._fail(Failure.NOT_SENT, f"encode: {exc}")
             return False
+        finally:
+            await self._stop_writer()
         self.is_proven = True
-        is_reusable = self._is_reusable(reply)
+        is_reusable = self._is_written and self._is_reusable(reply)
         self.exchange = None
         await exchange.on_reply(reply)
         return is_reusable and not self.upstream.is_removed
@@ -204,7 +212,35 @@
         if timeout_ms != self._user_timeout_ms:
             self._set_user_timeout(timeout_ms)
         self.exchange.on_write()
-        await self._sock.sendall(data)
+        if self.pool.memory_bounds is None or not self.pool.memory_bounds.is_bounded:
+            await self._sock.sendall(data)
+            return
+        sent = await self._sock.send(data)
+        self._is_written = sent == len(data)
+        if not self._is_written:
+            rest = memoryview(data)[sent:]
+            self._writer = await curio.spawn(self._write, rest, daemon=True)
+
+    async def _write(self, rest):
+        """Write the rest of a request while the reply is read.
+
+        A server may reply, and cut off a reply that stays unread, before it has read
+        all of a long request.
+        """
+        try:
+            await self._sock.sendall(rest)
+            self._is_written = True
+        except OSError as exc:
+            # What the server has sent, or the end of its reply, tells what became of
+            # the request.
+            self.pool.log.debug(
+                "request_cut_off", server=self.upstream.server.id, error=repr(exc)
+            )
+
+    async def _stop_writer(self):
+        writer, self._writer = self._writer, None
+        if writer is not None:
+            await writer.cancel(blocking=False)
 
     def _set_user_timeout(self, timeout_ms):
         self._user_timeout_ms = timeout_ms
@@ -279,7 +315,7 @@
                     return b"".join(chunks)
                 if type(part) is not h11.Data:
                     raise _ExchangeError("closed within a reply")
-                if size + len(part.data) > MAX_BODY_BYTES:
+                if size + len(part.data) > self.pool.max_reply_bytes:
                     raise _ExchangeError("reply too large")
                 if not self.pool.reserve(len(part.data)):
                     raise _ExchangeError("replies too large together")
@@ -318,7 +354,7 @@
     At the end one of the async methods ``on_reply(reply)``, ``on_skipped()`` and
     ``on_failure(failure, reason, reply)`` is called, once. A closed exchange gets none
     of these calls. ``max_idle_s`` is how long idle connections are kept, see
-    ``set_active``.
+    ``set_active``. ``memory_bounds`` is a ``MemoryBounds`` or None.
     """
 
     __slots__ = (
@@ -326,6 +362,7 @@
         "buffered_bytes",
         "log",
         "max_idle_s",
+        "memory_bounds",
         "now",
         "opened_count",
     )
@@ -336,16 +373,27 @@
         self._idle = {}
         self.max_idle_s = MAX_IDLE_S
         self.opened_count = 0
+        self.memory_bounds = None
         # Bytes of replies that are not complete yet.
         self.buffered_bytes = 0
 
     def reserve(self, size):
         """Count bytes of an incomplete reply; return whether there is room for them."""
-        if self.buffered_bytes + size > MAX_BUFFERED_BYTES:
+        bound_bytes = MAX_BUFFERED_BYTES
+        if self.memory_bounds is not None:
+            bound_bytes = self.memory_bounds.incomplete_reply_bytes(bound_bytes)
+        if self.buffered_bytes + size > bound_bytes:
             return False
         self.buffered_bytes += size
         return True
 
+    @property
+    def max_reply_bytes(self):
+        """Most bytes of the body of one reply."""
+        if self.memory_bounds is None:
+            return MAX_BODY_BYTES
+        return self.memory_bounds.reply_bytes(MAX_BODY_BYTES)
+
     def release(self, size):
         """Stop counting the bytes of a reply that is complete or given up."""
         self.buffered_bytes -= size
--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -14,6 +14,7 @@
 from ..supervision import TASK_FAILURES, Supervised
 from ..timers import Timers
 from .boottime import BoottimeClock, boottime_now
+from .caller_memory import CallerMemory
 from .connections import ConnectionPool
 from .crash_detector import CrashDetector
 from .directory import Directory
@@ -23,6 +24,7 @@
 from .gossip import Gossip
 from .link_watch import LinkWatch
 from .members import Member, MembershipView, MemberState
+from .memory_bounds import MemoryBounds
 from .metrics import MetricFamily, render_metrics
 from .reader import StoreReader
 from .relay import RelayPeers
@@ -99,6 +101,8 @@
         self.gossip.set_rate_shares(self.table.rate_shares)
         self.pool = ConnectionPool(now, log)
         self.pool.set_active(False)
+        memory_bounds = MemoryBounds(settings)
+        self.table.memory_bounds = self.pool.memory_bounds = memory_bounds
         self.crash_detector = CrashDetector(now, log)
         self.dispatcher = Dispatcher(
             self.table, self.pool, settings, self.crash_detector, now, log
@@ -126,7 +130,13 @@
         self.timers = Timers(BoottimeClock(), self.dispatcher.on_timer, log)
         self.dispatcher.set_timers(self.timers)
         self.frontend = Frontend(
-            self.dispatcher, self.replica, self.view, self.started_at, now, log
+            self.dispatcher,
+            self.replica,
+            self.view,
+            self.started_at,
+            CallerMemory(memory_bounds, now, log),
+            now,
+            log,
         )
         self._caller_listener = Listener(
             settings.caller_address, self.frontend.serve_connection, log
@@ -142,6 +152,7 @@
             feed,
             self.dispatcher,
             self.directory,
+            memory_bounds,
         )
 
     # Lifecycle
@@ -277,6 +288,7 @@
             if now - sends_logged_at >= LIMITED_SENDS_INTERVAL_S:
                 sends_logged_at = now
                 self.dispatcher.log_limited_sends()
+            self.frontend.memory.sample()
             await self.pool.close_expired()
             for upstream in self.table.remove_expired(now):
                 await self.pool.close_idle(upstream)
@@ -472,6 +484,10 @@
             ),
             "members": ("Daemons heard lately.", len(self.view.alive_members(now))),
             "store_calls": ("Calls of the store.", self.store.call_count),
+            "reply_bytes": (
+                "Bytes of replies that are not complete.",
+                self.pool.buffered_bytes,
+            ),
             "connections_opened": ("Connections to servers.", self.pool.opened_count),
         }
         metric_families.extend(
--- a/almondtide/entry/dispatch.py
+++ b/almondtide/entry/dispatch.py
@@ -550,6 +550,7 @@
             latency.objective_ratio,
             spares_limited=kind == "hedge" and self._has_waiting(branch.service),
             domains=self.allowed_domains(branch.call.route),
+            body_bytes=len(branch.call.request.body),
         )
         if upstream is None and kind != "hedge":
             upstream = self._choose_tried(branch, now, latency)
@@ -594,6 +595,7 @@
             (),
             latency.objective_ratio,
             domains=self.allowed_domains(branch.call.route),
+            body_bytes=len(branch.call.request.body),
         )
 
     async def _wait_for_server(self, branch, kind, now):
--- a/almondtide/entry/frontend.py
+++ b/almondtide/entry/frontend.py
@@ -25,7 +25,10 @@
 
 
 class Frontend:
-    """The side of one entry that faces callers: their connections and metrics."""
+    """The side of one entry that faces callers: their connections and metrics.
+
+    ``memory`` is the ``CallerMemory`` of these connections.
+    """
 
     __slots__ = (
         "_connections",
@@ -37,11 +40,13 @@
         "_started_at",
         "_view",
         "answer_counts",
+        "memory",
         "routes",
         "running_requests",
     )
 
-    def __init__(self, dispatcher, replica, view, started_at, now, log):
+    def __init__(self, dispatcher, replica, view, started_at, memory, now, log):
+        self.memory = memory
         self._dispatcher = dispatcher
         self._replica = replica
         self._view = view
@@ -216,6 +221,9 @@
             for route, histogram in self._latency_histograms.items()
         }
         connections = {(): len(self._connections)}
+        memory_counts = {
+            (("kind", kind),): count for kind, count in self.memory.counts.items()
+        }
         return [
             MetricFamily(
                 "counter", "answers", "Answers by route and code.", answer_counts
@@ -227,4 +235,22 @@
             MetricFamily(
                 "gauge", "connections", "Connections of callers.", connections
             ),
+            MetricFamily(
+                "counter",
+                "memory_bounded",
+                "Callers dropped and requests refused by the memory bounds.",
+                memory_counts,
+            ),
+            MetricFamily(
+                "gauge",
+                "unread_answer_bytes",
+                "Bytes of answers that callers have not read.",
+                {(): self.memory.unread_answer_bytes},
+            ),
+            MetricFamily(
+                "gauge",
+                "request_body_bytes",
+                "Bytes of request bodies in progress.",
+                {(): self.memory.body_bytes},
+            ),
         ]
--- a/almondtide/entry/upstreams.py
+++ b/almondtide/entry/upstreams.py
@@ -161,6 +161,11 @@
         """Number of exchanges in progress."""
         return len(self._pending)
 
+    @property
+    def body_bytes(self):
+        """Bytes of the request bodies of the exchanges in progress."""
+        return sum(len(exchange.request.body) for exchange in self._pending)
+
     def slowness(self, now):
         """Return the expected latency as a multiple of the normal one."""
         return 1.0 + (self._slowness - 1.0) * self._estimate_weight(now)
@@ -371,6 +376,7 @@
         "domain",
         "entry_count",
         "limited_services",
+        "memory_bounds",
         "rate_shares",
         "run_time",
     )
@@ -381,6 +387,8 @@
         # Number of entries that send to these servers, including this one.
         self.entry_count = 1
         self.rate_shares = RateShares()
+        # The ``MemoryBounds``, or None.
+        self.memory_bounds = None
         # Services with a server that limits its rate.
         self.limited_services = set()
         # Service -> most connections that each of its servers accepts in total.
@@ -592,6 +600,12 @@
         )
         return upstream.connection_count < share
 
+    def _has_body_room(self, upstream, body_bytes):
+        bounds = self.memory_bounds
+        return bounds is None or bounds.has_server_room(
+            upstream.body_bytes, body_bytes, self.entry_count
+        )
+
     def throughput(self, service, now, expected_s, with_paused=False, domains=None):
         """Return how many requests a second this entry can have served by a service.
 
@@ -635,13 +649,15 @@
         objective_ratio=MAX_DEPTH_PER_SLOT,
         spares_limited=False,
         domains=None,
+        body_bytes=0,
     ):
         """Return the upstream of a service with the least cost, or None.
 
         ``excluded_ids`` are the ids of servers that were tried. Servers that failed are
         ejected for some time. After that they get one request at a time as a probe,
         until one succeeds. With ``spares_limited``, servers that limit their rate are
-        left to others. ``domains`` restricts the choice to some failure domains.
+        left to others. ``domains`` restricts the choice to some failure domains. The
+        server must have room for a request body of ``body_bytes``.
         """
         best = None
         best_cost = 0.0
@@ -666,6 +682,8 @@
                 continue
             if not self.may_connect(upstream, now):
                 continue
+            if body_bytes and not self._has_body_room(upstream, body_bytes):
+                continue
             cost = upstream.cost(now, self.domain)
             if best is None or cost < best_cost:
                 best, best_cost = upstream, cost
--- a/tests/entry/support.py
+++ b/tests/entry/support.py
@@ -1,8 +1,11 @@
 """Helpers for the tests of the entry daemon."""
 
+import orjson
+
 from almondtide.entry.calls import NO_TRANSIT_TIME, Call
 from almondtide.model.http_messages import Reply, Request
 from almondtide.model.published import Configuration, Route, Server
+from almondtide.platform.settings import decode_settings
 
 
 def settings_document(**changes):
@@ -38,6 +41,14 @@
     return document
 
 
+def memory_settings(memory_bytes):
+    """Return ``Settings`` with a memory limit in bytes, None for no limit."""
+    limits = {"cpu_share": 0.731, "cores": 1}
+    if memory_bytes is not None:
+        limits["memory_mb"] = memory_bytes / 1_000_000
+    return decode_settings(orjson.dumps(settings_document(limits=limits)))
+
+
 def make_server(id, service="a", domain="lautoka", slots=3, port=None, **fields):
     """Return a ``Server``; its default port is 8000 plus the number in the id."""
     number = port or 8000 + int("".join(c for c in id if c.isdigit()) or 0)
--- a/tests/entry/test_callers.py
+++ b/tests/entry/test_callers.py
@@ -1,13 +1,18 @@
 """Tests of caller connections, over a pair of connected sockets."""
 
+import time
+
 import curio
 import testtools
 
 from almondtide.entry.answers import Answer
+from almondtide.entry.caller_memory import CallerMemory
 from almondtide.entry.callers import CallerConnection
+from almondtide.entry.memory_bounds import MemoryBounds
 from almondtide.errors import ResultCode
 from almondtide.model.published import CallerLimits
-from tests.support import run, socket_pair
+from tests.entry.support import memory_settings
+from tests.support import MemoryLog, run, socket_pair
 
 REQUEST = b"GET /p/x HTTP/1.1\r\nHost: h\r\nRequest-Id: %b\r\n\r\n"
 
@@ -23,6 +28,8 @@
         self.abandoned = 0
         self.refusals = []
         self.undelivered = []
+        bounds = MemoryBounds(memory_settings(None))
+        self.memory = CallerMemory(bounds, time.monotonic, MemoryLog())
 
     def limits(self):
         return self._limits
