--- a/almondtide/entry/dispatch.py
+++ b/almondtide/entry/dispatch.py
@@ -644,6 +644,9 @@
         queue = self._service_queues.get(service, {}).get(domains)
         while queue is not None and len(queue):
             now = self.now()
+            if self._table.is_service_evacuated(service, now, domains):
+                await self._fail_waiting(queue, now)
+                return
             if self._table.choose(service, now, domains=domains) is None:
                 room_at = self._table.next_room_at(service, now, domains=domains) or now
                 await self._timers.schedule(
@@ -661,6 +664,22 @@
             else:
                 await self._fail_branch(branch, "no time left")
 
+    async def _fail_waiting(self, queue, now):
+        """Fail all branches of a queue, which no server will take."""
+        while (branch := queue.pop(now)) is not None:
+            branch.queue = None
+            await self._fail_branch(branch, "evacuated")
+
+    async def fail_evacuated(self):
+        """End the wait for services that evacuations leave without a server."""
+        now = self.now()
+        for service, queues in list(self._service_queues.items()):
+            for domains, queue in list(queues.items()):
+                if len(queue) and self._table.is_service_evacuated(
+                    service, now, domains
+                ):
+                    await self._fail_waiting(queue, now)
+
     async def _fail_branch(self, branch, reason):
         if branch.state is not BranchState.OPEN or branch.open_exchanges:
             return
--- a/almondtide/entry/upstreams.py
+++ b/almondtide/entry/upstreams.py
@@ -44,8 +44,9 @@
 OTHER_DOMAIN_COST = 0.45
 COLD_COST = 0.4
 SILENT_COST = 20.0
-# Cost of a leaving server. It still serves for some time, and is used when the others
-# are lost, silent, full or much slower.
+# Cost of a leaving server, and of one whose failure domain is evacuated. It still
+# serves for some time, and is used when the others are lost, silent, full or much
+# slower.
 LEAVING_COST = 2.0
 # Cost of a server that limits its rate, which is spared while others are as good.
 LIMITED_COST = 0.3
@@ -103,6 +104,7 @@
     __slots__ = (
         "_consecutive_full",
         "_consecutive_losses",
+        "_evacuated",
         "_failure_rate",
         "_pending",
         "_run_time",
@@ -124,8 +126,10 @@
         "server",
     )
 
-    def __init__(self, server, run_time=None):
+    def __init__(self, server, run_time=None, evacuated=None):
         self.server = server
+        # Failure domain -> when the use of its servers ends; the table's own dict.
+        self._evacuated = {} if evacuated is None else evacuated
         # The ``RunTime`` of this process, which cannot see replies while it pauses.
         self._run_time = RunTime() if run_time is None else run_time
         self._slowness = 1.0
@@ -326,9 +330,20 @@
         self.pause(earlier.paused_until)
         self.rate_limit = earlier.rate_limit
 
+    @property
+    def is_evacuated(self):
+        """Whether its failure domain is evacuated, be it still a last resort."""
+        return self.server.domain in self._evacuated
+
+    @property
+    def usable_until(self):
+        """The time from which no request may be sent to it, infinite if not known."""
+        stops_at = self._evacuated.get(self.server.domain, math.inf)
+        return min(self.serves_until, stops_at)
+
     def is_usable(self, now):
         """Return whether requests may be sent to it, whatever its health."""
-        return not self.is_removed and now < self.serves_until
+        return not self.is_removed and now < self.usable_until
 
     def accepts_requests(self, now):
         """Return whether it is usable and wants requests.
@@ -355,7 +370,7 @@
             cost += OTHER_DOMAIN_COST
         if server.cold:
             cost += COLD_COST
-        if self.is_leaving:
+        if self.is_leaving or self.is_evacuated:
             cost += LEAVING_COST
         if self.rate_limit is not None:
             cost += LIMITED_COST
@@ -371,6 +386,8 @@
     __slots__ = (
         "_by_id",
         "_by_service",
+        "_evacuated",
+        "_evacuation_ended_at",
         "_removed",
         "connection_limits",
         "domain",
@@ -395,6 +412,10 @@
         self.connection_limits = {}
         self._by_id = {}
         self._by_service = {}
+        # Failure domain -> when the use of its servers ends, for evacuated domains.
+        self._evacuated = {}
+        # Failure domain -> when its last evacuation was withdrawn.
+        self._evacuation_ended_at = {}
         # Id -> (time of removal, upstream) of servers that were removed lately.
         self._removed = {}
 
@@ -422,7 +443,7 @@
                 known.is_retired = False
                 return None
             self.remove(server.id)
-        upstream = Upstream(server, self.run_time)
+        upstream = Upstream(server, self.run_time, self._evacuated)
         upstream.listed_until = usable_until
         _, earlier = self._removed.pop(server.id, (None, None))
         earlier = known or earlier
@@ -432,6 +453,45 @@
         self._by_service.setdefault(server.service, {})[server.id] = upstream
         return known
 
+    def set_evacuated(self, domain, stops_at):
+        """Record that a failure domain is evacuated.
+
+        Its servers are a last resort until ``stops_at``, and get no request from then
+        on until ``clear_evacuated``.
+        """
+        self._evacuated[domain] = stops_at
+
+    def clear_evacuated(self, domain, now):
+        """Record that the evacuation of a failure domain was withdrawn."""
+        if self._evacuated.pop(domain, None) is not None:
+            self._evacuation_ended_at[domain] = now
+
+    def evacuation_ended_at(self, domain):
+        """Return when the last evacuation of a domain was withdrawn, or None."""
+        return self._evacuation_ended_at.get(domain)
+
+    def evacuated_upstreams(self):
+        """Return the upstreams whose failure domain is evacuated."""
+        if not self._evacuated:
+            return []
+        return [upstream for upstream in self._by_id.values() if upstream.is_evacuated]
+
+    def is_service_evacuated(self, service, now, domains=None):
+        """Return whether evacuations leave a service without a usable server.
+
+        ``domains`` restricts the servers to some failure domains.
+        """
+        if not self._evacuated:
+            return False
+        upstreams = [
+            upstream
+            for upstream in self._by_service.get(service, {}).values()
+            if domains is None or upstream.server.domain in domains
+        ]
+        return any(upstream.is_evacuated for upstream in upstreams) and not any(
+            upstream.is_usable(now) for upstream in upstreams
+        )
+
     def announce_end(self, server_id, born_ms, until):
         """Record the end that an incarnation of a server announced to a peer."""
         upstream = self._by_id.get(server_id)
@@ -627,14 +687,15 @@
     def next_room_at(self, service, now, excluded_ids=(), domains=None):
         """Return when a server that is not lost wants requests, or None if none will.
 
-        The time is ``now`` if one does already. A server that leaves before its pause
-        ends will not. ``domains`` restricts the servers to some failure domains.
+        The time is ``now`` if one does already. A server that leaves, or whose domain
+        is evacuated, before its pause ends will not. ``domains`` restricts the servers
+        to some failure domains.
         """
         times = [
             max(self.rate_room_at(upstream, now), upstream.paused_until)
             for upstream in self.usable_upstreams(service, now, domains)
             if upstream.server.id not in excluded_ids
-            and upstream.paused_until < upstream.serves_until
+            and upstream.paused_until < upstream.usable_until
             and upstream.ejected_until <= now
             and not upstream.is_lost(now)
         ]
