--- a/almondtide/entry/codec.py
+++ b/almondtide/entry/codec.py
@@ -9,11 +9,13 @@
 from ..errors import DocumentError
 from ..model.position import MAX_POSITION
 from ..model.published import Server
+from .evacuations import EvacuationNotice, EvacuationSummary
 from .members import Member, MemberState
 
 __all__ = [
     "MAX_DATAGRAM_BYTES",
     "EndAnnouncement",
+    "EvacuationUpdate",
     "Heartbeat",
     "LimitEnd",
     "LossReport",
@@ -21,6 +23,7 @@
     "decode_message",
     "decode_snapshot",
     "encode_end_announcement",
+    "encode_evacuations",
     "encode_heartbeat",
     "encode_limit_end",
     "encode_loss_reports",
@@ -74,7 +77,8 @@
     ``wants_reply`` the sender asks for a heartbeat in return. ``demands`` maps keys of
     services whose servers limit their rate to the sender's demand in requests a second.
     A server last replied to the sender ``reply_age_s`` ago, None for never, and
-    ``has_failing_links`` tells that it can reach no server.
+    ``has_failing_links`` tells that it can reach no server. ``evacuations`` is an
+    ``EvacuationSummary``, None from a sender that does not know or does not use them.
     """
 
     __slots__ = (
@@ -84,6 +88,7 @@
         "cursor_age_s",
         "demands",
         "digest",
+        "evacuations",
         "has_failing_links",
         "members",
         "reply_age_s",
@@ -104,6 +109,7 @@
         demands=None,
         reply_age_s=None,
         has_failing_links=False,
+        evacuations=None,
     ):
         self.sender = sender
         self.digest = digest
@@ -116,6 +122,22 @@
         self.demands = demands or {}
         self.reply_age_s = reply_age_s
         self.has_failing_links = has_failing_links
+        self.evacuations = evacuations
+
+
+class EvacuationUpdate:
+    """An update that tells of evacuations.
+
+    ``notices`` is a list of ``EvacuationNotice``. ``records`` and ``configuration``
+    are those of any update, see ``decode_message``.
+    """
+
+    __slots__ = ("configuration", "notices", "records")
+
+    def __init__(self, records, configuration, notices):
+        self.records = records
+        self.configuration = configuration
+        self.notices = notices
 
 
 class LossReport:
@@ -159,11 +181,12 @@
 
 
 class Snapshot:
-    """A whole replica: records, configuration and announced ends.
+    """A whole replica: records, configuration, announced ends and evacuations.
 
     ``position`` and ``age_s`` are those of the replica, ``records`` tuples of key,
     position and ``Server`` or None, ``ends`` a list of ``EndAnnouncement``.
-    ``configuration_raw`` is the configuration's document.
+    ``configuration_raw`` is the configuration's document. ``evacuations`` is an
+    ``EvacuationSummary`` or None.
     """
 
     __slots__ = (
@@ -171,6 +194,7 @@
         "configuration_position",
         "configuration_raw",
         "ends",
+        "evacuations",
         "position",
         "records",
     )
@@ -183,6 +207,7 @@
         configuration_raw,
         records,
         ends=(),
+        evacuations=None,
     ):
         self.age_s = age_s
         self.position = position
@@ -190,6 +215,7 @@
         self.configuration_raw = configuration_raw
         self.records = records
         self.ends = list(ends)
+        self.evacuations = evacuations
 
 
 def _pack_member(member, now):
@@ -295,9 +321,49 @@
         _pack_age(heartbeat.reply_age_s),
         heartbeat.has_failing_links,
     ]
+    if heartbeat.evacuations is not None:
+        message.append(_pack_evacuations(heartbeat.evacuations))
     return cbor2.dumps(message)
 
 
+def _pack_notice(notice):
+    return [
+        notice.domain,
+        notice.position,
+        notice.is_active,
+        min(MAX_SERVING_MS, int(notice.stops_s * 1000)),
+    ]
+
+
+def _unpack_notice(item):
+    domain, position, is_active, stops_ms = item
+    return EvacuationNotice(
+        _check_string(domain),
+        _check_integer(position, MAX_POSITION),
+        bool(is_active),
+        _unpack_serving_time(stops_ms),
+    )
+
+
+def _pack_evacuations(summary):
+    return [
+        _pack_age(summary.age_s),
+        summary.floor,
+        [_pack_notice(notice) for notice in summary.notices],
+    ]
+
+
+def _unpack_evacuations(item):
+    if item is None:
+        return None
+    age_ms, floor, notices = item[:3]
+    return EvacuationSummary(
+        _check_number(age_ms, MAX_AGE_MS) / 1000.0,
+        _check_integer(floor, MAX_POSITION),
+        [_unpack_notice(notice) for notice in notices],
+    )
+
+
 def _pack_demands(demands):
     return b"".join(
         _DEMAND.pack(key, min(MAX_PACKED_DEMAND, round(per_s * DEMAND_UNITS_PER_S)))
@@ -371,6 +437,15 @@
         yield cbor2.dumps([PROTOCOL_VERSION, UPDATE, batch, None])
 
 
+def encode_evacuations(notices):
+    """Return an update with a list of ``EvacuationNotice`` as a datagram.
+
+    Decoders of earlier builds find an update without records in it.
+    """
+    items = [_pack_notice(notice) for notice in notices]
+    return cbor2.dumps([PROTOCOL_VERSION, UPDATE, [], None, items])
+
+
 def encode_loss_reports(losses):
     """Yield a datagram for each (fingerprint of a request, ids of servers)."""
     for fingerprint, servers in losses:
@@ -423,6 +498,7 @@
 def decode_message(raw, now):
     """Return a message of a peer, or (records, configuration) of an update.
 
+    An update that tells of evacuations is an ``EvacuationUpdate``.
     Records are tuples of key, position, ``Server`` or None, and the time in s for
     which a leaving server may still be used. The configuration is None or a pair of
     position and document. Raises ``DocumentError`` for anything else.
@@ -452,7 +528,11 @@
             return _unpack_limit_end(message)
         if message[1] == UPDATE:
             records = [_unpack_update(item) for item in message[2]]
-            return records, _unpack_configuration(message[3])
+            configuration = _unpack_configuration(message[3])
+            if len(message) > 4 and message[4]:
+                notices = [_unpack_notice(item) for item in message[4]]
+                return EvacuationUpdate(records, configuration, notices)
+            return records, configuration
     except _MALFORMED as exc:
         raise DocumentError(f"message: {exc}") from exc
     raise DocumentError(f"message: kind {message[1]!r} is unknown")
@@ -485,6 +565,7 @@
     demands, reply_age_ms, has_failing_links = b"", None, False
     if len(message) > 10:
         demands, reply_age_ms, has_failing_links = message[10:13]
+    evacuations = _unpack_evacuations(message[13]) if len(message) > 13 else None
     return Heartbeat(
         _unpack_member(sender, now),
         _check_integer(digest),
@@ -497,6 +578,7 @@
         _unpack_demands(demands),
         _unpack_age(reply_age_ms),
         bool(has_failing_links),
+        evacuations,
     )
 
 
@@ -525,11 +607,12 @@
     ]
 
 
-def encode_snapshot(replica, age_s, ends=None):
+def encode_snapshot(replica, age_s, ends=None, evacuations=None):
     """Return a whole replica as one compressed body.
 
     ``ends`` is a list of ``EndAnnouncement``, or None for a peer of a build whose
-    decoder does not take them.
+    decoder takes no further items. ``evacuations`` is an ``EvacuationSummary``, or None
+    if they are not known or not used.
     """
     message = [
         PROTOCOL_VERSION,
@@ -546,6 +629,8 @@
         message.append(
             [[end.server_id, end.born_ms, int(end.serves_s * 1000)] for end in ends]
         )
+        if evacuations is not None:
+            message.append(_pack_evacuations(evacuations))
     return zlib.compress(cbor2.dumps(message), SNAPSHOT_COMPRESSION_LEVEL)
 
 
@@ -565,6 +650,7 @@
             cfg_raw,
             _unpack_records(records),
             [_unpack_end(item) for item in (rest[0] if rest else ())],
+            _unpack_evacuations(rest[1]) if len(rest) > 1 else None,
         )
     except _MALFORMED as exc:
         raise DocumentError(f"snapshot: {exc}") from exc
--- a/almondtide/entry/feed.py
+++ b/almondtide/entry/feed.py
@@ -13,10 +13,13 @@
 from ..model.position import era_of, make_position, revision_of
 from ..platform.documents import (
     CONFIGURATION_KEY,
+    EVACUATION_PREFIX,
     SERVER_PREFIX,
     decode_configuration,
+    decode_evacuated_domain,
     decode_server,
 )
+from .evacuations import MAX_MESSAGE_WAIT_S, EvacuationNotice, Evacuations
 
 __all__ = ["StoreFeed", "leaving_serves_until", "next_read_at", "removal_held_until"]
 
@@ -115,11 +118,16 @@
 
     After a restoration, entries that the restored store doesn't have are held in the
     same way, and entries that it still has although they were removed before are not
-    used until their servers write them again.
+    used until their servers write them again. Evacuations of failure domains that the
+    restored store lacks are held as well.
+
+    ``evacuations`` stays empty and unknown where the settings have no ``evacuate_s``.
     """
 
     __slots__ = (
+        "_evacuation_changes",
         "_held_removals",
+        "_held_withdrawals",
         "_log",
         "_position_before_held",
         "_read_at_before_era",
@@ -129,6 +137,7 @@
         "_revived_positions",
         "cursor",
         "era",
+        "evacuations",
         "read_at",
         "settings",
     )
@@ -139,6 +148,11 @@
         self._log = log
         # Key -> (position of the removal, time until which it is held).
         self._held_removals = {}
+        # The same for evacuations that a restored store lacks, by failure domain.
+        self._held_withdrawals = {}
+        # Evacuations that began or ended by own reads and were not sent to peers yet.
+        self._evacuation_changes = []
+        self.evacuations = Evacuations()
         # The cursor and ``read_at`` before the removals that are held, or None.
         self._position_before_held = None
         self._read_failed_at = None
@@ -156,7 +170,7 @@
         if era <= self.era:
             return
         self.era = era
-        if not self._replica.all_records():
+        if not self._replica.all_records() and not self.evacuations:
             # Nothing is known of an earlier era.
             return
         self._restored_at = now
@@ -185,9 +199,24 @@
         """Record that the store did not answer a read of this daemon."""
         self._read_failed_at = now
 
-    def apply_full_list(self, items, position, now):
-        """Apply a full list of items; returns the changed records."""
+    @property
+    def uses_evacuations(self):
+        """Whether the deployment evacuates failure domains."""
+        return self.settings.evacuate_s is not None
+
+    @property
+    def knows_evacuations(self):
+        """Whether the evacuated domains are known, or the deployment has none."""
+        return not self.uses_evacuations or self.evacuations.known_at is not None
+
+    def apply_full_list(self, items, position, now, operator_items=None):
+        """Apply a full list of items; returns the changed records.
+
+        ``operator_items`` are all keys of the operator where evacuations are used.
+        """
         self.note_era(era_of(position), now)
+        if operator_items is not None:
+            self._apply_evacuation_list(operator_items, position, now)
         missing = self._replica.keys_missing_from(
             {item.key for item in items}, position
         )
@@ -225,8 +254,11 @@
             return False
         return True
 
-    def apply_changes(self, items, position, now):
-        """Apply a list of changes; returns the changed records."""
+    def apply_changes(self, items, position, now, answered_at=None):
+        """Apply a list of changes; returns the changed records.
+
+        The read began at ``now`` and was answered at ``answered_at``.
+        """
         missing = {item.key for item in items if self._is_removal(item)}
         missing = {key for key in missing if self._replica.has_server(key)}
         until = self._removal_held_until(now, len(missing))
@@ -234,8 +266,12 @@
         for item in items:
             if self._is_removal(item):
                 self._merge_removal(item.key, item.position, until, now, changed)
+            elif self.uses_evacuations and item.key.startswith(EVACUATION_PREFIX):
+                self._merge_evacuation_change(item, now, answered_at or now)
             else:
                 self._merge_item(item, now, changed)
+        if self.uses_evacuations and self.evacuations.known_at is not None:
+            self.evacuations.mark_known(now)
         self._set_position(max(position, self.cursor or 0), now)
         return changed
 
@@ -255,8 +291,13 @@
             >= max(MASS_EXPIRY_MIN_SERVERS, MASS_EXPIRY_FRACTION * known_count),
         )
 
+    @property
+    def _is_holding(self):
+        """Whether something that the store no longer lists is kept for a while."""
+        return bool(self._held_removals or self._held_withdrawals)
+
     def _set_position(self, position, now):
-        if not self._held_removals:
+        if not self._is_holding:
             self._position_before_held = None
         elif self._position_before_held is None:
             # No history leads from another era to this one.
@@ -269,7 +310,7 @@
     @property
     def shared_position(self):
         """The ``cursor`` and ``read_at`` from which another daemon may continue."""
-        if self._held_removals and self._position_before_held is not None:
+        if self._is_holding and self._position_before_held is not None:
             return self._position_before_held
         return self.cursor or 0, self.read_at
 
@@ -279,7 +320,7 @@
         While removals are held, the cursor stays, so that the next read shows which
         entries are registered again.
         """
-        if self._held_removals or cursor < (self.cursor or 0):
+        if self._is_holding or cursor < (self.cursor or 0):
             return
         if cursor > (self.cursor or 0) or self.read_at is None:
             self.read_at = read_at
@@ -313,15 +354,164 @@
 
     def _leaving_serves_until(self, now):
         """Return until when a server that the current read shows as leaving serves."""
-        read_at = self.read_at
+        return leaving_serves_until(self._changed_after(now), self.settings.drain_s)
+
+    def _changed_after(self, now):
+        """Return a time after which the changes of the current read were made."""
         if (
             self._restored_at is not None
             and now < self._restored_at + RESTORATION_HOLD_S
         ):
-            # The server may have announced its end in the time that the store lost,
-            # which began after the last read of the earlier era.
-            read_at = self._read_at_before_era
-        return leaving_serves_until(read_at, self.settings.drain_s)
+            # They may have been made before in the time that the store lost, which
+            # began after the last read of the earlier era.
+            return self._read_at_before_era
+        return self.read_at
+
+    # Evacuations
+
+    def _domains(self):
+        return {*self.settings.domains, self.settings.domain}
+
+    def _decode_domain(self, key):
+        """Return the failure domain of a key, or None for an unknown one."""
+        try:
+            return decode_evacuated_domain(key, self._domains())
+        except DocumentError as exc:
+            self._note_invalid_evacuation(exc.message)
+            return None
+
+    def _note_invalid_evacuation(self, reason):
+        self.evacuations.counts["invalid"] += 1
+        self._log.debug("evacuation_invalid", reason=reason)
+
+    def _evacuation_stops_at(self, now):
+        """Return when the use of a domain ends that a read shows as evacuated."""
+        changed_after = self._changed_after(now)
+        if changed_after is None or self.evacuations.known_at is None:
+            # It may have been evacuated for long.
+            return 0.0
+        return changed_after + self.settings.evacuate_s - LEAVING_MARGIN_S
+
+    def _merge_evacuation(self, domain, position, is_active, now):
+        held = self._held_withdrawals.get(domain)
+        if held is not None and position > held[0]:
+            del self._held_withdrawals[domain]
+        stops_at = self._evacuation_stops_at(now) if is_active else 0.0
+        changed = self.evacuations.merge(domain, position, is_active, stops_at, "store")
+        if changed is not None:
+            self._evacuation_changes.append(changed)
+
+    def _merge_evacuation_change(self, item, now, answered_at):
+        domain = self._decode_domain(item.key)
+        if domain is None:
+            return
+        if item.value is None and answered_at - now > MAX_MESSAGE_WAIT_S:
+            # The process was paused meanwhile; the next read shows what holds now.
+            self._hold_withdrawal(domain, item.position, answered_at)
+            return
+        self._merge_evacuation(domain, item.position, item.value is not None, now)
+
+    def _apply_evacuation_list(self, items, position, now):
+        """Apply all keys of the operator at a position of the store."""
+        listed = set()
+        for item in items:
+            if item.key.startswith(EVACUATION_PREFIX):
+                domain = self._decode_domain(item.key)
+                if domain is not None:
+                    listed.add(domain)
+                    self._merge_evacuation(domain, item.position, True, now)
+        for state in self.evacuations.active():
+            if state.domain in listed or state.position > position:
+                continue
+            until = self._withdrawal_held_until(state.domain, now)
+            if until is None:
+                self._merge_evacuation(state.domain, position, False, now)
+            else:
+                self._hold_withdrawal(state.domain, position, until)
+        self.evacuations.raise_floor(position)
+        self.evacuations.mark_known(now)
+
+    def _withdrawal_held_until(self, domain, now):
+        """Return until when an evacuation of an earlier era is kept, or None."""
+        state = self.evacuations.get(domain)
+        if self._restored_at is None or state is None or not state.is_active:
+            return None
+        until = self._restored_at + RESTORATION_HOLD_S
+        if now >= until or era_of(state.position) >= self.era:
+            return None
+        return until
+
+    def _hold_withdrawal(self, domain, position, until):
+        if domain in self._held_withdrawals:
+            return
+        self._held_withdrawals[domain] = (position, until)
+        self.evacuations.counts["held"] += 1
+        self._log.info(
+            "evacuation_held",
+            domain=domain,
+            era=era_of(position),
+            revision=revision_of(position),
+        )
+
+    def take_evacuation_changes(self):
+        """Return the evacuations that own reads changed since the last call."""
+        changes, self._evacuation_changes = self._evacuation_changes, []
+        return changes
+
+    def learn_evacuations(self, notices, counted_from, now, source):
+        """Take over what a peer says; return (changed evacuations, is complete).
+
+        ``counted_from`` is a time before the message can have arrived. The second
+        value is false if a withdrawal was left out: after a restoration of the store,
+        or from a message that may have waited in a paused process. Heartbeats repeat
+        it.
+        """
+        is_recent = now - counted_from <= MAX_MESSAGE_WAIT_S
+        is_complete = is_recent
+        domains = self._domains()
+        changes = []
+        for notice in notices:
+            if notice.domain not in domains:
+                self._note_invalid_evacuation(f"{notice.domain[:40]!r} of {source}")
+                continue
+            known = self.evacuations.get(notice.domain)
+            if (
+                not notice.is_active
+                and known is not None
+                and known.is_active
+                and notice.position > known.position
+                and (
+                    not is_recent
+                    or self._withdrawal_held_until(notice.domain, now) is not None
+                )
+            ):
+                is_complete = False
+                continue
+            stops_at = counted_from + notice.stops_s
+            changed = self.evacuations.merge(
+                notice.domain, notice.position, notice.is_active, stops_at, source
+            )
+            if changed is not None:
+                changes.append(changed)
+        return changes, is_complete
+
+    def learn_all_evacuations(self, summary, counted_from, now, source):
+        """Take over the whole state of a peer; return whether it is complete.
+
+        See ``learn_evacuations``.
+        """
+        stated = {notice.domain for notice in summary.notices}
+        unstated = [
+            EvacuationNotice(state.domain, summary.floor, False, 0.0)
+            for state in self.evacuations.active()
+            if state.domain not in stated and state.position < summary.floor
+        ]
+        _, is_complete = self.learn_evacuations(
+            [*summary.notices, *unstated], counted_from, now, source
+        )
+        if is_complete:
+            self.evacuations.raise_floor(summary.floor)
+        return is_complete
 
     def merge_configuration(self, raw, position):
         """Decode a configuration and store it if it is newer; returns whether it is."""
@@ -357,7 +547,8 @@
 
     def is_release_due(self, now):
         """Return whether the hold time of some removals is over."""
-        return any(until <= now for _, until in self._held_removals.values())
+        held = (*self._held_removals.values(), *self._held_withdrawals.values())
+        return any(until <= now for _, until in held)
 
     def release_held_removals(self, now):
         """Remove held entries that stayed missing; returns the changed records."""
@@ -368,4 +559,8 @@
                 record = self._replica.merge_server(key, position, None, now)
                 if record is not None:
                     changed.append(record)
+        for domain, (position, until) in list(self._held_withdrawals.items()):
+            if until <= now:
+                del self._held_withdrawals[domain]
+                self._merge_evacuation(domain, position, False, now)
         return changed
--- a/almondtide/entry/gossip.py
+++ b/almondtide/entry/gossip.py
@@ -19,12 +19,14 @@
 from .codec import (
     MAX_DATAGRAM_BYTES,
     EndAnnouncement,
+    EvacuationUpdate,
     Heartbeat,
     LimitEnd,
     LossReport,
     decode_message,
     decode_snapshot,
     encode_end_announcement,
+    encode_evacuations,
     encode_heartbeat,
     encode_limit_end,
     encode_loss_reports,
@@ -330,6 +332,7 @@
             self._demands_to_report(now),
             None if self._links is None else self._links.reply_age_s(now),
             self._links is not None and self._links.is_failing,
+            self._feed.evacuations.summary(now),
         )
 
     def _demands_to_report(self, now):
@@ -373,6 +376,14 @@
             # the new version.
             await self.trigger_heartbeat()
 
+    async def send_evacuations(self, evacuations, source_host=None):
+        """Send changed ``Evacuation`` objects to other members, as an update."""
+        now = self._now()
+        raw = encode_evacuations(self._feed.evacuations.notices(now, evacuations))
+        for member in self._update_targets(now, source_host is not None):
+            if member.host != source_host:
+                await self._send(raw, member.host)
+
     async def send_loss_reports(self, losses):
         """Report servers that ended while they ran requests to the active members."""
         active_members = [m for m in self._other_members(self._now()) if m.is_active]
@@ -462,6 +473,11 @@
         elif isinstance(message, LossReport):
             for fingerprint, servers in message.losses:
                 self._on_loss(fingerprint, servers)
+        elif isinstance(message, EvacuationUpdate):
+            await self._on_evacuations(message.notices, host, now, arrived_after)
+            await self._on_updates(
+                message.records, message.configuration, host, now, arrived_after
+            )
         else:
             await self._on_updates(*message, host, now, arrived_after)
 
@@ -483,8 +499,40 @@
             )
         return is_new
 
+    async def _on_evacuations(self, notices, host, now, arrived_after):
+        if not self._feed.uses_evacuations:
+            return
+        for notice in notices:
+            self._feed.note_era(era_of(notice.position), now)
+        changed, _ = self._feed.learn_evacuations(
+            notices, arrived_after, now, f"peer {host}"
+        )
+        if changed and self.view.is_large:
+            await self.send_evacuations(changed, host)
+
+    def _learn_all_evacuations(self, summary, position, host, now, counted_from):
+        """Take over the evacuations in a heartbeat or a snapshot of a peer.
+
+        ``position`` is that of the peer's replica. Return whether the peer knows them
+        and all were taken over, so that its cursor may be adopted.
+        """
+        feed = self._feed
+        if not feed.uses_evacuations:
+            return True
+        if summary is None:
+            return False
+        is_complete = feed.learn_all_evacuations(
+            summary, counted_from, now, f"peer {host}"
+        )
+        if is_complete and era_of(position) >= feed.era:
+            feed.evacuations.mark_known(now - summary.age_s)
+        return is_complete
+
     async def _on_heartbeat(self, heartbeat, host, now, arrived_after):
         self._feed.note_era(era_of(heartbeat.cursor), now)
+        has_evacuations = self._learn_all_evacuations(
+            heartbeat.evacuations, heartbeat.cursor, host, now, arrived_after
+        )
         self._update_member(heartbeat.sender, now)
         for member in heartbeat.members:
             self._update_member(member, now)
@@ -501,7 +549,9 @@
         if heartbeat.wants_reply:
             await self._send_reply(host, now)
         if heartbeat.age_s is not None:
-            await self._compare_replicas(heartbeat, host, now, arrived_after)
+            await self._compare_replicas(
+                heartbeat, host, now, arrived_after, has_evacuations
+            )
 
     def _update_member(self, member, now):
         if self.view.update(member):
@@ -527,7 +577,9 @@
         for end in self._announced_ends(now)[:REPLY_ENDS]:
             await self._send(encode_end_announcement(end), host)
 
-    async def _compare_replicas(self, heartbeat, host, now, arrived_after):
+    async def _compare_replicas(
+        self, heartbeat, host, now, arrived_after, has_evacuations=True
+    ):
         replica = self._replica
         if era_of(heartbeat.cursor) < self._feed.era:
             # The sender does not know yet that the store was restored. Equal contents
@@ -539,6 +591,9 @@
         ):
             self._digest_differs_since = None
             replica.mark_fresh(now - heartbeat.age_s)
+            if not has_evacuations:
+                # The changes up to the sender's cursor may contain evacuations.
+                return
             age_s = heartbeat.cursor_age_s
             self._feed.adopt_cursor(
                 heartbeat.cursor, None if age_s is None else arrived_after - age_s
@@ -605,7 +660,10 @@
         if request.query == SNAPSHOT_QUERY_WITH_ENDS:
             ends = self._announced_ends(now)
         age_s = self._replica.age_s(now)
-        return HTTPResponse(200, encode_snapshot(self._replica, age_s, ends))
+        evacuations = self._feed.evacuations.summary(now)
+        return HTTPResponse(
+            200, encode_snapshot(self._replica, age_s, ends, evacuations)
+        )
 
     async def _pull_snapshot(self, host):
         address = (host, self.settings.control_address[1])
@@ -631,6 +689,10 @@
         now = self._now()
         replica = self._replica
         self._feed.note_era(era_of(snapshot.position), now)
+        # First, so that no server of an evacuated domain is used in between.
+        self._learn_all_evacuations(
+            snapshot.evacuations, snapshot.position, host, now, asked_at
+        )
         is_configuration_new = self._feed.merge_configuration(
             snapshot.configuration_raw, snapshot.configuration_position
         )
--- a/almondtide/entry/reader.py
+++ b/almondtide/entry/reader.py
@@ -6,8 +6,8 @@
 
 from ..errors import PlatformError
 from ..model.position import era_of, revision_of
-from ..platform.documents import CONFIGURATION_KEY, SERVER_PREFIX
-from ..platform.store import HistoryLostError, StoreTimeoutError
+from ..platform.documents import CONFIGURATION_KEY, OPERATOR_PREFIX, SERVER_PREFIX
+from ..platform.store import HistoryLostError, StoreRestoredError, StoreTimeoutError
 from .feed import next_read_at
 from .members import store_reader_rank
 
@@ -105,10 +105,15 @@
 
     def _next_read_at(self, now):
         within_s = min(self.settings.drain_s, self.settings.config_apply_s)
+        fresh_at = self._replica.fresh_at
+        if self.settings.evacuate_s is not None:
+            # Peers of an earlier build keep only the replica fresh.
+            within_s = min(within_s, self.settings.evacuate_s)
+            known_at = self._feed.evacuations.known_at
+            is_known = fresh_at is not None and known_at is not None
+            fresh_at = min(fresh_at, known_at) if is_known else None
         rank = store_reader_rank(self._view, now)
-        return next_read_at(
-            self._replica.fresh_at, self._read_failed_at, rank, within_s
-        )
+        return next_read_at(fresh_at, self._read_failed_at, rank, within_s)
 
     async def _wait_for_peers(self):
         if self.settings.is_first_start:
@@ -116,9 +121,14 @@
         else:
             delay_s = random.random() * RESTART_READ_JITTER_S
         end = self._started_at + delay_s
-        while not self._replica.is_complete and self._now() < end:
+        while not self._is_supplied and self._now() < end:
             await curio.sleep(PEER_POLL_S)
 
+    @property
+    def _is_supplied(self):
+        """Whether peers have sent all that callers are served by."""
+        return self._replica.is_complete and self._feed.knows_evacuations
+
     async def _read(self):
         started_at = self._now()
         before = self._replica.configuration_version
@@ -135,6 +145,9 @@
         await self._gossip.trigger_heartbeat()
 
     async def _send_updates(self, changed, is_configuration_new=False):
+        evacuations = self._feed.take_evacuation_changes()
+        if evacuations:
+            await self._gossip.send_evacuations(evacuations)
         if changed or is_configuration_new:
             await self._on_changes(changed, is_configuration_new, "store")
             await self._gossip.send_updates(changed, is_configuration_new)
@@ -168,7 +181,8 @@
     async def _read_store(self):
         feed = self._feed
         # A cursor at revision 0 says that there is no history to continue from.
-        if feed.cursor is not None and revision_of(feed.cursor):
+        has_history = feed.cursor is not None and revision_of(feed.cursor)
+        if has_history and feed.knows_evacuations:
             try:
                 return await self._read_changes(self._now())
             except (HistoryLostError, StoreTimeoutError) as exc:
@@ -178,13 +192,29 @@
                     era=era_of(feed.cursor),
                     revision=revision_of(feed.cursor),
                 )
-        started_at = self._now()
-        item = await self._store.get(CONFIGURATION_KEY)
+        return await self._read_all(self._now())
+
+    async def _read_all(self, started_at):
+        """Read the operator's keys and all servers; returns the changed records."""
+        feed = self._feed
+        operator_items = None
+        if feed.uses_evacuations:
+            operator_items, operator_position = await self._store.read(OPERATOR_PREFIX)
+            self._check_era(operator_position)
+            items = [item for item in operator_items if item.key == CONFIGURATION_KEY]
+            item = items[0] if items else None
+        else:
+            item = await self._store.get(CONFIGURATION_KEY)
         if item is not None:
             feed.merge_configuration(item.value, item.position)
         items, position = await self._store.read(SERVER_PREFIX)
         self._check_era(position)
-        return feed.apply_full_list(items, position, started_at)
+        if operator_items is not None:
+            if era_of(position) != era_of(operator_position):
+                raise StoreRestoredError("the store was restored during the read")
+            # Changes of the operator's keys between the two reads are read next.
+            position = operator_position
+        return feed.apply_full_list(items, position, started_at, operator_items)
 
     def _check_era(self, position):
         """Reject an answer that the store sent before it was restored.
@@ -210,4 +240,4 @@
             self._log.warning(
                 "changes_left", pages=MAX_PAGES, revision=revision_of(after)
             )
-        return self._feed.apply_changes(changes, after, started_at)
+        return self._feed.apply_changes(changes, after, started_at, self._now())
--- a/almondtide/platform/documents.py
+++ b/almondtide/platform/documents.py
@@ -11,13 +11,22 @@
 
 __all__ = [
     "CONFIGURATION_KEY",
+    "EVACUATION_PREFIX",
+    "OPERATOR_PREFIX",
     "SERVER_PREFIX",
     "decode_configuration",
+    "decode_evacuated_domain",
     "decode_server",
 ]
 
 CONFIGURATION_KEY = "op/config"
 SERVER_PREFIX = "servers/"
+# All keys of the operator, among them the configuration.
+OPERATOR_PREFIX = "op/"
+# Followed by the name of a failure domain. The key alone requests its evacuation.
+EVACUATION_PREFIX = "op/evacuate/"
+# Longest part of an invalid name in an error message.
+MAX_SHOWN_NAME = 40
 SECONDS_PER_MS = 0.001
 
 
@@ -119,3 +128,15 @@
     if fields.problems:
         raise DocumentError(f"{key}: " + "; ".join(fields.problems[:10]))
     return server
+
+
+def decode_evacuated_domain(key, domains):
+    """Return the failure domain that a key evacuates; raises ``DocumentError``.
+
+    It must be one of ``domains``, those of the deployment.
+    """
+    domain = key[len(EVACUATION_PREFIX) :]
+    if domain not in domains:
+        shown = domain[:MAX_SHOWN_NAME]
+        raise DocumentError(f"evacuation: {shown!r} is no failure domain")
+    return domain
