--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -8,7 +8,7 @@
 from ..adapters.http import HTTPResponse, serve_http
 from ..adapters.listener import Listener
 from ..errors import SettingsError
-from ..model.position import revision_of
+from ..model.position import era_of, revision_of
 from ..platform.documents import SERVER_PREFIX
 from ..platform.store import StoreClient
 from ..supervision import TASK_FAILURES, Supervised
@@ -80,7 +80,7 @@
         )
         self.view = MembershipView(local)
         self.replica = StoreReplica()
-        feed = StoreFeed(settings, self.replica, log)
+        self.feed = feed = StoreFeed(settings, self.replica, log)
         self.gossip = Gossip(
             settings, self.view, self.replica, feed, self._on_changes, now, log
         )
@@ -112,6 +112,13 @@
         self.dispatcher.set_limit_end_reporter(self.gossip.send_limit_end)
         self.gossip.set_end_handler(self.table.announce_end)
         self.gossip.set_limit_end_handler(self._on_limit_end)
+        feed.evacuations.set_listeners(
+            self._on_evacuation, lambda: self._update_role(boottime_now())
+        )
+        # Evacuated domains whose servers are known to be no last resort any more.
+        self._stopped_domains = set()
+        # Whether a configuration waits until the evacuated domains are known.
+        self._is_configuration_pending = False
         self.gossip.set_loss_handler(self.crash_detector.merge_peer_losses)
         self.link_watch = LinkWatch(
             self.table,
@@ -228,6 +235,8 @@
         self.settings = settings
         for part in self.settings_users:
             part.settings = settings
+        if not self.feed.uses_evacuations:
+            self.feed.evacuations.clear()
 
     async def _stop(self, signum):
         """Announce the leave, finish requests, and return within the grace time.
@@ -293,6 +302,7 @@
             for upstream in self.table.remove_expired(now):
                 await self.pool.close_idle(upstream)
             self.table.refresh_limited_services(now)
+            await self._end_evacuated_use(now)
             for name in self.view.remove_expired(now):
                 self.log.info("member_forgotten", member=name)
             self.replica.remove_expired_tombstones(now)
@@ -310,6 +320,47 @@
                 "server_limited", server=server_id, rate="none", source="peer"
             )
 
+    # Evacuations
+
+    def _on_evacuation(self, evacuation, source):
+        """Take over an evacuation that began or was withdrawn."""
+        now = boottime_now()
+        domain = evacuation.domain
+        if evacuation.is_active:
+            self.table.set_evacuated(domain, evacuation.stops_at)
+        else:
+            self.table.clear_evacuated(domain, now)
+        self._stopped_domains.discard(domain)
+        self.log.info(
+            "evacuation_begun" if evacuation.is_active else "evacuation_withdrawn",
+            domain=domain,
+            era=era_of(evacuation.position),
+            revision=revision_of(evacuation.position),
+            stops_ms=int(max(0.0, evacuation.stops_at - now) * 1000),
+            source=source,
+        )
+
+    async def _end_evacuated_use(self, now):
+        """Close idle connections to evacuated domains, and end the wait for them."""
+        upstreams = self.table.evacuated_upstreams()
+        for upstream in upstreams:
+            if upstream.idle_connection_count:
+                await self.pool.close_idle(upstream)
+        if upstreams:
+            await self.dispatcher.fail_evacuated()
+        for evacuation in self.feed.evacuations.active():
+            domain = evacuation.domain
+            if evacuation.stops_at > now or domain in self._stopped_domains:
+                continue
+            self._stopped_domains.add(domain)
+            in_domain = [u for u in upstreams if u.server.domain == domain]
+            self.log.info(
+                "evacuation_in_force",
+                domain=domain,
+                servers=len(in_domain),
+                running=sum(upstream.in_flight for upstream in in_domain),
+            )
+
     # Links to servers
 
     def _serving_peers(self, now):
@@ -341,7 +392,7 @@
         for record in records:
             await self._apply_record(record, source)
         if is_configuration_new:
-            self.frontend.apply_configuration()
+            self._is_configuration_pending = True
             configuration = self.replica.configuration
             self.table.connection_limits = {
                 name: service.max_connections
@@ -373,6 +424,12 @@
                     domains=sorted(domains) or "none",
                 )
 
+    def _serve_configuration(self):
+        """Serve callers by a new configuration, once evacuated domains are known."""
+        if self._is_configuration_pending and self.feed.knows_evacuations:
+            self._is_configuration_pending = False
+            self.frontend.apply_configuration()
+
     async def _apply_record(self, record, source):
         now = boottime_now()
         server = record.server
@@ -404,9 +461,11 @@
     def _update_role(self, now):
         """Update whether this daemon is ready and active, and the number of entries."""
         local = self.view.local_member
+        self._serve_configuration()
         if (
             local.state is MemberState.NOT_READY
             and self.replica.is_complete
+            and self.feed.knows_evacuations
             and not self.link_watch.monitor.is_lost
         ):
             local.state = MemberState.READY
@@ -438,12 +497,20 @@
         )
         return HTTPResponse(200, body, {"content-type": "text/plain; version=0.0.4"})
 
+    def _evacuations_age_s(self, now):
+        known_at = self.feed.evacuations.known_at
+        return -1.0 if known_at is None else max(0.0, now - known_at)
+
     def _metric_families(self):
         now = boottime_now()
         counters = {
             "exchanges": ("Exchanges with servers by kind.", self.dispatcher.counts),
             "gossip": ("Datagrams and their bytes.", self.gossip.counts),
             "lookups": ("Look-ups at the directory.", self.directory.counts),
+            "evacuations": (
+                "Evacuations of failure domains by what became of them.",
+                self.feed.evacuations.counts,
+            ),
             "task_failures": ("Failures of tasks that were restarted.", TASK_FAILURES),
         }
         metric_families = [
@@ -482,6 +549,14 @@
                 "Services with a server that limits its rate.",
                 len(self.table.limited_services),
             ),
+            "evacuated_domains": (
+                "Failure domains under evacuation.",
+                len(self.feed.evacuations.active()),
+            ),
+            "evacuations_age_seconds": (
+                "Age of the knowledge of evacuations, -1 if unknown or not used.",
+                self._evacuations_age_s(now),
+            ),
             "members": ("Daemons heard lately.", len(self.view.alive_members(now))),
             "store_calls": ("Calls of the store.", self.store.call_count),
             "reply_bytes": (
--- a/tests/entry/test_daemon.py
+++ b/tests/entry/test_daemon.py
@@ -6,8 +6,8 @@
 from almondtide.entry.daemon import EntryDaemon
 from almondtide.entry.members import Member, MemberState
 from almondtide.platform.settings import decode_settings
-from tests.entry.support import settings_document
-from tests.support import MemoryLog
+from tests.entry.support import make_server, settings_document
+from tests.support import MemoryLog, run
 
 
 class RoleTest(testtools.TestCase):
@@ -58,3 +58,64 @@
         expected = {"Gossip", "StoreReader", "StoreFeed", "Dispatcher", "Directory"}
         expected.add("MemoryBounds")
         self.assertEqual(expected, names)
+
+
+class EvacuationTest(testtools.TestCase):
+    """Guards against callers that are served before the evacuations are known."""
+
+    def _daemon(self, evacuate_ms):
+        document = settings_document()
+        document["bounds"]["evacuate_ms"] = evacuate_ms
+        settings = decode_settings(orjson.dumps(document))
+        daemon = EntryDaemon(settings, MemoryLog(), None, lambda: self.reloaded)
+        raw = orjson.dumps({"version": 3, "routes": [], "services": []})
+        daemon.feed.merge_configuration(raw, 4)
+        daemon.replica.mark_fresh(daemon.started_at)
+        run(daemon._on_changes, [], True, "snapshot")
+        return daemon
+
+    def test_not_ready_before_they_are_known(self):
+        daemon = self._daemon(5000)
+        self.assertIs(MemberState.NOT_READY, daemon.view.local_member.state)
+        self.assertIsNone(daemon.frontend.routes)
+        daemon.feed.evacuations.mark_known(daemon.started_at)
+        self.assertIs(MemberState.READY, daemon.view.local_member.state)
+        self.assertEqual(3, daemon.frontend.routes.configuration.version)
+
+    def test_ready_at_once_in_a_deployment_without_them(self):
+        daemon = self._daemon(None)
+        self.assertIs(MemberState.READY, daemon.view.local_member.state)
+        self.assertIsNotNone(daemon.frontend.routes)
+
+    def test_idle_connections_are_closed_and_the_use_ends(self):
+        daemon = self._daemon(5000)
+        daemon.table.apply(make_server("i-1", domain="nadi"))
+        upstream = daemon.table.get("i-1")
+        connection = _IdleConnection(upstream)
+        daemon.pool.add_idle(connection)
+        daemon.feed.evacuations.merge("nadi", 5, True, 0.0, "store")
+        run(daemon._end_evacuated_use, daemon.started_at)
+        self.assertEqual([None], connection.assigned)
+        self.assertFalse(upstream.is_usable(daemon.started_at))
+        names = [name for name in daemon.log.names() if "evacuation" in name]
+        self.assertEqual(["evacuation_begun", "evacuation_in_force"], names)
+        families = {family.name: family for family in daemon._metric_families()}
+        self.assertEqual({(): 1}, families["evacuated_domains"].values)
+
+    def test_a_reload_without_the_setting_ends_them(self):
+        daemon = self._daemon(5000)
+        daemon.feed.evacuations.merge("nadi", 5, True, 0.0, "store")
+        document = settings_document()
+        self.reloaded = decode_settings(orjson.dumps(document))
+        daemon._reload("signal")
+        self.assertEqual([], daemon.feed.evacuations.active())
+        self.assertIsNotNone(daemon.table.evacuation_ended_at("nadi"))
+
+
+class _IdleConnection:
+    def __init__(self, upstream):
+        self.upstream = upstream
+        self.assigned = []
+
+    async def assign(self, exchange):
+        self.assigned.append(exchange)
