--- a/almondtide/entry/gossip.py
+++ b/almondtide/entry/gossip.py
@@ -73,6 +73,8 @@
 DIGEST_GRACE_S = 0.25
 OTHER_DOMAIN_DIGEST_GRACE_S = 1.0
 PULL_TIMEOUT_S = 1.0
+# Largest datagram that is received, in bytes.
+MAX_RECEIVED_BYTES = 1 << 16
 # Number of failed members that also get each heartbeat, in case they are back.
 SILENT_PROBED = 1
 
@@ -430,17 +432,32 @@
     # Receiving
 
     async def _receive(self):
+        # Lower bound of the next datagram's arrival: no other one was waiting in the
+        # socket's buffer then. Several may wait at the end of a pause.
+        empty_at = self._now()
         while True:
-            # Lower bound of the next datagram's arrival; it may wait in the socket's
-            # buffer before it is received.
-            arrived_after = self._now()
+            started_at = self._now()
             try:
-                raw, (host, _) = await self._sock.recvfrom(65536)
+                raw, (host, _) = self._sock._socket.recvfrom(MAX_RECEIVED_BYTES)
+            except BlockingIOError:
+                empty_at = started_at
+                received = await self._receive_next()
+                if received is None:
+                    continue
+                raw, (host, _) = received
             except OSError as exc:
                 self._log.debug("datagram_not_received", error=str(exc))
                 continue
             self.counts["datagrams_in"] += 1
-            await self.receive_datagram(raw, host, arrived_after)
+            await self.receive_datagram(raw, host, empty_at)
+
+    async def _receive_next(self):
+        """Wait for a datagram; return it with its address, or None after an error."""
+        try:
+            return await self._sock.recvfrom(MAX_RECEIVED_BYTES)
+        except OSError as exc:
+            self._log.debug("datagram_not_received", error=str(exc))
+            return None
 
     async def receive_datagram(self, raw, host, arrived_after):
         """Handle one datagram; one that cannot be handled is logged and counted.
--- a/tests/entry/test_evacuations.py
+++ b/tests/entry/test_evacuations.py
@@ -1,6 +1,9 @@
 """Tests of evacuations of failure domains: state, feed, gossip and reader."""
 
+import socket
+
 import cbor2
+import curio
 import orjson
 import testtools
 
@@ -440,3 +443,46 @@
 
     def __getattr__(self, name):
         return getattr(self._wrapped, name)
+
+
+class _RecordingGossip(Gossip):
+    arrivals = ()
+
+    async def receive_datagram(self, raw, host, arrived_after):
+        self.arrivals = (*self.arrivals, (raw, arrived_after))
+
+
+class ArrivalTest(testtools.TestCase):
+    """Guards against datagrams from before a pause that seem to come after it."""
+
+    def test_all_that_waited_during_a_pause_count_from_before_it(self):
+        # Before, only the first one did: the others seemed to arrive at its end.
+        async def scenario():
+            sock = curio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            sock.bind(("127.0.0.1", 0))
+            entry = _Entry()
+            gossip = _RecordingGossip(
+                entry.settings,
+                entry.view,
+                entry.replica,
+                entry.feed,
+                entry._on_changes,
+                lambda: entry.now,
+                entry.log,
+            )
+            gossip._sock = sock
+            entry.now = 0.0
+            task = await curio.spawn(gossip._receive)
+            await curio.sleep(0.02)
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+                for raw in (b"1", b"2"):
+                    sender.sendto(raw, sock.getsockname())
+                entry.now = 10.0
+                await curio.sleep(0.05)
+                sender.sendto(b"3", sock.getsockname())
+                await curio.sleep(0.05)
+            await task.cancel()
+            await sock.close()
+            self.assertEqual(((b"1", 0.0), (b"2", 0.0), (b"3", 10.0)), gossip.arrivals)
+
+        run(scenario)
