--- a/almondtide/entry/upstreams.py
+++ b/almondtide/entry/upstreams.py
@@ -343,7 +343,9 @@
 
     def is_usable(self, now):
         """Return whether requests may be sent to it, whatever its health."""
-        return not self.is_removed and now < self.usable_until
+        if self.is_removed or now >= self.serves_until:
+            return False
+        return not self._evacuated or now < self.usable_until
 
     def accepts_requests(self, now):
         """Return whether it is usable and wants requests.
--- a/standins/entry_fleet.py
+++ b/standins/entry_fleet.py
@@ -85,12 +85,16 @@
     """Daemons, a store, and servers of each service, all on loopback.
 
     ``argv`` is the command of a daemon after the interpreter. With ``links``, the
-    connections to each server pass through a ``Link``. Use it as an async context
-    manager. ``number`` is the index of a daemon in ``hosts`` and ``processes``.
+    connections to each server pass through a ``Link``. ``bounds`` are further bounds in
+    the settings. Use it as an async context manager. ``number`` is the index of a
+    daemon in ``hosts`` and ``processes``.
     """
 
-    def __init__(self, folder, daemons=3, servers=2, argv=None, links=False):
+    def __init__(
+        self, folder, daemons=3, servers=2, argv=None, links=False, bounds=None
+    ):
         self.folder = folder
+        self.bounds = bounds or {}
         self.argv = argv or ["-m", "almondtide.entry"]
         self.has_links = links
         self.servers_per_service = servers
@@ -159,13 +163,17 @@
         server = self.servers[id]
         self.entry_sequence += 1
         self.registered_states[id] = state
-        domain = DOMAINS[sum(map(ord, id)) % len(DOMAINS)]
-        entry = server.store_entry(domain, state, self.entry_sequence)
+        entry = server.store_entry(self.domain_of(id), state, self.entry_sequence)
         if id in self.links:
             host, port = self.links[id].listener.address
             entry["address"] = f"{host}:{port}"
         await self.store.put(f"servers/{id}", entry)
 
+    @staticmethod
+    def domain_of(id):
+        """Return the failure domain of a server."""
+        return DOMAINS[sum(map(ord, id)) % len(DOMAINS)]
+
     def read_value(self, key):
         """Return the value that the store holds at a key, as bytes."""
         return base64.b64decode(self.store.items[key]["value"])
@@ -190,6 +198,7 @@
                 "drain_ms": DRAIN_S * 1000,
                 "grace_s": GRACE_S,
                 "budget_slack": 100,
+                **self.bounds,
             },
             "platform": {"address": f"{store_host}:{store_port}"},
         }
