--- a/soak/broken.py
+++ b/soak/broken.py
@@ -31,6 +31,7 @@
     "store-era": ["store-restore", "replace"],
     "partition": ["partition"],
     "rate-limit": ["limit"],
+    "evacuation": ["evacuate"],
 }
 
 # Checks that must detect the breaks which are not named after their promise.
@@ -124,6 +125,12 @@
     replace_attribute(UpstreamTable, "rate_room_at", lambda self, upstream, now: now)
 
 
+@breaks.register("evacuation")
+def ignore_evacuations():
+    """Use servers of an evacuated failure domain like others."""
+    replace_attribute(UpstreamTable, "set_evacuated", lambda self, domain, until: None)
+
+
 @breaks.register("store-era")
 def ignore_eras():
     """Compare revisions of the store without their era."""
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -11,7 +11,7 @@
 from standins.entry_fleet import DRAIN_S, SHARDS
 from standins.shard import make_records
 
-__all__ = ["checks", "find_violations"]
+__all__ = ["EVACUATE_S", "checks", "find_violations"]
 
 # Statuses that promise that the request has not run and never will.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -51,6 +51,14 @@
 LIMIT_OVERSHOOT = 1.5
 LIMIT_EXTRA_REQUESTS = 5
 
+# Bound of the entries' settings, and time for a request that passes a busy machine.
+EVACUATE_S = 3.0
+EVACUATION_SLACK_S = 0.5
+# The bound doesn't hold if a daemon was paused, or the store was disturbed, at any time
+# from this long before the evacuation.
+CALM_BEFORE_EVACUATION_S = 4.0
+EVACUATION_EXCUSES = ("pause", "store")
+
 checks = Registry("check")
 
 
@@ -264,6 +272,24 @@
                 break
 
 
+@checks.register("evacuation")
+def check_evacuations(history):
+    """No request reaches an evacuated failure domain after the bound."""
+    for evacuation in history.evacuations:
+        start = evacuation.start + EVACUATE_S + EVACUATION_SLACK_S
+        end = evacuation.end or math.inf
+        calm_from = evacuation.start - CALM_BEFORE_EVACUATION_S
+        for id, server in history.servers.items():
+            if history.domain_of(id) != evacuation.domain:
+                continue
+            for request_id, _, at in server.runs:
+                if start < at < end and not history.had_fault(
+                    None, None, calm_from, at, EVACUATION_EXCUSES
+                ):
+                    late_s = at - evacuation.start - EVACUATE_S
+                    yield f"{request_id}: reached {id} {late_s:.2f} s late"
+
+
 @checks.register("own-ends")
 def check_process_ends(history):
     """No daemon exits or logs an error by itself; stopped ones exit with 0 in time."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,10 +6,17 @@
 import curio
 
 from almondtide.registry import Registry
-from standins.entry_fleet import DRAIN_S, GRACE_S, SHARDS, make_configuration
+from standins.entry_fleet import (
+    DOMAINS,
+    DRAIN_S,
+    GRACE_S,
+    SHARDS,
+    make_configuration,
+)
 from standins.partitioned_entry import CUT_MODES
 
-from .history import RateLimitInterval
+from .checks import EVACUATE_S
+from .history import EvacuationInterval, RateLimitInterval
 
 __all__ = ["faults"]
 
@@ -20,6 +27,8 @@
 # A limited server is judged from a certain time on, in windows of the same length.
 LIMIT_NOTICE_S = 4.0
 MAX_LIMIT_S = 10.0
+# An evacuation is judged from the end of its bound on, for this long at most, in s.
+MAX_JUDGED_EVACUATION_S = 3.0
 # A busy machine may delay the exit of a process beyond its grace time.
 EXIT_SLACK_S = 2.0
 # Servers write to the store at least this often, in s. An entry expires after three
@@ -174,12 +183,43 @@
             if state is not None and f"servers/{id}" not in session.lapsed_keys:
                 await session.fleet.register(id, state)
         await store.put("op/config", make_configuration(session.configuration_version))
+        await _rewrite_evacuations(session)
         await curio.sleep(2 * SERVER_HEARTBEAT_S)
         for key in [key for key in store.items if key.startswith("servers/")]:
             if key[len("servers/") :] not in session.fleet.registered_states:
                 await store.remove(key)
 
 
+async def _rewrite_evacuations(session):
+    """Let the operator write again what holds after a restoration of the store."""
+    store = session.fleet.store
+    evacuated = {item.domain for item in session.evacuations if item.end is None}
+    for domain in DOMAINS:
+        key = f"op/evacuate/{domain}"
+        if domain in evacuated:
+            await store.put(key, {})
+        elif key in store.items:
+            await store.remove(key)
+
+
+@faults.register("evacuate")
+async def evacuate_domain(session, rng):
+    """Evacuate a failure domain for a while, one at a time."""
+    if any(item.end is None for item in session.evacuations):
+        return
+    store = session.fleet.store
+    domain = rng.choice(DOMAINS)
+    key = f"op/evacuate/{domain}"
+    evacuation = EvacuationInterval(domain, time.monotonic())
+    session.evacuations.append(evacuation)
+    await store.put(key, {})
+    evacuation.start = time.monotonic()
+    await curio.sleep(EVACUATE_S + rng.uniform(0.5, MAX_JUDGED_EVACUATION_S))
+    evacuation.end = time.monotonic()
+    if key in store.items:
+        await store.remove(key)
+
+
 @faults.register("announce")
 async def announce_end(session, rng):
     """Let a server announce its end in its responses, never in the store."""
--- a/soak/history.py
+++ b/soak/history.py
@@ -1,6 +1,11 @@
 """Records of the requests of callers and of the times of faults."""
 
-__all__ = ["FaultInterval", "RateLimitInterval", "RequestRecord"]
+__all__ = [
+    "EvacuationInterval",
+    "FaultInterval",
+    "RateLimitInterval",
+    "RequestRecord",
+]
 
 
 class RequestRecord:
@@ -74,3 +79,17 @@
         self.rate = rate
         self.start = start
         self.end = None
+
+
+class EvacuationInterval:
+    """An evacuation of a failure domain from its acknowledgement at ``start``.
+
+    ``end`` is when its withdrawal was begun, None while it lasts.
+    """
+
+    __slots__ = ("domain", "end", "start")
+
+    def __init__(self, domain, start):
+        self.domain = domain
+        self.start = start
+        self.end = None
--- a/soak/session.py
+++ b/soak/session.py
@@ -12,7 +12,7 @@
 from almondtide.platform.documents import SERVER_PREFIX, decode_server
 from standins.entry_fleet import EntryFleet
 
-from .checks import find_violations
+from .checks import EVACUATE_S, find_violations
 from .faults import faults
 from .history import FaultInterval, RequestRecord
 
@@ -41,10 +41,16 @@
         self.seed = seed
         self.fault_names = fault_names or faults.names()
         self.seconds = seconds
-        self.fleet = EntryFleet(folder, argv=argv or PARTITIONED_ENTRY, links=True)
+        self.fleet = EntryFleet(
+            folder,
+            argv=argv or PARTITIONED_ENTRY,
+            links=True,
+            bounds={"evacuate_ms": EVACUATE_S * 1000},
+        )
         self.records = {}
         self.fault_intervals = []
         self.rate_limits = []
+        self.evacuations = []
         self.drain_times = {}
         self.process_problems = []
         self.faulty_daemons = set()
@@ -70,6 +76,10 @@
             if record.ended is not None and kind in (None, record.kind)
         ]
 
+    def domain_of(self, id):
+        """Return the failure domain of a server."""
+        return self.fleet.domain_of(id)
+
     def service_of(self, id):
         """Return the service of a server, or None for an unknown server."""
         server = self.servers.get(id)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,7 +3,12 @@
 import testtools
 
 from soak.checks import checks, find_violations
-from soak.history import FaultInterval, RateLimitInterval, RequestRecord
+from soak.history import (
+    EvacuationInterval,
+    FaultInterval,
+    RateLimitInterval,
+    RequestRecord,
+)
 from soak.run import read_regression_seeds, run_seed
 from standins.entry_fleet import SHARDS
 from standins.shard import make_records
@@ -33,6 +38,7 @@
         self.process_problems = []
         self.fault_intervals = []
         self.rate_limits = []
+        self.evacuations = []
 
     def add(self, id, kind, status, ran=(), error=None, took_s=0.1, **answer):
         record = RequestRecord(id, kind, 0, 10.0, 1.2)
@@ -58,6 +64,9 @@
     def finished_requests(self, kind=None):
         return [r for r in self.records.values() if kind in (None, r.kind)]
 
+    def domain_of(self, id):
+        return "nadi" if id == "i-drafts" else "suva"
+
     def service_of(self, id):
         server = self.servers.get(id)
         return server and server.service
@@ -202,6 +211,25 @@
         history.drain_times["i-drafts"] = 6.0
         self.assert_violation(history, "drain")
 
+    def test_request_to_an_evacuated_domain(self):
+        # The request ran at 10.0.
+        for domain, start, end, is_violation in (
+            ("nadi", 6.0, None, True),
+            ("nadi", 6.0, 9.9, False),
+            ("nadi", 7.0, None, False),
+            ("suva", 6.0, None, False),
+        ):
+            history = _History()
+            history.add("w-1", "write", 200, ["i-drafts"], body=b"w-1")
+            evacuation = EvacuationInterval(domain, start)
+            evacuation.end = end
+            history.evacuations.append(evacuation)
+            if is_violation:
+                self.assert_violation(history, "evacuation")
+                fault = FaultInterval("store", ("store", "busy"), 9.0)
+                history.fault_intervals.append(fault)
+            self.assertEqual([], find_violations(history))
+
     def test_request_after_an_announced_end(self):
         # The announcement reached the caller at 10.1; requests were sent at 10.0.
         for sent, names in ((13.0, []), (13.2, ["announced-end"])):
@@ -237,7 +265,7 @@
             self.assertEqual(names, found, kind)
 
     def test_every_check_has_a_name(self):
-        self.assertEqual(11, len(checks.names()))
+        self.assertEqual(12, len(checks.names()))
 
 
 class RunTest(testtools.TestCase):
