--- a/almondtide/entry/directory.py
+++ b/almondtide/entry/directory.py
@@ -90,10 +90,13 @@
         if self._active_members is None or now - self._computed_at > ACTIVE_CACHE_S:
             self._computed_at = now
             ready_members = self._view.ready_members(now)
-            self._active_members = select_active_members(ready_members)
+            self._active_members = self._select(ready_members)
             self._select_named(ready_members, now)
         return self._active_members
 
+    def _select(self, members):
+        return select_active_members(members, spans_domains=self.settings.spans_domains)
+
     def _select_named(self, ready_members, now):
         """Select the members to name: those heard lately, or all if there are none.
 
@@ -107,7 +110,7 @@
             if member is self._view.local_member
             or now - member.last_heard_at <= limit_s
         ]
-        self._named_members = select_active_members(heard or ready_members)
+        self._named_members = self._select(heard or ready_members)
         silent = [
             member
             for members in self._active_members.values()
--- a/almondtide/entry/members.py
+++ b/almondtide/entry/members.py
@@ -12,6 +12,7 @@
     "Member",
     "MemberState",
     "MembershipView",
+    "exclude_weak_members",
     "select_active_members",
     "store_reader_rank",
 ]
@@ -29,6 +30,10 @@
 MEMBER_RETENTION_S = 60.0
 # Active members per failure domain.
 ACTIVE_PER_DOMAIN = 2
+# Members with less than this fraction of the strongest member's capacity are weak. A
+# query over 36 shards takes some 20 ms of a whole core, so that one with a third of a
+# core answers few queries within their objective.
+WEAK_CAPACITY_FRACTION = 0.5
 
 
 class MemberState(enum.IntEnum):
@@ -160,12 +165,33 @@
         return expired_names
 
 
-def select_active_members(members, per_domain=ACTIVE_PER_DOMAIN):
+def exclude_weak_members(members):
+    """Return the members without the weak ones, if enough strong ones are left.
+
+    There must be as many strong members as failure domains. Answers the load pattern
+    in which the strong members of one domain stop while those of others go on: callers
+    of that domain are served better by other domains than by its weak members.
+    """
+    members = list(members)
+    strongest = max((member.cpu_capacity for member in members), default=0.0)
+    strong = [
+        member
+        for member in members
+        if member.cpu_capacity >= WEAK_CAPACITY_FRACTION * strongest
+    ]
+    domains = {member.domain for member in members}
+    return strong if len(strong) >= len(domains) else members
+
+
+def select_active_members(members, per_domain=ACTIVE_PER_DOMAIN, spans_domains=False):
     """Return a dict from failure domain to its active members.
 
-    Daemons with equal views select the same members without coordination.
+    Daemons with equal views select the same members without coordination. With
+    ``spans_domains`` a domain may have none, see ``exclude_weak_members``.
     """
     active_members = {}
+    if spans_domains:
+        members = exclude_weak_members(members)
     for member in sorted(members, key=lambda member: member.sort_key):
         chosen = active_members.setdefault(member.domain, [])
         if len(chosen) < per_domain:
--- a/almondtide/model/published.py
+++ b/almondtide/model/published.py
@@ -231,7 +231,9 @@
     domain end. A cold server may get ``warmup_overshoot`` times the rate that it
     tolerates and ``warmup_slack`` requests more in a second. ``sheds_by_cost`` tells
     that work is delayed and refused by what that costs callers. The path to the
-    platform counts as sound after ``contact_s`` without a disturbance.
+    platform counts as sound after ``contact_s`` without a disturbance. With
+    ``spans_domains`` the deployment bears the loss of a failure domain, so that callers
+    may be sent to entries of another one.
 
     Log lines of reloads list changed settings by the names of these fields.
     """
@@ -263,6 +265,7 @@
         "region_of_domain",
         "seeds",
         "sheds_by_cost",
+        "spans_domains",
         "store_address",
         "warmup_overshoot",
         "warmup_slack",
--- a/almondtide/platform/settings.py
+++ b/almondtide/platform/settings.py
@@ -71,6 +71,7 @@
         warmup_slack=bounds.number("warmup_slack", None),
         memory_bytes=_to_bytes(limits.number("memory_mb", None)),
         region_of_domain=_parse_regions(document),
+        spans_domains=fields.object("fault_tolerance").integer("zones", 0) > 0,
         sheds_by_cost=PRESSURE_CONTRACT in fields.strings("contracts", []),
     )
     if fields.problems:
--- a/tests/entry/test_directory.py
+++ b/tests/entry/test_directory.py
@@ -128,3 +128,28 @@
         # Roles are as before, since shares of rates and of extra sends depend on them.
         active_members = fleet.directory.active_members(fleet.now)["nadi"]
         self.assertEqual(["front-7", "front-10"], [m.name for m in active_members])
+
+
+class UnevenEntriesTest(testtools.TestCase):
+    """The load: the strong entries of a domain stop in a rolling restart.
+
+    Guards against callers that are sent to entries too weak for them, while strong
+    entries of other domains have room.
+    """
+
+    def _named(self, zones_borne):
+        document = settings_document(fault_tolerance={"zones": zones_borne})
+        fleet = _Fleet(count=9)
+        for number, member in fleet.view.members.items():
+            member.cpu_capacity = 2.15 if int(number.split("-")[1]) < 6 else 0.36
+        fleet.directory.settings = decode_settings(orjson.dumps(document))
+        for number in (1, 4):
+            del fleet.view.members[f"front-{number}"]
+        fleet.directory.invalidate()
+        return sorted(fleet.named("nadi"))
+
+    def test_strong_entries_of_other_domains_are_named(self):
+        self.assertEqual([0, 2, 3, 5], self._named(zones_borne=1))
+
+    def test_elsewhere_the_domain_keeps_its_callers(self):
+        self.assertEqual([7], self._named(zones_borne=0))
--- a/tests/entry/test_members.py
+++ b/tests/entry/test_members.py
@@ -9,6 +9,7 @@
     Member,
     MembershipView,
     MemberState,
+    exclude_weak_members,
     select_active_members,
     store_reader_rank,
 )
@@ -91,6 +92,48 @@
         )
 
 
+class UnevenMembersTest(testtools.TestCase):
+    """The load: the strong members of a failure domain stop in a rolling restart.
+
+    Guards against callers that are sent to members which are too weak for a query over
+    all shards, while strong members of other domains have room.
+    """
+
+    def _uneven_fleet(self):
+        return [
+            _member(f"{domain}-{n}", domain, cpu_capacity=2.15 if n < 2 else 0.361)
+            for domain in DOMAINS
+            for n in range(6)
+        ]
+
+    def _select(self, members, spans_domains=True):
+        return select_active_members(members, spans_domains=spans_domains)
+
+    def _without(self, *names):
+        return [m for m in self._uneven_fleet() if m.name not in names]
+
+    def test_a_domain_without_strong_members_has_no_active_ones(self):
+        members = self._without("suva-0", "suva-1")
+        self.assertEqual({"lautoka", "nadi"}, set(self._select(members)))
+        # Elsewhere the weak members of the domain take over.
+        weak = self._select(members, spans_domains=False)["suva"]
+        self.assertEqual({0.361}, {member.cpu_capacity for member in weak})
+
+    def test_the_last_strong_member_of_a_domain_is_not_paired_with_a_weak_one(self):
+        names = _names(self._select(self._without("suva-0")))
+        self.assertEqual(["suva-1"], names["suva"])
+
+    def test_weak_members_take_over_when_too_few_strong_ones_are_left(self):
+        gone = ("suva-0", "suva-1", "nadi-0", "nadi-1")
+        names = _names(self._select(self._without(*gone)))
+        self.assertEqual({2}, {len(members) for members in names.values()})
+        self.assertEqual(set(DOMAINS), set(names))
+
+    def test_equal_members_are_never_weak(self):
+        fleet = _fleet()
+        self.assertEqual(fleet, exclude_weak_members(fleet))
+
+
 class MembershipViewTest(testtools.TestCase):
     """Guards against failed members that count as live, and the reverse."""
 
