--- a/almondtide/entry/upstreams.py
+++ b/almondtide/entry/upstreams.py
@@ -4,12 +4,21 @@
 earlier one holds. A server that turns requests away may ask for a pause, during which
 it gets none. Both belong to one incarnation of the server and outlast its entry in
 the store, which may lapse and come back.
+
+A cold server whose service has a bound for that takes requests at a known rate only,
+see ``rate_limits.py``.
 """
 
 import enum
 import math
 
-from .rate_limits import RateLimit, RateShares
+from .rate_limits import (
+    MIN_RATE_PER_S,
+    WRITE_WITHIN_S,
+    RateLimit,
+    RateShares,
+    WarmupBounds,
+)
 from .run_time import RunTime
 
 __all__ = ["Failure", "Upstream", "UpstreamTable"]
@@ -110,13 +119,17 @@
         "_run_time",
         "_sampled_at",
         "_slowness",
+        "_warmup_bounds",
         "announced_until",
+        "assumed_cold_until",
+        "cold_listed_at",
         "connect_after",
         "connection_count",
         "ejected_until",
         "full_until",
         "idle_connection_count",
         "is_probing",
+        "is_refusing",
         "is_removed",
         "is_retired",
         "last_reply_at",
@@ -124,9 +137,10 @@
         "paused_until",
         "rate_limit",
         "server",
+        "warmup_limit",
     )
 
-    def __init__(self, server, run_time=None, evacuated=None):
+    def __init__(self, server, run_time=None, evacuated=None, warmup_bounds=None):
         self.server = server
         # Failure domain -> when the use of its servers ends; the table's own dict.
         self._evacuated = {} if evacuated is None else evacuated
@@ -156,6 +170,16 @@
         self.paused_until = 0.0
         # The ``RateLimit`` that it announces, or None.
         self.rate_limit = None
+        self._warmup_bounds = warmup_bounds or WarmupBounds()
+        # The ``RateLimit`` while it is cold and has a bound for that, else None; see
+        # ``update_warmup``.
+        self.warmup_limit = None
+        # When the store began to list it as cold, as far as known, and until when it
+        # counts as cold whatever the store lists.
+        self.cold_listed_at = math.inf
+        self.assumed_cold_until = 0.0
+        # Whether the newest connection to it was refused.
+        self.is_refusing = False
         # Open connections, and how many of them are idle; the pool updates both.
         self.connection_count = 0
         self.idle_connection_count = 0
@@ -200,6 +224,8 @@
         self._pending[exchange] = (now, expected_s)
         if self.rate_limit is not None:
             self.rate_limit.take(now)
+        if self.warmup_limit is not None:
+            self.warmup_limit.take(now)
         self.is_probing = self._consecutive_losses > 0
 
     def abandon(self, exchange, now):
@@ -257,6 +283,7 @@
             self._add_sample(None, 1.0, now)
         else:
             self._add_sample(None, 1.0, now)
+            self.is_refusing = failure is Failure.NO_LISTENER or self.is_refusing
             if failure is not Failure.BROKEN or self._failure_rate > 0.5:
                 self._eject(now)
 
@@ -324,11 +351,60 @@
             self.rate_limit = RateLimit(rate, now)
         return was_limited != (rate is not None)
 
+    def note_connected(self, now):
+        """Record a new connection.
+
+        A server that is back after it refused connections has started again, which the
+        store may not say yet.
+        """
+        if self.is_refusing:
+            self.is_refusing = False
+            self.assume_cold(now + self.warmup_s)
+
+    @property
+    def warmup_s(self):
+        """For how long it is cold after a start in s, 0.0 without a bound for that."""
+        info = self._warmup_bounds.services.get(self.server.service)
+        return 0.0 if info is None else info.warmup_s
+
+    def assume_cold(self, until):
+        """Let it count as cold until a time, or until the store says it is warm."""
+        self.assumed_cold_until = max(self.assumed_cold_until, until)
+
+    def update_warmup(self, now):
+        """Return the ``RateLimit`` of a cold server, or None; create or end it first.
+
+        If the store is silent, the server is cold for the time that the configuration
+        states after the store last said so.
+        """
+        info = self._warmup_bounds.services.get(self.server.service)
+        if info is None:
+            self.warmup_limit = None
+            return None
+        listed_at = max(self.cold_listed_at, self._warmup_bounds.confirmed_at)
+        is_listed = self.server.cold and now < listed_at + info.warmup_s
+        if not is_listed and now >= self.assumed_cold_until:
+            self.warmup_limit = None
+        elif self.warmup_limit is None:
+            self.warmup_limit = RateLimit(
+                info.warmup_per_s, now, burst_s=0.0, unconfirmed_s=math.inf
+            )
+        else:
+            self.warmup_limit.note(info.warmup_per_s, now)
+        return self.warmup_limit
+
+    def limits_rate(self, now):
+        """Return whether it announces a rate, or has one because it is cold."""
+        return self.rate_limit is not None or self.update_warmup(now) is not None
+
     def inherit(self, earlier):
         """Take over what an earlier ``Upstream`` of the same incarnation was told."""
         self.announce_end(earlier.announced_until)
         self.pause(earlier.paused_until)
         self.rate_limit = earlier.rate_limit
+        self.warmup_limit = earlier.warmup_limit
+        self.cold_listed_at = earlier.cold_listed_at
+        self.assume_cold(earlier.assumed_cold_until)
 
     @property
     def is_evacuated(self):
@@ -370,7 +446,7 @@
             cost /= max(0.05, 1.0 - failure_rate) ** 2
         if server.domain != domain:
             cost += OTHER_DOMAIN_COST
-        if server.cold:
+        if server.cold or self.warmup_limit is not None:
             cost += COLD_COST
         if self.is_leaving or self.is_evacuated:
             cost += LEAVING_COST
@@ -398,6 +474,7 @@
         "memory_bounds",
         "rate_shares",
         "run_time",
+        "warmup_bounds",
     )
 
     def __init__(self, domain):
@@ -408,7 +485,8 @@
         self.rate_shares = RateShares()
         # The ``MemoryBounds``, or None.
         self.memory_bounds = None
-        # Services with a server that limits its rate.
+        self.warmup_bounds = WarmupBounds()
+        # Services with a server that limits its rate or is cold and has a bound.
         self.limited_services = set()
         # Service -> most connections that each of its servers accepts in total.
         self.connection_limits = {}
@@ -424,11 +502,12 @@
     def __iter__(self):
         return iter(self._by_id.values())
 
-    def apply(self, server, serves_until=0.0):
+    def apply(self, server, serves_until=0.0, now=math.inf):
         """Add or update a server; return the ``Upstream`` that it replaces, or None.
 
         A known id with a new incarnation, address or service gets a new ``Upstream``.
-        A leaving server is used until ``serves_until`` at the latest.
+        A leaving server is used until ``serves_until`` at the latest. A cold one is
+        listed as such since ``now``.
         """
         usable_until = serves_until if server.leaving else math.inf
         known = self._by_id.get(server.id)
@@ -440,12 +519,17 @@
                 and (old.born_ms == server.born_ms)
                 and not known.is_removed
             ):
+                if server.cold and not old.cold:
+                    known.cold_listed_at = now
+                elif not server.cold:
+                    known.assumed_cold_until = 0.0
                 known.server = server
                 known.listed_until = usable_until
                 known.is_retired = False
                 return None
             self.remove(server.id)
-        upstream = Upstream(server, self.run_time, self._evacuated)
+        upstream = Upstream(server, self.run_time, self._evacuated, self.warmup_bounds)
+        upstream.cold_listed_at = now
         upstream.listed_until = usable_until
         _, earlier = self._removed.pop(server.id, (None, None))
         earlier = known or earlier
@@ -467,6 +551,10 @@
         """Record that the evacuation of a failure domain was withdrawn."""
         if self._evacuated.pop(domain, None) is not None:
             self._evacuation_ended_at[domain] = now
+            # They may have turned cold, which the store may not list yet.
+            for upstream in self._by_id.values():
+                if upstream.server.domain == domain:
+                    upstream.assume_cold(now + upstream.warmup_s)
 
     def evacuation_ended_at(self, domain):
         """Return when the last evacuation of a domain was withdrawn, or None."""
@@ -574,25 +662,61 @@
         self.limited_services = {
             upstream.server.service
             for upstream in self._by_id.values()
-            if upstream.rate_limit is not None
+            if upstream.limits_rate(now)
         }
+        for upstream in self.cold_upstreams():
+            self.rate_shares.measure(upstream.server.service, now)
         self.rate_shares.remove_expired(now, self.limited_services)
 
+    def cold_upstreams(self):
+        """Return the upstreams that are cold and have a bound for that."""
+        return [upstream for upstream in self if upstream.warmup_limit is not None]
+
     def rate_room_at(self, upstream, now):
-        """Return when the announced rate of an upstream leaves room for a request.
+        """Return when the rates of an upstream leave room for a request.
 
+        Those are the rate that it announces and the one that holds while it is cold.
         The time is ``now`` without a limit, and infinite if this entry has no part of
-        the rate.
+        a rate.
         """
+        room_at = now
         limit = upstream.rate_limit
-        if limit is None:
-            return now
+        if limit is not None:
+            if now >= limit.share_expires_at:
+                limit.set_share(
+                    self.rate_shares.share(upstream.server, limit.rate, now), now
+                )
+            room_at = limit.next_send_at(now)
+        if upstream.update_warmup(now) is None:
+            return room_at
+        return max(room_at, self._warmup_room_at(upstream, now))
+
+    def _warmup_room_at(self, upstream, now):
+        limit = upstream.warmup_limit
         if now >= limit.share_expires_at:
-            limit.set_share(
-                self.rate_shares.share(upstream.server, limit.rate, now), now
+            max_entries = self.warmup_bounds.max_entries(limit.rate)
+            share = self.rate_shares.warmup_share(
+                upstream.server, limit, max_entries, now
             )
+            limit.set_share(share, now)
         return limit.next_send_at(now)
 
+    def may_write(self, upstream, counted_limit, counted_at, now):
+        """Return whether a request may be written to an upstream now.
+
+        It was counted against ``counted_limit``, the ``warmup_limit`` at that time. One
+        that was assigned before the server turned cold, or long ago, is counted now.
+        """
+        limit = upstream.update_warmup(now)
+        if limit is None:
+            return True
+        if counted_limit is limit and now - counted_at <= WRITE_WITHIN_S:
+            return True
+        if self._warmup_room_at(upstream, now) > now:
+            return False
+        limit.take(now)
+        return True
+
     def get(self, server_id):
         """Return the ``Upstream`` with this id, or None."""
         return self._by_id.get(server_id)
@@ -672,17 +796,18 @@
         """Return how many requests a second this entry can have served by a service.
 
         ``expected_s`` is the time that a server takes for one. A server that limits its
-        rate counts with this entry's part of the rate, a server that pauses only
-        ``with_paused``. ``domains`` restricts the servers to some failure domains.
+        rate or is cold counts with this entry's part of the rate, a server that pauses
+        only ``with_paused``. ``domains`` restricts the servers to some failure domains.
         """
         total = 0.0
         for upstream in self.usable_upstreams(service, now, domains):
             if not with_paused and not upstream.accepts_requests(now):
                 continue
             per_s = upstream.server.slots / max(0.001, expected_s) / self.entry_count
-            if upstream.rate_limit is not None:
+            if upstream.limits_rate(now):
                 self.rate_room_at(upstream, now)
-                per_s = min(per_s, upstream.rate_limit.share)
+                for limit in (upstream.rate_limit, upstream.warmup_limit):
+                    per_s = per_s if limit is None else min(per_s, limit.share)
             total += per_s
         return total
 
@@ -704,6 +829,25 @@
         room_at = min(times, default=math.inf)
         return None if room_at == math.inf else room_at
 
+    def has_cold_server(self, service, now):
+        """Return whether a usable server of a service is cold and has a bound."""
+        return any(
+            upstream.update_warmup(now) is not None
+            for upstream in self.usable_upstreams(service, now)
+        )
+
+    def other_room_at(self, service, now):
+        """Return when another entry may have room at a cold server, or None.
+
+        It is for callers that come back, if this entry has no part of the rate.
+        """
+        periods_s = [
+            1.0 / max(upstream.warmup_limit.rate, MIN_RATE_PER_S)
+            for upstream in self.usable_upstreams(service, now)
+            if upstream.warmup_limit is not None
+        ]
+        return now + min(periods_s) if periods_s else None
+
     def choose(
         self,
         service,
@@ -735,7 +879,7 @@
                 upstream.is_probing or upstream.silent_s(now)
             ):
                 continue
-            if upstream.rate_limit is not None and (
+            if upstream.limits_rate(now) and (
                 spares_limited or self.rate_room_at(upstream, now) > now
             ):
                 continue
--- /dev/null
+++ b/tests/entry/test_warmup.py
@@ -0,0 +1,416 @@
+"""Tests of the rate that cold servers get from all entries together."""
+
+import bisect
+import math
+
+import testtools
+
+from almondtide.entry.members import (
+    ACTIVE_PER_DOMAIN,
+    Member,
+    MembershipView,
+    MemberState,
+    select_active_members,
+)
+from almondtide.entry.rate_limits import (
+    ENTITLED_S,
+    WRITE_WITHIN_S,
+    RateLimit,
+    RateShares,
+    WarmupBounds,
+    service_key,
+)
+from almondtide.entry.upstreams import Failure, UpstreamTable
+from almondtide.model.published import ServiceInfo
+from tests.entry.support import make_server
+
+OVERSHOOT = 1.5
+SLACK = 5
+WARMUP_S = 30.0
+DOMAINS = ("lautoka", "nadi", "suva")
+RATES = (1.0, 4.0, 12.0, 40.0)
+
+
+def _most_in_a_second(times):
+    """Return the largest number of times within one second."""
+    times = sorted(times)
+    return max(
+        (
+            bisect.bisect_right(times, at + 1.0) - number
+            for number, at in enumerate(times)
+        ),
+        default=0,
+    )
+
+
+def _info(rate, warmup_s=WARMUP_S):
+    return ServiceInfo("a", "/", 100, warmup_s, rate)
+
+
+def _table(rate=4.0, **fields):
+    """Return the table of a single entry with a cold server and a warm one."""
+    table = UpstreamTable("lautoka")
+    table.warmup_bounds.configure(OVERSHOOT, SLACK, [_info(rate)])
+    local = _member("local")
+    table.rate_shares.note_active([local], 0.0, math.inf, 6, False)
+    fields = {"cold": True, **fields}
+    table.apply(make_server("i-1", **fields), now=0.0)
+    table.apply(make_server("i-2", domain="nadi"), now=0.0)
+    return table
+
+
+def _member(name, domain="lautoka", is_active=True, at=0.0, cores=1.0):
+    return Member(name, 1, "10.0.0.1", domain, MemberState.READY, cores, is_active, at)
+
+
+class _SimulatedEntry:
+    """The membership and the shares of one entry, which sends whenever it may."""
+
+    def __init__(self, number, rate, started_at):
+        self.name = f"front-{number}"
+        # The first six have the most capacity, so that they are active.
+        cores = 2.0 if number < 6 else 1.0
+        self.local = _member(self.name, DOMAINS[number % 3], False, started_at, cores)
+        self.view = MembershipView(self.local)
+        self.started_at = started_at
+        self.table = UpstreamTable(self.local.domain)
+        self.table.rate_shares = RateShares(self.name)
+        self.table.warmup_bounds.configure(OVERSHOOT, SLACK, [_info(rate, 1e9)])
+        self.table.apply(make_server("i-1", cold=True), now=0.0)
+        self.upstream = self.table.get("i-1")
+
+    def update_role(self, now):
+        chosen = select_active_members(self.view.ready_members(now))
+        members = [member for group in chosen.values() for member in group]
+        self.local.is_active = self.name in [member.name for member in members]
+        alive = self.view.alive_members(now)
+        self.table.rate_shares.note_active(
+            members + [member for member in alive if member.is_active],
+            now,
+            now - self.started_at,
+            ACTIVE_PER_DOMAIN * len(DOMAINS),
+            True,
+        )
+
+    def send_heartbeat(self, now, peers):
+        self.local.last_heard_at = now
+        demand = self.table.rate_shares.local_demand("a", now)
+        for peer in peers:
+            local = self.local
+            peer.view.update(
+                _member(
+                    local.name, local.domain, local.is_active, now, local.cpu_capacity
+                )
+            )
+            peer.table.rate_shares.note_report(
+                self.name, {service_key("a"): demand}, now
+            )
+
+    def send(self, now):
+        """Send as many requests as allowed; return their number."""
+        count = 0
+        while self.table.rate_room_at(self.upstream, now) <= now:
+            self.upstream.start(object(), now, 0.01)
+            count += 1
+        return count
+
+
+def _simulate(rate, seconds, count=9, runs=None, hears=None, wants=None, starts=None):
+    """Let entries send to one cold server; return the times of all requests.
+
+    Each function gets the number of an entry and the time: ``runs`` tells whether it
+    runs, ``wants`` whether it has requests. ``hears(a, b, now)`` tells whether entry a
+    gets the heartbeats of b. ``starts`` maps entries to the time of their start.
+    """
+    starts = starts or {}
+    entries = [
+        _SimulatedEntry(number, rate, starts.get(number, -60.0))
+        for number in range(count)
+    ]
+    present = []
+    times = []
+    step_s = 0.02
+    for tick in range(-100, int(seconds / step_s)):
+        now = tick * step_s
+        present = [e for e in entries if e.started_at <= now]
+        for number, entry in enumerate(entries):
+            if entry not in present or (runs and not runs(number, now)):
+                continue
+            if (tick + number) % 15 == 0:
+                entry.send_heartbeat(
+                    now,
+                    [
+                        peer
+                        for peer in present
+                        if peer is not entry
+                        and (hears is None or hears(entries.index(peer), number, now))
+                    ],
+                )
+            if (tick + number) % 12 == 0:
+                entry.update_role(now)
+            if now < 0.0 or (wants and not wants(number, now)):
+                continue
+            entry.table.rate_shares.count("a", now)
+            times += [now] * entry.send(now)
+    return times
+
+
+class WorstCaseTest(testtools.TestCase):
+    """Guards against parts of all entries that exceed the bound in any second.
+
+    Six entries are active and three are standbys. Each sends as often as it may.
+    """
+
+    def _assert_bound(self, rate, times):
+        allowed = OVERSHOOT * rate + SLACK
+        most = _most_in_a_second(times)
+        self.assertTrue(times)
+        self.assertTrue(most <= allowed, (rate, most, allowed))
+
+    def test_all_entries_want_all(self):
+        for rate in RATES:
+            times = _simulate(rate, 12.0)
+            self._assert_bound(rate, times)
+            self.assertTrue(len(times) >= 0.8 * 12.0 * rate - 6, (rate, len(times)))
+
+    def test_idle_entries_want_all_at_the_same_moment(self):
+        for rate in RATES:
+            times = _simulate(rate, 24.0, wants=lambda _, now: now % 8.0 > 7.0)
+            self._assert_bound(rate, times)
+
+    def test_the_demand_moves_between_entries(self):
+        for rate in RATES:
+            times = _simulate(
+                rate, 20.0, wants=lambda number, now: number == int(now) % 6
+            )
+            self._assert_bound(rate, times)
+
+    def test_an_entry_is_cut_off(self):
+        for rate in RATES:
+            times = _simulate(
+                rate, 30.0, hears=lambda a, b, now: now < 2.0 or 0 not in (a, b)
+            )
+            self._assert_bound(rate, times)
+
+    def test_an_entry_is_heard_by_nobody_but_hears_all(self):
+        for rate in RATES:
+            times = _simulate(
+                rate,
+                12.0,
+                hears=lambda a, b, now: now < 6.0 or b != 0,
+                wants=lambda number, now: number == 0 or now > 6.0,
+            )
+            self._assert_bound(rate, times)
+
+    def test_a_failure_domain_is_cut_off(self):
+        for rate in RATES:
+            times = _simulate(
+                rate,
+                30.0,
+                hears=lambda a, b, now: now < 2.0 or (a % 3 == 0) == (b % 3 == 0),
+            )
+            self._assert_bound(rate, times)
+
+    def test_no_heartbeat_arrives_any_more(self):
+        for rate in RATES:
+            times = _simulate(rate, 15.0, count=6, hears=lambda a, b, now: now < 0.0)
+            self._assert_bound(rate, times)
+
+    def test_an_entry_is_frozen_and_resumes(self):
+        for rate in RATES:
+            for end in (2.6, 6.0, 30.0):
+                times = _simulate(
+                    rate,
+                    end + 4.0,
+                    runs=lambda number, now, end=end: (
+                        number != 0 or not 2.0 < now < end
+                    ),
+                )
+                self._assert_bound(rate, times)
+
+    def test_entries_have_just_started(self):
+        for rate in RATES:
+            times = _simulate(rate, 10.0, starts={0: 3.0, 4: 3.5})
+            self._assert_bound(rate, times)
+
+    def test_an_entry_starts_cut_off_from_its_peers(self):
+        for rate in RATES:
+            times = _simulate(
+                rate, 30.0, starts={0: 3.0}, hears=lambda a, b, now: 0 not in (a, b)
+            )
+            self._assert_bound(rate, times)
+
+    def test_standbys_take_over(self):
+        for rate in RATES:
+            times = _simulate(
+                rate, 10.0, runs=lambda number, now: number > 2 or now < 3.0
+            )
+            self._assert_bound(rate, times)
+
+
+class WarmupShareTest(testtools.TestCase):
+    """Guards against an entry that takes more than its part of a rate."""
+
+    def _shares(self, names=("a", "b", "c", "d"), at=0.0):
+        shares = RateShares("a")
+        members = [_member(name, f"zone-{name}") for name in names]
+        shares.note_active(members, at, math.inf, 6, True)
+        return shares
+
+    def _share(self, shares, rate=8.0, now=0.0):
+        limit = RateLimit(rate, now)
+        limit.set_share(2.0, now - 10.0)
+        return shares.warmup_share(make_server("i-1"), limit, 10, now)
+
+    def test_parts_are_equal_until_all_have_reported(self):
+        shares = self._shares()
+        key = service_key("a")
+        shares.count("a", 0.0)
+        for name in "bc":
+            shares.note_report(name, {key: 9.0}, 0.0)
+        self.assertEqual(2.0, self._share(shares))
+        shares.note_report("d", {key: 9.0}, 0.0)
+        self.assertTrue(self._share(shares) < 0.5)
+        # The reports are too old.
+        self.assertEqual(2.0, self._share(shares, now=1.5))
+
+    def test_an_entry_of_an_earlier_build_keeps_its_part(self):
+        shares = self._shares()
+        for name in "bc":
+            shares.note_report(name, {service_key("a"): 0.01}, 0.0)
+        for number in range(100):
+            shares.count("a", number / 1e3)
+        self.assertEqual(2.0, self._share(shares, now=0.1))
+
+    def test_the_part_by_demand_is_limited(self):
+        shares = self._shares()
+        for name in "bcd":
+            shares.note_report(name, {service_key("a"): 0.01}, 0.1)
+        for number in range(100):
+            shares.count("a", number / 1e3)
+        self.assertEqual(3.0, self._share(shares, now=0.1))
+
+    def test_an_entry_that_hears_nobody_keeps_counting_the_others(self):
+        shares = self._shares()
+        for now in (1.0, 30.0, 300.0):
+            shares.note_active([_member("a", "zone-a")], now, math.inf, 6, True)
+            self.assertTrue(self._share(shares, now=now) <= 2.0)
+
+    def test_an_entry_that_was_replaced_loses_its_part(self):
+        shares = RateShares("a")
+        shares.note_active([_member("a"), _member("b", "nadi")], 0.0, 1e3, 6, True)
+        for now, expected in (
+            (1.0, ["a", "b", "c"]),
+            (ENTITLED_S - 0.5, ["a", "b", "c"]),
+            (ENTITLED_S + 0.5, ["a", "c"]),
+        ):
+            members = [_member("a"), _member("c", "nadi")]
+            shares.note_active(members, now, 1e3, 6, True)
+            self.assertEqual(expected, sorted(shares.entitled_names(now)))
+
+    def test_a_standby_gets_none(self):
+        shares = RateShares("s")
+        shares.note_active([_member("a"), _member("b")], 0.0, math.inf, 6, True)
+        self.assertEqual(0.0, self._share(shares))
+
+    def test_without_settings_no_server_is_bounded(self):
+        bounds = WarmupBounds()
+        for overshoot, slack in ((None, 5), (1.5, None)):
+            bounds.configure(overshoot, slack, [_info(4.0)])
+            self.assertEqual({}, bounds.services)
+        bounds.configure(1.5, 5, [_info(None)])
+        self.assertEqual({}, bounds.services)
+
+
+class ColdServerTest(testtools.TestCase):
+    """Guards against a server that counts as cold too late, too long or not at all."""
+
+    def test_nothing_is_saved_when_it_begins(self):
+        table = _table()
+        self.assertEqual("i-2", table.choose("a", 0.0).server.id)
+        self.assertIsNone(table.choose("a", 0.0, {"i-2"}))
+        self.assertAlmostEqual(0.25, table.next_room_at("a", 0.0, {"i-2"}))
+        self.assertEqual("i-1", table.choose("a", 0.26, {"i-2"}).server.id)
+
+    def test_it_is_cold_as_long_as_the_store_says_so(self):
+        table = _table()
+        self.assertIsNotNone(table.get("i-1").update_warmup(WARMUP_S - 1.0))
+        # The store went silent after it had said so for the last time.
+        self.assertIsNone(table.get("i-1").update_warmup(WARMUP_S + 1.0))
+        table.warmup_bounds.confirmed_at = 10.0
+        self.assertIsNotNone(table.get("i-1").update_warmup(WARMUP_S + 1.0))
+        table.apply(make_server("i-1"), now=12.0)
+        self.assertIsNone(table.get("i-1").update_warmup(12.0))
+        table.apply(make_server("i-1", cold=True), now=90.0)
+        self.assertIsNotNone(table.get("i-1").update_warmup(90.0))
+
+    def test_it_outlasts_a_lapse_of_its_record(self):
+        table = _table()
+        table.choose("a", 0.0)
+        limit = table.get("i-1").warmup_limit
+        table.retire("i-1", 0.0, 0.1)
+        table.apply(make_server("i-1", cold=True), now=0.2)
+        self.assertIs(limit, table.get("i-1").warmup_limit)
+
+    def test_the_next_incarnation_begins_anew(self):
+        table = _table()
+        table.choose("a", 5.0)
+        table.apply(make_server("i-1", cold=True, born_ms=7), now=5.0)
+        self.assertIsNone(table.choose("a", 5.0, {"i-2"}))
+
+    def test_a_changed_configuration_holds_at_once(self):
+        table = _table(rate=4.0)
+        table.choose("a", 0.0)
+        table.warmup_bounds.configure(OVERSHOOT, SLACK, [_info(2.0)])
+        table.choose("a", 0.0)
+        self.assertEqual(2.0, table.get("i-1").warmup_limit.share)
+        table.warmup_bounds.configure(OVERSHOOT, SLACK, [_info(None)])
+        self.assertEqual("i-1", table.choose("a", 0.0, {"i-2"}).server.id)
+
+    def test_the_lower_of_two_rates_applies(self):
+        table = _table(rate=4.0)
+        for announced, expected_s in ((1.0, 1.0), (50.0, 0.25)):
+            table.note_rate_limit(table.get("i-1"), announced, 0.0)
+            room_at = table.next_room_at("a", 0.0, {"i-2"})
+            self.assertAlmostEqual(expected_s, room_at)
+            table.note_rate_limit(table.get("i-1"), None, 0.0)
+
+    def test_one_that_is_back_after_refused_connections_is_cold(self):
+        table = _table(cold=False)
+        upstream = table.get("i-1")
+        upstream.note_connected(1.0)
+        self.assertIsNone(upstream.update_warmup(1.0))
+        upstream.fail(object(), Failure.NO_LISTENER, 2.0)
+        upstream.note_connected(3.0)
+        self.assertIsNotNone(upstream.update_warmup(3.0))
+        self.assertIsNone(upstream.update_warmup(3.0 + WARMUP_S))
+        upstream.assume_cold(50.0)
+        table.apply(make_server("i-1", slots=4), now=5.0)
+        self.assertIsNone(upstream.update_warmup(5.0))
+
+    def test_without_a_bound_all_is_as_before(self):
+        table = _table(rate=None)
+        upstream = table.get("i-1")
+        upstream.assume_cold(50.0)
+        self.assertEqual("i-1", table.choose("a", 0.0, {"i-2"}).server.id)
+        self.assertIsNone(upstream.warmup_limit)
+        self.assertAlmostEqual(6 / 0.03, table.throughput("a", 0.0, 0.03))
+
+    def test_throughput_counts_the_part_of_the_rate(self):
+        self.assertAlmostEqual(3 / 0.03 + 4.0, _table().throughput("a", 0.0, 0.03))
+
+    def test_a_request_is_counted_when_it_is_written(self):
+        table = _table(cold=False)
+        upstream = table.get("i-1")
+        self.assertTrue(table.may_write(upstream, None, 0.0, 1.0))
+        table.apply(make_server("i-1", cold=True), now=1.0)
+        # Assigned before it turned cold.
+        self.assertFalse(table.may_write(upstream, None, 0.9, 1.0))
+        self.assertTrue(table.may_write(upstream, None, 0.9, 1.3))
+        self.assertFalse(table.may_write(upstream, None, 0.9, 1.3))
+        # Assigned while it was cold, and held up.
+        limit = upstream.warmup_limit
+        self.assertTrue(table.may_write(upstream, limit, 1.3, 1.3))
+        late = 1.3 + WRITE_WITHIN_S + 0.01
+        self.assertTrue(table.may_write(upstream, limit, 1.3, late))
+        self.assertFalse(table.may_write(upstream, limit, 1.3, late))
