--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -23,7 +23,7 @@
 from .frontend import Frontend
 from .gossip import Gossip
 from .link_watch import LinkWatch
-from .members import Member, MembershipView, MemberState
+from .members import ACTIVE_PER_DOMAIN, Member, MembershipView, MemberState
 from .memory_bounds import MemoryBounds
 from .metrics import MetricFamily, render_metrics
 from .reader import StoreReader
@@ -150,6 +150,8 @@
         )
         self._listeners = []
         self._tasks = []
+        # Ids of the servers whose rate is bounded since they are cold.
+        self._cold_ids = set()
         self.directory = Directory(settings, self.view, now, log)
         self.directory.set_routes(self.frontend.routes_of_host)
         # Components that get new settings after a reload.
@@ -237,6 +239,7 @@
             part.settings = settings
         if not self.feed.uses_evacuations:
             self.feed.evacuations.clear()
+        self._configure_warmup()
 
     async def _stop(self, signum):
         """Announce the leave, finish requests, and return within the grace time.
@@ -301,8 +304,11 @@
             await self.pool.close_expired()
             for upstream in self.table.remove_expired(now):
                 await self.pool.close_idle(upstream)
+            if self.replica.fresh_at is not None:
+                self.table.warmup_bounds.confirmed_at = self.replica.fresh_at
             self.table.refresh_limited_services(now)
             await self._end_evacuated_use(now)
+            self._log_cold_servers()
             for name in self.view.remove_expired(now):
                 self.log.info("member_forgotten", member=name)
             self.replica.remove_expired_tombstones(now)
@@ -320,6 +326,34 @@
                 "server_limited", server=server_id, rate="none", source="peer"
             )
 
+    def _configure_warmup(self):
+        """Set the rates of cold servers from the settings and the configuration."""
+        configuration = self.replica.configuration
+        if configuration is not None:
+            self.table.warmup_bounds.configure(
+                self.settings.warmup_overshoot,
+                self.settings.warmup_slack,
+                configuration.services.values(),
+            )
+
+    def _log_cold_servers(self):
+        cold = {
+            upstream.server.id: upstream for upstream in self.table.cold_upstreams()
+        }
+        for server_id in cold.keys() - self._cold_ids:
+            upstream = cold[server_id]
+            self.log.info(
+                "server_cold",
+                server=server_id,
+                service=upstream.server.service,
+                rate=upstream.warmup_limit.rate,
+                share=round(upstream.warmup_limit.share, 2),
+                listed=upstream.server.cold,
+            )
+        for server_id in self._cold_ids - cold.keys():
+            self.log.info("server_warm", server=server_id)
+        self._cold_ids = set(cold)
+
     # Evacuations
 
     def _on_evacuation(self, evacuation, source):
@@ -398,6 +432,7 @@
                 name: service.max_connections
                 for name, service in configuration.services.items()
             }
+            self._configure_warmup()
             self.dispatcher.max_pause_s = max(
                 (route.timeout_s for route in configuration.routes),
                 default=DEFAULT_MAX_PAUSE_S,
@@ -438,7 +473,7 @@
             change = "gone" if self.table.get(server_id) else "ignored"
             replaced = self.table.retire(server_id, record.serves_until, now)
         else:
-            replaced = self.table.apply(server, record.serves_until)
+            replaced = self.table.apply(server, record.serves_until, now)
             change = "leaving" if server.leaving else "usable"
             announced_until = self.replica.announced_until(record.key)
             if announced_until is not None:
@@ -482,11 +517,30 @@
         entry_count = len(names) + (not is_active)
         self.table.entry_count = entry_count
         self.table.rate_shares.active_names = tuple(names)
+        self._note_entitled(active_members, now)
         # Whether this entry is ready or not, it counts itself among the standbys.
         alive_count = len(self.view.alive_members(now))
         standby_count = max(int(not is_active), alive_count - len(names))
         self.dispatcher.budget_share = slack_share(is_active, len(names), standby_count)
 
+    def _note_entitled(self, active_members, now):
+        """Record who may send to cold servers: all entries that are active.
+
+        Those that count themselves as active are among them, and those of earlier
+        builds.
+        """
+        members = [m for m in self.view.alive_members(now) if m.is_active]
+        for chosen in active_members.values():
+            members.extend(chosen)
+        local_host = self.view.local_member.host
+        self.table.rate_shares.note_active(
+            members,
+            now,
+            now - self.started_at,
+            ACTIVE_PER_DOMAIN * len(self.settings.domains),
+            any(host != local_host for host, _ in self.settings.seeds),
+        )
+
     # Metrics
 
     async def _serve_metrics(self, request):
@@ -557,6 +611,10 @@
                 "Age of the knowledge of evacuations, -1 if unknown or not used.",
                 self._evacuations_age_s(now),
             ),
+            "cold_servers": (
+                "Cold servers whose rate is bounded.",
+                len(self.table.cold_upstreams()),
+            ),
             "members": ("Daemons heard lately.", len(self.view.alive_members(now))),
             "store_calls": ("Calls of the store.", self.store.call_count),
             "reply_bytes": (
--- a/almondtide/entry/dispatch.py
+++ b/almondtide/entry/dispatch.py
@@ -64,7 +64,9 @@
         "is_finished",
         "is_written",
         "kind",
+        "started_at",
         "upstream",
+        "warmup_limit",
     )
 
     def __init__(self, dispatcher, branch, upstream, kind, is_extra):
@@ -76,6 +78,9 @@
         self.connection = None
         self.is_finished = False
         self.is_written = False
+        # When it was assigned, and the ``warmup_limit`` against which it was counted.
+        self.started_at = dispatcher.now()
+        self.warmup_limit = upstream.warmup_limit
 
     @property
     def request(self):
@@ -100,20 +105,22 @@
             and may_send_again(branch, now)
             and self.upstream.accepts_requests(now)
             and (domains is None or self.upstream.server.domain in domains)
+            and self._dispatcher.may_write(self, now)
         )
 
     def extra_headers(self):
         return []
 
     def on_connected(self):
-        self._dispatcher.links.note_connected()
+        self._dispatcher.on_connected(self.upstream)
 
     def on_write(self):
         self.is_written = True
         self.branch.write_count += 1
         self.branch.possible_run_count += 1
-        if self.upstream.rate_limit is not None:
-            self.upstream.rate_limit.count_send(self.kind)
+        for limit in (self.upstream.rate_limit, self.upstream.warmup_limit):
+            if limit is not None:
+                limit.count_send(self.kind)
 
     async def on_reply(self, reply):
         await self._dispatcher.on_reply(self, reply)
@@ -141,7 +148,7 @@
         return False
 
     def on_connected(self):
-        self._dispatcher.links.note_connected()
+        self._dispatcher.on_connected(self.upstream)
 
     async def on_skipped(self):
         await self._dispatcher.on_checked(self.upstream, None)
@@ -210,6 +217,7 @@
             "ends_announced": 0,
             "rate_limits": 0,
             "rate_limits_invalid": 0,
+            "warmup_diverted": 0,
             "relayed": 0,
             "regional": 0,
             "regional_refused": 0,
@@ -382,6 +390,8 @@
         domains = self.allowed_domains(call.route)
         for branch in call.branches:
             room_at = self._table.next_room_at(branch.service, now, domains=domains)
+            if room_at is None:
+                room_at = self._table.other_room_at(branch.service, now, domains)
             if room_at is not None:
                 waits_s.append(room_at - now)
             # The time until a pause ends is added to the time that the queue takes.
@@ -611,7 +621,15 @@
             await self._fail_branch(branch, "no server")
             return
         if branch.queue is None:
-            branch.queue = self._service_queue(branch.service, domains)
+            queue = self._service_queue(branch.service, domains)
+            if self._table.has_cold_server(
+                branch.service, now, domains
+            ) and not self._is_served_in_time(
+                branch, len(queue), room_at, now, domains
+            ):
+                await self._fail_branch(branch, "full")
+                return
+            branch.queue = queue
             branch.queue.push(branch)
         # A server may get room without a reply to this entry, so poll as well.
         await self._timers.schedule(
@@ -649,6 +667,7 @@
                 return
             if self._table.choose(service, now, domains=domains) is None:
                 room_at = self._table.next_room_at(service, now, domains=domains) or now
+                await self._refuse_waiting(service, queue, room_at, now, domains)
                 await self._timers.schedule(
                     max(now + RESEND_DELAY_S, room_at), RESEND_TIMER, (service, domains)
                 )
@@ -664,6 +683,29 @@
             else:
                 await self._fail_branch(branch, "no time left")
 
+    def _is_served_in_time(self, branch, ahead_count, room_at, now, domains):
+        """Return whether a queued branch is sent before its call ends."""
+        expected_s = self.route_latency(branch.call.route).expected_s
+        per_s = self._table.throughput(branch.service, now, expected_s, domains=domains)
+        wait_s = ahead_count / per_s if per_s > 0.0 else math.inf
+        return room_at + wait_s < branch.call.expires_at
+
+    async def _refuse_waiting(self, service, queue, room_at, now, domains):
+        """Fail the queued branches that a service with cold servers cannot serve."""
+        if not self._table.has_cold_server(service, now, domains):
+            return
+        kept = []
+        while (branch := queue.pop(now)) is not None:
+            branch.queue = None
+            if self._is_served_in_time(branch, len(kept), room_at, now, domains):
+                kept.append(branch)
+            else:
+                await self._fail_branch(branch, "full")
+        for branch in kept:
+            if branch.state is BranchState.OPEN:
+                branch.queue = queue
+                queue.push(branch)
+
     async def _fail_waiting(self, queue, now):
         """Fail all branches of a queue, which no server will take."""
         while (branch := queue.pop(now)) is not None:
@@ -754,6 +796,27 @@
         if failure is Failure.NO_LISTENER:
             await self._record_server_end(upstream.server.id)
 
+    def on_connected(self, upstream):
+        """Record a new connection to a server."""
+        self.links.note_connected()
+        upstream.note_connected(self.now())
+
+    def may_write(self, exchange, now):
+        """Return whether the rate of a cold server leaves room for an exchange.
+
+        It is asked when the exchange is about to be written, and counts it if needed.
+        """
+        upstream = exchange.upstream
+        if self._table.may_write(
+            upstream, exchange.warmup_limit, exchange.started_at, now
+        ):
+            return True
+        self.counts["warmup_diverted"] += 1
+        self._log.debug(
+            "warmup_diverted", server=upstream.server.id, id=exchange.request.id
+        )
+        return False
+
     async def on_skipped(self, exchange):
         """Handle an exchange that was not written because it is no longer needed."""
         if exchange.is_finished:
@@ -766,7 +829,8 @@
         now = self.now()
         decision = decide_retry(branch, now)
         if decision is RetryDecision.RETRY:
-            # The server began to leave or to pause while the connection was opened.
+            # The server began to leave or to pause or turned cold while the connection
+            # was opened.
             await self._send(branch, "retry" if branch.write_count else "first", now)
         elif decision is RetryDecision.GIVE_UP:
             await self._fail_branch(branch, "no time left")
@@ -869,14 +933,16 @@
                 await self._report_limit_end(server)
 
     def log_limited_sends(self):
-        """Log the requests sent to each server that limits its rate, by kind."""
+        """Log the requests sent to each server with a limit of its rate, by kind."""
         for upstream in self._table:
-            limit = upstream.rate_limit
-            if limit is None or not limit.send_counts:
-                continue
+            self._log_sends("limited_sends", upstream, upstream.rate_limit)
+            self._log_sends("warmup_sends", upstream, upstream.warmup_limit)
+
+    def _log_sends(self, event, upstream, limit):
+        if limit is not None and limit.send_counts:
             counts = limit.reset_counts()
             self._log.info(
-                "limited_sends",
+                event,
                 server=upstream.server.id,
                 service=upstream.server.service,
                 rate=limit.rate,
--- a/almondtide/entry/upstreams.py
+++ b/almondtide/entry/upstreams.py
@@ -829,21 +829,21 @@
         room_at = min(times, default=math.inf)
         return None if room_at == math.inf else room_at
 
-    def has_cold_server(self, service, now):
+    def has_cold_server(self, service, now, domains=None):
         """Return whether a usable server of a service is cold and has a bound."""
         return any(
             upstream.update_warmup(now) is not None
-            for upstream in self.usable_upstreams(service, now)
+            for upstream in self.usable_upstreams(service, now, domains)
         )
 
-    def other_room_at(self, service, now):
+    def other_room_at(self, service, now, domains=None):
         """Return when another entry may have room at a cold server, or None.
 
         It is for callers that come back, if this entry has no part of the rate.
         """
         periods_s = [
             1.0 / max(upstream.warmup_limit.rate, MIN_RATE_PER_S)
-            for upstream in self.usable_upstreams(service, now)
+            for upstream in self.usable_upstreams(service, now, domains)
             if upstream.warmup_limit is not None
         ]
         return now + min(periods_s) if periods_s else None
--- a/bench/replay.py
+++ b/bench/replay.py
@@ -9,6 +9,7 @@
 
 import importlib
 import json
+import math
 import pathlib
 import random
 import subprocess
@@ -20,9 +21,16 @@
 
 from almondtide.entry.crash_detector import CrashDetector
 from almondtide.entry.dispatch import Dispatcher
+from almondtide.entry.members import Member, MemberState
 from almondtide.entry.retry_budget import slack_share
 from almondtide.entry.upstreams import UpstreamTable
-from almondtide.model.published import Configuration, Route, Server, Settings
+from almondtide.model.published import (
+    Configuration,
+    Route,
+    Server,
+    ServiceInfo,
+    Settings,
+)
 from almondtide.presentation import format_table
 from almondtide.timers import Timers
 from standins.replacement import replace_attribute
@@ -36,6 +44,11 @@
 WINDOW_S = 2.0
 # Entries tell each other their demand for limited servers at this interval, in s.
 HEARTBEAT_S = 0.3
+# Bounds of requests to cold servers, as ``WarmupBounds`` has them.
+WARMUP_OVERSHOOT = 1.5
+WARMUP_SLACK = 5
+# An entry knows this much later than another one that a server has turned cold, in s.
+COLD_NOTICE_S = 0.02
 # Share of its value that an answer after the objective has.
 LATE_VALUE = 0.1
 COLUMNS = (
@@ -113,6 +126,7 @@
         self.clock = VirtualClock()
         self.servers = {}
         self.work_factors = {}
+        self._cold_services = {}
         self._rng = random.Random(f"{seed}/servers")
         settings = _make_settings(budget_ratio, budget_slack)
         self.entries = [
@@ -127,6 +141,19 @@
             for number in range(entry_count + standby_count)
         ]
         active_names = tuple(entry.name for entry in self.entries[:entry_count])
+        self._active_members = [
+            Member(
+                entry.name,
+                number,
+                "127.0.0.1",
+                entry.table.domain,
+                MemberState.READY,
+                1.0,
+                True,
+                0.0,
+            )
+            for number, entry in enumerate(self.entries[:entry_count])
+        ]
         for number, entry in enumerate(self.entries):
             entry.table.rate_shares.active_names = active_names
             entry.dispatcher.budget_share = slack_share(
@@ -171,6 +198,13 @@
         start = self.clock.monotonic() + after_s
         for server in self._rng.sample(servers, round(share * len(servers))):
             server.faults.append(ServerFault(kind, start, start + for_s, x))
+        if kind == "cold":
+            for name in services:
+                self._cold_services[name] = ServiceInfo(name, "/", 1 << 16, for_s, x)
+            for entry in self.entries:
+                entry.table.warmup_bounds.configure(
+                    WARMUP_OVERSHOOT, WARMUP_SLACK, self._cold_services.values()
+                )
 
     def run(self, loads):
         """Play loads together; each is (route, rate, seconds, deadline in s).
@@ -182,6 +216,10 @@
             for entry in self.entries:
                 await entry.timers.start()
                 await curio.spawn(self._send_heartbeats, entry, daemon=True)
+            for id, server in self.servers.items():
+                for fault in server.faults:
+                    if fault.kind == "cold":
+                        await curio.spawn(self._turn_cold, id, fault, daemon=True)
             tasks = [await curio.spawn(self.callers.run, *load) for load in loads]
             for task in tasks:
                 await task.join()
@@ -189,12 +227,32 @@
         run_in_virtual_time(play, clock=self.clock)
         return self.callers.results
 
+    async def _turn_cold(self, id, fault):
+        """Change the record of a server to cold and back, entry by entry."""
+        for at, is_cold in ((fault.start, True), (fault.end, False)):
+            await curio.sleep(max(0.0, at - self.clock.monotonic()))
+            for entry in self.entries:
+                known = entry.table.get(id).server
+                server = Server(
+                    id,
+                    known.service,
+                    known.address,
+                    known.domain,
+                    known.slots,
+                    cold=is_cold,
+                )
+                entry.table.apply(server, now=self.clock.monotonic())
+                await curio.sleep(COLD_NOTICE_S)
+
     async def _send_heartbeats(self, entry):
         """Report the demand of an entry to the others, as heartbeats do."""
         # Not at the same moments, and without a draw from the servers' numbers.
         await curio.sleep(self.entries.index(entry) / len(self.entries) * HEARTBEAT_S)
         while True:
             now = self.clock.monotonic()
+            entry.table.rate_shares.note_active(
+                self._active_members, now, math.inf, len(self._active_members), True
+            )
             entry.table.refresh_limited_services(now)
             demands = entry.table.rate_shares.local_demands(now)
             for other in self.entries:
--- a/standins/server_model.py
+++ b/standins/server_model.py
@@ -36,8 +36,9 @@
 # "away": refused as not run, with the time left as pause. "shed": a share ``x`` is
 # refused as not run, without a pause. "slow": they take ``x`` times as long. "silent":
 # never answered. "reset": the connection of a share ``x`` breaks. "limited": replies
-# state that the server takes ``x`` requests a second.
-FAULT_KINDS = ("away", "shed", "slow", "silent", "reset", "limited")
+# state that the server takes ``x`` requests a second. "cold": its record says that it
+# is cold, and its service that it takes ``x`` requests a second meanwhile.
+FAULT_KINDS = ("away", "shed", "slow", "silent", "reset", "limited", "cold")
 
 
 class ServerFault:
--- a/tests/entry/test_warmup.py
+++ b/tests/entry/test_warmup.py
@@ -3,8 +3,11 @@
 import bisect
 import math
 
+import orjson
 import testtools
 
+from almondtide.entry.boottime import boottime_now
+from almondtide.entry.daemon import EntryDaemon
 from almondtide.entry.members import (
     ACTIVE_PER_DOMAIN,
     Member,
@@ -21,14 +24,24 @@
     service_key,
 )
 from almondtide.entry.upstreams import Failure, UpstreamTable
-from almondtide.model.published import ServiceInfo
-from tests.entry.support import make_server
+from almondtide.model.published import Configuration, ServiceInfo
+from almondtide.platform.settings import decode_settings
+from bench.replay import COLD_NOTICE_S, LoadReplay
+from tests.entry.support import (
+    make_reply,
+    make_route,
+    make_server,
+    settings_document,
+)
+from tests.entry.test_dispatch import _Fleet, _run_calls
+from tests.support import MemoryLog, run
 
 OVERSHOOT = 1.5
 SLACK = 5
 WARMUP_S = 30.0
 DOMAINS = ("lautoka", "nadi", "suva")
 RATES = (1.0, 4.0, 12.0, 40.0)
+ONE_SERVICE = make_route(weighted_services=(("a", 1),), objective_s=0.5)
 
 
 def _most_in_a_second(times):
@@ -414,3 +427,129 @@
         late = 1.3 + WRITE_WITHIN_S + 0.01
         self.assertTrue(table.may_write(upstream, limit, 1.3, late))
         self.assertFalse(table.may_write(upstream, limit, 1.3, late))
+
+
+class ColdDispatchTest(testtools.TestCase):
+    """Guards against requests to a cold server that nothing counted."""
+
+    def test_one_that_turned_cold_before_the_write_goes_elsewhere(self):
+        fleets = []
+
+        async def scenario():
+            def behave(exchange):
+                if len(fleet.pool.sent) == 1:
+                    server = exchange.upstream.server
+                    fields = (server.id, "a", server.domain)
+                    fleet.table.apply(make_server(*fields, cold=True))
+                return 0.001, make_reply()
+
+            fleet = _Fleet(behave, services=("a",))
+            fleet.table.warmup_bounds.configure(OVERSHOOT, SLACK, [_info(1.0)])
+            fleets.append(fleet)
+            await fleet.timers.start()
+            return await fleet.run(ONE_SERVICE, services=("a",))
+
+        run(scenario)
+        (fleet,) = fleets
+        first, second = fleet.pool.sent
+        self.assertFalse(first.is_written)
+        self.assertTrue(second.is_written)
+        self.assertNotEqual(first.upstream, second.upstream)
+        self.assertEqual(1, fleet.dispatcher.counts["warmup_diverted"])
+
+    def test_sends_are_logged_by_kind(self):
+        fleet, _ = _run_calls(
+            lambda exchange: (0.001, make_reply()), ONE_SERVICE, services=("a",)
+        )
+        upstream = next(iter(fleet.table))
+        fleet.table.warmup_bounds.configure(OVERSHOOT, SLACK, [_info(4.0)])
+        upstream.assume_cold(math.inf)
+        upstream.update_warmup(0.0).count_send("hedge")
+        fleet.dispatcher.log_limited_sends()
+        name, fields = fleet.dispatcher._log.events[-1]
+        self.assertEqual("warmup_sends", name)
+        self.assertEqual(
+            (4.0, 0, 1), (fields["rate"], fields["first"], fields["hedge"])
+        )
+
+
+class DaemonTest(testtools.TestCase):
+    """Guards against bounds of the settings and the configuration that do not hold."""
+
+    def test_the_bounds_follow_the_configuration_and_the_settings(self):
+        document = settings_document()
+        plain = decode_settings(orjson.dumps(document))
+        document["bounds"].update(warmup_overshoot=1.5, warmup_slack=5)
+        bounded = decode_settings(orjson.dumps(document))
+        daemon = EntryDaemon(bounded, MemoryLog(), None, lambda: plain)
+        daemon.replica.configuration = Configuration(1, [], [_info(4.0)])
+        run(daemon._on_changes, [], True, "test")
+        self.assertEqual(["a"], list(daemon.table.warmup_bounds.services))
+        now = boottime_now()
+        daemon.table.apply(make_server("i-1", cold=True), now=now)
+        daemon._update_role(now)
+        self.assertEqual(6, daemon.table.rate_shares.least_entitled)
+        daemon.table.refresh_limited_services(now)
+        daemon._log_cold_servers()
+        daemon._reload("signal")
+        self.assertEqual({}, daemon.table.warmup_bounds.services)
+        daemon.table.refresh_limited_services(now)
+        daemon._log_cold_servers()
+        events = [n for n in daemon.log.names() if n in ("server_cold", "server_warm")]
+        self.assertEqual(["server_cold", "server_warm"], events)
+
+
+class FleetWarmupTest(testtools.TestCase):
+    """The load: servers turn cold under full load, with hedges, retries and queues.
+
+    Guards against a total over all entries that exceeds the bound.
+    """
+
+    def _replay(self, seed, rate, share=1.0, per_s=90, entries=6, **options):
+        route = make_route(weighted_services=(("a", 1),), objective_s=0.3, timeout_s=2)
+        replay = LoadReplay(seed, entries, **options)
+        replay.add_service("a", work_s=0.06, slots=3, pause_s=0.15, pause_every_s=2.0)
+        replay.add_fault("cold", ["a"], 3.0, 8.0, share=share, x=rate)
+        replay.add_fault("shed", ["a"], 0.0, 14.0, x=0.1)
+        return replay, replay.run([(route, per_s, 14.0, 2.0)])
+
+    def _assert_bound(self, replay, rate):
+        cold = [s for s in replay.servers.values() if s.faults[0].kind == "cold"]
+        self.assertTrue(cold)
+        for server in cold:
+            fault = server.faults[0]
+            # What was on its way when the last entry heard of it arrives as well.
+            start = fault.start + COLD_NOTICE_S * len(replay.entries) + 0.01
+            arrivals = [at for at in server.arrivals if start <= at < fault.end]
+            most = _most_in_a_second(arrivals)
+            self.assertTrue(most <= OVERSHOOT * rate + SLACK, (rate, most))
+
+    def test_the_bound_holds_while_all_servers_are_cold(self):
+        for seed, rate in enumerate(RATES):
+            replay, _ = self._replay(seed, rate)
+            self._assert_bound(replay, rate)
+
+    def test_the_bound_holds_with_standbys_and_one_warm_server(self):
+        for seed, rate in enumerate(RATES):
+            replay, results = self._replay(seed, rate, 0.67, 30, standby_count=6)
+            self._assert_bound(replay, rate)
+            self.assertTrue(any(result.is_in_time for result in results))
+
+    def test_what_cannot_be_served_is_refused_at_once(self):
+        replay, results = self._replay(5, 4.0)
+        fault = next(iter(replay.servers.values())).faults[0]
+        refused = [
+            result.refused_s
+            for result in results
+            if result.refused_s is not None
+            and fault.start + 0.5 <= result.sent_at < fault.end
+        ]
+        self.assertTrue(len(refused) > 100, len(refused))
+        self.assertTrue(max(refused) <= 0.25 * 0.3, max(refused))
+
+    def test_the_rate_is_used(self):
+        replay, _ = self._replay(6, 12.0)
+        for server in replay.servers.values():
+            fault = server.faults[0]
+            count = sum(fault.start + 1.0 <= at < fault.end for at in server.arrivals)
+            self.assertTrue(count >= 0.6 * 12.0 * 7.0, count)
