--- a/almondtide/admission.py
+++ b/almondtide/admission.py
@@ -2,9 +2,11 @@
 
 __all__ = [
     "EXECUTION_WAIT_SHARE",
+    "QUERY_RECHECK_SHARE",
     "QUERY_WAIT_SHARE",
     "LoadEstimate",
     "LoadTable",
+    "can_finish",
     "execution_wait_ends_at",
     "refusal_retry_ms",
     "refusal_share",
@@ -19,6 +21,10 @@
 # The refusal of an execution is its whole answer: it is due within half of the
 # deadline and passes through two daemons.
 EXECUTION_WAIT_SHARE = 0.25
+# Once a sub-request of a query has waited this share of its time, it is refused if it
+# can't be expected to finish. A query whose parts are all refused then is answered
+# within half of its deadline.
+QUERY_RECHECK_SHARE = 0.4
 MIN_RETRY_AFTER_MS = 20
 # Coordinators begin to refuse queries, and refuse all of them, when the expected wait
 # reaches these shares of the time a query can wait. A query needs all its services,
@@ -54,6 +60,24 @@
     return max(now, round(ends_at, 6))
 
 
+def can_finish(remaining_s, ahead_count, slots, mean_service_s, running_ages_s):
+    """Return whether waiting work can be expected to finish in ``remaining_s``.
+
+    ``ahead_count`` items are served before it, ``slots`` at a time. Answers the load
+    pattern in which servers become slower than the owner has measured: exchanges that
+    have not ended are in no measurement yet. At any moment an exchange is halfway on
+    average, so the service time is at least taken for twice the median of the ages of
+    the running ones, ``running_ages_s`` (sorted).
+
+    >>> can_finish(0.5, 3, 1, 0.1, [0.05]), can_finish(0.5, 0, 1, 0.1, [0.3])
+    (True, False)
+    """
+    service_s = mean_service_s
+    if running_ages_s:
+        service_s = max(service_s, 2 * running_ages_s[len(running_ages_s) // 2])
+    return (ahead_count + 1) * service_s / slots + service_s <= remaining_s
+
+
 def refusal_retry_ms(estimate, remaining_s, wait_share=QUERY_WAIT_SHARE):
     """Return None if the work is admitted, else the delay before a retry in ms.
 
--- a/almondtide/owner.py
+++ b/almondtide/owner.py
@@ -6,8 +6,10 @@
 from .admission import (
     EXECUTION_WAIT_SHARE,
     MIN_RETRY_AFTER_MS,
+    QUERY_RECHECK_SHARE,
     QUERY_WAIT_SHARE,
     LoadEstimate,
+    can_finish,
     execution_wait_ends_at,
     refusal_retry_ms,
 )
@@ -35,6 +37,7 @@
 _HEDGE = 0
 _EXPIRE = 1
 _OVERDUE = 2
+_RECHECK = 3
 
 # Failures after which an idempotent request may run on another server.
 _RETRYABLE = frozenset(
@@ -229,6 +232,9 @@
                 _OVERDUE,
                 item,
             )
+        elif item.is_queued:
+            recheck_at = now + QUERY_RECHECK_SHARE * (sub.deadline - now)
+            await self._timers.schedule(recheck_at, _RECHECK, item)
 
     def _check_admission(self, item, now):
         """Return None if the item is admitted, else its ``SubResult``."""
@@ -316,6 +322,22 @@
             item.is_queued = False
             await self._finish_overloaded(item)
 
+    def _can_finish(self, item):
+        """Return whether queued work can be expected to finish in time."""
+        now = self.clock.monotonic()
+        slots = self.servers.usable_slots()
+        if slots == 0:
+            # Not known; work that no server can run is refused elsewhere.
+            return True
+        _, share = self._queue.backlog_and_share(item.workload)
+        return can_finish(
+            item.deadline - now,
+            self._queue.count_ahead(item),
+            slots * share,
+            self._mean_service_s,
+            self.servers.running_ages_s(now),
+        )
+
     async def _finish_overloaded(self, item):
         wait_s = self.estimate(item.workload).wait_s
         retry_after_ms = max(MIN_RETRY_AFTER_MS, int(wait_s * 1000))
@@ -526,6 +548,9 @@
             # Also when a server shed it and it waits for another one.
             if not item.running_attempts and item.maybe_run_count == 0:
                 await self._finish_overloaded(item)
+        elif kind == _RECHECK:
+            if item.is_queued and not self._can_finish(item):
+                await self._finish_overloaded(item)
         elif item.running_attempts and not item.is_hedged:
             item.is_hedged = True
             self._priority_work.insert(0, (item, True))
--- a/almondtide/serverset.py
+++ b/almondtide/serverset.py
@@ -157,6 +157,14 @@
         """Return the number of attempts on all servers."""
         return sum(len(server.in_flight) for server in self._servers.values())
 
+    def running_ages_s(self, now):
+        """Return for how long each attempt has been running, sorted, in seconds."""
+        return sorted(
+            now - attempt.started_at
+            for server in self._servers.values()
+            for attempt in server.in_flight
+        )
+
     def common_snapshots(self):
         """Return (versions, epochs) that all live servers hold.
 
--- a/almondtide/workqueue.py
+++ b/almondtide/workqueue.py
@@ -104,6 +104,13 @@
     def _nonempty_queues(self):
         return [queue for queue in self._queues.values() if queue.heap]
 
+    def count_ahead(self, item):
+        """Return how many items of the same workload are served before ``item``."""
+        return sum(
+            not other.done and deadline < item.deadline
+            for deadline, _, other in self._queues[item.workload].heap
+        )
+
     def backlog_and_share(self, workload):
         """Return (number of waiting items, share of the service) of a workload.
 
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -8,6 +8,7 @@
 from almondtide.logs import Log
 from almondtide.owner import ServiceOwner
 from almondtide.subrequests import SubRequest
+from standins.virtual_time import VirtualClock, run_in_virtual_time
 from tests.fakes import (
     ScriptedServer,
     ScriptedUpstreams,
@@ -23,9 +24,16 @@
 
     defaults = {"slots": 1, "hedge_quantile": 0.9, "hedge_budget": 1.0}
 
+    def make_clock(self):
+        return SystemClock()
+
+    def run_main(self, main):
+        return curio.run(main)
+
     def run_scenario(self, scenario, servers=3, **defaults):
+        self.clock = self.make_clock()
+
         async def main():
-            self.clock = SystemClock()
             self.servers = [ScriptedServer(0.005) for _ in range(servers)]
             upstreams = ScriptedUpstreams(self.servers)
             self.owner = ServiceOwner(
@@ -45,7 +53,7 @@
             finally:
                 await self.owner.stop()
 
-        return curio.run(main)
+        return self.run_main(main)
 
     def sub(self, number=0, deadline_s=1.0, **values):
         deadline = self.clock.monotonic() + deadline_s
@@ -267,6 +275,50 @@
         self.assertEqual(ResultCode.OK, self.run_scenario(scenario).code)
 
 
+class LateRefusalTest(OwnerTestCase):
+    """Guards against sub-requests that are refused only when their time is over.
+
+    A query whose parts are all refused is itself refused as late as they are.
+    """
+
+    def make_clock(self):
+        return VirtualClock()
+
+    def run_main(self, main):
+        return run_in_virtual_time(main, clock=self.clock)
+
+    def submit_behind(self, service_s, count):
+        """Submit behind ``count`` items of ``service_s`` that was measured as 5 ms.
+
+        Return the result of an item with 1 s and the seconds until then.
+        """
+
+        async def scenario():
+            for number in range(30):
+                await self.result(self.sub(number))
+            for server in self.servers:
+                server.service_s = service_s
+            for number in range(40, 40 + count):
+                await self.submit(self.sub(number, deadline_s=0.95))
+            started = self.clock.monotonic()
+            result = await self.result(self.sub(50))
+            return result, self.clock.monotonic() - started
+
+        return self.run_scenario(scenario, hedge_budget=0.0)
+
+    def test_work_that_cannot_finish_is_refused_within_half_of_its_time(self):
+        result, elapsed_s = self.submit_behind(1.5, 3)
+        self.assertEqual(ResultCode.OVERLOADED, result.code)
+        self.assertTrue(result.not_run and result.retry_after_ms > 0)
+        self.assertTrue(elapsed_s < 0.5, elapsed_s)
+
+    def test_work_that_can_finish_keeps_waiting(self):
+        # At the check it still waits. It starts after 0.6 s.
+        result, elapsed_s = self.submit_behind(0.3, 6)
+        self.assertEqual(ResultCode.OK, result.code)
+        self.assertAlmostEqual(0.9, elapsed_s, delta=0.01)
+
+
 class FailureTest(OwnerTestCase):
     """Guards against missing retries and against retries of work that may have run."""
 
