--- a/proofs/callers.py
+++ b/proofs/callers.py
@@ -4,6 +4,9 @@
 import json
 import random
 import select
+import socket
+import struct
+import sys
 import threading
 import time
 
@@ -17,6 +20,10 @@
 ENTRIES_TIMEOUT_S = 2.0
 ENTRIES_RETRY_PAUSE_S = 0.05
 KEY_SPACE_SIZE = 65536
+# Option of Linux that states when the kernel received the data that a call returns;
+# the socket module does not name it.
+SO_TIMESTAMPNS = 35
+TIMESTAMP = struct.Struct("@qq")
 
 
 class _Connections:
@@ -26,7 +33,12 @@
         self._open = {}
 
     def send_request(self, address, method, path, body, headers, timeout_s):
-        """Return (status, headers, content); raises OSError or HTTPException."""
+        """Return (status, headers, content, received_at).
+
+        ``received_at`` is when the response reached this machine's kernel, on the
+        monotonic clock: a caller's thread may read it much later, because all
+        callers share one process. Raises OSError or HTTPException.
+        """
         conn = self._open.pop(address, None)
         if conn is not None and _is_closed(conn):
             conn.close()
@@ -36,9 +48,13 @@
             conn = http.client.HTTPConnection(host, int(port))
         try:
             conn.timeout = timeout_s
-            if conn.sock is not None:
-                conn.sock.settimeout(timeout_s)
+            if conn.sock is None:
+                conn.connect()
+                if sys.platform == "linux":
+                    conn.sock.setsockopt(socket.SOL_SOCKET, SO_TIMESTAMPNS, 1)
+            conn.sock.settimeout(timeout_s)
             conn.request(method, path, body, headers)
+            received_at = _wait_for_data(conn.sock)
             response = conn.getresponse()
             content = response.read()
         except BaseException:
@@ -48,7 +64,7 @@
             conn.close()
         else:
             self._open[address] = conn
-        return response.status, response.headers, content
+        return response.status, response.headers, content, received_at
 
     def close(self):
         for conn in self._open.values():
@@ -60,24 +76,37 @@
     return conn.sock is None or bool(select.select([conn.sock], [], [], 0)[0])
 
 
+def _wait_for_data(sock):
+    """Wait for the first data; return when the kernel received it.
+
+    Without a timestamp of the kernel, this is the time of the read.
+    """
+    space = socket.CMSG_SPACE(TIMESTAMP.size)
+    _, ancillary, _, _ = sock.recvmsg(1, space, socket.MSG_PEEK)
+    read_at = time.monotonic()
+    for level, kind, data in ancillary:
+        if (level, kind) == (socket.SOL_SOCKET, SO_TIMESTAMPNS):
+            seconds, nanoseconds = TIMESTAMP.unpack(data)
+            age_s = time.time() - (seconds + nanoseconds / 1e9)
+            return min(read_at, time.monotonic() - age_s)
+    return read_at
+
+
 class Caller:
     """A caller that connects directly to the entries listed by the tier.
 
     It uses a list of entries until the list reaches its maximum age.
     ``addresses`` are the addresses that it knows before it has a list.
-    ``read_core_wait_s`` is a function that takes the address of a daemon and returns
-    the seconds for which the daemon has waited for a CPU core so far.
     ``duplicate_sender`` is a caller that sends the same request at the same time,
     or None.
     """
 
-    def __init__(self, number, seed, addresses, workload, read_core_wait_s):
+    def __init__(self, number, seed, addresses, workload):
         self.number = number
         self.rng = random.Random(f"{seed}/caller/{number}")
         self.workload = workload
         self.calls = []
         self.duplicate_sender = None
-        self._read_core_wait_s = read_core_wait_s
         self._initial_addresses = list(addresses)
         self._entries = []
         self._execution_prefix = None
@@ -95,7 +124,7 @@
             requested_at = time.monotonic()
             address = self.rng.choice(self._entries or self._initial_addresses)
             try:
-                _, _, content = self._connections.send_request(
+                _, _, content, _ = self._connections.send_request(
                     address, "GET", "/v1/entries", None, {}, ENTRIES_TIMEOUT_S
                 )
                 report = json.loads(content)
@@ -146,37 +175,38 @@
         }
         if execution_id is not None:
             headers["almondtide-execution-id"] = execution_id
+        content = json.dumps(body)
         call.sent = time.monotonic()
-        waited_before_s = {
-            address: self._read_core_wait_s(address)
-            for address in self._path_addresses(call)
-        }
         try:
-            status, response_headers, content = self._connections.send_request(
-                call.entry,
-                "POST",
-                f"/v1/workloads/{self.workload}/{kind}",
-                json.dumps(body),
-                headers,
-                deadline_s + ANSWER_GRACE_S,
+            status, response_headers, content, call.received = (
+                self._connections.send_request(
+                    call.entry,
+                    "POST",
+                    f"/v1/workloads/{self.workload}/{kind}",
+                    content,
+                    headers,
+                    deadline_s + ANSWER_GRACE_S,
+                )
             )
             call.answer = json.loads(content)
             call.status = status
             call.header_request_id = response_headers.get("almondtide-request-id")
         except (OSError, http.client.HTTPException, ValueError) as exc:
             call.error = repr(exc)
-        # The wait of a restarted daemon counts from 0, so the difference may be
-        # negative.
-        call.core_wait_s = sum(
-            max(0.0, self._read_core_wait_s(address) - before_s)
-            for address, before_s in waited_before_s.items()
-        )
-        call.received = time.monotonic()
+            call.received = time.monotonic()
         self.calls.append(call)
         if call.status is None:
             self.expire_entries()
         return call
 
+    def note_core_waits(self, sampler):
+        """Set ``core_wait_s`` of all calls from a ``CoreWaitSampler`` by address."""
+        for call in self.calls:
+            call.core_wait_s = sum(
+                sampler.wait_s(address, call.sent, call.received)
+                for address in self._path_addresses(call)
+            )
+
     def _path_addresses(self, call):
         """Return the addresses of the daemons that a refusal may pass through.
 
--- a/proofs/history.py
+++ b/proofs/history.py
@@ -8,10 +8,12 @@
 
     Times are seconds on the system's monotonic clock, which all processes of a
     machine share. ``status`` is None if no complete response arrived; ``error``
-    then says why. ``core_wait_s`` is the time between sending and response in
-    which daemons were runnable but waited for a CPU core: the entry, and for an
-    execution also the others, of which one is its home and one the owner. ``marker``
-    is the value in the body that the upstream records; only resent requests share it.
+    then says why. ``received`` is when the response reached the caller's machine;
+    its thread may read it later. ``core_wait_s`` is the time between sending and
+    response in which daemons were runnable but waited for a CPU core: the entry, and
+    for an execution also the others, of which one is its home and one the owner.
+    ``marker`` is the value in the body that the upstream records; only resent
+    requests share it.
     """
 
     __slots__ = (
--- a/proofs/promises.py
+++ b/proofs/promises.py
@@ -18,6 +18,7 @@
 
 from . import checks
 from .callers import Caller, CallerPool, make_revision_body, query_body_factory
+from .core_waits import CoreWaitSampler
 from .faults import FaultInjector
 from .history import ConfigurationSample, Execution, Interval
 
@@ -151,19 +152,27 @@
     def make_pool(self, step, callers=10, pause_s=0.02):
         """Return a ``CallerPool`` whose callers know the addresses of all daemons."""
         addresses = [info["caller"] for info in self.fleet.daemons.values()]
-        names = {info["caller"]: name for name, info in self.fleet.daemons.items()}
         members = [
             Caller(
                 number,
                 self.seed,
                 addresses,
                 WORKLOAD,
-                lambda address: self.fleet.core_wait_s(names[address]),
             )
             for number in range(callers)
         ]
         return CallerPool(members, step, pause_s)
 
+    def make_core_wait_sampler(self):
+        """Return a ``CoreWaitSampler`` of the daemons, by their addresses."""
+        processes = self.fleet.processes
+        return CoreWaitSampler(
+            {
+                info["caller"]: processes[name].pid
+                for name, info in self.fleet.daemons.items()
+            }
+        )
+
     def make_query_step(self, deadlines=(1.0,)):
         """Return a step function for ``CallerPool`` that sends one query."""
         make_body = query_body_factory(DATA_SET_KIND)
@@ -350,8 +359,10 @@
     slow_upstream = {"service_time_s": 0.1}
     with proof.start_fleet(links=("peer",), upstream=slow_upstream):
         overload_pool = proof.make_pool(step, callers=160, pause_s=0.005)
-        with overload_pool:
+        with proof.make_core_wait_sampler() as sampler, overload_pool:
             time.sleep(proof.seconds / 2)
+        for caller in overload_pool.callers:
+            caller.note_core_waits(sampler)
         for caller in overload_pool.callers:
             caller.number += len(overload_pool.callers)
         kinds = [
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -424,19 +424,6 @@
         address = self.daemons[name]["admin"]
         return http_call(address, "GET", f"/admin/v1/{report}", headers=headers)[2]
 
-    def core_wait_s(self, name):
-        """Return for how long a process was ready to run but had no core, in s.
-
-        Reads the second field of ``schedstat`` of Linux, in ns, of the main thread.
-        Returns 0.0 on systems without it and for a process that has ended.
-        """
-        try:
-            path = f"/proc/{self.processes[name].pid}/schedstat"
-            with open(path, encoding="ascii") as lines:
-                return int(lines.read().split()[1]) / 1e9
-        except (OSError, KeyError, IndexError):
-            return 0.0
-
     def send_signal(self, name, number):
         """Send a signal to one process of the fleet."""
         self.processes[name].send_signal(number)
