--- a/almondtide/entry/codec.py
+++ b/almondtide/entry/codec.py
@@ -10,7 +10,7 @@
 from ..model.position import MAX_POSITION
 from ..model.published import Server
 from .evacuations import EvacuationNotice, EvacuationSummary
-from .members import Member, MemberState
+from .members import RELAY_ABILITY, Member, MemberState
 
 __all__ = [
     "MAX_DATAGRAM_BYTES",
@@ -50,6 +50,12 @@
 # Longest time, in ms, for which a message may say that a leaving server still serves.
 MAX_SERVING_MS = 600_000
 
+# Index of the sender's abilities in a heartbeat, and most that are read.
+ABILITIES_ITEM = 14
+MAX_ABILITIES = 32
+# Abilities of a build that names none but sends items 10 to 12.
+IMPLIED_ABILITIES = frozenset({RELAY_ABILITY})
+
 # Key of a service and demand for it, in units of 0.1 requests a second.
 _DEMAND = struct.Struct(">IH")
 DEMAND_UNITS_PER_S = 10
@@ -79,9 +85,11 @@
     A server last replied to the sender ``reply_age_s`` ago, None for never, and
     ``has_failing_links`` tells that it can reach no server. ``evacuations`` is an
     ``EvacuationSummary``, None from a sender that does not know or does not use them.
+    ``abilities`` holds the names of what the sender's build can do for its peers.
     """
 
     __slots__ = (
+        "abilities",
         "age_s",
         "configuration_version",
         "cursor",
@@ -110,6 +118,7 @@
         reply_age_s=None,
         has_failing_links=False,
         evacuations=None,
+        abilities=(),
     ):
         self.sender = sender
         self.digest = digest
@@ -123,6 +132,7 @@
         self.reply_age_s = reply_age_s
         self.has_failing_links = has_failing_links
         self.evacuations = evacuations
+        self.abilities = frozenset(abilities)
 
 
 class EvacuationUpdate:
@@ -321,8 +331,13 @@
         _pack_age(heartbeat.reply_age_s),
         heartbeat.has_failing_links,
     ]
-    if heartbeat.evacuations is not None:
-        message.append(_pack_evacuations(heartbeat.evacuations))
+    has_evacuations = heartbeat.evacuations is not None
+    if has_evacuations or heartbeat.abilities:
+        message.append(
+            _pack_evacuations(heartbeat.evacuations) if has_evacuations else None
+        )
+    if heartbeat.abilities:
+        message.append(sorted(heartbeat.abilities))
     return cbor2.dumps(message)
 
 
@@ -364,6 +379,20 @@
     )
 
 
+def _unpack_abilities(message):
+    """Return the abilities in a heartbeat's array.
+
+    Builds that send items 10 to 12 but no abilities take relayed requests: both came
+    with one change. Earlier builds have no ability.
+    """
+    if len(message) <= ABILITIES_ITEM or message[ABILITIES_ITEM] is None:
+        return IMPLIED_ABILITIES if len(message) > 12 else frozenset()
+    names = message[ABILITIES_ITEM]
+    if not isinstance(names, list):
+        raise ValueError("the abilities are not a list")
+    return frozenset(_check_string(name) for name in names[:MAX_ABILITIES])
+
+
 def _pack_demands(demands):
     return b"".join(
         _DEMAND.pack(key, min(MAX_PACKED_DEMAND, round(per_s * DEMAND_UNITS_PER_S)))
@@ -579,6 +608,7 @@
         _unpack_age(reply_age_ms),
         bool(has_failing_links),
         evacuations,
+        _unpack_abilities(message),
     )
 
 
--- a/almondtide/entry/gossip.py
+++ b/almondtide/entry/gossip.py
@@ -33,7 +33,7 @@
     encode_snapshot,
     encode_updates,
 )
-from .members import MemberState
+from .members import RELAY_ABILITY, MemberState
 
 __all__ = ["Gossip"]
 
@@ -77,6 +77,8 @@
 MAX_RECEIVED_BYTES = 1 << 16
 # Number of failed members that also get each heartbeat, in case they are back.
 SILENT_PROBED = 1
+# What this build can do for its peers; heartbeats name it.
+ABILITIES = frozenset({RELAY_ABILITY})
 
 
 class Gossip:
@@ -335,6 +337,7 @@
             None if self._links is None else self._links.reply_age_s(now),
             self._links is not None and self._links.is_failing,
             self._feed.evacuations.summary(now),
+            ABILITIES,
         )
 
     def _demands_to_report(self, now):
@@ -551,6 +554,7 @@
             heartbeat.evacuations, heartbeat.cursor, host, now, arrived_after
         )
         self._update_member(heartbeat.sender, now)
+        self.view.note_abilities(heartbeat.sender, heartbeat.abilities)
         for member in heartbeat.members:
             self._update_member(member, now)
         if self._links is not None:
--- a/almondtide/entry/members.py
+++ b/almondtide/entry/members.py
@@ -9,6 +9,7 @@
 import hashlib
 
 __all__ = [
+    "RELAY_ABILITY",
     "Member",
     "MemberState",
     "MembershipView",
@@ -28,6 +29,8 @@
 LARGE_FLEET_MEMBERS = 24
 # Failed members are kept for this time, in s, and probed from time to time.
 MEMBER_RETENTION_S = 60.0
+# Ability of a member: it takes requests that another entry hands to it.
+RELAY_ABILITY = "relay"
 # Active members per failure domain.
 ACTIVE_PER_DOMAIN = 2
 # Members with less than this fraction of the strongest member's capacity are weak. A
@@ -95,11 +98,30 @@
 class MembershipView:
     """The members known to one daemon; ``local_member`` is the daemon itself."""
 
-    __slots__ = ("local_member", "members")
+    __slots__ = ("_abilities", "local_member", "members")
 
     def __init__(self, local_member):
         self.local_member = local_member
         self.members = {}
+        # Name of a member -> (incarnation, abilities).
+        self._abilities = {}
+
+    def note_abilities(self, member, abilities):
+        """Record the abilities that a member's own heartbeat names.
+
+        A late heartbeat of an earlier incarnation changes nothing.
+        """
+        known = self.members.get(member.name)
+        if known is not None and known.incarnation == member.incarnation:
+            self._abilities[member.name] = (member.incarnation, frozenset(abilities))
+
+    def has_ability(self, member, ability):
+        """Return whether a member has named an ability.
+
+        A member that restarted may run another build, so it has to name it again.
+        """
+        incarnation, abilities = self._abilities.get(member.name, (None, ()))
+        return incarnation == member.incarnation and ability in abilities
 
     @property
     def is_large(self):
@@ -162,6 +184,7 @@
         ]
         for name in expired_names:
             del self.members[name]
+            self._abilities.pop(name, None)
         return expired_names
 
 
--- a/almondtide/entry/relay.py
+++ b/almondtide/entry/relay.py
@@ -9,6 +9,7 @@
 import random
 
 from ..model.published import Server
+from .members import RELAY_ABILITY
 from .upstreams import Upstream
 
 __all__ = [
@@ -81,6 +82,8 @@
     def choose(self, tried_names, now, domains=None):
         """Return the ``Upstream`` of a peer that callers are sent to, or None.
 
+        A peer of a build without the mark would pass it on to servers, so only peers
+        that have the ability are asked.
         Peers that servers have replied to since the links failed here come first, since
         others may have lost theirs without knowing it yet. Among equal ones the choice
         is at random over all failure domains: a domain with one entry left would get
@@ -95,6 +98,7 @@
             and (domains is None or member.domain in domains)
             and self._failed_until.get(member.name, now) <= now
             and not self._links.is_peer_failing(member.name, now)
+            and self._view.has_ability(member, RELAY_ABILITY)
         ]
         active = [member for member in peers if member.is_active]
         served = [m for m in active if self._links.is_peer_served(m.name, now)]
--- a/tests/entry/test_codec.py
+++ b/tests/entry/test_codec.py
@@ -71,6 +71,44 @@
         self.assertIsNone(found.cursor_age_s)
 
 
+class AbilitiesTest(testtools.TestCase):
+    """Guards against builds that use what a peer's build cannot do."""
+
+    def encode(self, *abilities):
+        heartbeat = Heartbeat(_member("one"), 9, 1, 0.1, [], False, abilities=abilities)
+        return cbor2.loads(encode_heartbeat(heartbeat, 10.0))
+
+    def decode(self, items):
+        return decode_message(cbor2.dumps(items), 10.0).abilities
+
+    def test_round_trip_as_item_14(self):
+        items = self.encode("relay", "more")
+        self.assertEqual([None, ["more", "relay"]], items[13:])
+        self.assertEqual({"more", "relay"}, self.decode(items))
+
+    def test_items_around_it_do_not_change_it(self):
+        items = self.encode("relay")
+        # Item 13 holds the evacuations.
+        items[13] = [100, 7, []]
+        self.assertEqual({"relay"}, self.decode([*items, "later"]))
+
+    def test_builds_that_name_none(self):
+        items = self.encode()
+        self.assertEqual(13, len(items))
+        # Those with items 10 to 12 take relayed requests; earlier ones do not.
+        self.assertEqual({"relay"}, self.decode(items))
+        self.assertEqual({"relay"}, self.decode([*items, None]))
+        self.assertEqual(set(), self.decode(items[:10]))
+        self.assertEqual(set(), self.decode([*items, None, []]))
+
+    def test_a_long_list_is_cut_and_another_type_is_invalid(self):
+        names = [f"a{number}" for number in range(1000)]
+        self.assertEqual(32, len(self.decode([*self.encode(), None, names])))
+        for value in ("relay", 1, [1], {"relay": 1}, [""]):
+            with testtools.ExpectedException(DocumentError):
+                self.decode([*self.encode(), None, value])
+
+
 class UpdateTest(testtools.TestCase):
     """Guards against updates that are lost or do not fit into a packet."""
 
--- a/tests/entry/test_relay.py
+++ b/tests/entry/test_relay.py
@@ -7,7 +7,12 @@
 import testtools
 
 from almondtide.entry.links import LinkMonitor, LinkState
-from almondtide.entry.members import Member, MembershipView, MemberState
+from almondtide.entry.members import (
+    RELAY_ABILITY,
+    Member,
+    MembershipView,
+    MemberState,
+)
 from almondtide.entry.relay import (
     PEER_BACKOFF_S,
     PEER_SERVICE,
@@ -37,6 +42,7 @@
     view = MembershipView(_member("front-1", is_active=False))
     for member in members:
         view.update(member)
+        view.note_abilities(member, {RELAY_ABILITY})
     return view
 
 
@@ -216,8 +222,36 @@
         restarted = _member("front-2", at=now + 1.0)
         restarted.incarnation = 2
         view.update(restarted)
+        view.note_abilities(restarted, {RELAY_ABILITY})
         self.assertIsNot(first, peers.choose((), now))
 
+    def test_a_peer_that_does_not_name_the_ability_gets_nothing(self):
+        # A build without the mark fails such a request with 502.
+        now = time.monotonic()
+        able, unable = _member("front-2"), _member("front-3")
+        view = _view(able)
+        view.update(unable)
+        peers = RelayPeers(view, LinkMonitor(0.0), PORT)
+        names = {peers.choose((), now).server.id for _ in range(30)}
+        self.assertEqual({"front-2"}, names)
+        view.note_abilities(unable, {"other"})
+        self.assertIsNone(peers.choose({"front-2"}, now))
+        view.note_abilities(unable, {"other", RELAY_ABILITY})
+        self.assertIsNotNone(peers.choose({"front-2"}, now))
+
+    def test_a_peer_that_started_again_has_to_name_the_ability_again(self):
+        # It may have been replaced by an earlier build.
+        now = time.monotonic()
+        view = _view(_member("front-2"))
+        peers = RelayPeers(view, LinkMonitor(0.0), PORT)
+        restarted = _member("front-2", at=now + 1.0)
+        restarted.incarnation = 2
+        view.update(restarted)
+        self.assertIsNone(peers.choose((), now))
+        # A late heartbeat of the earlier incarnation.
+        view.note_abilities(_member("front-2"), {RELAY_ABILITY})
+        self.assertIsNone(peers.choose((), now))
+
 
 class RelayedCallTest(testtools.TestCase):
     """Guards against callers that get nothing from an entry without links."""
