--- a/tests/entry/test_evacuations.py
+++ b/tests/entry/test_evacuations.py
@@ -291,6 +291,26 @@
         self.assertEqual(["nadi"], started.active())
         self.assertTrue(started.feed.knows_evacuations)
 
+    def test_the_next_reader_finds_what_a_lost_one_told_nobody(self):
+        before = self.reader.heartbeat()
+        self.reader.read_changes(6, _put(6))
+        self.peer.receive(before)
+        self.assertEqual(5, self.peer.feed.cursor)
+        self.peer.read_changes(6, _put(6))
+        self.assertEqual(["nadi"], self.peer.active())
+
+    def test_a_large_fleet_hands_a_change_on_once(self):
+        for number in range(30):
+            self.peer.view.update(_Entry.member(number))
+        raw = self._begin()
+        self.peer.receive(raw)
+        sent = {received for received, _ in self.peer.socket.sent}
+        self.assertEqual(1, len(sent))
+        self.assertEqual([1, 2, [], None], cbor2.loads(sent.pop())[:4])
+        self.peer.socket.sent.clear()
+        self.peer.receive(raw)
+        self.assertEqual([], self.peer.socket.sent)
+
     def test_messages_for_older_builds(self):
         raw = self._begin()
         self.assertEqual([1, 2, [], None], cbor2.loads(raw)[:4])
