--- a/soak/session.py
+++ b/soak/session.py
@@ -7,9 +7,13 @@
 import curio
 
 from almondtide.entry.codec import decode_snapshot
-from almondtide.entry.gossip import SNAPSHOT_PATH
+from almondtide.entry.gossip import SNAPSHOT_PATH, SNAPSHOT_QUERY_WITH_ENDS
 from almondtide.errors import DocumentError
-from almondtide.platform.documents import SERVER_PREFIX, decode_server
+from almondtide.platform.documents import (
+    EVACUATION_PREFIX,
+    SERVER_PREFIX,
+    decode_server,
+)
 from standins.entry_fleet import EntryFleet
 
 from .checks import EVACUATE_S, find_violations
@@ -251,15 +255,15 @@
         for daemon in self.fleet.processes:
             try:
                 _, _, body = await self.fleet.get_from_daemon(
-                    daemon, "control", SNAPSHOT_PATH
+                    daemon, "control", f"{SNAPSHOT_PATH}?{SNAPSHOT_QUERY_WITH_ENDS}"
                 )
-                records = decode_snapshot(body).records
+                snapshot = decode_snapshot(body)
             except (OSError, curio.TaskTimeout, DocumentError) as exc:
                 self.violations.append(f"replica: daemon {daemon}: {exc!r}")
                 continue
             known = {
                 key: (server.address, server.leaving)
-                for key, _, server in records
+                for key, _, server in snapshot.records
                 if server is not None
             }
             self.violations.extend(
@@ -268,6 +272,22 @@
                 for key in sorted(known.keys() | expected.keys())
                 if known.get(key) != expected.get(key)
             )
+            self._check_evacuations(daemon, snapshot.evacuations)
+
+    def _check_evacuations(self, daemon, summary):
+        """Compare what a daemon knows of evacuations with the store."""
+        expected = {
+            key[len(EVACUATION_PREFIX) :]
+            for key in self.fleet.store.items
+            if key.startswith(EVACUATION_PREFIX)
+        }
+        known = None
+        if summary is not None:
+            known = {item.domain for item in summary.notices if item.is_active}
+        if known != expected:
+            self.violations.append(
+                f"replica: daemon {daemon}: evacuated {known} in place of {expected}"
+            )
 
     def _check_processes(self):
         for number, process in self.fleet.processes.items():
