--- a/standins/entry_fleet.py
+++ b/standins/entry_fleet.py
@@ -30,6 +30,8 @@
 PORTS = {"front": 18226, "readiness": 18227, "control": 18224, "directory": 18225}
 METRICS_PORT = 9464
 GOSSIP_PORT = 17740
+# Nothing listens at this port of the loopback.
+CLOSED_PORT = 9
 START_TIMEOUT_S = 15.0
 SHARDS = ("shard-0", "shard-1", "shard-2")
 UNSAFE_SERVICE = "drafts"
@@ -88,13 +90,27 @@
     connections to each server pass through a ``Link``. ``bounds`` are further bounds in
     the settings. Use it as an async context manager. ``number`` is the index of a
     daemon in ``hosts`` and ``processes``.
+
+    ``builds`` maps numbers of daemons that run another build of the project to its
+    folder and their command. With ``store_readers``, a set of numbers, the other
+    daemons do not reach the store.
     """
 
     def __init__(
-        self, folder, daemons=3, servers=2, argv=None, links=False, bounds=None
+        self,
+        folder,
+        daemons=3,
+        servers=2,
+        argv=None,
+        links=False,
+        bounds=None,
+        builds=None,
+        store_readers=None,
     ):
         self.folder = folder
         self.bounds = bounds or {}
+        self.builds = builds or {}
+        self.store_readers = store_readers
         self.argv = argv or ["-m", "almondtide.entry"]
         self.has_links = links
         self.servers_per_service = servers
@@ -185,6 +201,8 @@
         host = self.hosts[number]
         path = os.path.join(self.folder, f"settings-{number}.json")
         store_host, store_port = self.store.address
+        if self.store_readers is not None and number not in self.store_readers:
+            store_port = CLOSED_PORT
         document = {
             "node_name": f"front-{number}",
             "ip": host,
@@ -204,10 +222,16 @@
         }
         with open(path, "wb") as file:
             file.write(orjson.dumps(document))
+        build, argv = self.builds.get(number, (None, self.argv))
+        environment = {**os.environ, "ALMONDTIDE_SETTINGS": os.path.abspath(path)}
+        if build is not None:
+            environment["PYTHONPATH"] = build
         with open(os.path.join(self.folder, f"log-{number}"), "ab") as log:
             self.processes[number] = subprocess.Popen(
-                [sys.executable, *self.argv],
-                env={**os.environ, "ALMONDTIDE_SETTINGS": path},
+                [sys.executable, *argv],
+                env=environment,
+                # The interpreter looks for modules in the working folder first.
+                cwd=build,
                 stdout=log,
                 stderr=log,
             )
