--- a/bench/replay.py
+++ b/bench/replay.py
@@ -33,6 +33,7 @@
 )
 from almondtide.presentation import format_table
 from almondtide.timers import Timers
+from standins.entry_model import WARMUP_OVERSHOOT, WARMUP_SLACK
 from standins.replacement import replace_attribute
 from standins.server_model import CallerModel, ModelPool, ServerFault, ServerModel
 from standins.virtual_time import VirtualClock, run_in_virtual_time
@@ -44,9 +45,6 @@
 WINDOW_S = 2.0
 # Entries tell each other their demand for limited servers at this interval, in s.
 HEARTBEAT_S = 0.3
-# Bounds of requests to cold servers, as ``WarmupBounds`` has them.
-WARMUP_OVERSHOOT = 1.5
-WARMUP_SLACK = 5
 # An entry knows this much later than another one that a server has turned cold, in s.
 COLD_NOTICE_S = 0.02
 # Share of its value that an answer after the objective has.
--- a/tests/entry/test_warmup.py
+++ b/tests/entry/test_warmup.py
@@ -1,6 +1,5 @@
 """Tests of the rate that cold servers get from all entries together."""
 
-import bisect
 import math
 
 import orjson
@@ -8,13 +7,7 @@
 
 from almondtide.entry.boottime import boottime_now
 from almondtide.entry.daemon import EntryDaemon
-from almondtide.entry.members import (
-    ACTIVE_PER_DOMAIN,
-    Member,
-    MembershipView,
-    MemberState,
-    select_active_members,
-)
+from almondtide.entry.members import Member, MemberState
 from almondtide.entry.rate_limits import (
     ENTITLED_S,
     WRITE_WITHIN_S,
@@ -27,6 +20,12 @@
 from almondtide.model.published import Configuration, ServiceInfo
 from almondtide.platform.settings import decode_settings
 from bench.replay import COLD_NOTICE_S, LoadReplay
+from standins.entry_model import (
+    WARMUP_OVERSHOOT,
+    WARMUP_SLACK,
+    most_in_a_second,
+    simulate_entries,
+)
 from tests.entry.support import (
     make_reply,
     make_route,
@@ -36,34 +35,19 @@
 from tests.entry.test_dispatch import _Fleet, _run_calls
 from tests.support import MemoryLog, run
 
-OVERSHOOT = 1.5
-SLACK = 5
 WARMUP_S = 30.0
-DOMAINS = ("lautoka", "nadi", "suva")
 RATES = (1.0, 4.0, 12.0, 40.0)
 ONE_SERVICE = make_route(weighted_services=(("a", 1),), objective_s=0.5)
 
 
-def _most_in_a_second(times):
-    """Return the largest number of times within one second."""
-    times = sorted(times)
-    return max(
-        (
-            bisect.bisect_right(times, at + 1.0) - number
-            for number, at in enumerate(times)
-        ),
-        default=0,
-    )
-
-
-def _info(rate, warmup_s=WARMUP_S):
-    return ServiceInfo("a", "/", 100, warmup_s, rate)
+def _info(rate):
+    return ServiceInfo("a", "/", 100, WARMUP_S, rate)
 
 
 def _table(rate=4.0, **fields):
     """Return the table of a single entry with a cold server and a warm one."""
     table = UpstreamTable("lautoka")
-    table.warmup_bounds.configure(OVERSHOOT, SLACK, [_info(rate)])
+    table.warmup_bounds.configure(WARMUP_OVERSHOOT, WARMUP_SLACK, [_info(rate)])
     local = _member("local")
     table.rate_shares.note_active([local], 0.0, math.inf, 6, False)
     fields = {"cold": True, **fields}
@@ -72,100 +56,41 @@
     return table
 
 
-def _member(name, domain="lautoka", is_active=True, at=0.0, cores=1.0):
-    return Member(name, 1, "10.0.0.1", domain, MemberState.READY, cores, is_active, at)
-
-
-class _SimulatedEntry:
-    """The membership and the shares of one entry, which sends whenever it may."""
-
-    def __init__(self, number, rate, started_at):
-        self.name = f"front-{number}"
-        # The first six have the most capacity, so that they are active.
-        cores = 2.0 if number < 6 else 1.0
-        self.local = _member(self.name, DOMAINS[number % 3], False, started_at, cores)
-        self.view = MembershipView(self.local)
-        self.started_at = started_at
-        self.table = UpstreamTable(self.local.domain)
-        self.table.rate_shares = RateShares(self.name)
-        self.table.warmup_bounds.configure(OVERSHOOT, SLACK, [_info(rate, 1e9)])
-        self.table.apply(make_server("i-1", cold=True), now=0.0)
-        self.upstream = self.table.get("i-1")
-
-    def update_role(self, now):
-        chosen = select_active_members(self.view.ready_members(now))
-        members = [member for group in chosen.values() for member in group]
-        self.local.is_active = self.name in [member.name for member in members]
-        alive = self.view.alive_members(now)
-        self.table.rate_shares.note_active(
-            members + [member for member in alive if member.is_active],
-            now,
-            now - self.started_at,
-            ACTIVE_PER_DOMAIN * len(DOMAINS),
-            True,
-        )
-
-    def send_heartbeat(self, now, peers):
-        self.local.last_heard_at = now
-        demand = self.table.rate_shares.local_demand("a", now)
-        for peer in peers:
-            local = self.local
-            peer.view.update(
-                _member(
-                    local.name, local.domain, local.is_active, now, local.cpu_capacity
-                )
-            )
-            peer.table.rate_shares.note_report(
-                self.name, {service_key("a"): demand}, now
-            )
-
-    def send(self, now):
-        """Send as many requests as allowed; return their number."""
-        count = 0
-        while self.table.rate_room_at(self.upstream, now) <= now:
-            self.upstream.start(object(), now, 0.01)
-            count += 1
-        return count
-
-
-def _simulate(rate, seconds, count=9, runs=None, hears=None, wants=None, starts=None):
-    """Let entries send to one cold server; return the times of all requests.
-
-    Each function gets the number of an entry and the time: ``runs`` tells whether it
-    runs, ``wants`` whether it has requests. ``hears(a, b, now)`` tells whether entry a
-    gets the heartbeats of b. ``starts`` maps entries to the time of their start.
-    """
-    starts = starts or {}
-    entries = [
-        _SimulatedEntry(number, rate, starts.get(number, -60.0))
-        for number in range(count)
-    ]
-    present = []
-    times = []
-    step_s = 0.02
-    for tick in range(-100, int(seconds / step_s)):
-        now = tick * step_s
-        present = [e for e in entries if e.started_at <= now]
-        for number, entry in enumerate(entries):
-            if entry not in present or (runs and not runs(number, now)):
-                continue
-            if (tick + number) % 15 == 0:
-                entry.send_heartbeat(
-                    now,
-                    [
-                        peer
-                        for peer in present
-                        if peer is not entry
-                        and (hears is None or hears(entries.index(peer), number, now))
-                    ],
-                )
-            if (tick + number) % 12 == 0:
-                entry.update_role(now)
-            if now < 0.0 or (wants and not wants(number, now)):
-                continue
-            entry.table.rate_shares.count("a", now)
-            times += [now] * entry.send(now)
-    return times
+def _member(name, domain="lautoka"):
+    return Member(name, 1, "10.0.0.1", domain, MemberState.READY, 1.0, True, 0.0)
+
+
+# Name -> (seconds, arguments of ``simulate_entries``).
+SCENARIOS = {
+    "all entries want all": (12.0, {}),
+    "idle entries want all at once": (24.0, {"wants": lambda _, now: now % 8.0 > 7.0}),
+    "the demand moves": (20.0, {"wants": lambda number, now: number == int(now) % 6}),
+    "an entry is cut off": (
+        30.0,
+        {"hears": lambda a, b, now: now < 2.0 or 0 not in (a, b)},
+    ),
+    "an entry hears all and is not heard": (
+        12.0,
+        {
+            "hears": lambda a, b, now: now < 6.0 or b != 0,
+            "wants": lambda number, now: number == 0 or now > 6.0,
+        },
+    ),
+    "a failure domain is cut off": (
+        30.0,
+        {"hears": lambda a, b, now: now < 2.0 or (a % 3 == 0) == (b % 3 == 0)},
+    ),
+    "no heartbeat arrives": (15.0, {"count": 6, "hears": lambda a, b, now: now < 0.0}),
+    "frozen for 0.6 s": (6.0, {"runs": lambda n, now: n != 0 or not 2 < now < 2.6}),
+    "frozen for 4 s": (9.0, {"runs": lambda n, now: n != 0 or not 2 < now < 6}),
+    "frozen for 28 s": (33.0, {"runs": lambda n, now: n != 0 or not 2 < now < 30}),
+    "entries have just started": (10.0, {"starts": {0: 3.0, 4: 3.5}}),
+    "an entry starts cut off": (
+        30.0,
+        {"starts": {0: 3.0}, "hears": lambda a, b, now: 0 not in (a, b)},
+    ),
+    "standbys take over": (10.0, {"runs": lambda number, now: number > 2 or now < 3}),
+}
 
 
 class WorstCaseTest(testtools.TestCase):
@@ -174,91 +99,18 @@
     Six entries are active and three are standbys. Each sends as often as it may.
     """
 
-    def _assert_bound(self, rate, times):
-        allowed = OVERSHOOT * rate + SLACK
-        most = _most_in_a_second(times)
-        self.assertTrue(times)
-        self.assertTrue(most <= allowed, (rate, most, allowed))
-
-    def test_all_entries_want_all(self):
-        for rate in RATES:
-            times = _simulate(rate, 12.0)
-            self._assert_bound(rate, times)
-            self.assertTrue(len(times) >= 0.8 * 12.0 * rate - 6, (rate, len(times)))
-
-    def test_idle_entries_want_all_at_the_same_moment(self):
-        for rate in RATES:
-            times = _simulate(rate, 24.0, wants=lambda _, now: now % 8.0 > 7.0)
-            self._assert_bound(rate, times)
-
-    def test_the_demand_moves_between_entries(self):
-        for rate in RATES:
-            times = _simulate(
-                rate, 20.0, wants=lambda number, now: number == int(now) % 6
-            )
-            self._assert_bound(rate, times)
-
-    def test_an_entry_is_cut_off(self):
-        for rate in RATES:
-            times = _simulate(
-                rate, 30.0, hears=lambda a, b, now: now < 2.0 or 0 not in (a, b)
-            )
-            self._assert_bound(rate, times)
-
-    def test_an_entry_is_heard_by_nobody_but_hears_all(self):
-        for rate in RATES:
-            times = _simulate(
-                rate,
-                12.0,
-                hears=lambda a, b, now: now < 6.0 or b != 0,
-                wants=lambda number, now: number == 0 or now > 6.0,
-            )
-            self._assert_bound(rate, times)
+    def test_the_bound_holds_in_every_second(self):
+        for name, (seconds, options) in SCENARIOS.items():
+            for rate in RATES:
+                times = simulate_entries(rate, seconds, **options)
+                most = most_in_a_second(times)
+                allowed = WARMUP_OVERSHOOT * rate + WARMUP_SLACK
+                self.assertTrue(0 < most <= allowed, (name, rate, most, allowed))
 
-    def test_a_failure_domain_is_cut_off(self):
-        for rate in RATES:
-            times = _simulate(
-                rate,
-                30.0,
-                hears=lambda a, b, now: now < 2.0 or (a % 3 == 0) == (b % 3 == 0),
-            )
-            self._assert_bound(rate, times)
-
-    def test_no_heartbeat_arrives_any_more(self):
-        for rate in RATES:
-            times = _simulate(rate, 15.0, count=6, hears=lambda a, b, now: now < 0.0)
-            self._assert_bound(rate, times)
-
-    def test_an_entry_is_frozen_and_resumes(self):
-        for rate in RATES:
-            for end in (2.6, 6.0, 30.0):
-                times = _simulate(
-                    rate,
-                    end + 4.0,
-                    runs=lambda number, now, end=end: (
-                        number != 0 or not 2.0 < now < end
-                    ),
-                )
-                self._assert_bound(rate, times)
-
-    def test_entries_have_just_started(self):
-        for rate in RATES:
-            times = _simulate(rate, 10.0, starts={0: 3.0, 4: 3.5})
-            self._assert_bound(rate, times)
-
-    def test_an_entry_starts_cut_off_from_its_peers(self):
-        for rate in RATES:
-            times = _simulate(
-                rate, 30.0, starts={0: 3.0}, hears=lambda a, b, now: 0 not in (a, b)
-            )
-            self._assert_bound(rate, times)
-
-    def test_standbys_take_over(self):
+    def test_the_rate_is_used(self):
         for rate in RATES:
-            times = _simulate(
-                rate, 10.0, runs=lambda number, now: number > 2 or now < 3.0
-            )
-            self._assert_bound(rate, times)
+            count = len(simulate_entries(rate, 12.0))
+            self.assertTrue(count >= 0.8 * 12.0 * rate - 6, (rate, count))
 
 
 class WarmupShareTest(testtools.TestCase):
@@ -374,10 +226,10 @@
     def test_a_changed_configuration_holds_at_once(self):
         table = _table(rate=4.0)
         table.choose("a", 0.0)
-        table.warmup_bounds.configure(OVERSHOOT, SLACK, [_info(2.0)])
+        table.warmup_bounds.configure(WARMUP_OVERSHOOT, WARMUP_SLACK, [_info(2.0)])
         table.choose("a", 0.0)
         self.assertEqual(2.0, table.get("i-1").warmup_limit.share)
-        table.warmup_bounds.configure(OVERSHOOT, SLACK, [_info(None)])
+        table.warmup_bounds.configure(WARMUP_OVERSHOOT, WARMUP_SLACK, [_info(None)])
         self.assertEqual("i-1", table.choose("a", 0.0, {"i-2"}).server.id)
 
     def test_the_lower_of_two_rates_applies(self):
@@ -444,7 +296,9 @@
                 return 0.001, make_reply()
 
             fleet = _Fleet(behave, services=("a",))
-            fleet.table.warmup_bounds.configure(OVERSHOOT, SLACK, [_info(1.0)])
+            fleet.table.warmup_bounds.configure(
+                WARMUP_OVERSHOOT, WARMUP_SLACK, [_info(1.0)]
+            )
             fleets.append(fleet)
             await fleet.timers.start()
             return await fleet.run(ONE_SERVICE, services=("a",))
@@ -462,7 +316,9 @@
             lambda exchange: (0.001, make_reply()), ONE_SERVICE, services=("a",)
         )
         upstream = next(iter(fleet.table))
-        fleet.table.warmup_bounds.configure(OVERSHOOT, SLACK, [_info(4.0)])
+        fleet.table.warmup_bounds.configure(
+            WARMUP_OVERSHOOT, WARMUP_SLACK, [_info(4.0)]
+        )
         upstream.assume_cold(math.inf)
         upstream.update_warmup(0.0).count_send("hedge")
         fleet.dispatcher.log_limited_sends()
@@ -521,8 +377,10 @@
             # What was on its way when the last entry heard of it arrives as well.
             start = fault.start + COLD_NOTICE_S * len(replay.entries) + 0.01
             arrivals = [at for at in server.arrivals if start <= at < fault.end]
-            most = _most_in_a_second(arrivals)
-            self.assertTrue(most <= OVERSHOOT * rate + SLACK, (rate, most))
+            most = most_in_a_second(arrivals)
+            self.assertTrue(
+                most <= WARMUP_OVERSHOOT * rate + WARMUP_SLACK, (rate, most)
+            )
 
     def test_the_bound_holds_while_all_servers_are_cold(self):
         for seed, rate in enumerate(RATES):
