--- a/almondtide/entry/dispatch.py
+++ b/almondtide/entry/dispatch.py
@@ -218,6 +218,9 @@
             "rate_limits": 0,
             "rate_limits_invalid": 0,
             "warmup_diverted": 0,
+            "loads": 0,
+            "loads_invalid": 0,
+            "hedges_spared": 0,
             "relayed": 0,
             "regional": 0,
             "regional_refused": 0,
@@ -567,6 +570,9 @@
         if upstream is None:
             await self._wait_for_server(branch, kind, now)
             return False
+        if kind == "hedge" and not upstream.may_hedge(now):
+            self.counts["hedges_spared"] += 1
+            return False
         is_extra = bool(branch.write_count or branch.open_exchanges)
         if is_extra:
             reserved_fraction = RETRY_RESERVE_FRACTION if kind == "hedge" else 0.0
@@ -846,6 +852,7 @@
             return
         await self._note_announcements(exchange, reply)
         await self._note_rate_limit(exchange, reply)
+        self._note_load(exchange, reply)
         if reply.is_not_run:
             await self.on_failure(exchange, Failure.NOT_RUN, "not run", reply)
             return
@@ -912,6 +919,16 @@
                 for_ms=int((upstream.paused_until - now) * 1000),
             )
 
+    def _note_load(self, exchange, reply):
+        """Record the load that the server reports."""
+        upstream = exchange.upstream
+        if reply.has_invalid_load:
+            self.counts["loads_invalid"] += 1
+            self._log.debug("load_invalid", server=upstream.server.id)
+        if reply.reported_load is not None:
+            self.counts["loads"] += 1
+            upstream.note_load(reply.reported_load, self.now(), not reply.is_not_run)
+
     async def _note_rate_limit(self, exchange, reply):
         """Record the rate that the server states, or that it states none any more."""
         now = self.now()
--- a/almondtide/entry/upstreams.py
+++ b/almondtide/entry/upstreams.py
@@ -11,6 +11,7 @@
 
 import enum
 import math
+import random
 
 from .rate_limits import (
     MIN_RATE_PER_S,
@@ -19,6 +20,12 @@
     RateShares,
     WarmupBounds,
 )
+from .reported_load import (
+    MAX_HEDGE_LOAD,
+    MAX_REPORT_AGE_S,
+    KnownLoad,
+    second_choice_probability,
+)
 from .run_time import RunTime
 
 __all__ = ["Failure", "Upstream", "UpstreamTable"]
@@ -132,6 +139,7 @@
         "is_refusing",
         "is_removed",
         "is_retired",
+        "known_load",
         "last_reply_at",
         "listed_until",
         "paused_until",
@@ -178,6 +186,8 @@
         # counts as cold whatever the store lists.
         self.cold_listed_at = math.inf
         self.assumed_cold_until = 0.0
+        # The ``KnownLoad`` of the newest reply that reports one, or None.
+        self.known_load = None
         # Whether the newest connection to it was refused.
         self.is_refusing = False
         # Open connections, and how many of them are idle; the pool updates both.
@@ -261,7 +271,8 @@
             return None
         latency_s = now - pending[0]
         ratio = min(MAX_LATENCY_RATIO, latency_s / max(0.001, pending[1]))
-        self._add_sample(ratio, 0.0, now)
+        # The pace that the server reports is a factor of the cost by itself.
+        self._add_sample(ratio / self.pace(now), 0.0, now)
         return latency_s
 
     def fail(self, exchange, failure, now):
@@ -333,6 +344,25 @@
         """Record that the server reset a new connection before it replied on it."""
         self.connect_after = now + CONNECT_BACKOFF_S
 
+    def note_load(self, report, now, was_run=True):
+        """Record the load that a reply reports, before its exchange is ended.
+
+        The report contains the request itself if the server ran it. A reply that waited
+        while this process stood still counts as made before that.
+        """
+        own_count = len(self._pending) - (not was_run)
+        ran_s = self._run_time.ran_s(now - MAX_REPORT_AGE_S, now)
+        stood_s = max(0.0, MAX_REPORT_AGE_S - ran_s)
+        self.known_load = KnownLoad(report, own_count, now - stood_s)
+
+    def has_report(self, now):
+        """Return whether a report of its load has an effect."""
+        return self.known_load is not None and self.known_load.weight(now) > 0.0
+
+    def pace(self, now):
+        """Return how long work takes by its own report, as a multiple of the usual."""
+        return 1.0 if self.known_load is None else self.known_load.pace_at(now)
+
     def pause(self, until):
         """Record that the server wants no request until a time."""
         self.paused_until = max(self.paused_until, until)
@@ -436,11 +466,29 @@
         """Whether the server leaves, so that it is only used if others are worse."""
         return self.serves_until != math.inf
 
+    def expected_factor(self, now):
+        """Return the expected time of a request as a multiple of the normal one."""
+        slowness = self.slowness(now) * self.pace(now)
+        return slowness * max(1.0, self.load(now))
+
+    def load(self, now):
+        """Return the requests at the server, with a further one, for each slot.
+
+        Those are what this entry has in progress, and what others have by a report.
+        """
+        count = len(self._pending) + 1
+        if self.known_load is not None:
+            count += self.known_load.others_at(now)
+        return count / self.server.slots
+
+    def may_hedge(self, now):
+        """Return whether a hedge would not wait behind others, by a report."""
+        return not self.has_report(now) or self.load(now) <= MAX_HEDGE_LOAD
+
     def cost(self, now, domain):
         """Return the cost of a request, in units of its normal time."""
         server = self.server
-        load = (len(self._pending) + 1) / server.slots
-        cost = self.slowness(now) * max(1.0, load)
+        cost = self.expected_factor(now)
         failure_rate = self.failure_rate(now)
         if failure_rate:
             cost /= max(0.05, 1.0 - failure_rate) ** 2
@@ -804,6 +852,7 @@
             if not with_paused and not upstream.accepts_requests(now):
                 continue
             per_s = upstream.server.slots / max(0.001, expected_s) / self.entry_count
+            per_s /= upstream.pace(now)
             if upstream.limits_rate(now):
                 self.rate_room_at(upstream, now)
                 for limit in (upstream.rate_limit, upstream.warmup_limit):
@@ -860,14 +909,17 @@
     ):
         """Return the upstream of a service with the least cost, or None.
 
+        If one of the two cheapest has reported its load lately, one of them is chosen
+        at random by their costs.
+
         ``excluded_ids`` are the ids of servers that were tried. Servers that failed are
         ejected for some time. After that they get one request at a time as a probe,
         until one succeeds. With ``spares_limited``, servers that limit their rate are
         left to others. ``domains`` restricts the choice to some failure domains. The
         server must have room for a request body of ``body_bytes``.
         """
-        best = None
-        best_cost = 0.0
+        best = second = None
+        best_cost = second_cost = 0.0
         for upstream in self.usable_upstreams(service, now, domains):
             if upstream.server.id in excluded_ids:
                 continue
@@ -893,5 +945,11 @@
                 continue
             cost = upstream.cost(now, self.domain)
             if best is None or cost < best_cost:
+                second, second_cost = best, best_cost
                 best, best_cost = upstream, cost
-        return best
+            elif second is None or cost < second_cost:
+                second, second_cost = upstream, cost
+        if second is None or not (best.has_report(now) or second.has_report(now)):
+            return best
+        is_second = random.random() < second_choice_probability(best_cost, second_cost)
+        return second if is_second else best
--- a/bench/replay.py
+++ b/bench/replay.py
@@ -49,6 +49,16 @@
 COLD_NOTICE_S = 0.02
 # Share of its value that an answer after the objective has.
 LATE_VALUE = 0.1
+SERVER_OPTIONS = (
+    "slots",
+    "max_queue",
+    "pause_every_s",
+    "spread",
+    "slowness",
+    "noise_share",
+    "noise_factor",
+    "reports_load",
+)
 COLUMNS = (
     "pattern",
     "run",
@@ -309,7 +319,7 @@
             for name in ("work_s", "pause_s", "handshake_s")
             if f"{name[:-2]}_ms" in service
         }
-        for name in ("slots", "max_queue", "pause_every_s", "spread", "slowness"):
+        for name in SERVER_OPTIONS:
             if name in service:
                 options[name] = service[name]
         for number in range(service.get("count", 1)):
--- a/standins/server_model.py
+++ b/standins/server_model.py
@@ -11,7 +11,7 @@
 
 from almondtide.entry.calls import Call
 from almondtide.entry.upstreams import Failure
-from almondtide.model.http_messages import Reply, Request
+from almondtide.model.http_messages import Reply, ReportedLoad, Request
 
 __all__ = [
     "FAULT_KINDS",
@@ -32,6 +32,8 @@
 # This share of the requests takes so many times as long as the others.
 TAIL_SHARE = 0.01
 TAIL_FACTOR = 5.0
+# The pace of a machine with noise is drawn anew at this interval, in s.
+NOISE_PERIOD_S = 0.4
 # What a fault does to the requests that arrive while it lasts:
 # "away": refused as not run, with the time left as pause. "shed": a share ``x`` is
 # refused as not run, without a pause. "slow": they take ``x`` times as long. "silent":
@@ -60,8 +62,9 @@
 
     ``work_s`` is the mean service time, with a log-normal spread of ``spread`` and a
     tail of longer requests; ``slowness`` multiplies it. With ``pause_every_s`` the
-    server does no work for ``pause_s`` each time. ``arrivals`` holds the time of each
-    request.
+    server does no work for ``pause_s`` each time. For a share ``noise_share`` of the
+    time work takes ``noise_factor`` times as long. With ``reports_load`` all replies
+    report the load. ``arrivals`` holds the time of each request.
     """
 
     def __init__(
@@ -76,11 +79,20 @@
         handshake_s=0.006,
         pause_s=0.0,
         pause_every_s=math.inf,
+        noise_share=0.0,
+        noise_factor=1.0,
+        reports_load=False,
     ):
         self._clock = clock
         self._rng = rng
         self._slots = curio.Semaphore(slots)
+        self._slot_count = slots
+        self._running = 0
         self._waiting = 0
+        self.noise_share = noise_share
+        self.noise_factor = noise_factor
+        self.reports_load = reports_load
+        self._noise_seed = rng.random() if noise_share else 0.0
         self.max_queue = max_queue
         self.work_s = work_s
         self.spread = spread
@@ -109,8 +121,21 @@
             for fault in self._active_faults():
                 if fault.kind == "limited":
                     reply.rate_limit = fault.x
+            if self.reports_load and reply.reported_load is None:
+                reply.reported_load = self._load()
         return reply
 
+    def _load(self):
+        return ReportedLoad(self._running, self._waiting, self._slot_count, self.pace())
+
+    def pace(self):
+        """Return how long work takes now, as a multiple of the usual time."""
+        if not self.noise_share:
+            return 1.0
+        period = int(self._clock.monotonic() / NOISE_PERIOD_S)
+        is_slow = random.Random(f"{self._noise_seed}/{period}").random()
+        return self.noise_factor if is_slow < self.noise_share else 1.0
+
     async def _answer(self, work_x):
         now = self._clock.monotonic()
         self.arrivals.append(now)
@@ -128,15 +153,20 @@
             await self._slots.acquire()
         finally:
             self._waiting -= 1
+        self._running += 1
+        reply = Reply(200, [], b"")
         try:
             mu = math.log(self.work_s * work_x) - self.spread**2 / 2.0
             seconds = self._rng.lognormvariate(mu, self.spread)
             if self._rng.random() < TAIL_SHARE:
                 seconds *= TAIL_FACTOR
-            await self._work(seconds * self.slowness)
+            await self._work(seconds * self.slowness * self.pace())
+            if self.reports_load:
+                # The report contains the request that it answers.
+                reply.reported_load = self._load()
         finally:
+            self._running -= 1
             await self._slots.release()
-        reply = Reply(200, [], b"")
         reply.server_stamp = b"s"
         return reply
 
