--- a/almondtide/entry/codec.py
+++ b/almondtide/entry/codec.py
@@ -50,9 +50,11 @@
 # Longest time, in ms, for which a message may say that a leaving server still serves.
 MAX_SERVING_MS = 600_000
 
-# Index of the sender's abilities in a heartbeat, and most that are read.
+# Index of the sender's abilities in a heartbeat, most that are read, and their longest
+# name. Others are ignored, as they are written to the log.
 ABILITIES_ITEM = 14
 MAX_ABILITIES = 32
+MAX_ABILITY_LENGTH = 32
 # Abilities of a build that names none but sends items 10 to 12.
 IMPLIED_ABILITIES = frozenset({RELAY_ABILITY})
 
@@ -390,7 +392,11 @@
     names = message[ABILITIES_ITEM]
     if not isinstance(names, list):
         raise ValueError("the abilities are not a list")
-    return frozenset(_check_string(name) for name in names[:MAX_ABILITIES])
+    return frozenset(
+        name
+        for name in map(_check_string, names[:MAX_ABILITIES])
+        if len(name) <= MAX_ABILITY_LENGTH
+    )
 
 
 def _pack_demands(demands):
--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -23,7 +23,13 @@
 from .frontend import Frontend
 from .gossip import Gossip
 from .link_watch import LinkWatch
-from .members import ACTIVE_PER_DOMAIN, Member, MembershipView, MemberState
+from .members import (
+    ACTIVE_PER_DOMAIN,
+    RELAY_ABILITY,
+    Member,
+    MembershipView,
+    MemberState,
+)
 from .memory_bounds import MemoryBounds
 from .metrics import MetricFamily, render_metrics
 from .reader import StoreReader
@@ -616,6 +622,13 @@
                 len(self.table.cold_upstreams()),
             ),
             "members": ("Daemons heard lately.", len(self.view.alive_members(now))),
+            "relay_peers": (
+                "Live peers that take requests of others.",
+                sum(
+                    self.view.has_ability(member, RELAY_ABILITY)
+                    for member in self.view.alive_members(now)
+                ),
+            ),
             "store_calls": ("Calls of the store.", self.store.call_count),
             "reply_bytes": (
                 "Bytes of replies that are not complete.",
--- a/almondtide/entry/gossip.py
+++ b/almondtide/entry/gossip.py
@@ -554,7 +554,12 @@
             heartbeat.evacuations, heartbeat.cursor, host, now, arrived_after
         )
         self._update_member(heartbeat.sender, now)
-        self.view.note_abilities(heartbeat.sender, heartbeat.abilities)
+        if self.view.note_abilities(heartbeat.sender, heartbeat.abilities):
+            self._log.info(
+                "member_abilities",
+                member=heartbeat.sender.name,
+                abilities=" ".join(sorted(heartbeat.abilities)) or "none",
+            )
         for member in heartbeat.members:
             self._update_member(member, now)
         if self._links is not None:
--- a/almondtide/entry/members.py
+++ b/almondtide/entry/members.py
@@ -109,11 +109,16 @@
     def note_abilities(self, member, abilities):
         """Record the abilities that a member's own heartbeat names.
 
-        A late heartbeat of an earlier incarnation changes nothing.
+        Return whether they are new. A late heartbeat of an earlier incarnation changes
+        nothing.
         """
         known = self.members.get(member.name)
-        if known is not None and known.incarnation == member.incarnation:
-            self._abilities[member.name] = (member.incarnation, frozenset(abilities))
+        if known is None or known.incarnation != member.incarnation:
+            return False
+        found = (member.incarnation, frozenset(abilities))
+        is_new = self._abilities.get(member.name) != found
+        self._abilities[member.name] = found
+        return is_new
 
     def has_ability(self, member, ability):
         """Return whether a member has named an ability.
--- a/tests/entry/test_codec.py
+++ b/tests/entry/test_codec.py
@@ -104,6 +104,8 @@
     def test_a_long_list_is_cut_and_another_type_is_invalid(self):
         names = [f"a{number}" for number in range(1000)]
         self.assertEqual(32, len(self.decode([*self.encode(), None, names])))
+        found = self.decode([*self.encode(), None, ["relay", "x" * 33]])
+        self.assertEqual({"relay"}, found)
         for value in ("relay", 1, [1], {"relay": 1}, [""]):
             with testtools.ExpectedException(DocumentError):
                 self.decode([*self.encode(), None, value])
--- a/tests/entry/test_two_builds.py
+++ b/tests/entry/test_two_builds.py
@@ -257,6 +257,8 @@
     def test_hand_over_of_a_request(self):
         async def scenario(fleet):
             await self.wait_for_membership(fleet)
+            (new,) = {0, 1} - set(fleet.builds)
+            await self.wait_for_log(fleet, new, "member_abilities", "abilities=relay")
             await fleet.search(self.receiver, "first")
             fleet.cut_links(self.sender, "hang")
 
@@ -299,6 +301,9 @@
     def test_nothing_is_handed_to_a_build_without_the_mark(self):
         async def scenario(fleet):
             await self.wait_for_membership(fleet)
+            await self.wait_for_log(
+                fleet, self.sender, "member_abilities", "abilities=none"
+            )
             fleet.cut_links(self.sender, "hang")
             end = time.monotonic() + CHANGE_TIMEOUT_S
             bodies = []
