--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -606,7 +606,7 @@
                 int(self.link_watch.monitor.is_failing),
             ),
             "limited_services": (
-                "Services with a server that limits its rate.",
+                "Services with a server that limits its rate or is cold and bounded.",
                 len(self.table.limited_services),
             ),
             "evacuated_domains": (
