--- a/bench/replay.py
+++ b/bench/replay.py
@@ -4,7 +4,8 @@
 (``bench/patterns``): services with modelled servers, routes with their rates, and
 faults. With ``--other DIR`` the same patterns are also replayed by the checkout in
 that directory, with ``--replace module.NAME=VALUE`` by this one with another constant;
-both are shown side by side.
+both are shown side by side. ``--sheds-by-cost`` switches that setting on;
+``--kinds`` prints a row for each route.
 """
 
 import importlib
@@ -59,6 +60,8 @@
     "noise_factor",
     "reports_load",
 )
+# A refusal counts as late after this share of the objective.
+LATE_REFUSAL_FRACTION = 0.25
 COLUMNS = (
     "pattern",
     "run",
@@ -72,6 +75,20 @@
     "p99 ms",
     "extra sends",
 )
+KIND_COLUMNS = (
+    "pattern",
+    "run",
+    "kind",
+    "rank",
+    "requests",
+    "served",
+    "in objective",
+    "value",
+    "refused",
+    "refused late",
+    "p50 ms",
+    "p99 ms",
+)
 
 
 class _SilentLog:
@@ -83,7 +100,7 @@
     info = warning = refusal = error = debug = trace = _drop
 
 
-def _make_settings(budget_ratio, budget_slack):
+def _make_settings(budget_ratio, budget_slack, sheds_by_cost):
     """Return the ``Settings`` of an entry; only those of the dispatcher are set."""
     fields = dict.fromkeys(Settings.__slots__)
     fields.update(
@@ -91,6 +108,7 @@
         extra_ratio=budget_ratio,
         extra_slack=budget_slack,
         extra_window_s=10.0,
+        sheds_by_cost=sheds_by_cost,
     )
     return Settings(**fields)
 
@@ -127,7 +145,13 @@
     """
 
     def __init__(
-        self, seed, entry_count=1, budget_ratio=0.2, budget_slack=116, standby_count=0
+        self,
+        seed,
+        entry_count=1,
+        budget_ratio=0.2,
+        budget_slack=116,
+        standby_count=0,
+        sheds_by_cost=False,
     ):
         # The dispatcher spreads the return of callers at random.
         random.seed(seed)
@@ -136,7 +160,7 @@
         self.work_factors = {}
         self._cold_services = {}
         self._rng = random.Random(f"{seed}/servers")
-        settings = _make_settings(budget_ratio, budget_slack)
+        settings = _make_settings(budget_ratio, budget_slack, sheds_by_cost)
         self.entries = [
             _ModelEntry(
                 number,
@@ -306,13 +330,22 @@
     )
 
 
-def replay_pattern(pattern, seed):
+def replay_pattern(pattern, seed, sheds_by_cost=False):
     """Play a pattern; return a dict with the figures of ``COLUMNS`` from "requests"."""
+    replay = play_pattern(pattern, seed, sheds_by_cost)
+    results = replay.callers.results
+    return {**summarize(results), "extra sends": round(replay.extra_share(), 3)}
+
+
+def play_pattern(pattern, seed, sheds_by_cost=False):
+    """Play a pattern; return its ``LoadReplay``."""
     replay = LoadReplay(
         seed,
         pattern.get("entries", 1),
         budget_slack=pattern.get("budget_slack", 116),
+        sheds_by_cost=sheds_by_cost,
     )
+    replay.callers.returns_at_once = pattern.get("returns_at_once", False)
     for service in pattern["services"]:
         options = {
             name: service[f"{name[:-2]}_ms"] / 1000.0
@@ -342,19 +375,22 @@
     loads = []
     for fields in pattern["routes"]:
         replay.work_factors[fields["name"]] = fields.get("work", 1.0)
-        rate = _rate(fields["per_s"], pattern.get("bursts", ()))
+        rate = _rate(fields["per_s"], pattern.get("bursts", ()), pattern.get("swing"))
         deadline_s = fields["deadline_ms"] / 1000.0
         loads.append((_make_route(fields), rate, pattern["seconds"], deadline_s))
-    results = replay.run(loads)
-    return {**summarize(results), "extra sends": round(replay.extra_share(), 3)}
+    replay.run(loads)
+    return replay
 
 
-def _rate(per_s, bursts):
+def _rate(per_s, bursts, swing):
     def rate(elapsed_s):
         factor = 1.0
         for burst in bursts:
             if 0 <= elapsed_s - burst["at_s"] < burst["for_s"]:
                 factor *= burst["x"]
+        if swing is not None:
+            phase = math.sin(2.0 * math.pi * elapsed_s / swing["period_s"])
+            factor *= 1.0 + swing["share"] * phase
         return per_s * factor
 
     return rate
@@ -388,6 +424,40 @@
     }
 
 
+def _kind_value(result):
+    """Return the value of a result to its caller, who was refused in time or late."""
+    if result.refused_s is None:
+        return _value(result)
+    is_early = result.refused_s <= LATE_REFUSAL_FRACTION * result.objective_s
+    if not result.is_served or not is_early:
+        return result.covered**2 * LATE_VALUE if result.is_served else 0.0
+    is_in_time = result.last_attempt_s <= result.objective_s
+    return result.covered**2 * ((1.0 + LATE_VALUE) / 2.0 if is_in_time else LATE_VALUE)
+
+
+def summarize_kinds(results):
+    """Return what the callers of each route got, a dict of ``KIND_COLUMNS`` each."""
+    by_route = {}
+    for result in results:
+        by_route.setdefault(result.route, []).append(result)
+    rows = []
+    for route in sorted(by_route, key=lambda route: route.priority_rank):
+        own = by_route[route]
+        figures = summarize(own)
+        late_s = LATE_REFUSAL_FRACTION * route.objective_s
+        late = sum(r.refused_s is not None and r.refused_s > late_s for r in own)
+        figures.update(
+            {
+                "kind": route.name,
+                "rank": route.priority_rank,
+                "value": round(sum(map(_kind_value, own)) / len(own), 3),
+                "refused late": round(late / len(own), 3),
+            }
+        )
+        rows.append(figures)
+    return rows
+
+
 def _replace_constant(text):
     name, _, value = text.partition("=")
     module, _, attribute = name.rpartition(".")
@@ -415,6 +485,8 @@
     other: str | None = None,
     replace: list[str] | None = None,
     output: str = "text",
+    sheds_by_cost: bool = False,
+    kinds: bool = False,
 ):
     """Replay load patterns and print what callers get.
 
@@ -423,9 +495,12 @@
     :param replace: module.NAME=VALUE of constants of almondtide.entry; the patterns are
         replayed with and without them
     :param output: text or json
+    :param sheds_by_cost: delay and refuse work by its cost to callers
+    :param kinds: print a row for each route
     """
     paths = [str(pathlib.Path(path).resolve()) for path in patterns]
     arguments = [*paths, "--seed", str(seed)]
+    arguments += ["--sheds-by-cost"] * sheds_by_cost + ["--kinds"] * kinds
     rows = []
     if replace and output != "json":
         rows += _replay_elsewhere(pathlib.Path.cwd(), arguments)
@@ -434,15 +509,21 @@
     for text in replace or ():
         _replace_constant(text)
     for path in paths:
-        figures = replay_pattern(read_pattern(path), seed)
         run = " ".join(replace) if replace else "this"
-        rows.append({"pattern": pathlib.Path(path).stem, "run": run, **figures})
+        label = {"pattern": pathlib.Path(path).stem, "run": run}
+        pattern = read_pattern(path)
+        if kinds:
+            results = play_pattern(pattern, seed, sheds_by_cost).callers.results
+            rows += [{**label, **figures} for figures in summarize_kinds(results)]
+        else:
+            rows.append({**label, **replay_pattern(pattern, seed, sheds_by_cost)})
     if output == "json":
         print(json.dumps(rows))
         return
     rows.sort(key=lambda row: row["pattern"])
-    lines = [[str(row[column]) for column in COLUMNS] for row in rows]
-    print(format_table(COLUMNS, lines))
+    columns = KIND_COLUMNS if kinds else COLUMNS
+    lines = [[str(row[column]) for column in columns] for row in rows]
+    print(format_table(columns, lines))
 
 
 if __name__ == "__main__":
--- a/standins/server_model.py
+++ b/standins/server_model.py
@@ -203,7 +203,8 @@
 
     def __init__(self, servers, work_factors=None, delay_s=0.0007):
         self.servers = servers
-        self.work_factors = work_factors or {}
+        # An empty dict is kept, since the replay fills it after the pool is made.
+        self.work_factors = {} if work_factors is None else work_factors
         self.delay_s = delay_s
         self.opened_count = 0
 
@@ -263,18 +264,23 @@
     __slots__ = (
         "attempts",
         "covered",
+        "last_attempt_s",
         "latency_s",
         "objective_s",
         "refused_s",
+        "route",
         "sent_at",
         "status",
     )
 
-    def __init__(self, sent_at, objective_s):
+    def __init__(self, sent_at, objective_s, route=None):
         self.sent_at = sent_at
         self.objective_s = objective_s
+        self.route = route
         self.status = None
         self.latency_s = 0.0
+        # Time of the last attempt alone.
+        self.last_attempt_s = 0.0
         self.attempts = 0
         # Share of the parts that are in the answer.
         self.covered = 0.0
@@ -296,9 +302,11 @@
     """Sends requests at a rate and tries again as callers of the platform do.
 
     Each request goes to a random one of ``dispatchers``, one for each active entry.
+    With ``returns_at_once`` callers ignore the time to come back.
     """
 
     def __init__(self, dispatchers, configuration, clock, seed, retries=1):
+        self.returns_at_once = False
         self._dispatchers = dispatchers
         self._configuration = configuration
         self._clock = clock
@@ -323,14 +331,16 @@
 
     async def _send(self, route, deadline_s):
         started_at = self._clock.monotonic()
-        result = CallerResult(started_at, route.objective_s)
+        result = CallerResult(started_at, route.objective_s, route)
         self.results.append(result)
         while result.attempts <= self.retries:
             left_s = started_at + deadline_s - self._clock.monotonic()
             if left_s <= 0.01:
                 break
+            attempted_at = self._clock.monotonic()
             answer, call = await self._attempt(route, left_s)
             result.attempts += 1
+            result.last_attempt_s = self._clock.monotonic() - attempted_at
             result.status = answer.status
             result.covered = call.answered_count / len(call.branches)
             result.latency_s = self._clock.monotonic() - started_at
@@ -351,6 +361,8 @@
         return await self._rng.choice(self._dispatchers).run(call), call
 
     def _pause_s(self, answer, left_s):
+        if self.returns_at_once:
+            return 0.0
         for name, value in answer.headers:
             if name == b"retry-after":
                 return min(float(value), left_s * HONOURED_FRACTION)
