--- a/almondtide/entry/calls.py
+++ b/almondtide/entry/calls.py
@@ -134,6 +134,7 @@
         "fingerprint",
         "is_abandoned",
         "is_relayed",
+        "late_part_count",
         "needed_count",
         "objective_at",
         "pending_count",
@@ -170,6 +171,8 @@
         self.answered_count = 0
         self.needed_count = needed_part_count(len(services), route.min_coverage)
         self.accepts_partial = False
+        # Parts that cannot be answered within the objective, as far as is known.
+        self.late_part_count = 0
         self.is_abandoned = False
         # Why it was not admitted, or an empty text.
         self.refusal_reason = ""
--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -306,6 +306,7 @@
             if now - sends_logged_at >= LIMITED_SENDS_INTERVAL_S:
                 sends_logged_at = now
                 self.dispatcher.log_limited_sends()
+                self.dispatcher.log_shedding()
             self.frontend.memory.sample()
             await self.pool.close_expired()
             for upstream in self.table.remove_expired(now):
@@ -565,6 +566,10 @@
         now = boottime_now()
         counters = {
             "exchanges": ("Exchanges with servers by kind.", self.dispatcher.counts),
+            "shedding": (
+                "Calls refused, returns and calls given up where work is shed by cost.",
+                self.dispatcher.shedding.counts,
+            ),
             "gossip": ("Datagrams and their bytes.", self.gossip.counts),
             "lookups": ("Look-ups at the directory.", self.directory.counts),
             "evacuations": (
--- a/almondtide/entry/dispatch.py
+++ b/almondtide/entry/dispatch.py
@@ -17,7 +17,8 @@
 from .retries import RetryDecision, decide_retry, may_hedge, may_send_again
 from .retry_budget import RetryBudget
 from .route_latency import RouteLatency
-from .upstreams import Failure
+from .shedding import CostQueue, Shedding, can_reach_coverage
+from .upstreams import DEPTH_OBJECTIVE_FRACTION, Failure
 
 __all__ = ["Dispatcher"]
 
@@ -174,6 +175,7 @@
         "_report_end",
         "_report_limit_end",
         "_report_losses",
+        "_resend_at",
         "_retry_budgets",
         "_route_latencies",
         "_running_calls",
@@ -186,6 +188,7 @@
         "max_pause_s",
         "now",
         "settings",
+        "shedding",
     )
 
     def __init__(self, table, pool, settings, crash_detector, now, log):
@@ -204,6 +207,9 @@
         self._retry_budgets = {}
         self._route_latencies = {}
         self._service_queues = {}
+        self.shedding = Shedding()
+        # Key of a queue -> time of the timer for it, where work is shed by cost.
+        self._resend_at = {}
         self.now = now
         self.budget_share = 1.0
         self.max_pause_s = DEFAULT_MAX_PAUSE_S
@@ -305,6 +311,9 @@
             for branch in call.branches:
                 if branch.service in limited_services:
                     self._table.rate_shares.count(branch.service, now)
+        if self.settings.sheds_by_cost:
+            latency = self.route_latency(call.route)
+            self.shedding.note_call(call, latency, now)
         states = [self._service_state(call, branch, now) for branch in call.branches]
         decision = decide_admission(states, call.needed_count)
         if call.route.allowed_regions:
@@ -341,6 +350,8 @@
                 return answer
         is_late = self.now() >= call.expires_at
         answer = build_answer(call, is_late, self._retry_after_s(call))
+        if self.settings.sheds_by_cost and not can_reach_coverage(call):
+            self.shedding.counts["given_up"] += 1
         await self._finish(call, is_late)
         return answer
 
@@ -355,25 +366,37 @@
             return ServiceState.LOST if probed is None else ServiceState.PROBE
         latency = self.route_latency(call.route)
         spare_s = latency.objective_s * MAX_QUEUE_FRACTION - latency.expected_s
+        if self.settings.sheds_by_cost:
+            queue = self._service_queues.get(service, {}).get(domains)
+            spare_s = self.shedding.spare_s(call.route, queue)
         room_at = self._table.next_room_at(service, now, domains=domains)
         if room_at is None or room_at - now > max(0.0, spare_s):
             return ServiceState.FULL
-        drain_s = self._queue_drain_s(service, now, latency.expected_s, domains=domains)
+        drain_s = self._queue_drain_s(
+            call.route, service, now, latency.expected_s, domains=domains
+        )
         if drain_s and drain_s > spare_s:
             return ServiceState.FULL
         return ServiceState.OPEN
 
-    def _queue_drain_s(self, service, now, expected_s, with_paused=False, domains=None):
+    def _queue_drain_s(
+        self, route, service, now, expected_s, with_paused=False, domains=None
+    ):
         """Return how long the servers of a service take for its queues, in seconds.
 
-        Servers that pause take part in it only ``with_paused``. Of a service with
-        queues for different failure domains those count that share servers with
+        Where work is shed by cost, only what is ahead of a new call of the route
+        counts. Servers that pause take part in it only ``with_paused``. Of a service
+        with queues for different failure domains those count that share servers with
         ``domains``, each with the servers of both.
         """
         total_s = 0.0
         for queue_domains, queue in self._service_queues.get(service, {}).items():
             if not len(queue) or not share_domains(queue_domains, domains):
                 continue
+            queued_s = len(queue)
+            if isinstance(queue, CostQueue):
+                expected_s = self.shedding.work(route).work_s
+                queued_s = queue.work_ahead_s(route, now) / expected_s
             per_s = self._table.throughput(
                 service,
                 now,
@@ -381,7 +404,7 @@
                 with_paused,
                 union_domains(queue_domains, domains),
             )
-            total_s += len(queue) / per_s if per_s > 0.0 else math.inf
+            total_s += queued_s / per_s if per_s > 0.0 else math.inf
         return total_s
 
     def _retry_after_s(self, call):
@@ -400,9 +423,21 @@
             # The time until a pause ends is added to the time that the queue takes.
             drain_s = max(
                 drain_s,
-                self._queue_drain_s(branch.service, now, expected_s, True, domains),
+                self._queue_drain_s(
+                    call.route, branch.service, now, expected_s, True, domains
+                ),
             )
         pause_s = pause_wait_s(waits_s, call.needed_count)
+        is_failed = call.answered_count < call.needed_count
+        if self.settings.sheds_by_cost and is_failed and not pause_s:
+            work_s = self.shedding.work(call.route).work_s
+            service = call.branches[0].service
+            slots = work_s * self._table.throughput(
+                service, now, work_s, domains=domains
+            )
+            return self.shedding.retry_after_s(
+                call, drain_s, slots, now, random.random()
+            )
         return retry_after_s(drain_s, random.random(), pause_s)
 
     async def _wait(self, call):
@@ -560,13 +595,13 @@
             branch.service,
             now,
             branch.tried_ids,
-            latency.objective_ratio,
+            self._objective_ratio(branch.call.route, branch.service, now),
             spares_limited=kind == "hedge" and self._has_waiting(branch.service),
             domains=self.allowed_domains(branch.call.route),
             body_bytes=len(branch.call.request.body),
         )
         if upstream is None and kind != "hedge":
-            upstream = self._choose_tried(branch, now, latency)
+            upstream = self._choose_tried(branch, now)
         if upstream is None:
             await self._wait_for_server(branch, kind, now)
             return False
@@ -597,11 +632,29 @@
             )
         return True
 
+    def _objective_ratio(self, route, service, now):
+        """Return the objective of a route as a multiple of its expected latency.
+
+        It is lower if more urgent work shares the servers, to leave it room there.
+        """
+        ratio = self.route_latency(route).objective_ratio
+        if self.settings.sheds_by_cost:
+            depth = self.shedding.depth_per_slot(route, service, now)
+            if depth is not None:
+                ratio = min(ratio, depth / DEPTH_OBJECTIVE_FRACTION)
+        return ratio
+
+    def _has_room(self, service, route, now):
+        ratio = self._objective_ratio(route, service, now)
+        domains = self.allowed_domains(route)
+        upstream = self._table.choose(service, now, (), ratio, domains=domains)
+        return upstream is not None
+
     def _has_waiting(self, service):
         queues = self._service_queues.get(service, {})
         return any(len(queue) for queue in queues.values())
 
-    def _choose_tried(self, branch, now, latency):
+    def _choose_tried(self, branch, now):
         """Choose among servers that were tried, unless an exchange is in progress."""
         if branch.open_exchanges or not branch.tried_ids:
             return None
@@ -609,7 +662,7 @@
             branch.service,
             now,
             (),
-            latency.objective_ratio,
+            self._objective_ratio(branch.call.route, branch.service, now),
             domains=self.allowed_domains(branch.call.route),
             body_bytes=len(branch.call.request.body),
         )
@@ -635,12 +688,31 @@
             ):
                 await self._fail_branch(branch, "full")
                 return
-            branch.queue = queue
-            branch.queue.push(branch)
+            self._push(branch, queue, now, domains)
         # A server may get room without a reply to this entry, so poll as well.
-        await self._timers.schedule(
-            max(now + RESEND_DELAY_S, room_at), RESEND_TIMER, (branch.service, domains)
-        )
+        await self._schedule_resend(branch.service, domains, now, room_at)
+
+    def _push(self, branch, queue, now, domains):
+        branch.queue = queue
+        if isinstance(queue, CostQueue):
+            wait_s = self._queue_drain_s(
+                branch.call.route, branch.service, now, 0.0, domains=domains
+            )
+            # A branch that was sent before has an earlier place than a new one.
+            queue.push(branch, now, 0.0 if branch.sends else wait_s)
+        else:
+            queue.push(branch)
+
+    async def _schedule_resend(self, service, domains, now, room_at):
+        key = (service, domains)
+        at = max(now + RESEND_DELAY_S, room_at)
+        if self.settings.sheds_by_cost:
+            # One timer for a queue is enough. With one for each branch that waits, a
+            # queue of some hundred branches is looked at as often.
+            if now < self._resend_at.get(key, 0.0) <= at:
+                return
+            self._resend_at[key] = at
+        await self._timers.schedule(at, RESEND_TIMER, key)
 
     def _service_queue(self, service, domains):
         """Return the queue of a service for routes that may use ``domains``.
@@ -651,7 +723,9 @@
         queues = self._service_queues.setdefault(service, {})
         queue = queues.get(domains)
         if queue is None:
-            queue = queues[domains] = BranchQueue()
+            by_cost = self.settings.sheds_by_cost
+            queue = self.shedding.new_queue() if by_cost else BranchQueue()
+            queues[domains] = queue
         return queue
 
     async def _send_waiting(self, service):
@@ -671,14 +745,12 @@
             if self._table.is_service_evacuated(service, now, domains):
                 await self._fail_waiting(queue, now)
                 return
-            if self._table.choose(service, now, domains=domains) is None:
+            if not self._may_send_waiting(service, queue, now, domains):
                 room_at = self._table.next_room_at(service, now, domains=domains) or now
                 await self._refuse_waiting(service, queue, room_at, now, domains)
-                await self._timers.schedule(
-                    max(now + RESEND_DELAY_S, room_at), RESEND_TIMER, (service, domains)
-                )
+                await self._schedule_resend(service, domains, now, room_at)
                 return
-            branch = queue.pop(now)
+            branch = self._pop_waiting(service, queue, now)
             if branch is None:
                 return
             branch.queue = None
@@ -689,6 +761,16 @@
             else:
                 await self._fail_branch(branch, "no time left")
 
+    def _may_send_waiting(self, service, queue, now, domains):
+        if isinstance(queue, CostQueue):
+            return any(self._has_room(service, route, now) for route in queue.routes())
+        return self._table.choose(service, now, domains=domains) is not None
+
+    def _pop_waiting(self, service, queue, now):
+        if isinstance(queue, CostQueue):
+            return queue.pop(now, lambda route: self._has_room(service, route, now))
+        return queue.pop(now)
+
     def _is_served_in_time(self, branch, ahead_count, room_at, now, domains):
         """Return whether a queued branch is sent before its call ends."""
         expected_s = self.route_latency(branch.call.route).expected_s
@@ -709,8 +791,7 @@
                 await self._fail_branch(branch, "full")
         for branch in kept:
             if branch.state is BranchState.OPEN:
-                branch.queue = queue
-                queue.push(branch)
+                self._push(branch, queue, now, domains)
 
     async def _fail_waiting(self, queue, now):
         """Fail all branches of a queue, which no server will take."""
@@ -876,6 +957,8 @@
         self._crash_detector.on_answer(call)
         if latency_s is not None:
             self.route_latency(call.route).add(latency_s)
+            if self.settings.sheds_by_cost:
+                self.shedding.work(call.route, latency_s).add(latency_s)
         if branch.state is BranchState.OPEN:
             call.close_branch(branch, BranchState.DONE, reply)
             branch.ended_at = now
@@ -967,6 +1050,12 @@
                 **{kind: counts.get(kind, 0) for kind in ("first", "retry", "hedge")},
             )
 
+    def log_shedding(self):
+        """Log what was shed since the last time."""
+        counts = self.shedding.take_counts()
+        if counts:
+            self._log.info("shedding", **counts)
+
     async def on_failure(self, exchange, failure, reason, reply):
         """Handle a failed exchange: retry or fail its branch."""
         if exchange.is_finished:
