--- a/almondtide/cli.py
+++ b/almondtide/cli.py
@@ -7,7 +7,13 @@
 import defopt
 import orjson
 
-from . import __version__, cli_configuration, cli_explain, cli_report
+from . import (
+    __version__,
+    cli_configuration,
+    cli_explain,
+    cli_placement,
+    cli_report,
+)
 from .addresses import format_address
 from .cli_arguments import (
     ADMIN_VARIABLE,
@@ -407,6 +413,7 @@
     "drain": drain,
     "timeline": timeline,
     "explain": cli_explain.explain,
+    "placement": cli_placement.placement,
     "fleet": cli_report.fleet,
     "report": cli_report.report,
     "version": version,
--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -32,6 +32,7 @@
 )
 from .memory_bounds import MemoryBounds
 from .metrics import MetricFamily, render_metrics
+from .placement import PLACEMENT_PATH, serve_placement
 from .reader import StoreReader
 from .relay import RelayPeers
 from .replica import StoreReplica
@@ -179,7 +180,7 @@
         await self.timers.start()
         await self.gossip.start()
         await self._listen(
-            settings.control_address, self._http_server(self.gossip.handle_request)
+            settings.control_address, self._http_server(self._serve_control)
         )
         await self._listen(
             settings.directory_address, self._http_server(directory.resolve)
@@ -221,6 +222,14 @@
         await listener.start()
         self._listeners.append(listener)
 
+    async def _serve_control(self, request):
+        """Answer peers and operators on the control address."""
+        if request.path == PLACEMENT_PATH:
+            return serve_placement(
+                self.dispatcher, self.table, self.frontend.routes, request
+            )
+        return await self.gossip.handle_request(request)
+
     def _http_server(self, handler):
         async def serve(sock, peer):
             await serve_http(sock, handler, log=self.log)
--- a/almondtide/entry/dispatch.py
+++ b/almondtide/entry/dispatch.py
@@ -355,6 +355,28 @@
         await self._finish(call, is_late)
         return answer
 
+    def preview(self, call):
+        """Return (states of the services, ``AdmissionDecision``) for a call.
+
+        Nothing is counted, queued or sent.
+        """
+        now = self.now()
+        states = [self._service_state(call, branch, now) for branch in call.branches]
+        return states, decide_admission(states, call.needed_count)
+
+    def queue_length(self, service):
+        """Return how many branches wait for the servers of a service."""
+        queues = self._service_queues.get(service, {})
+        return sum(len(queue) for queue in queues.values())
+
+    def least_retry_after_s(self, call):
+        """Return the least time to come back if a call were refused now, in s.
+
+        A refusal may state more, to spread the return of several callers.
+        """
+        drain_s, pause_s = self._waits_s(call, self.now())
+        return retry_after_s(drain_s, 0.0, pause_s)
+
     def _service_state(self, call, branch, now):
         """Return the ``ServiceState`` of the service of a branch."""
         service = branch.service
@@ -407,9 +429,11 @@
             total_s += queued_s / per_s if per_s > 0.0 else math.inf
         return total_s
 
-    def _retry_after_s(self, call):
-        """Return the retry-after time of a call that has not run, in seconds."""
-        now = self.now()
+    def _waits_s(self, call, now):
+        """Return how long the queues of a call take and how long its servers pause.
+
+        Both are in seconds; servers that pause take part in the former.
+        """
         expected_s = self.route_latency(call.route).expected_s
         drain_s = 0.0
         waits_s = []
@@ -427,13 +451,18 @@
                     call.route, branch.service, now, expected_s, True, domains
                 ),
             )
-        pause_s = pause_wait_s(waits_s, call.needed_count)
+        return drain_s, pause_wait_s(waits_s, call.needed_count)
+
+    def _retry_after_s(self, call):
+        """Return the retry-after time of a call that has not run, in seconds."""
+        now = self.now()
+        drain_s, pause_s = self._waits_s(call, now)
         is_failed = call.answered_count < call.needed_count
         if self.settings.sheds_by_cost and is_failed and not pause_s:
             work_s = self.shedding.work(call.route).work_s
             service = call.branches[0].service
             slots = work_s * self._table.throughput(
-                service, now, work_s, domains=domains
+                service, now, work_s, domains=self.allowed_domains(call.route)
             )
             return self.shedding.retry_after_s(
                 call, drain_s, slots, now, random.random()
@@ -607,7 +636,7 @@
             branch.service,
             now,
             branch.tried_ids,
-            self._objective_ratio(branch.call.route, branch.service, now),
+            self.objective_ratio(branch.call.route, branch.service, now),
             spares_limited=kind == "hedge" and self._has_waiting(branch.service),
             domains=self.allowed_domains(branch.call.route),
             body_bytes=len(branch.call.request.body),
@@ -644,7 +673,7 @@
             )
         return True
 
-    def _objective_ratio(self, route, service, now):
+    def objective_ratio(self, route, service, now):
         """Return the objective of a route as a multiple of its expected latency.
 
         Where work is shed by cost it is lower if other routes share the servers and
@@ -657,7 +686,7 @@
         return self.route_latency(route).objective_ratio
 
     def _has_room(self, service, route, now):
-        ratio = self._objective_ratio(route, service, now)
+        ratio = self.objective_ratio(route, service, now)
         domains = self.allowed_domains(route)
         upstream = self._table.choose(service, now, (), ratio, domains=domains)
         return upstream is not None
@@ -674,7 +703,7 @@
             branch.service,
             now,
             (),
-            self._objective_ratio(branch.call.route, branch.service, now),
+            self.objective_ratio(branch.call.route, branch.service, now),
             domains=self.allowed_domains(branch.call.route),
             body_bytes=len(branch.call.request.body),
         )
--- a/almondtide/entry/upstreams.py
+++ b/almondtide/entry/upstreams.py
@@ -769,6 +769,10 @@
         """Return the ``Upstream`` with this id, or None."""
         return self._by_id.get(server_id)
 
+    def upstreams_of(self, service):
+        """Return all upstreams of a service, usable or not."""
+        return list(self._by_service.get(service, {}).values())
+
     def usable_upstreams(self, service, now, domains=None):
         """Return the usable upstreams of a service in ``domains``, None for all."""
         return [
@@ -897,6 +901,42 @@
         ]
         return now + min(periods_s) if periods_s else None
 
+    def obstacle(
+        self,
+        upstream,
+        now,
+        objective_ratio=MAX_DEPTH_PER_SLOT,
+        spares_limited=False,
+        body_bytes=0,
+    ):
+        """Return why an upstream gets no request now, or an empty text.
+
+        The arguments are those of ``choose``.
+        """
+        if not upstream.is_usable(now):
+            return "evacuated" if upstream.is_evacuated else "ended"
+        if upstream.paused_until > now:
+            return "asked for a pause"
+        if upstream.ejected_until > now:
+            return "ejected after failures"
+        if upstream.full_until > now:
+            return "said that it is full"
+        if upstream.is_lost(now) and (upstream.is_probing or upstream.silent_s(now)):
+            return "lost and being probed"
+        if upstream.limits_rate(now) and (
+            spares_limited or self.rate_room_at(upstream, now) > now
+        ):
+            return "no room in its rate"
+        if upstream.in_flight >= self.max_in_flight(
+            upstream.server.slots, objective_ratio
+        ):
+            return "enough requests in progress"
+        if not self.may_connect(upstream, now):
+            return "no connection to spare"
+        if body_bytes and not self._has_body_room(upstream, body_bytes):
+            return "no room for the body"
+        return ""
+
     def choose(
         self,
         service,
@@ -923,26 +963,10 @@
         for upstream in self.usable_upstreams(service, now, domains):
             if upstream.server.id in excluded_ids:
                 continue
-            if not upstream.accepts_requests(now):
-                continue
-            if upstream.ejected_until > now or upstream.full_until > now:
-                continue
-            if upstream.is_lost(now) and (
-                upstream.is_probing or upstream.silent_s(now)
-            ):
-                continue
-            if upstream.limits_rate(now) and (
-                spares_limited or self.rate_room_at(upstream, now) > now
-            ):
-                continue
-            if upstream.in_flight >= self.max_in_flight(
-                upstream.server.slots, objective_ratio
+            if self.obstacle(
+                upstream, now, objective_ratio, spares_limited, body_bytes
             ):
                 continue
-            if not self.may_connect(upstream, now):
-                continue
-            if body_bytes and not self._has_body_room(upstream, body_bytes):
-                continue
             cost = upstream.cost(now, self.domain)
             if best is None or cost < best_cost:
                 second, second_cost = best, best_cost
