--- a/almondtide/entry/dispatch.py
+++ b/almondtide/entry/dispatch.py
@@ -736,6 +736,8 @@
     def _push(self, branch, queue, now, domains):
         branch.queue = queue
         if isinstance(queue, CostQueue):
+            if self._table.choose(branch.service, now, domains=domains) is None:
+                self.shedding.note_full(branch.service, now)
             wait_s = self._queue_drain_s(
                 branch.call.route, branch.service, now, 0.0, domains=domains
             )
--- a/almondtide/entry/shedding.py
+++ b/almondtide/entry/shedding.py
@@ -58,6 +58,10 @@
 # Fraction of the time that a more urgent or shorter route has to spare which requests
 # of another route may take at a server that both share.
 SHARED_WAIT_FRACTION = 0.3
+# After a branch met servers without room, other routes leave them room for this long,
+# in s. While servers have room, a bound would keep the entries next to a server from
+# using slots that those of other domains leave free.
+FULL_HOLD_S = 2.0
 # Width of a step of the schedule of returns, and the time that it covers, in s.
 RETURN_STEP_S = 0.01
 RETURN_HORIZON_S = 1.0
@@ -434,9 +438,18 @@
     ``counts`` are the totals for the metrics.
     """
 
-    __slots__ = ("_logged_counts", "_returns", "_shared", "_works", "counts")
+    __slots__ = (
+        "_full_until",
+        "_logged_counts",
+        "_returns",
+        "_shared",
+        "_works",
+        "counts",
+    )
 
     def __init__(self):
+        # Service -> until when its servers count as full.
+        self._full_until = {}
         self._works = {}
         self._shared = SharedServices()
         self._returns = ReturnSchedule()
@@ -473,11 +486,18 @@
         ratio = queue.wait_ratio(route) if isinstance(queue, CostQueue) else 1.0
         return max(0.0, spare_s) / ratio
 
+    def note_full(self, service, now):
+        """Record that no server of a service had room at its whole depth."""
+        self._full_until[service] = now + FULL_HOLD_S
+
     def depth_per_slot(self, route, service, now):
         """Return how many requests of a route a slot of a server may have.
 
-        It is infinite if no other route must find room there.
+        It is infinite if no other route must find room there, or the servers have not
+        been full lately.
         """
+        if now >= self._full_until.get(service, 0.0):
+            return math.inf
         work_s = self.work(route).work_s
         return min(
             (
--- a/tests/entry/test_shedding.py
+++ b/tests/entry/test_shedding.py
@@ -9,6 +9,7 @@
 from almondtide.entry.calls import Branch, BranchState
 from almondtide.entry.route_latency import RouteLatency
 from almondtide.entry.shedding import (
+    FULL_HOLD_S,
     HONOURED_FRACTION,
     LEAST_SHARE,
     RETURN_ROOM_FRACTION,
@@ -117,8 +118,15 @@
             self.assertAlmostEqual(WORKS_S[route.name], work.work_s)
         self.assertEqual(math.inf, shedding.depth_per_slot(LONG, "a", 100.0))
         shedding.note_call(make_call(SHORT), replay_latency(SHORT), 100.0)
+        # The servers have had room so far.
+        self.assertEqual(math.inf, shedding.depth_per_slot(LONG, "a", 101.0))
+        shedding.note_full("a", 100.0)
         self.assertEqual(1.0, shedding.depth_per_slot(LONG, "a", 101.0))
         self.assertEqual(math.inf, shedding.depth_per_slot(SHORT, "a", 101.0))
+        self.assertEqual(
+            math.inf, shedding.depth_per_slot(LONG, "a", 100.0 + FULL_HOLD_S)
+        )
+        shedding.note_full("a", 150.0)
         self.assertEqual(math.inf, shedding.depth_per_slot(LONG, "a", 150.0))
 
     def test_room_is_left_for_a_less_urgent_route_with_a_shorter_objective(self):
@@ -129,6 +137,7 @@
         for route, work_s in ((LONG, WORKS_S["long"]), (short, WORKS_S["short"])):
             shedding.work(route, work_s)
             shedding.note_call(make_call(route), replay_latency(route), 100.0)
+        shedding.note_full("a", 100.0)
         self.assertEqual(1.0, shedding.depth_per_slot(LONG, "a", 101.0))
         self.assertTrue(shedding.depth_per_slot(short, "a", 101.0) > 2.0)
 
