Show in the replay what callers could have got, and by window

Cause: a window in which no server of a shard was alive and quick looks like one that was decided badly, and the replay had no cost of a failure domain, so the choice of a server could not be compared by what crosses.

--- a/bench/replay.py
+++ b/bench/replay.py
@@ -20,6 +20,7 @@
 import curio
 import defopt
 
+from almondtide.entry.calls import needed_part_count
 from almondtide.entry.crash_detector import CrashDetector
 from almondtide.entry.dispatch import Dispatcher
 from almondtide.entry.members import Member, MemberState
@@ -36,7 +37,13 @@
 from almondtide.timers import Timers
 from standins.entry_model import WARMUP_OVERSHOOT, WARMUP_SLACK
 from standins.replacement import replace_attribute
-from standins.server_model import CallerModel, ModelPool, ServerFault, ServerModel
+from standins.server_model import (
+    DEFAULT_DELAYS_S,
+    CallerModel,
+    ModelPool,
+    ServerFault,
+    ServerModel,
+)
 from standins.virtual_time import VirtualClock, run_in_virtual_time
 
 __all__ = ["LoadReplay", "main", "read_pattern", "replay_pattern"]
@@ -69,11 +76,13 @@
     "served",
     "in objective",
     "value",
+    "best value",
     "worst windows",
     "refused",
     "p50 ms",
     "p99 ms",
     "extra sends",
+    "crossing",
 )
 KIND_COLUMNS = (
     "pattern",
@@ -84,11 +93,24 @@
     "served",
     "in objective",
     "value",
+    "best value",
     "refused",
     "refused late",
     "p50 ms",
     "p99 ms",
 )
+WINDOW_COLUMNS = (
+    "pattern",
+    "run",
+    "from s",
+    "requests",
+    "served",
+    "in objective",
+    "value",
+    "best value",
+    "p50 ms",
+    "p99 ms",
+)
 
 
 class _SilentLog:
@@ -116,13 +138,16 @@
 class _ModelEntry:
     """The dispatcher of one entry with its own view of the servers."""
 
-    def __init__(self, number, clock, servers, settings, entry_count, work_factors):
+    def __init__(
+        self, number, clock, servers, settings, entry_count, work_factors, delays_s
+    ):
         log = _SilentLog()
-        self.table = UpstreamTable(DOMAINS[number % len(DOMAINS)])
+        domain = DOMAINS[number % len(DOMAINS)]
+        self.table = UpstreamTable(domain)
         self.table.entry_count = entry_count
         self.name = f"entry-{number}"
         self.table.rate_shares.local_name = self.name
-        self.pool = ModelPool(servers, work_factors)
+        self.pool = ModelPool(servers, work_factors, delays_s, domain)
         self.dispatcher = Dispatcher(
             self.table,
             self.pool,
@@ -152,6 +177,7 @@
         budget_slack=116,
         standby_count=0,
         sheds_by_cost=False,
+        delays_s=DEFAULT_DELAYS_S,
     ):
         # The dispatcher spreads the return of callers at random.
         random.seed(seed)
@@ -169,6 +195,7 @@
                 settings,
                 entry_count,
                 self.work_factors,
+                delays_s,
             )
             for number in range(entry_count + standby_count)
         ]
@@ -197,6 +224,8 @@
             self.clock,
             seed,
         )
+        self.callers.best_value = self._best_value
+        self._delays_s = delays_s
 
     def add_service(
         self, name, server_count=3, slots=3, slowness=(1.0,), **server_options
@@ -292,6 +321,30 @@
                     other.table.rate_shares.note_report(entry.name, demands, now)
             await curio.sleep(HEARTBEAT_S)
 
+    def _best_value(self, route):
+        """Return the most that a request is worth to its caller if it began now.
+
+        An entry that knew all servers would send each part to the one that answers
+        first. Queues, and work above or below the mean, do not count.
+        """
+        work_x = self.work_factors.get(route.name, 1.0)
+        services = route.shards or [name for name, _ in route.weighted_services]
+        least_s = sorted(
+            min(server.least_s(work_x) for server in self.servers_of(service))
+            for service in services
+        )
+        needed = needed_part_count(len(least_s), route.min_coverage)
+        in_time_s = route.objective_s - 2.0 * min(self._delays_s)
+        values = [
+            sum(s <= limit_s for s in least_s) / len(least_s)
+            for limit_s in (in_time_s, route.timeout_s)
+        ]
+        best_value = 0.0
+        for share, worth in zip(values, (1.0, LATE_VALUE), strict=True):
+            if round(share * len(least_s)) >= needed:
+                best_value = max(best_value, share**2 * worth)
+        return best_value
+
     def extra_share(self):
         """Return the extra sends as a share of the first ones."""
         extra = first = 0
@@ -301,6 +354,12 @@
             first += counts["sends"] - counts["hedges"] - counts["retries"]
         return extra / max(1, first)
 
+    def crossing_share(self):
+        """Return the share of the requests that went to another failure domain."""
+        pools = [entry.pool for entry in self.entries]
+        written = sum(pool.written_count for pool in pools)
+        return sum(pool.crossing_count for pool in pools) / max(1, written)
+
 
 def read_pattern(path):
     """Return the pattern in a TOML file; raises ``ValueError`` if it is none."""
@@ -334,7 +393,11 @@
     """Play a pattern; return a dict with the figures of ``COLUMNS`` from "requests"."""
     replay = play_pattern(pattern, seed, sheds_by_cost)
     results = replay.callers.results
-    return {**summarize(results), "extra sends": round(replay.extra_share(), 3)}
+    return {
+        **summarize(results),
+        "extra sends": round(replay.extra_share(), 3),
+        "crossing": round(replay.crossing_share(), 3),
+    }
 
 
 def play_pattern(pattern, seed, sheds_by_cost=False):
@@ -344,6 +407,7 @@
         pattern.get("entries", 1),
         budget_slack=pattern.get("budget_slack", 116),
         sheds_by_cost=sheds_by_cost,
+        delays_s=_delays_s(pattern),
     )
     replay.callers.returns_at_once = pattern.get("returns_at_once", False)
     for service in pattern["services"]:
@@ -382,6 +446,15 @@
     return replay
 
 
+def _delays_s(pattern):
+    """Return the times of one way within and between failure domains, in s."""
+    names = ("in_domain_ms", "cross_domain_ms")
+    return tuple(
+        pattern.get(name, default_s * 1000.0) / 1000.0
+        for name, default_s in zip(names, DEFAULT_DELAYS_S, strict=True)
+    )
+
+
 def _rate(per_s, bursts, swing):
     def rate(elapsed_s):
         factor = 1.0
@@ -402,14 +475,22 @@
     return result.covered**2 * (1.0 if result.is_in_time else LATE_VALUE)
 
 
-def summarize(results):
-    """Return what callers got, as a dict of shares and latencies."""
+def _split_by_window(results, window_s):
+    """Return a dict from the number of a window to the results that began in it."""
     start = min(result.sent_at for result in results)
     windows = {}
     for result in results:
-        window = int((result.sent_at - start) / WINDOW_S)
-        windows.setdefault(window, []).append(_value(result))
-    means = sorted(sum(values) / len(values) for values in windows.values())
+        window = int((result.sent_at - start) / window_s)
+        windows.setdefault(window, []).append(result)
+    return windows
+
+
+def summarize(results):
+    """Return what callers got, as a dict of shares and latencies."""
+    means = sorted(
+        sum(map(_value, own)) / len(own)
+        for own in _split_by_window(results, WINDOW_S).values()
+    )
     latencies = sorted(r.latency_s * 1000.0 for r in results if r.is_served) or [0.0]
     count = len(results)
     return {
@@ -417,6 +498,7 @@
         "served": round(sum(r.is_served for r in results) / count, 3),
         "in objective": round(sum(r.is_in_time for r in results) / count, 3),
         "value": round(sum(map(_value, results)) / count, 3),
+        "best value": round(sum(r.best_value for r in results) / count, 3),
         "worst windows": round(sum(means[:2]) / len(means[:2]), 3),
         "refused": round(sum(r.refused_s is not None for r in results) / count, 3),
         "p50 ms": round(latencies[len(latencies) // 2], 1),
@@ -424,6 +506,15 @@
     }
 
 
+def summarize_windows(results, window_s=WINDOW_S):
+    """Return what callers got by when they began, a dict of ``WINDOW_COLUMNS`` each."""
+    windows = _split_by_window(results, window_s)
+    return [
+        {**summarize(windows[window]), "from s": window * window_s}
+        for window in sorted(windows)
+    ]
+
+
 def _kind_value(result):
     """Return the value of a result to its caller, who was refused in time or late."""
     if result.refused_s is None:
@@ -487,6 +578,7 @@
     output: str = "text",
     sheds_by_cost: bool = False,
     kinds: bool = False,
+    windows: bool = False,
 ):
     """Replay load patterns and print what callers get.
 
@@ -497,10 +589,13 @@
     :param output: text or json
     :param sheds_by_cost: delay and refuse work by its cost to callers
     :param kinds: print a row for each route
+    :param windows: print a row for each window of two seconds
     """
     paths = [str(pathlib.Path(path).resolve()) for path in patterns]
     arguments = [*paths, "--seed", str(seed)]
     arguments += ["--sheds-by-cost"] * sheds_by_cost + ["--kinds"] * kinds
+    arguments += ["--windows"] * windows
+    summarize_rows = summarize_windows if windows else summarize_kinds
     rows = []
     if replace and output != "json":
         rows += _replay_elsewhere(pathlib.Path.cwd(), arguments)
@@ -512,16 +607,18 @@
         run = " ".join(replace) if replace else "this"
         label = {"pattern": pathlib.Path(path).stem, "run": run}
         pattern = read_pattern(path)
-        if kinds:
+        if kinds or windows:
             results = play_pattern(pattern, seed, sheds_by_cost).callers.results
-            rows += [{**label, **figures} for figures in summarize_kinds(results)]
+            rows += [{**label, **figures} for figures in summarize_rows(results)]
         else:
             rows.append({**label, **replay_pattern(pattern, seed, sheds_by_cost)})
     if output == "json":
         print(json.dumps(rows))
         return
     rows.sort(key=lambda row: row["pattern"])
-    columns = KIND_COLUMNS if kinds else COLUMNS
+    columns = COLUMNS
+    if kinds or windows:
+        columns = WINDOW_COLUMNS if windows else KIND_COLUMNS
     lines = [[str(row[column]) for column in columns] for row in rows]
     print(format_table(columns, lines))
 
--- a/standins/server_model.py
+++ b/standins/server_model.py
@@ -14,6 +14,7 @@
 from almondtide.model.http_messages import Reply, ReportedLoad, Request
 
 __all__ = [
+    "DEFAULT_DELAYS_S",
     "FAULT_KINDS",
     "CallerModel",
     "CallerResult",
@@ -34,6 +35,8 @@
 TAIL_FACTOR = 5.0
 # The pace of a machine with noise is drawn anew at this interval, in s.
 NOISE_PERIOD_S = 0.4
+# Times of one way to a server in the same and in another failure domain, in s.
+DEFAULT_DELAYS_S = (0.0007, 0.0007)
 # What a fault does to the requests that arrive while it lasts:
 # "away": refused as not run, with the time left as pause. "shed": a share ``x`` is
 # refused as not run, without a pause. "slow": they take ``x`` times as long. "silent":
@@ -136,6 +139,28 @@
         is_slow = random.Random(f"{self._noise_seed}/{period}").random()
         return self.noise_factor if is_slow < self.noise_share else 1.0
 
+    def least_s(self, work_x=1.0):
+        """Return how long a request of mean work takes if the server were idle, in s.
+
+        That is infinite while it does not answer.
+        """
+        now = self._clock.monotonic()
+        seconds = self.work_s * work_x * self.slowness * self.pace()
+        for fault in self._active_faults():
+            if fault.kind in ("away", "silent"):
+                return math.inf
+            if fault.kind in ("shed", "reset") and fault.x >= 1.0:
+                return math.inf
+            if fault.kind == "slow":
+                seconds *= fault.x
+        return self._pause_left_s(now) + seconds
+
+    def _pause_left_s(self, now):
+        if not math.isfinite(self.pause_every_s):
+            return 0.0
+        phase = (now + self.pause_offset_s) % self.pause_every_s
+        return max(0.0, self.pause_s - phase)
+
     async def _answer(self, work_x):
         now = self._clock.monotonic()
         self.arrivals.append(now)
@@ -179,11 +204,9 @@
         for fault in self._active_faults():
             if fault.kind == "slow":
                 seconds *= fault.x
-        if math.isfinite(self.pause_every_s):
-            now = self._clock.monotonic()
-            phase = (now + self.pause_offset_s) % self.pause_every_s
-            if phase < self.pause_s:
-                await curio.sleep(self.pause_s - phase)
+        pause_left_s = self._pause_left_s(self._clock.monotonic())
+        if pause_left_s:
+            await curio.sleep(pause_left_s)
         await curio.sleep(seconds)
 
 
@@ -198,15 +221,22 @@
     """A connection pool whose servers are ``ServerModel`` objects by id.
 
     ``work_factors`` holds by route the service time of its requests as a multiple of
-    the server's, 1.0 by default. ``delay_s`` is the time of one way to a server.
+    the server's, 1.0 by default. ``delays_s`` are the times of one way to a server in
+    the failure domain ``domain`` and in another one.
     """
 
-    def __init__(self, servers, work_factors=None, delay_s=0.0007):
+    def __init__(
+        self, servers, work_factors=None, delays_s=DEFAULT_DELAYS_S, domain=None
+    ):
         self.servers = servers
         # An empty dict is kept, since the replay fills it after the pool is made.
         self.work_factors = {} if work_factors is None else work_factors
-        self.delay_s = delay_s
+        self.delays_s = delays_s
+        self.domain = domain
         self.opened_count = 0
+        # Requests written, and those of them that went to another failure domain.
+        self.written_count = 0
+        self.crossing_count = 0
 
     async def send(self, exchange):
         """Start an exchange; its task stands for the connection."""
@@ -241,10 +271,14 @@
                 await exchange.on_skipped()
                 return
             exchange.on_write()
-            await curio.sleep(self.delay_s)
+            is_crossing = upstream.server.domain != self.domain
+            self.written_count += 1
+            self.crossing_count += is_crossing
+            delay_s = self.delays_s[is_crossing]
+            await curio.sleep(delay_s)
             route = exchange.branch.call.route
             reply = await server.serve(self.work_factors.get(route.name, 1.0))
-            await curio.sleep(self.delay_s)
+            await curio.sleep(delay_s)
             if reply is None:
                 await exchange.on_failure(Failure.BROKEN, "reset", None)
                 return
@@ -263,6 +297,7 @@
 
     __slots__ = (
         "attempts",
+        "best_value",
         "covered",
         "last_attempt_s",
         "latency_s",
@@ -284,6 +319,8 @@
         self.attempts = 0
         # Share of the parts that are in the answer.
         self.covered = 0.0
+        # The most that an entry could have made of it that knew all servers.
+        self.best_value = 1.0
         # How long the first refusal took, or None.
         self.refused_s = None
 
@@ -302,11 +339,13 @@
     """Sends requests at a rate and tries again as callers of the platform do.
 
     Each request goes to a random one of ``dispatchers``, one for each active entry.
-    With ``returns_at_once`` callers ignore the time to come back.
+    With ``returns_at_once`` callers ignore the time to come back. ``best_value``
+    returns the most that a request on a route can be worth now.
     """
 
     def __init__(self, dispatchers, configuration, clock, seed, retries=1):
         self.returns_at_once = False
+        self.best_value = lambda route: 1.0
         self._dispatchers = dispatchers
         self._configuration = configuration
         self._clock = clock
@@ -332,6 +371,7 @@
     async def _send(self, route, deadline_s):
         started_at = self._clock.monotonic()
         result = CallerResult(started_at, route.objective_s, route)
+        result.best_value = self.best_value(route)
         self.results.append(result)
         while result.attempts <= self.retries:
             left_s = started_at + deadline_s - self._clock.monotonic()
--- a/tests/bench/test_replay.py
+++ b/tests/bench/test_replay.py
@@ -6,7 +6,14 @@
 import testtools
 
 from bench import replay
-from bench.replay import LATE_VALUE, read_pattern, replay_pattern, summarize
+from bench.replay import (
+    LATE_VALUE,
+    play_pattern,
+    read_pattern,
+    replay_pattern,
+    summarize,
+    summarize_windows,
+)
 from standins.server_model import CallerResult, ServerFault
 
 PATTERNS = sorted((pathlib.Path(replay.__file__).parent / "patterns").glob("*.toml"))
@@ -61,6 +68,41 @@
         self.assertEqual(figures[0], figures[1])
         self.assertNotEqual(figures[0], figures[2])
 
+    def test_best_value_counts_only_servers_that_answer(self):
+        # A bound that counts lost servers would blame the entry for what nobody can
+        # serve.
+        pattern = {
+            "load": "one of two shards is lost",
+            "seconds": 2.0,
+            "services": [{"name": "s", "count": 2, "work_ms": 10.0}],
+            "routes": [
+                {
+                    "name": "search",
+                    "services": "s",
+                    "shards": 2,
+                    "per_s": 20.0,
+                    "objective_ms": 100,
+                    "deadline_ms": 200,
+                }
+            ],
+            "faults": [
+                {"kind": "silent", "services": "s", "at_s": 1.0, "for_s": 9.0},
+            ],
+        }
+        for min_coverage, best_value in ((0.5, 0.25), (1.0, 0.0)):
+            pattern["routes"][0]["min_coverage"] = min_coverage
+            results = play_pattern(pattern, 1).callers.results
+            before, after = summarize_windows(results, window_s=1.0)[:2]
+            self.assertEqual(
+                (1.0, best_value), (before["best value"], after["best value"])
+            )
+
+    def test_crossing_share(self):
+        pattern = read_pattern(next(p for p in PATTERNS if p.stem == "shared-machines"))
+        pattern["seconds"] = 1.0
+        replay = play_pattern(pattern, 1)
+        self.assertTrue(0.0 < replay.crossing_share() < 0.5, replay.crossing_share())
+
     def test_unknown_faults_and_missing_fields(self):
         with testtools.ExpectedException(ValueError):
             ServerFault("tired", 0.0, 1.0)
