Move the entry's decisions into a package of their own

Cause: entry/ held forty modules in one folder, decisions among those that hold state and those that talk to others; upstreams.py had 979 lines and four trades, and placement.py explained a placement rather than made one.

Change: entry/policy/ has one module a decision, and imports neither I/O nor a state holder, which tests/test_layers.py checks. upstreams.py is divided into a server's state (upstream.py), its estimates (policy/health.py), the choice (policy/choice.py) and the table; placement.py is placement_report.py.

--- a/almondtide/entry/callers.py
+++ b/almondtide/entry/callers.py
@@ -13,8 +13,8 @@
 from ..adapters.listener import linger_before_close
 from ..errors import ResultCode
 from ..platform.headers import decode_request
-from .admission import retry_after_s
 from .answers import error_answer
+from .policy.admission import retry_after_s
 from .relay import take_relay_mark
 from .transit_time import round_trip_s
 
--- a/almondtide/entry/calls.py
+++ b/almondtide/entry/calls.py
@@ -1,22 +1,13 @@
 """State of a request in progress: one branch for each service, and its time limits."""
 
-import enum
-
 import curio
 
+from .policy.branch_state import BranchState
 from .transit_time import TransitTime
 
 __all__ = ["NO_TRANSIT_TIME", "Branch", "BranchState", "Call"]
 
 
-class BranchState(enum.Enum):
-    """Whether a branch still waits for a reply, has one, or failed."""
-
-    OPEN = "open"
-    DONE = "done"
-    FAILED = "failed"
-
-
 NO_TRANSIT_TIME = TransitTime()
 
 
--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -32,11 +32,11 @@
 )
 from .memory_bounds import MemoryBounds
 from .metrics import MetricFamily, render_metrics
-from .placement import PLACEMENT_PATH, serve_placement
+from .placement_report import PLACEMENT_PATH, serve_placement
+from .policy.retry_budget import slack_share
 from .reader import StoreReader
 from .relay import RelayPeers
 from .replica import StoreReplica
-from .retry_budget import slack_share
 from .run_time import TICK_S
 from .upstreams import UpstreamTable
 
--- a/almondtide/entry/dispatch.py
+++ b/almondtide/entry/dispatch.py
@@ -6,18 +6,23 @@
 import curio
 
 from ..errors import ResultCode
-from .admission import ServiceState, decide_admission, pause_wait_s, retry_after_s
 from .answers import build_answer, error_answer, relayed_answer
-from .branch_queue import BranchQueue
 from .calls import BranchState
 from .feed import LEAVING_MARGIN_S
 from .links import LinkMonitor
+from .policy.admission import (
+    ServiceState,
+    decide_admission,
+    pause_wait_s,
+    retry_after_s,
+)
+from .policy.branch_queue import BranchQueue
+from .policy.retries import RetryDecision, decide_retry, may_hedge, may_send_again
+from .policy.retry_budget import RetryBudget
+from .policy.route_latency import RouteLatency
+from .policy.shedding import CostQueue, Shedding, can_reach_coverage
 from .regions import allowed_domains, share_domains, union_domains
 from .relay import RelayExchange, may_relay
-from .retries import RetryDecision, decide_retry, may_hedge, may_send_again
-from .retry_budget import RetryBudget
-from .route_latency import RouteLatency
-from .shedding import CostQueue, Shedding, can_reach_coverage
 from .upstreams import DEPTH_OBJECTIVE_FRACTION, Failure
 
 __all__ = ["Dispatcher"]
--- a/almondtide/entry/frontend.py
+++ b/almondtide/entry/frontend.py
@@ -7,12 +7,12 @@
 from ..errors import ResultCode
 from ..model.published import CallerLimits
 from ..supervision import TASK_FAILURES, error_place
-from .admission import not_ready_retry_s
 from .answers import error_answer
 from .callers import CallerConnection
 from .calls import Call
 from .members import MemberState
 from .metrics import LatencyHistogram, MetricFamily
+from .policy.admission import not_ready_retry_s
 from .routing import RouteTable
 from .transit_time import estimate_transit_time
 
--- a/almondtide/entry/branch_queue.py
+++ b/almondtide/entry/policy/branch_queue.py
@@ -1,6 +1,6 @@
 """Queue of branches that wait for room at the servers of one service."""
 
-from ..workqueue import WorkQueue
+from ...workqueue import WorkQueue
 
 __all__ = ["BranchQueue"]
 
--- a/almondtide/entry/rate_limits.py
+++ b/almondtide/entry/policy/rate_limits.py
@@ -15,7 +15,7 @@
 import math
 import zlib
 
-from ..rendezvous import score
+from ...rendezvous import score
 
 __all__ = [
     "DemandMeter",
--- a/almondtide/entry/retries.py
+++ b/almondtide/entry/policy/retries.py
@@ -2,7 +2,7 @@
 
 import enum
 
-from .calls import BranchState
+from .branch_state import BranchState
 
 __all__ = ["RetryDecision", "decide_retry", "may_hedge"]
 
--- a/almondtide/entry/route_latency.py
+++ b/almondtide/entry/policy/route_latency.py
@@ -1,6 +1,6 @@
 """Expected latency of the exchanges of a route, and its hedge delay."""
 
-from ..hedging import LatencyWindow
+from ...hedging import LatencyWindow
 
 __all__ = ["RouteLatency"]
 
--- a/bench/ablate.py
+++ b/bench/ablate.py
@@ -58,7 +58,7 @@
 @mechanisms.register("hedge-delay-bound")
 def _hedge_delay_bound():
     """A hedge delay of some medians where a quantile would be longer."""
-    return {"route_latency": "MAX_HEDGE_DELAY_MEDIANS = 1e9"}
+    return {"policy.route_latency": "MAX_HEDGE_DELAY_MEDIANS = 1e9"}
 
 
 @mechanisms.register("retry-reserve")
@@ -70,49 +70,52 @@
 @mechanisms.register("slowness")
 def _slowness():
     """Servers that were slow cost more."""
-    return {"upstreams": "Upstream.slowness = lambda self, now: 1.0"}
+    return {"upstream": "Upstream.slowness = lambda self, now: 1.0"}
 
 
 @mechanisms.register("failure-rate")
 def _failure_rate():
     """Servers that failed cost more."""
-    return {"upstreams": "Upstream.failure_rate = lambda self, now: 0.0"}
+    return {"upstream": "Upstream.failure_rate = lambda self, now: 0.0"}
 
 
 @mechanisms.register("silence")
 def _silence():
     """Servers that are overdue cost more and count as lost."""
-    return {"upstreams": "Upstream.silent_s = lambda self, now: 0.0"}
+    return {"upstream": "Upstream.silent_s = lambda self, now: 0.0"}
 
 
 @mechanisms.register("other-domain-cost")
 def _other_domain_cost():
     """Servers of another failure domain cost more."""
-    return {"upstreams": "OTHER_DOMAIN_COST = 0.0"}
+    return {"policy.choice": "OTHER_DOMAIN_COST = 0.0"}
 
 
 @mechanisms.register("cold-and-leaving-costs")
 def _cold_and_leaving_costs():
     """Servers that start or leave cost more."""
-    return {"upstreams": "COLD_COST = LEAVING_COST = 0.0"}
+    return {"policy.choice": "COLD_COST = LEAVING_COST = 0.0"}
 
 
 @mechanisms.register("ejection")
 def _ejection():
     """Servers that are lost get nothing for a while, then one probe."""
-    return {"upstreams": "Upstream._eject = lambda self, now: None"}
+    return {"policy.health": "ServerHealth.eject = lambda self, now: None"}
 
 
 @mechanisms.register("full-backoff")
 def _full_backoff():
     """A pause after a server said that it is full."""
-    return {"upstreams": "MIN_FULL_BACKOFF_S = MAX_FULL_BACKOFF_S = 0.0"}
+    return {"policy.health": "MIN_FULL_BACKOFF_S = MAX_FULL_BACKOFF_S = 0.0"}
 
 
 @mechanisms.register("connection-limits")
 def _connection_limits():
     """A share of a server's connections, and a pause after a reset."""
-    return {"upstreams": "CONNECT_BACKOFF_S = 0.0\nMIN_CONNECTIONS = 1 << 20"}
+    return {
+        "upstream": "CONNECT_BACKOFF_S = 0.0",
+        "upstreams": "MIN_CONNECTIONS = 1 << 20",
+    }
 
 
 @mechanisms.register("answer-at-objective")
@@ -155,7 +158,9 @@
 def _queue_order():
     """Branches that are late already wait behind those in time."""
     return {
-        "branch_queue": "\nBranchQueue.pop = lambda self, now: self._in_time.pop()\n"
+        "policy.branch_queue": """
+BranchQueue.pop = lambda self, now: self._in_time.pop()
+"""
     }
 
 
@@ -176,7 +181,7 @@
 def apply_mechanism(folder, name):
     """Switch a mechanism off in the checkout ``folder``; raises ``KeyError``."""
     for module, source in mechanisms.get(name)().items():
-        path = folder / "almondtide" / "entry" / f"{module}.py"
+        path = folder / "almondtide" / "entry" / f"{module.replace('.', '/')}.py"
         text = path.read_text(encoding="utf-8")
         path.write_text(f"{text}\n\n{source.strip()}\n", encoding="utf-8")
 
--- a/bench/replay.py
+++ b/bench/replay.py
@@ -24,7 +24,7 @@
 from almondtide.entry.crash_detector import CrashDetector
 from almondtide.entry.dispatch import Dispatcher
 from almondtide.entry.members import Member, MemberState
-from almondtide.entry.retry_budget import slack_share
+from almondtide.entry.policy.retry_budget import slack_share
 from almondtide.entry.upstreams import UpstreamTable
 from almondtide.model.published import (
     Configuration,
--- a/soak/broken.py
+++ b/soak/broken.py
@@ -7,8 +7,9 @@
 import math
 import sys
 
-from almondtide.entry import answers, connections, daemon, dispatch, retries
+from almondtide.entry import answers, connections, daemon, dispatch
 from almondtide.entry.links import LinkMonitor
+from almondtide.entry.policy import retries
 from almondtide.entry.process import main
 from almondtide.entry.upstreams import Upstream, UpstreamTable
 from almondtide.platform import store
--- a/standins/entry_model.py
+++ b/standins/entry_model.py
@@ -13,7 +13,7 @@
     MemberState,
     select_active_members,
 )
-from almondtide.entry.rate_limits import RateShares, service_key
+from almondtide.entry.policy.rate_limits import RateShares, service_key
 from almondtide.entry.upstreams import UpstreamTable
 from almondtide.model.published import Server, ServiceInfo
 
--- a/tests/bench/test_ablate.py
+++ b/tests/bench/test_ablate.py
@@ -41,7 +41,7 @@
                 shutil.copytree(ROOT / "almondtide" / "entry", target)
                 apply_mechanism(folder, name)
                 for module_name in mechanisms.get(name)():
-                    path = target / f"{module_name}.py"
+                    path = target / f"{module_name.replace('.', '/')}.py"
                     compile(path.read_text(encoding="utf-8"), path.name, "exec")
 
     def test_an_unknown_name_is_refused(self):
--- a/tests/entry/test_admission.py
+++ b/tests/entry/policy/test_admission.py
@@ -4,7 +4,7 @@
 
 import testtools
 
-from almondtide.entry.admission import (
+from almondtide.entry.policy.admission import (
     MAX_RETRY_AFTER_S,
     MIN_RETRY_AFTER_S,
     RETRY_AFTER_JITTER,
--- a/tests/entry/test_branch_queue.py
+++ b/tests/entry/policy/test_branch_queue.py
@@ -2,8 +2,8 @@
 
 import testtools
 
-from almondtide.entry.branch_queue import LATE_TURN, BranchQueue
 from almondtide.entry.calls import Branch
+from almondtide.entry.policy.branch_queue import LATE_TURN, BranchQueue
 from tests.entry.support import make_call, make_route
 
 
--- a/tests/entry/test_rate_limits.py
+++ b/tests/entry/policy/test_rate_limits.py
@@ -13,7 +13,7 @@
     encode_limit_end,
 )
 from almondtide.entry.members import Member, MemberState
-from almondtide.entry.rate_limits import (
+from almondtide.entry.policy.rate_limits import (
     BURST_S,
     MAX_UNCONFIRMED_S,
     MIN_RATE_PER_S,
--- a/tests/entry/test_reported_load.py
+++ b/tests/entry/policy/test_reported_load.py
@@ -5,8 +5,8 @@
 
 import testtools
 
-from almondtide.entry import reported_load
-from almondtide.entry.reported_load import (
+from almondtide.entry.policy import reported_load
+from almondtide.entry.policy.reported_load import (
     MAX_OTHERS_PER_SLOT,
     MAX_PACE,
     MAX_REPORT_AGE_S,
@@ -21,7 +21,7 @@
 from tests.entry.test_dispatch import _run_calls
 
 ONE_SERVICE = make_route(weighted_services=(("a", 1),), objective_s=0.5)
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+ROOT = pathlib.Path(__file__).resolve().parents[3]
 PATTERN = ROOT / "bench" / "patterns" / "reported-load.toml"
 HALF_AGE_S = MAX_REPORT_AGE_S / 2.0
 
--- a/tests/entry/test_retry_budget.py
+++ b/tests/entry/policy/test_retry_budget.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from almondtide.entry.retry_budget import (
+from almondtide.entry.policy.retry_budget import (
     USABLE_FRACTION,
     RetryBudget,
     slack_share,
--- a/tests/entry/test_route_latency.py
+++ b/tests/entry/policy/test_route_latency.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from almondtide.entry.route_latency import (
+from almondtide.entry.policy.route_latency import (
     MAX_HEDGE_DELAY_MEDIANS,
     MIN_HEDGE_DELAY_S,
     RouteLatency,
--- a/tests/entry/test_shedding.py
+++ b/tests/entry/policy/test_shedding.py
@@ -5,10 +5,10 @@
 
 import testtools
 
-from almondtide.entry.branch_queue import BranchQueue
 from almondtide.entry.calls import Branch, BranchState
-from almondtide.entry.route_latency import RouteLatency
-from almondtide.entry.shedding import (
+from almondtide.entry.policy.branch_queue import BranchQueue
+from almondtide.entry.policy.route_latency import RouteLatency
+from almondtide.entry.policy.shedding import (
     FULL_HOLD_S,
     HONOURED_FRACTION,
     LEAST_SHARE,
--- a/tests/entry/test_evacuated_servers.py
+++ b/tests/entry/test_evacuated_servers.py
@@ -5,7 +5,8 @@
 import curio
 import testtools
 
-from almondtide.entry.upstreams import LEAVING_COST, UpstreamTable
+from almondtide.entry.policy.choice import LEAVING_COST
+from almondtide.entry.upstreams import UpstreamTable
 from almondtide.errors import ResultCode
 from tests.entry.support import make_route, make_server
 from tests.entry.test_dispatch import _Fleet, _part
--- a/tests/entry/test_placement.py
+++ b/tests/entry/test_placement_report.py
@@ -7,7 +7,7 @@
 from almondtide.adapters.http import HTTPRequest, serve_http
 from almondtide.adapters.listener import Listener
 from almondtide.cli import run as run_cli
-from almondtide.entry.placement import explain_placement, serve_placement
+from almondtide.entry.placement_report import explain_placement, serve_placement
 from almondtide.entry.routing import RouteTable
 from almondtide.entry.upstreams import Failure
 from almondtide.model.published import Configuration
--- a/tests/entry/test_regions.py
+++ b/tests/entry/test_regions.py
@@ -129,7 +129,7 @@
             return None if is_silent else (0.01, make_reply(b"body"))
 
         def hide(fleet):
-            fleet.table.get("i-0").full_until = time.monotonic() + 0.3
+            fleet.table.get("i-0").health.full_until = time.monotonic() + 0.3
 
         routes = [restricted] * 3 + [free] * 8
         _, answers = _run(behave, *routes, prepare=hide, domains=("suva", "apia"))
--- a/tests/entry/test_upstreams.py
+++ b/tests/entry/test_upstreams.py
@@ -2,17 +2,14 @@
 
 import testtools
 
-from almondtide.entry.run_time import TICK_S
-from almondtide.entry.upstreams import (
-    CONNECT_BACKOFF_S,
+from almondtide.entry.policy.health import (
     ESTIMATE_DECAY_S,
-    LOST_AFTER_S,
-    MAX_DEPTH_PER_SLOT,
     MIN_EJECTION_S,
     MIN_FULL_BACKOFF_S,
-    Failure,
-    UpstreamTable,
 )
+from almondtide.entry.run_time import TICK_S
+from almondtide.entry.upstream import CONNECT_BACKOFF_S, LOST_AFTER_S
+from almondtide.entry.upstreams import MAX_DEPTH_PER_SLOT, Failure, UpstreamTable
 from tests.entry.support import make_server
 
 EXPECTED_S = 0.03
--- a/tests/entry/test_warmup.py
+++ b/tests/entry/test_warmup.py
@@ -8,7 +8,7 @@
 from almondtide.entry.boottime import boottime_now
 from almondtide.entry.daemon import EntryDaemon
 from almondtide.entry.members import Member, MemberState
-from almondtide.entry.rate_limits import (
+from almondtide.entry.policy.rate_limits import (
     ENTITLED_S,
     WRITE_WITHIN_S,
     RateLimit,
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -14,6 +14,19 @@
     "model": ("entry", "platform", "adapters"),
     "adapters": ("entry", "platform"),
 }
+# Modules that the decisions of the entry may import, besides each other.
+POLICY_IMPORTS = {
+    "collections",
+    "enum",
+    "heapq",
+    "itertools",
+    "math",
+    "random",
+    "zlib",
+    "...hedging",
+    "...rendezvous",
+    "...workqueue",
+}
 
 
 def _imported_modules(path):
@@ -24,6 +37,10 @@
             yield from (alias.name for alias in node.names)
 
 
+def _is_sibling(module):
+    return module.startswith(".") and not module.startswith("..")
+
+
 class LayersTest(testtools.TestCase):
     """Guards against formats that depend on decisions."""
 
@@ -36,3 +53,13 @@
                     for name in forbidden:
                         prefixes = (f"..{name}", f"almondtide.{name}")
                         self.assertFalse(module.startswith(prefixes), (path, module))
+
+    def test_decisions_import_no_io_and_no_state(self):
+        # What a replay of a load cannot play would decide by something else.
+        paths = sorted((ROOT / "entry" / "policy").glob("*.py"))
+        self.assertTrue(paths)
+        for path in paths:
+            modules = set(_imported_modules(path)) - POLICY_IMPORTS
+            self.assertEqual(
+                [], [name for name in modules if not _is_sibling(name)], path
+            )
