Copy spare parts to servers that were slow or lost, instead of relying on them

Cause: whether a server had recovered was found out by a caller's request: each entry tried a lost server every 2 s at most, and a slow one as soon as its estimate had faded, 4 s for a learned one and 0.8 s for one that the server itself reported. Where all servers of a shard seemed to be lost, its parts waited for the end of an ejection.

Change: a server with two slow replies in a row, or that was lost, is a suspect: it costs more than another domain, and parts that a call can spare are copied to it, within the budget of extra sends, until one is answered in time. What the server reports of its pace does not hide its slowness. Where all servers seem to be lost, those that refused no connection are tried at once. Ejections last 0.5 s at most.

--- a/almondtide/entry/dispatch.py
+++ b/almondtide/entry/dispatch.py
@@ -27,6 +27,9 @@
 
 __all__ = ["Dispatcher"]
 
+# Kind of an exchange after the first one -> its key in the counts. A copy is sent to a
+# suspect, to see whether it has recovered.
+SEND_COUNTS = {"hedge": "hedges", "retry": "retries", "copy": "copies"}
 HEDGE_TIMER = "hedge"
 RESEND_TIMER = "resend"
 CLOSE_TIMER = "close"
@@ -58,8 +61,8 @@
 class _Exchange:
     """One request of a branch to one server, and the reply to it.
 
-    ``kind`` is "first", "retry" or "hedge". ``is_extra`` tells whether it took an
-    extra send from the retry budget.
+    ``kind`` is "first", "retry", "hedge" or "copy", see ``SEND_COUNTS``. ``is_extra``
+    tells whether it took an extra send from the retry budget.
     """
 
     __slots__ = (
@@ -222,6 +225,7 @@
             "sends": 0,
             "hedges": 0,
             "retries": 0,
+            "copies": 0,
             "refused": 0,
             "pauses": 0,
             "pauses_invalid": 0,
@@ -635,19 +639,7 @@
 
     async def _send(self, branch, kind, now):
         """Send a branch to a server, or queue or fail it; return whether it is sent."""
-        latency = self.route_latency(branch.call.route)
-        # The rate that is left goes to branches that wait before it goes to hedges.
-        upstream = self._table.choose(
-            branch.service,
-            now,
-            branch.tried_ids,
-            self.objective_ratio(branch.call.route, branch.service, now),
-            spares_limited=kind == "hedge" and self._has_waiting(branch.service),
-            domains=self.allowed_domains(branch.call.route),
-            body_bytes=len(branch.call.request.body),
-        )
-        if upstream is None and kind != "hedge":
-            upstream = self._choose_tried(branch, now)
+        upstream = self._choose(branch, kind, now)
         if upstream is None:
             await self._wait_for_server(branch, kind, now)
             return False
@@ -655,28 +647,83 @@
             self.counts["hedges_spared"] += 1
             return False
         is_extra = bool(branch.write_count or branch.open_exchanges)
-        if is_extra:
-            reserved_fraction = RETRY_RESERVE_FRACTION if kind == "hedge" else 0.0
-            if not self.retry_budget(branch.service).try_spend(now, reserved_fraction):
-                if kind != "hedge":
-                    await self._fail_branch(branch, "no budget for another send")
-                return False
+        if is_extra and not self._try_spend(branch, kind, now):
+            if kind != "hedge":
+                await self._fail_branch(branch, "no budget for another send")
+            return False
+        await self._start_exchange(branch, upstream, kind, is_extra, now)
+        if kind == "first" and branch.call.may_copy_to_suspect:
+            await self._copy_to_suspect(branch, now)
+        return True
+
+    def _choose(self, branch, kind, now):
+        """Return the ``Upstream`` for the next exchange of a branch, or None."""
+        call = branch.call
+        excluded_ids = branch.tried_ids
+        has_waiting = self._has_waiting(branch.service)
+        options = {
+            "objective_ratio": self.objective_ratio(call.route, branch.service, now),
+            "domains": self.allowed_domains(call.route),
+            "body_bytes": len(call.request.body),
+        }
+        # The rate that is left goes to branches that wait before it goes to hedges.
+        upstream = self._table.choose(
+            branch.service,
+            now,
+            excluded_ids,
+            spares_limited=kind == "hedge" and has_waiting,
+            **options,
+        )
+        may_try_lost = call.route.is_idempotent and kind != "retry" and not has_waiting
+        if upstream is None and may_try_lost:
+            # A server that seems to be lost may be back, and the branch has no other.
+            upstream = self._table.choose(
+                branch.service, now, excluded_ids, is_last_resort=True, **options
+            )
+        is_first_or_retry = kind != "hedge" and not branch.open_exchanges
+        if upstream is None and is_first_or_retry and excluded_ids:
+            upstream = self._table.choose(branch.service, now, (), **options)
+        return upstream
+
+    def _try_spend(self, branch, kind, now):
+        """Take an extra send from the budget, of which a part is kept for retries."""
+        reserved_fraction = RETRY_RESERVE_FRACTION if kind in ("hedge", "copy") else 0.0
+        return self.retry_budget(branch.service).try_spend(now, reserved_fraction)
+
+    async def _start_exchange(self, branch, upstream, kind, is_extra, now):
         exchange = _Exchange(self, branch, upstream, kind, is_extra)
         branch.tried_ids.add(upstream.server.id)
         branch.open_exchanges.append(exchange)
         branch.sends.append((kind, upstream.server.id, now))
         self.counts["sends"] += 1
-        if kind == "hedge":
-            self.counts["hedges"] += 1
-        elif kind == "retry":
-            self.counts["retries"] += 1
+        if kind in SEND_COUNTS:
+            self.counts[SEND_COUNTS[kind]] += 1
+        latency = self.route_latency(branch.call.route)
         upstream.start(exchange, now, latency.expected_s)
         await self._pool.send(exchange)
-        if branch.call.route.is_idempotent:
+        if branch.call.route.is_idempotent and kind != "copy":
             await self._timers.schedule(
                 now + latency.hedge_delay_s, HEDGE_TIMER, exchange
             )
-        return True
+
+    async def _copy_to_suspect(self, branch, now):
+        """Copy a branch that was sent to a good server to a suspect, if one is due."""
+        call = branch.call
+        if branch.state is not BranchState.OPEN or not may_send_again(branch, now):
+            return
+        upstream = self._table.choose_trial(
+            branch.service,
+            now,
+            branch.tried_ids,
+            self.objective_ratio(call.route, branch.service, now),
+            domains=self.allowed_domains(call.route),
+            body_bytes=len(call.request.body),
+        )
+        if upstream is None or not self._try_spend(branch, "copy", now):
+            return
+        call.trial_count += 1
+        upstream.health.note_trial(now)
+        await self._start_exchange(branch, upstream, "copy", True, now)
 
     def objective_ratio(self, route, service, now):
         """Return the objective of a route as a multiple of its expected latency.
@@ -700,19 +747,6 @@
         queues = self._service_queues.get(service, {})
         return any(len(queue) for queue in queues.values())
 
-    def _choose_tried(self, branch, now):
-        """Choose among servers that were tried, unless an exchange is in progress."""
-        if branch.open_exchanges or not branch.tried_ids:
-            return None
-        return self._table.choose(
-            branch.service,
-            now,
-            (),
-            self.objective_ratio(branch.call.route, branch.service, now),
-            domains=self.allowed_domains(branch.call.route),
-            body_bytes=len(branch.call.request.body),
-        )
-
     async def _wait_for_server(self, branch, kind, now):
         if (
             kind == "hedge"
@@ -1095,7 +1129,7 @@
                 service=upstream.server.service,
                 rate=limit.rate,
                 share=round(limit.share, 2),
-                **{kind: counts.get(kind, 0) for kind in ("first", "retry", "hedge")},
+                **{kind: counts.get(kind, 0) for kind in ("first", *SEND_COUNTS)},
             )
 
     def log_shedding(self):
--- a/almondtide/entry/policy/health.py
+++ b/almondtide/entry/policy/health.py
@@ -2,6 +2,11 @@
 
 Answers the load patterns in which a server turns slow, fails, says that it is full, or
 is lost: requests go to others, and come back to it soon after it has recovered.
+
+A server that was slow or lost is a suspect. While others of its service are better, no
+request depends on it: some requests that go to another server are copied to it, and
+the first copy that is answered in time ends the suspicion. So many servers may be lost
+and come back at once without a caller who waits for one that is still lost.
 """
 
 __all__ = ["ServerHealth"]
@@ -18,7 +23,14 @@
 # A failing server is ejected for the first of these times, in s. The time doubles with
 # each further failure, up to the second.
 MIN_EJECTION_S = 0.25
-MAX_EJECTION_S = 2.0
+MAX_EJECTION_S = 0.5
+# Latencies in a row of MAX_LATENCY_RATIO and more that make a server a suspect. One
+# alone is a tail of the work, or a pause that has mostly ended with it.
+SUSPECT_SAMPLES = 2
+# A suspect gets its first copy of a request after the first of these times, in s. The
+# time doubles with each slow reply in a row, up to the second.
+MIN_TRIAL_S = 0.1
+MAX_TRIAL_S = 0.8
 # Bounds, in s, of the time for which a server that reported to be full gets no
 # requests. They are short, because a failing server may report this without being
 # full, and there may be no other server.
@@ -37,7 +49,9 @@
         "_consecutive_full",
         "_failure_rate",
         "_sampled_at",
+        "_slow_count",
         "_slowness",
+        "_trial_at",
         "consecutive_losses",
         "ejected_until",
         "full_until",
@@ -48,6 +62,9 @@
         self._failure_rate = 0.0
         self._sampled_at = 0.0
         self._consecutive_full = 0
+        # Slow replies in a row, and from when on the server may get a copy.
+        self._slow_count = 0
+        self._trial_at = 0.0
         self.consecutive_losses = 0
         self.ejected_until = 0.0
         self.full_until = 0.0
@@ -78,6 +95,33 @@
         ``pace`` is the part of it that the server reported, which counts by itself.
         """
         self._add_sample(min(MAX_LATENCY_RATIO, ratio) / pace, 0.0, now)
+        if ratio < MAX_LATENCY_RATIO:
+            self._slow_count = 0
+            return
+        wait_s = min(MAX_TRIAL_S, MIN_TRIAL_S * 2**self._slow_count)
+        self._slow_count = min(10, self._slow_count + 1)
+        self._trial_at = now + wait_s
+
+    def is_suspect(self, now):
+        """Return whether no request should depend on the server alone.
+
+        The suspicion ends by itself, since routes whose requests run once make no
+        copies.
+        """
+        if self.consecutive_losses:
+            return now < self.ejected_until + ESTIMATE_DECAY_S
+        return (
+            self._slow_count >= SUSPECT_SAMPLES
+            and now < self._sampled_at + ESTIMATE_DECAY_S
+        )
+
+    def is_trial_due(self, now):
+        """Return whether a suspect may get a copy of a request now."""
+        return self.is_suspect(now) and now >= max(self._trial_at, self.ejected_until)
+
+    def note_trial(self, now):
+        """Record that a copy of a request was sent to a suspect."""
+        self._trial_at = now + MAX_TRIAL_S
 
     def note_full(self, now):
         """Record that the server said that it is full."""
--- a/almondtide/entry/upstream.py
+++ b/almondtide/entry/upstream.py
@@ -401,5 +401,6 @@
             is_cold=self.server.cold or self.warmup_limit is not None,
             is_ending=self.is_leaving or self.is_evacuated,
             is_limited=self.rate_limit is not None,
+            is_suspect=self.health.is_suspect(now),
             silent_s=self.silent_s(now),
         )
--- a/almondtide/entry/upstreams.py
+++ b/almondtide/entry/upstreams.py
@@ -1,6 +1,7 @@
 """The servers of all services as this entry sees them, and which may get a request."""
 
 import math
+import random
 
 from .policy.choice import choose_server
 from .policy.rate_limits import (
@@ -433,6 +434,7 @@
         objective_ratio=MAX_DEPTH_PER_SLOT,
         spares_limited=False,
         body_bytes=0,
+        is_last_resort=False,
     ):
         """Return why an upstream gets no request now, or an empty text.
 
@@ -442,11 +444,16 @@
             return "evacuated" if upstream.is_evacuated else "ended"
         if upstream.paused_until > now:
             return "asked for a pause"
-        if upstream.ejected_until > now:
+        may_be_lost = is_last_resort and not upstream.is_refusing
+        if upstream.ejected_until > now and not may_be_lost:
             return "ejected after failures"
         if upstream.full_until > now:
             return "said that it is full"
-        if upstream.is_lost(now) and (upstream.is_probing or upstream.silent_s(now)):
+        if (
+            not may_be_lost
+            and upstream.is_lost(now)
+            and (upstream.is_probing or upstream.silent_s(now))
+        ):
             return "lost and being probed"
         if upstream.limits_rate(now) and (
             spares_limited or self.rate_room_at(upstream, now) > now
@@ -471,6 +478,7 @@
         spares_limited=False,
         domains=None,
         body_bytes=0,
+        is_last_resort=False,
     ):
         """Return the upstream of a service that gets a request, or None.
 
@@ -480,14 +488,38 @@
         ejected for some time. After that they get one request at a time as a probe,
         until one succeeds. With ``spares_limited``, servers that limit their rate are
         left to others. ``domains`` restricts the choice to some failure domains. The
-        server must have room for a request body of ``body_bytes``.
+        server must have room for a request body of ``body_bytes``. As a last resort,
+        servers that seem to be lost, but refused no connection, are chosen as well.
         """
         candidates = [
             upstream
             for upstream in self.usable_upstreams(service, now, domains)
             if upstream.server.id not in excluded_ids
             and not self.obstacle(
-                upstream, now, objective_ratio, spares_limited, body_bytes
+                upstream,
+                now,
+                objective_ratio,
+                spares_limited,
+                body_bytes,
+                is_last_resort,
             )
         ]
         return choose_server(candidates, now, self.domain)
+
+    def choose_trial(
+        self, service, now, excluded_ids, objective_ratio, domains=None, body_bytes=0
+    ):
+        """Return a suspect of a service that gets a copy of a request, or None.
+
+        The arguments are those of ``choose``; see ``ServerHealth.is_suspect``. Servers
+        that limit their rate get no copies.
+        """
+        due = [
+            upstream
+            for upstream in self._by_service.get(service, {}).values()
+            if upstream.health.is_trial_due(now)
+            and upstream.server.id not in excluded_ids
+            and (domains is None or upstream.server.domain in domains)
+            and not self.obstacle(upstream, now, objective_ratio, True, body_bytes)
+        ]
+        return random.choice(due) if due else None
