--- a/almondtide/entry/upstream.py
+++ b/almondtide/entry/upstream.py
@@ -394,9 +394,10 @@
         return count / self.server.slots
 
     def serves_at_once(self, now):
-        """Return whether a request would neither wait nor take long, as far as known.
+        """Return whether a request would neither wait nor take long, by a report.
 
-        A server that others should spare does not count, be it free.
+        Without one it is not known what other entries have sent. A server that others
+        should spare does not count, be it free.
         """
         is_spared = (
             self.server.cold
@@ -407,6 +408,7 @@
         )
         return (
             not is_spared
+            and self.has_report(now)
             and self.load(now) <= 1.0
             and self.expected_factor(now) < MAX_NEAR_FACTOR
             and self.failure_rate(now) < MAX_NEAR_FAILURE_RATE
