Count the request's own way into the time that its caller has waited

Cause: the caller's deadline is stated when it sends the request, so the time that is known from it ends there.

Change: half the round trip is added.

--- a/almondtide/entry/transit_time.py
+++ b/almondtide/entry/transit_time.py
@@ -30,16 +30,17 @@
 
     Callers measure their objective from the start of their look-up of an entry.
     ``allowed_s`` is the rest of the caller's deadline, or None. Most deadlines equal
-    the route's ``timeout_s``, so that the difference is the time since the look-up.
-    A difference that is too large for the round-trip time ``rtt_s`` comes from another
-    deadline or an earlier attempt. It is ignored.
+    the route's ``timeout_s``, so that the difference is the time from the look-up until
+    the request was sent; its own way is added. A difference that is too large for the
+    round-trip time ``rtt_s`` comes from another deadline or an earlier attempt. It is
+    ignored.
     """
     request_s = 0.0
     if allowed_s is not None:
         difference_s = timeout_s - allowed_s
         if 0.0 < difference_s <= MAX_ROUND_TRIPS * rtt_s + MAX_LOOKUP_S:
             request_s = difference_s
-    return TransitTime(request_s, rtt_s / 2)
+    return TransitTime(request_s + rtt_s / 2, rtt_s / 2)
 
 
 def round_trip_s(sock):
