Name the state of a server that was slow or lost probation

Cause: "suspect" already means a request under which a server was lost (glossary, crash_detector.py), and the tries at such a server were called trials, probes and copies.

Change: a server is on probation, and gets copies of parts. No change of behaviour.

--- a/almondtide/entry/calls.py
+++ b/almondtide/entry/calls.py
@@ -121,6 +121,7 @@
         "branches",
         "changed",
         "configuration",
+        "copy_count",
         "expires_at",
         "fingerprint",
         "is_abandoned",
@@ -135,7 +136,6 @@
         "relay_run_count",
         "request",
         "route",
-        "trial_count",
     )
 
     def __init__(
@@ -163,8 +163,8 @@
         self.answered_count = 0
         self.needed_count = needed_part_count(len(services), route.min_coverage)
         self.accepts_partial = False
-        # Parts that were copied to suspects.
-        self.trial_count = 0
+        # Parts that were copied to servers on probation.
+        self.copy_count = 0
         # Parts that cannot be answered within the objective, as far as is known.
         self.late_part_count = 0
         self.is_abandoned = False
@@ -190,8 +190,8 @@
         return bool(self.route.shards)
 
     @property
-    def may_copy_to_suspect(self):
-        """Whether one more part may be copied to a suspect.
+    def may_copy_part(self):
+        """Whether one more part may be copied to a server on probation.
 
         A copy counts as one of the servers that a part may be sent to, so only parts
         that the answer can do without are copied.
@@ -199,7 +199,7 @@
         if not self.route.is_idempotent:
             return False
         spare_count = len(self.branches) - self.needed_count
-        return not self.is_merged or self.trial_count < spare_count
+        return not self.is_merged or self.copy_count < spare_count
 
     @property
     def may_have_run(self):
--- a/almondtide/entry/dispatch.py
+++ b/almondtide/entry/dispatch.py
@@ -28,7 +28,7 @@
 __all__ = ["Dispatcher"]
 
 # Kind of an exchange after the first one -> its key in the counts. A copy is sent to a
-# suspect, to see whether it has recovered.
+# server on probation, to see whether it has recovered.
 SEND_COUNTS = {"hedge": "hedges", "retry": "retries", "copy": "copies"}
 HEDGE_TIMER = "hedge"
 RESEND_TIMER = "resend"
@@ -652,8 +652,8 @@
                 await self._fail_branch(branch, "no budget for another send")
             return False
         await self._start_exchange(branch, upstream, kind, is_extra, now)
-        if kind == "first" and branch.call.may_copy_to_suspect:
-            await self._copy_to_suspect(branch, now)
+        if kind == "first" and branch.call.may_copy_part:
+            await self._send_copy(branch, now)
         return True
 
     def _choose(self, branch, kind, now):
@@ -706,12 +706,12 @@
                 now + latency.hedge_delay_s, HEDGE_TIMER, exchange
             )
 
-    async def _copy_to_suspect(self, branch, now):
-        """Copy a branch that was sent to a good server to a suspect, if one is due."""
+    async def _send_copy(self, branch, now):
+        """Copy a branch that was sent to a good server to one on probation, if due."""
         call = branch.call
         if branch.state is not BranchState.OPEN or not may_send_again(branch, now):
             return
-        upstream = self._table.choose_trial(
+        upstream = self._table.choose_for_copy(
             branch.service,
             now,
             branch.tried_ids,
@@ -721,8 +721,8 @@
         )
         if upstream is None or not self._try_spend(branch, "copy", now):
             return
-        call.trial_count += 1
-        upstream.health.note_trial(now)
+        call.copy_count += 1
+        upstream.health.note_copy(now)
         await self._start_exchange(branch, upstream, "copy", True, now)
 
     def objective_ratio(self, route, service, now):
--- a/almondtide/entry/placement_report.py
+++ b/almondtide/entry/placement_report.py
@@ -96,7 +96,7 @@
         "pace": round(upstream.pace(now), 2),
         "slowness": round(upstream.slowness(now), 2),
         "failure_rate": round(upstream.failure_rate(now), 2),
-        "is_suspect": upstream.health.is_suspect(now),
+        "is_on_probation": upstream.health.is_on_probation(now),
         "is_cold": server.cold or upstream.warmup_limit is not None,
         "is_leaving": upstream.is_leaving,
         "is_evacuated": upstream.is_evacuated,
--- a/almondtide/entry/policy/choice.py
+++ b/almondtide/entry/policy/choice.py
@@ -19,9 +19,9 @@
 # serves for some time, and is used when the others are lost, silent, full or much
 # slower.
 LEAVING_COST = 2.0
-# Cost of a suspect, see ``health.py``. It is above that of another failure domain and
-# of a slow machine.
-SUSPECT_COST = 3.0
+# Cost of a server on probation, see ``health.py``. It is above that of another failure
+# domain and of a slow machine.
+PROBATION_COST = 3.0
 # Cost of a server that limits its rate, which is spared while others are as good.
 LIMITED_COST = 0.3
 
@@ -33,7 +33,7 @@
     is_cold,
     is_ending,
     is_limited,
-    is_suspect,
+    is_on_probation,
     silent_s,
 ):
     """Return the cost of a request to a server, in units of its normal time.
@@ -41,7 +41,8 @@
     ``expected_factor`` is the expected time as a multiple of the normal one,
     ``failure_rate`` the expected fraction of failures, 0.0 to 1.0, and ``silent_s`` for
     how long a reply is overdue, in s. The flags tell whether the server is in another
-    failure domain, is cold, leaves or is evacuated, limits its rate, and is a suspect.
+    failure domain, is cold, leaves or is evacuated, limits its rate, and is on
+    probation.
     """
     cost = expected_factor
     if failure_rate:
@@ -54,8 +55,8 @@
         cost += LEAVING_COST
     if is_limited:
         cost += LIMITED_COST
-    if is_suspect:
-        cost += SUSPECT_COST
+    if is_on_probation:
+        cost += PROBATION_COST
     if silent_s:
         cost += SILENT_COST + silent_s
     return cost
--- a/almondtide/entry/policy/health.py
+++ b/almondtide/entry/policy/health.py
@@ -3,9 +3,9 @@
 Answers the load patterns in which a server turns slow, fails, says that it is full, or
 is lost: requests go to others, and come back to it soon after it has recovered.
 
-A server that was slow or lost is a suspect. While others of its service are better, no
-request depends on it: some requests that go to another server are copied to it, and
-the first copy that is answered in time ends the suspicion. So many servers may be lost
+A server that was slow or lost is on probation. While others of its service are better,
+no request depends on it: some requests that go to another server are copied to it, and
+the first copy that is answered in time ends its probation. So many servers may be lost
 and come back at once without a caller who waits for one that is still lost.
 """
 
@@ -24,13 +24,13 @@
 # each further failure, up to the second.
 MIN_EJECTION_S = 0.25
 MAX_EJECTION_S = 0.5
-# Latencies in a row of MAX_LATENCY_RATIO and more that make a server a suspect. One
+# Latencies in a row of MAX_LATENCY_RATIO and more that put a server on probation. One
 # alone is a tail of the work, or a pause that has mostly ended with it.
-SUSPECT_SAMPLES = 2
-# A suspect gets its first copy of a request after the first of these times, in s. The
-# time doubles with each slow reply in a row, up to the second.
-MIN_TRIAL_S = 0.1
-MAX_TRIAL_S = 0.8
+PROBATION_SAMPLES = 2
+# A server on probation gets its first copy of a request after the first of these times,
+# in s. The time doubles with each slow reply in a row, up to the second.
+MIN_COPY_INTERVAL_S = 0.1
+MAX_COPY_INTERVAL_S = 0.8
 # Bounds, in s, of the time for which a server that reported to be full gets no
 # requests. They are short, because a failing server may report this without being
 # full, and there may be no other server.
@@ -47,11 +47,11 @@
 
     __slots__ = (
         "_consecutive_full",
+        "_copy_at",
         "_failure_rate",
         "_sampled_at",
         "_slow_count",
         "_slowness",
-        "_trial_at",
         "consecutive_losses",
         "ejected_until",
         "full_until",
@@ -64,7 +64,7 @@
         self._consecutive_full = 0
         # Slow replies in a row, and from when on the server may get a copy.
         self._slow_count = 0
-        self._trial_at = 0.0
+        self._copy_at = 0.0
         self.consecutive_losses = 0
         self.ejected_until = 0.0
         self.full_until = 0.0
@@ -98,30 +98,32 @@
         if ratio < MAX_LATENCY_RATIO:
             self._slow_count = 0
             return
-        wait_s = min(MAX_TRIAL_S, MIN_TRIAL_S * 2**self._slow_count)
+        wait_s = min(MAX_COPY_INTERVAL_S, MIN_COPY_INTERVAL_S * 2**self._slow_count)
         self._slow_count = min(10, self._slow_count + 1)
-        self._trial_at = now + wait_s
+        self._copy_at = now + wait_s
 
-    def is_suspect(self, now):
+    def is_on_probation(self, now):
         """Return whether no request should depend on the server alone.
 
-        The suspicion ends by itself, since routes whose requests run once make no
+        Probation ends by itself, since routes whose requests run once make no
         copies.
         """
         if self.consecutive_losses:
             return now < self.ejected_until + ESTIMATE_DECAY_S
         return (
-            self._slow_count >= SUSPECT_SAMPLES
+            self._slow_count >= PROBATION_SAMPLES
             and now < self._sampled_at + ESTIMATE_DECAY_S
         )
 
-    def is_trial_due(self, now):
-        """Return whether a suspect may get a copy of a request now."""
-        return self.is_suspect(now) and now >= max(self._trial_at, self.ejected_until)
+    def is_copy_due(self, now):
+        """Return whether a server on probation may get a copy of a request now."""
+        return self.is_on_probation(now) and now >= max(
+            self._copy_at, self.ejected_until
+        )
 
-    def note_trial(self, now):
-        """Record that a copy of a request was sent to a suspect."""
-        self._trial_at = now + MAX_TRIAL_S
+    def note_copy(self, now):
+        """Record that a copy of a request was sent to a server on probation."""
+        self._copy_at = now + MAX_COPY_INTERVAL_S
 
     def note_full(self, now):
         """Record that the server said that it is full."""
--- a/almondtide/entry/upstream.py
+++ b/almondtide/entry/upstream.py
@@ -412,7 +412,7 @@
             and self.load(now) <= 1.0
             and self.expected_factor(now) < MAX_NEAR_FACTOR
             and self.failure_rate(now) < MAX_NEAR_FAILURE_RATE
-            and not self.health.is_suspect(now)
+            and not self.health.is_on_probation(now)
             and not self.silent_s(now)
         )
 
@@ -429,6 +429,6 @@
             is_cold=self.server.cold or self.warmup_limit is not None,
             is_ending=self.is_leaving or self.is_evacuated,
             is_limited=self.rate_limit is not None,
-            is_suspect=self.health.is_suspect(now),
+            is_on_probation=self.health.is_on_probation(now),
             silent_s=self.silent_s(now),
         )
--- a/almondtide/entry/upstreams.py
+++ b/almondtide/entry/upstreams.py
@@ -506,18 +506,18 @@
         ]
         return choose_server(candidates, now, self.domain)
 
-    def choose_trial(
+    def choose_for_copy(
         self, service, now, excluded_ids, objective_ratio, domains=None, body_bytes=0
     ):
-        """Return a suspect of a service that gets a copy of a request, or None.
+        """Return a server on probation that gets a copy of a request, or None.
 
-        The arguments are those of ``choose``; see ``ServerHealth.is_suspect``. Servers
-        that limit their rate get no copies.
+        The arguments are those of ``choose``; see ``ServerHealth.is_on_probation``.
+        Servers that limit their rate get no copies.
         """
         due = [
             upstream
             for upstream in self._by_service.get(service, {}).values()
-            if upstream.health.is_trial_due(now)
+            if upstream.health.is_copy_due(now)
             and upstream.server.id not in excluded_ids
             and (domains is None or upstream.server.domain in domains)
             and not self.obstacle(upstream, now, objective_ratio, True, body_bytes)
--- a/tests/entry/policy/test_choice.py
+++ b/tests/entry/policy/test_choice.py
@@ -58,8 +58,8 @@
         self.report(pace=2.5)
         self.assertIn("i-2", self.chosen())
 
-    def test_a_suspect_is_left(self):
-        for _ in range(health.SUSPECT_SAMPLES):
+    def test_a_server_on_probation_is_left(self):
+        for _ in range(health.PROBATION_SAMPLES):
             self.near.health.note_latency(9.0, 9.0, 0.0)
         self.assertEqual({"i-2"}, self.chosen())
 
@@ -80,9 +80,9 @@
 
     def test_less_is_lost_where_servers_of_many_shards_are_dark_or_slow(self):
         with_copies = self.mean_loss()
-        self.patch(health, "SUSPECT_SAMPLES", 1 << 20)
+        self.patch(health, "PROBATION_SAMPLES", 1 << 20)
         self.patch(health, "MAX_EJECTION_S", 2.0)
-        self.patch(choice, "SUSPECT_COST", 0.0)
+        self.patch(choice, "PROBATION_COST", 0.0)
         without = self.mean_loss()
         self.assertTrue(with_copies <= without - 0.01, (with_copies, without))
 
--- a/tests/entry/test_dispatch.py
+++ b/tests/entry/test_dispatch.py
@@ -268,20 +268,20 @@
         # After the first failures the lost servers only get a few probes.
         self.assertTrue(fleet.pool.count("a") <= 6, fleet.pool.count("a"))
 
-    def test_parts_that_a_call_can_spare_are_copied_to_suspects(self):
+    def test_parts_that_a_call_can_spare_are_copied_to_servers_on_probation(self):
         # Without copies each entry finds out by a caller's request whether a server
         # that was slow or lost has recovered.
-        suspects = set()
+        on_probation = set()
 
         async def prepare(fleet):
             for upstream in fleet.table:
                 if upstream.server.id.endswith("1"):
                     upstream.health.eject(fleet.clock.monotonic())
-                    suspects.add(upstream.server.id)
+                    on_probation.add(upstream.server.id)
             await curio.sleep(1.0)
 
         def behave(exchange):
-            if exchange.upstream.server.id in suspects:
+            if exchange.upstream.server.id in on_probation:
                 return None
             return (0.005, _part(exchange))
 
@@ -291,7 +291,7 @@
         copies = [e for e in fleet.pool.sent if e.kind == "copy"]
         spare_count = len(call.branches) - call.needed_count
         self.assertEqual(spare_count, len(copies))
-        self.assertTrue({e.upstream.server.id for e in copies} <= suspects)
+        self.assertTrue({e.upstream.server.id for e in copies} <= on_probation)
         self.assertEqual(200, answer.status)
         self.assertEqual(len(call.branches), call.answered_count)
         self.assertTrue(took_s < 0.02, took_s)
