Copy no parts of routes that allow one server

Cause: the copy may be written before the first exchange, which is then not written any more, so that the caller depends on a server on probation. Found by reading the code.

Change: a part is copied only if its route allows two servers.

Result: the test failed before (first and copy where first is allowed).

--- a/almondtide/entry/calls.py
+++ b/almondtide/entry/calls.py
@@ -196,7 +196,7 @@
         A copy counts as one of the servers that a part may be sent to, so only parts
         that the answer can do without are copied.
         """
-        if not self.route.is_idempotent:
+        if not self.route.is_idempotent or self.route.max_servers < 2:
             return False
         spare_count = len(self.branches) - self.needed_count
         return not self.is_merged or self.copy_count < spare_count
--- a/tests/entry/test_dispatch.py
+++ b/tests/entry/test_dispatch.py
@@ -296,18 +296,22 @@
         self.assertEqual(len(call.branches), call.answered_count)
         self.assertTrue(took_s < 0.02, took_s)
 
-    def test_a_request_that_runs_once_is_not_copied(self):
+    def test_requests_that_may_reach_one_server_only_are_not_copied(self):
+        # The copy could be written first, and the caller would depend on it.
         async def prepare(fleet):
             for upstream in fleet.table:
                 if upstream.server.id.endswith("1"):
                     upstream.health.eject(fleet.clock.monotonic())
             await curio.sleep(1.0)
 
-        route = make_route(is_idempotent=False)
-        fleet, _ = _run_calls(
-            lambda e: (0.005, _part(e)), route, services=("a",), prepare=prepare
-        )
-        self.assertEqual(["first"], [exchange.kind for exchange in fleet.pool.sent])
+        for options in ({"is_idempotent": False}, {"max_servers": 1}):
+            fleet, _ = _run_calls(
+                lambda e: (0.005, _part(e)),
+                make_route(**options),
+                services=("a",),
+                prepare=prepare,
+            )
+            self.assertEqual(["first"], [e.kind for e in fleet.pool.sent], options)
 
     def test_servers_that_all_seem_lost_are_tried_at_once(self):
         # Requests waited for the end of the ejections, and missed their objective,
