--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -126,6 +126,8 @@
         self._stopped_domains = set()
         # Whether a configuration waits until the evacuated domains are known.
         self._is_configuration_pending = False
+        # Where the newest configuration came from, for the log.
+        self._configuration_source = ""
         self.gossip.set_loss_handler(self.crash_detector.merge_peer_losses)
         self.link_watch = LinkWatch(
             self.table,
@@ -453,13 +455,7 @@
                 (route.timeout_s for route in configuration.routes),
                 default=DEFAULT_MAX_PAUSE_S,
             )
-            self.log.info(
-                "configuration_in_force",
-                version=configuration.version,
-                revision=revision_of(self.replica.configuration_position),
-                routes=len(configuration.routes),
-                source=source,
-            )
+            self._configuration_source = source
             self._log_regions(configuration)
         self._update_role(boottime_now())
 
@@ -480,6 +476,14 @@
         if self._is_configuration_pending and self.feed.knows_evacuations:
             self._is_configuration_pending = False
             self.frontend.apply_configuration()
+            configuration = self.frontend.routes.configuration
+            self.log.info(
+                "configuration_in_force",
+                version=configuration.version,
+                revision=revision_of(self.replica.configuration_position),
+                routes=len(configuration.routes),
+                source=self._configuration_source,
+            )
 
     async def _apply_record(self, record, source):
         now = boottime_now()
@@ -600,6 +604,10 @@
         gauges = {
             "configuration_version": (
                 "Version in force.",
+                self.frontend.version_in_force,
+            ),
+            "configuration_known_version": (
+                "Version of the replica.",
                 self.replica.configuration_version,
             ),
             "knowledge_age_seconds": ("Age of the knowledge.", age_s or 0.0),
@@ -644,6 +652,10 @@
                 ),
             ),
             "store_calls": ("Calls of the store.", self.store.call_count),
+            "store_reads": (
+                "Reads of the store, failed ones included.",
+                self.reader.read_count,
+            ),
             "reply_bytes": (
                 "Bytes of replies that are not complete.",
                 self.pool.buffered_bytes,
--- a/almondtide/entry/frontend.py
+++ b/almondtide/entry/frontend.py
@@ -64,6 +64,11 @@
         """Use the newest configuration for new requests."""
         self.routes = RouteTable(self._replica.configuration, self.routes)
 
+    @property
+    def version_in_force(self):
+        """Version of the configuration that new requests are served by, 0 if none."""
+        return self.routes.configuration.version if self.routes is not None else 0
+
     def routes_of_host(self, host):
         """Return the routes of a host in the configuration in force."""
         return () if self.routes is None else self.routes.routes_of_host(host)
@@ -167,6 +172,10 @@
         self._log.info(name, **self._log_fields(request, call, answer, duration_s))
         return answer
 
+    def _served_version(self, call):
+        """Return the version that a call is served by; None stands for no call."""
+        return self.version_in_force if call is None else call.configuration.version
+
     def _log_fields(self, request, call, answer, duration_s):
         """Return the fields of the request's log line."""
         age_s = self._replica.age_s(self._now())
@@ -176,7 +185,7 @@
             "status": answer.status,
             "code": int(answer.code),
             "ms": round(duration_s * 1000, 1),
-            "version": self._replica.configuration_version,
+            "version": self._served_version(call),
             "age_ms": "none" if age_s is None else int(age_s * 1000),
         }
         if call is None:
--- a/almondtide/entry/reader.py
+++ b/almondtide/entry/reader.py
@@ -132,6 +132,8 @@
     async def _read(self):
         started_at = self._now()
         before = self._replica.configuration_version
+        age_s = self._replica.age_s(started_at)
+        calls_before = self._store.call_count
         self.read_count += 1
         try:
             changed = await self._read_store()
@@ -139,6 +141,15 @@
             self._note_failure(exc, started_at)
             return
         self._note_success()
+        self._log.info(
+            "replica_read",
+            ms=int((self._now() - started_at) * 1000),
+            calls=self._store.call_count - calls_before,
+            known_age_ms="none" if age_s is None else int(age_s * 1000),
+            changed=len(changed),
+            version=self._replica.configuration_version,
+            revision=revision_of(self._feed.cursor),
+        )
         if self._store.invalid_era is not None:
             self._log.warning("store_era_invalid", text=self._store.invalid_era[:40])
         await self._send_updates(changed, self._replica.configuration_version != before)
