--- /dev/null
+++ b/standins/gossip_fleet.py
@@ -0,0 +1,475 @@
+"""Model of the entries of a fleet that distribute the store's contents.
+
+Gossip, feed and reader are those of the entry daemon. Network, store and time are
+modelled, so that faults of a minute are played in a second, with the same result for
+the same seed.
+"""
+
+import random
+import types
+
+import curio
+import orjson
+
+from almondtide.entry.codec import decode_snapshot, encode_snapshot
+from almondtide.entry.feed import StoreFeed
+from almondtide.entry.gossip import Gossip
+from almondtide.entry.members import (
+    Member,
+    MembershipView,
+    MemberState,
+    select_active_members,
+)
+from almondtide.entry.reader import StoreReader
+from almondtide.entry.replica import StoreReplica
+from almondtide.errors import DocumentError, PlatformError
+from almondtide.logs import Log
+from almondtide.model.position import make_position
+from almondtide.platform.documents import CONFIGURATION_KEY, SERVER_PREFIX
+from almondtide.platform.settings import decode_settings
+from almondtide.platform.store import StoreItem, StoreTimeoutError
+
+from .virtual_time import VirtualClock, run_in_virtual_time
+
+__all__ = ["GossipFleet", "ModelStore", "play"]
+
+DOMAINS = ("lautoka", "nadi", "suva")
+CONTROL_PORT = 8224
+PAGE_ITEMS = 50
+# Time in s between two roles of an entry, and between two looks at the end of a pause.
+HOUSEKEEPING_INTERVAL_S = 0.25
+PAUSE_POLL_S = 0.01
+SERVER_HEARTBEAT_S = 1.2
+STORE_TIMEOUT_S = 0.8
+BOUNDS = {
+    "contact_ms": 4000,
+    "drain_ms": 3000,
+    "grace_s": 6,
+    "config_apply_ms": 3000,
+    "retry_budget_ratio": 0.2,
+    "budget_window_s": 10,
+    "budget_slack": 116,
+    "ttl_max_s": 5,
+}
+
+
+class _QuietLog(Log):
+    """Keeps the events of an entry for the one who examines a play."""
+
+    def __init__(self, now):
+        super().__init__()
+        self._now = now
+        self.events = []
+
+    def _note(self, name, **fields):
+        self.events.append((self._now(), name, fields))
+
+    info = warning = refusal = error = debug = trace = _note
+
+
+@types.coroutine
+def _pausable(coroutine, is_paused):
+    """Run a coroutine; after each of its waits, hold it while ``is_paused()``."""
+    result = exc = None
+    is_cancelled = False
+    while True:
+        try:
+            trap = coroutine.send(result) if exc is None else coroutine.throw(exc)
+        except StopIteration as stop:
+            return stop.value
+        result = exc = None
+        try:
+            result = yield trap
+        except curio.CancelledError as error:
+            exc = error
+        except Exception as error:
+            exc = error
+        is_cancelled = is_cancelled or isinstance(exc, curio.TaskCancelled)
+        while is_paused() and not is_cancelled:
+            try:
+                yield from curio.sleep(PAUSE_POLL_S)
+            except curio.CancelledError as error:
+                # A timeout of the coroutine, or its cancellation.
+                exc = error
+                is_cancelled = isinstance(exc, curio.TaskCancelled)
+
+
+class ModelStore:
+    """The platform's store: items, their changes, and how it answers each host.
+
+    ``answer_s`` is the time of an answer, in s. ``refusals`` maps hosts to ``busy``,
+    which answers with a refusal, or ``silent``. ``restricted`` maps hosts to the only
+    kind of call that is answered: ``get``, ``read`` or ``changes``.
+    """
+
+    def __init__(self, answer_s=0.004):
+        self.answer_s = answer_s
+        self.refusals = {}
+        self.items = {}
+        self.changes = []
+        self.revision = 1
+
+    def put(self, key, document):
+        """Write a document as JSON."""
+        self.revision += 1
+        position = make_position(0, self.revision)
+        item = StoreItem(key, position, orjson.dumps(document))
+        self.items[key] = item
+        self.changes.append(item)
+
+    def position(self):
+        """Return the position of the last change."""
+        return make_position(0, self.revision)
+
+
+class _StoreSession:
+    """The ``StoreClient`` of one entry of a model."""
+
+    def __init__(self, store, host):
+        self._store = store
+        self._host = host
+        self.call_count = 0
+        self.era = 0
+        self.invalid_era = None
+
+    async def _call(self, timeout_s=STORE_TIMEOUT_S):
+        self.call_count += 1
+        mode = self._store.refusals.get(self._host)
+        answer_s = self._store.answer_s
+        if mode == "silent" or answer_s > timeout_s:
+            await curio.sleep(timeout_s)
+            raise StoreTimeoutError(f"no answer within {timeout_s} s")
+        await curio.sleep(answer_s)
+        if mode == "busy":
+            raise PlatformError("the store answered with status 503")
+
+    async def get(self, key):
+        """Return the item at a key, or None."""
+        await self._call()
+        return self._store.items.get(key)
+
+    async def read(self, prefix):
+        """Return (items with ``prefix``, position at the first page)."""
+        await self._call()
+        position = self._store.position()
+        keys = sorted(key for key in self._store.items if key.startswith(prefix))
+        for _ in range(PAGE_ITEMS, len(keys), PAGE_ITEMS):
+            await self._call()
+        return [self._store.items[key] for key in keys], position
+
+    async def changes(self, prefix, after, wait_ms, timeout_s):
+        """Return (changes since position ``after``, last position)."""
+        await self._call(timeout_s)
+        found = [
+            item
+            for item in self._store.changes
+            if item.position > after and item.key.startswith(prefix)
+        ]
+        return found, self._store.position()
+
+
+class _ModelSocket:
+    """A datagram socket of the model's network."""
+
+    def __init__(self, fleet, host):
+        self._fleet = fleet
+        self._host = host
+        self._inbox = []
+        self._arrived = curio.Event()
+        # The part that does not wait, as curio's sockets have it.
+        self._socket = types.SimpleNamespace(recvfrom=self._receive_now)
+
+    def _receive_now(self, size):
+        if not self._inbox:
+            raise BlockingIOError
+        return self._inbox.pop(0)
+
+    async def recvfrom(self, size):
+        """Wait for a datagram; return it with its address."""
+        while not self._inbox:
+            self._arrived.clear()
+            await self._arrived.wait()
+        return self._inbox.pop(0)
+
+    async def sendto(self, raw, address):
+        """Send a datagram, which the network may lose."""
+        await self._fleet.send(raw, self._host, address[0])
+
+    async def put(self, raw, host):
+        """Append a datagram that has arrived."""
+        self._inbox.append((raw, (host, CONTROL_PORT)))
+        await self._arrived.set()
+
+
+class _ModelGossip(Gossip):
+    """Pulls snapshots over the model's network."""
+
+    # ``Gossip`` has slots.
+    __slots__ = ("fleet",)
+
+    async def _pull_snapshot(self, host):
+        asked_at = self._now()
+        raw = await self.fleet.fetch_snapshot(self.view.local_member.host, host)
+        if raw is None:
+            return
+        try:
+            snapshot = decode_snapshot(raw)
+        except DocumentError as exc:
+            self._log.warning("snapshot_failed", host=host, error=exc.message)
+            return
+        await self._apply_snapshot(snapshot, host, asked_at)
+
+
+class _ModelEntry:
+    """One entry: replica, feed, gossip and reader."""
+
+    def __init__(self, fleet, number):
+        self.fleet = fleet
+        self.number = number
+        self.paused_until = 0.0
+        self.is_stopped = False
+        self._tasks = []
+        self.host = f"10.1.0.{number + 1}" if number < 250 else f"10.2.0.{number - 249}"
+        domain = DOMAINS[number % len(DOMAINS)]
+        settings = decode_settings(orjson.dumps(self._settings(domain)))
+        now = fleet.clock.monotonic
+        self.log = _QuietLog(now)
+        local = Member(
+            settings.instance,
+            number + 1,
+            self.host,
+            domain,
+            MemberState.NOT_READY,
+            0.73,
+            False,
+            now(),
+        )
+        self.view = MembershipView(local)
+        self.replica = StoreReplica()
+        self.feed = StoreFeed(settings, self.replica, self.log)
+        self.gossip = _ModelGossip(
+            settings,
+            self.view,
+            self.replica,
+            self.feed,
+            self._on_changes,
+            now,
+            self.log,
+        )
+        self.gossip.fleet = fleet
+        self.gossip._sock = self.socket = _ModelSocket(fleet, self.host)
+        self.store = _StoreSession(fleet.store, self.host)
+        self.reader = StoreReader(
+            settings,
+            self.store,
+            self.view,
+            self.replica,
+            self.feed,
+            self.gossip,
+            self._on_changes,
+            now,
+            self.log,
+        )
+
+    def _settings(self, domain):
+        return {
+            "node_name": f"front-{domain}-{self.number + 1}",
+            "role": "entry",
+            "ip": self.host,
+            "zone": domain,
+            "region": "viti-levu",
+            "zones": dict.fromkeys(DOMAINS, "viti-levu"),
+            "listen": {
+                name: f"{self.host}:{CONTROL_PORT + offset}"
+                for offset, name in enumerate(
+                    ("control", "directory", "front", "readiness")
+                )
+            },
+            "port_range": [7740, 7755],
+            "seeds": [f"10.1.0.{number}:{CONTROL_PORT}" for number in (1, 2, 3)],
+            "bootstrap": True,
+            "limits": {"cpu_share": 0.731, "cores": 1, "memory_mb": 222},
+            "bounds": BOUNDS,
+            "platform": {"address": "10.200.1.7:8229", "form": "read"},
+        }
+
+    @property
+    def name(self):
+        """Name of the entry."""
+        return self.view.local_member.name
+
+    @property
+    def is_paused(self):
+        """Whether the process stands still."""
+        return self.fleet.now < self.paused_until
+
+    async def start(self):
+        """Start the tasks of the entry."""
+        tasks = (
+            self.gossip._receive,
+            self.gossip._run_heartbeats,
+            self.reader.run,
+            self._housekeeping,
+        )
+        for function in tasks:
+            coroutine = _pausable(function(), lambda: self.is_paused)
+            self._tasks.append(await curio.spawn(coroutine, daemon=True))
+
+    async def stop(self):
+        """End the process without a word to its peers."""
+        self.is_stopped = True
+        for task in self._tasks:
+            await task.cancel()
+
+    async def _housekeeping(self):
+        local = self.view.local_member
+        while True:
+            await curio.sleep(HOUSEKEEPING_INTERVAL_S)
+            now = self.fleet.now
+            if self.replica.is_complete and local.state is MemberState.NOT_READY:
+                local.state = MemberState.READY
+            chosen = select_active_members(self.view.ready_members(now))
+            local.is_active = local in chosen.get(local.domain, ())
+            self.view.remove_expired(now)
+
+    async def _on_changes(self, records, is_configuration_new, source):
+        if is_configuration_new:
+            version = self.replica.configuration_version
+            in_force = self.fleet.in_force.setdefault(version, {})
+            in_force.setdefault(self.name, self.fleet.now)
+
+
+class GossipFleet:
+    """Entries, their network and their store.
+
+    Delays are in s and uniform between ``delay_s`` and ``delay_s + jitter_s``;
+    ``loss`` is the share of datagrams that are lost. ``in_force`` maps versions of the
+    configuration to the times at which entries put them into force, by name, and
+    ``acknowledged`` to the time of the store's acknowledgement.
+    """
+
+    def __init__(
+        self, clock, count=15, seed=1, delay_s=0.0005, jitter_s=0.002, loss=0.0
+    ):
+        self.clock = clock
+        self.rng = random.Random(seed)
+        self.delay_s = delay_s
+        self.jitter_s = jitter_s
+        self.loss = loss
+        self.store = ModelStore()
+        self.in_force = {}
+        self.acknowledged = {}
+        self.entries = [_ModelEntry(self, number) for number in range(count)]
+        self._entries_by_host = {entry.host: entry for entry in self.entries}
+        # Functions (source, destination) -> whether datagrams and snapshots are cut.
+        self.is_cut = lambda source, destination: False
+
+    @property
+    def now(self):
+        """Current time in s."""
+        return self.clock.monotonic()
+
+    async def start(self, server_count=40):
+        """Write the first contents of the store and start all entries."""
+        self.publish(1)
+        await curio.spawn(self._run_servers, server_count, daemon=True)
+        for entry in self.entries:
+            await entry.start()
+
+    async def _run_servers(self, count):
+        """Let servers write their heartbeats one after the other."""
+        sequence = 0
+        while True:
+            for number in range(count):
+                document = {
+                    "service": f"shard-{number % 10}",
+                    "address": f"10.3.0.{number + 1}:8000",
+                    "zone": DOMAINS[number % len(DOMAINS)],
+                    "version": "1",
+                    "capacity": 3,
+                    "state": "ready",
+                    "warmup_left_ms": 0,
+                    "sequence": sequence,
+                    "born": 7,
+                }
+                self.store.put(f"{SERVER_PREFIX}i-{number}", document)
+                if sequence:
+                    await curio.sleep(SERVER_HEARTBEAT_S / count)
+            sequence += 1
+
+    def publish(self, version):
+        """Write a configuration; the store acknowledges it now."""
+        document = {"version": version, "routes": [], "services": []}
+        self.store.put(CONFIGURATION_KEY, document)
+        self.acknowledged[version] = self.now
+
+    def pause(self, entry, for_s):
+        """Let the process of an entry stand still."""
+        entry.paused_until = max(entry.paused_until, self.now + for_s)
+
+    async def send(self, raw, source, destination):
+        """Deliver a datagram after the network's delay, or lose it."""
+        receiver = self._entries_by_host.get(destination)
+        if receiver is None or self.is_cut(source, destination):
+            return
+        if receiver.is_stopped or self.rng.random() < self.loss:
+            return
+        await curio.spawn(self._deliver, raw, source, receiver, daemon=True)
+
+    async def _deliver(self, raw, source, receiver):
+        await curio.sleep(self._delay())
+        await receiver.socket.put(raw, source)
+
+    def _delay(self):
+        return self.delay_s + self.jitter_s * self.rng.random()
+
+    async def fetch_snapshot(self, source, destination):
+        """Return the snapshot of an entry, or None if it does not answer in 1 s."""
+        peer = self._entries_by_host[destination]
+        if peer.is_stopped or peer.is_paused or self.is_cut(source, destination):
+            await curio.sleep(1.0)
+            return None
+        await curio.sleep(self._delay())
+        replica = peer.replica
+        raw = encode_snapshot(replica, replica.age_s(self.now), [])
+        await curio.sleep(self._delay())
+        return raw
+
+    def last_in_force_s(self, version, excused=()):
+        """Return the time from the acknowledgement to the last entry, in s.
+
+        Entries that have not put the version or a later one into force count until
+        now. Entries that stopped, and those of ``excused``, do not count.
+        """
+        last = 0.0
+        for entry in self.entries:
+            if entry.is_stopped or entry in excused:
+                continue
+            times = [
+                in_force[entry.name]
+                for known, in_force in self.in_force.items()
+                if known >= version and entry.name in in_force
+            ]
+            last = max(last, min(times, default=self.now))
+        return last - self.acknowledged[version]
+
+
+def play(scenario, seed=1, **options):
+    """Run ``scenario(fleet)``, an async function, in a new fleet; return its result.
+
+    The fleet has been up for two seconds when the scenario starts.
+    """
+    clock = VirtualClock()
+    state = random.getstate()
+    random.seed(seed)
+
+    async def run_scenario():
+        fleet = GossipFleet(clock, seed=seed, **options)
+        await fleet.start()
+        await curio.sleep(2.0)
+        return await scenario(fleet)
+
+    try:
+        return run_in_virtual_time(run_scenario, clock=clock)
+    finally:
+        random.setstate(state)
