Let the age of a replica name the read that proves it

Callers got answers by a configuration whose successor the store had acknowledged more than 3 s before, from entries that were in touch and never paused.

Cause: when the store is read follows from the age of the replica, which entries take from each other's heartbeats. The age was counted from the moment at which a heartbeat was handled, and each entry passed it on, so that every hop took its way and its wait off the age: 0.03 s in a second among 15 entries, and all of a pause when an entry that had stood still handled what waited in its socket. Its heartbeats then made the replicas of the whole fleet count as fresh, and nobody read.

Change: a successful read has an identity (the process that made it and a number), heartbeats carry the identity of the read that confirms the replica, and of several statements on one read the earliest time counts. A copied replica counts from the moment at which it was asked for. Ages without an identity, of earlier builds, confirm nothing; at worst an entry reads too early.

--- a/almondtide/entry/codec.py
+++ b/almondtide/entry/codec.py
@@ -10,6 +10,7 @@
 from ..model.position import MAX_POSITION
 from ..model.published import Server
 from .evacuations import EvacuationNotice, EvacuationSummary
+from .freshness import ReadStatement
 from .members import RELAY_ABILITY, Member, MemberState
 
 __all__ = [
@@ -55,6 +56,8 @@
 ABILITIES_ITEM = 14
 MAX_ABILITIES = 32
 MAX_ABILITY_LENGTH = 32
+# Index of the read of the store that confirms the sender's replica, in a heartbeat.
+READ_ITEM = 15
 # Abilities of a build that names none but sends items 10 to 12.
 IMPLIED_ABILITIES = frozenset({RELAY_ABILITY})
 
@@ -88,6 +91,8 @@
     ``has_failing_links`` tells that it can reach no server. ``evacuations`` is an
     ``EvacuationSummary``, None from a sender that does not know or does not use them.
     ``abilities`` holds the names of what the sender's build can do for its peers.
+    ``read`` is the ``ReadStatement`` on the latest read of the store that confirms the
+    sender's replica, None before the first one and from earlier builds.
     """
 
     __slots__ = (
@@ -101,6 +106,7 @@
         "evacuations",
         "has_failing_links",
         "members",
+        "read",
         "reply_age_s",
         "sender",
         "wants_reply",
@@ -121,6 +127,7 @@
         has_failing_links=False,
         evacuations=None,
         abilities=(),
+        read=None,
     ):
         self.sender = sender
         self.digest = digest
@@ -135,6 +142,7 @@
         self.has_failing_links = has_failing_links
         self.evacuations = evacuations
         self.abilities = frozenset(abilities)
+        self.read = read
 
 
 class EvacuationUpdate:
@@ -333,14 +341,32 @@
         _pack_age(heartbeat.reply_age_s),
         heartbeat.has_failing_links,
     ]
-    has_evacuations = heartbeat.evacuations is not None
-    if has_evacuations or heartbeat.abilities:
-        message.append(
-            _pack_evacuations(heartbeat.evacuations) if has_evacuations else None
-        )
-    if heartbeat.abilities:
-        message.append(sorted(heartbeat.abilities))
-    return cbor2.dumps(message)
+    optional = [
+        _pack_evacuations(heartbeat.evacuations),
+        sorted(heartbeat.abilities) or None,
+        _pack_read(heartbeat.read),
+    ]
+    while optional and optional[-1] is None:
+        optional.pop()
+    return cbor2.dumps(message + optional)
+
+
+def _pack_read(statement):
+    if statement is None:
+        return None
+    return [statement.reader, statement.number, _pack_age(statement.age_s)]
+
+
+def _unpack_read(message):
+    """Return the ``ReadStatement`` in a heartbeat's array, or None."""
+    if len(message) <= READ_ITEM or message[READ_ITEM] is None:
+        return None
+    reader, number, age_ms = message[READ_ITEM][:3]
+    return ReadStatement(
+        _check_integer(reader),
+        _check_integer(number),
+        _check_number(age_ms, MAX_AGE_MS) / 1000.0,
+    )
 
 
 def _pack_notice(notice):
@@ -363,6 +389,8 @@
 
 
 def _pack_evacuations(summary):
+    if summary is None:
+        return None
     return [
         _pack_age(summary.age_s),
         summary.floor,
@@ -615,6 +643,7 @@
         bool(has_failing_links),
         evacuations,
         _unpack_abilities(message),
+        _unpack_read(message),
     )
 
 
--- a/almondtide/entry/feed.py
+++ b/almondtide/entry/feed.py
@@ -305,7 +305,7 @@
             self._position_before_held = before, self.read_at
         self.cursor = position
         self.read_at = now
-        self._replica.mark_fresh(now)
+        self._replica.freshness.note_local_read(now)
 
     @property
     def shared_position(self):
--- a/almondtide/entry/gossip.py
+++ b/almondtide/entry/gossip.py
@@ -341,6 +341,7 @@
             self._links is not None and self._links.is_failing,
             self._feed.evacuations.summary(now),
             ABILITIES,
+            replica.freshness.statement(now),
         )
 
     def _demands_to_report(self, now):
@@ -619,7 +620,10 @@
             and heartbeat.configuration_version == replica.configuration_version
         ):
             self._digest_differs_since = None
-            replica.mark_fresh(now - heartbeat.age_s)
+            read = heartbeat.read
+            if read is not None:
+                # Ages that name no read, of earlier builds, may be too small.
+                replica.freshness.note_read(read.reader, read.number, now - read.age_s)
             if not has_evacuations:
                 # The changes up to the sender's cursor may contain evacuations.
                 return
@@ -756,7 +760,7 @@
             for record in (replica.merge_server(*record, now) for record in records)
             if record is not None
         ]
-        replica.mark_fresh(now - snapshot.age_s)
+        replica.mark_copied(asked_at - snapshot.age_s)
         self._digest_differs_since = None
         if changed or is_configuration_new:
             await self._on_changes(changed, is_configuration_new, f"snapshot {host}")
--- a/almondtide/entry/replica.py
+++ b/almondtide/entry/replica.py
@@ -2,6 +2,8 @@
 
 import hashlib
 
+from .freshness import Freshness
+
 __all__ = ["AnnouncedEnd", "ServerRecord", "StoreReplica"]
 
 # Records of removed keys are kept for this long, in s, so that a late update with an
@@ -94,9 +96,8 @@
 class StoreReplica:
     """Records of one daemon, merged by position from the store and from peers.
 
-    ``digest`` is equal for daemons that know the same servers. ``fresh_at`` is the
-    latest time at which the replica is known to have matched the store, in seconds
-    on the daemon's clock, or None.
+    ``digest`` is equal for daemons that know the same servers. ``freshness`` holds the
+    reads of the store that confirm the replica.
 
     Besides the records of the store it holds the ends that servers announced in their
     replies, which the store may not know. They outlast the entry of a server, which
@@ -104,13 +105,14 @@
     """
 
     __slots__ = (
+        "_copied_at",
         "_ends",
         "_records",
         "configuration",
         "configuration_position",
         "configuration_raw",
         "digest",
-        "fresh_at",
+        "freshness",
         "position",
     )
 
@@ -123,7 +125,9 @@
         self.configuration_position = 0
         self.digest = 0
         self.position = 0
-        self.fresh_at = None
+        self.freshness = Freshness()
+        # Latest time at which a copied replica matched the store, or None.
+        self._copied_at = None
 
     @property
     def configuration_version(self):
@@ -139,10 +143,22 @@
         """Return the age of the replica in seconds, or None before the first read."""
         return None if self.fresh_at is None else max(0.0, now - self.fresh_at)
 
-    def mark_fresh(self, at):
-        """Record that the replica matched the store at time ``at``."""
-        if self.fresh_at is None or at > self.fresh_at:
-            self.fresh_at = at
+    @property
+    def fresh_at(self):
+        """Latest time at which the replica is known to have matched the store, in s.
+
+        None if there is none yet.
+        """
+        times = (self.freshness.latest_at, self._copied_at)
+        return max((at for at in times if at is not None), default=None)
+
+    def mark_copied(self, at):
+        """Record that a replica that was copied matched the store at time ``at``.
+
+        ``at`` must not be later than that, whatever the copy's way took.
+        """
+        if self._copied_at is None or at > self._copied_at:
+            self._copied_at = at
 
     def merge_configuration(self, configuration, raw, position):
         """Store a configuration if its version is newer; returns whether it is."""
--- a/tests/entry/test_daemon.py
+++ b/tests/entry/test_daemon.py
@@ -70,7 +70,7 @@
         daemon = EntryDaemon(settings, MemoryLog(), None, lambda: self.reloaded)
         raw = orjson.dumps({"version": 3, "routes": [], "services": []})
         daemon.feed.merge_configuration(raw, 4)
-        daemon.replica.mark_fresh(daemon.started_at)
+        daemon.replica.mark_copied(daemon.started_at)
         run(daemon._on_changes, [], True, "snapshot")
         return daemon
 
--- a/tests/entry/test_evacuations.py
+++ b/tests/entry/test_evacuations.py
@@ -434,7 +434,7 @@
     def test_an_entry_that_knows_no_evacuations_reads_all(self):
         # It has the replica and the cursor of peers of an older build.
         async def scenario(store, entry, reader):
-            entry.replica.mark_fresh(entry.now)
+            entry.replica.mark_copied(entry.now)
             entry.feed.cursor = store.revision
             self.assertTrue(reader._next_read_at(entry.now) <= entry.now)
             await reader._read()
@@ -446,7 +446,7 @@
         async def scenario(store, entry, reader):
             await reader._read()
             due_at = reader._next_read_at(entry.now)
-            entry.replica.mark_fresh(entry.now + 5.0)
+            entry.replica.mark_copied(entry.now + 5.0)
             self.assertEqual(due_at, reader._next_read_at(entry.now))
             entry.state.mark_known(entry.now + 5.0)
             self.assertAlmostEqual(due_at + 5.0, reader._next_read_at(entry.now))
--- a/tests/entry/test_gossip.py
+++ b/tests/entry/test_gossip.py
@@ -20,6 +20,7 @@
 )
 from almondtide.entry.directory import DISCOVERY_S, Directory
 from almondtide.entry.feed import StoreFeed
+from almondtide.entry.freshness import ReadStatement
 from almondtide.entry.gossip import (
     OTHER_DOMAIN_DIGEST_GRACE_S,
     OTHER_DOMAIN_FANOUT,
@@ -42,6 +43,7 @@
 
 SETTINGS = decode_settings(orjson.dumps(settings_document()))
 DOMAINS = ("lautoka", "nadi", "suva")
+READER = 77
 SERVER = ("servers/i-1", orjson.dumps(ENTRY))
 
 
@@ -208,6 +210,7 @@
     def _compare_replicas(self, daemon, digest, age_s, version=0, arrived_after=None):
         sender = _member(1, last_heard_at=daemon.now)
         heartbeat = Heartbeat(sender, digest, version, age_s, [], False, 40, age_s)
+        heartbeat.read = ReadStatement(READER, 1, age_s)
         arrived_after = daemon.now if arrived_after is None else arrived_after
         run(
             daemon.gossip._on_heartbeat,
@@ -224,6 +227,18 @@
         self.assertAlmostEqual(9.6, daemon.replica.fresh_at)
         self.assertEqual((40, 9.6), daemon.feed.shared_position)
 
+    def test_an_age_that_waited_does_not_confirm_a_known_read_anew(self):
+        daemon = _Daemon(3)
+        for daemon.now in (10.0, 12.5):
+            self._compare_replicas(daemon, daemon.replica.digest, 0.4)
+        self.assertAlmostEqual(9.6, daemon.replica.fresh_at)
+
+    def test_an_age_that_names_no_read_confirms_nothing(self):
+        daemon = _Daemon(3)
+        heartbeat = Heartbeat(_member(1), daemon.replica.digest, 0, 0.4, [], False)
+        run(daemon.gossip._compare_replicas, heartbeat, "127.0.0.9", 10.0, 10.0)
+        self.assertIsNone(daemon.replica.fresh_at)
+
     def test_time_of_the_cursor_counts_from_the_earliest_arrival(self):
         # The daemon was paused since 6.0; the heartbeat may have arrived right then.
         daemon = _Daemon(3)
@@ -244,7 +259,7 @@
     def test_different_digest_does_not_confirm_freshness(self):
         daemon = _Daemon(3)
         daemon.now = 10.0
-        daemon.replica.mark_fresh(5.0)
+        daemon.replica.mark_copied(5.0)
         self._compare_replicas(daemon, daemon.replica.digest + 1, 0.4)
         self.assertEqual(5.0, daemon.replica.fresh_at)
         self.assertIsNone(daemon.feed.cursor)
@@ -252,7 +267,7 @@
     def test_a_large_fleet_prefers_snapshots_of_the_local_domain(self):
         for sender, delay_s in ((3, 0.3), (1, OTHER_DOMAIN_DIGEST_GRACE_S + 0.1)):
             daemon = _Daemon(40)
-            daemon.replica.mark_fresh(1.0)
+            daemon.replica.mark_copied(1.0)
             daemon.replica.configuration = Configuration(2)
             for now, is_pulled in ((10.0, False), (10.0 + delay_s, True)):
                 heartbeat = Heartbeat(_member(sender), 99, 2, 0.1, [], False)
@@ -267,7 +282,7 @@
         ):
             daemon = _Daemon(40)
             daemon.view.local_member.is_active = is_active
-            daemon.replica.mark_fresh(1.0)
+            daemon.replica.mark_copied(1.0)
             daemon.replica.configuration = Configuration(2)
             heartbeat = Heartbeat(_member(sender), 99, 3, 0.1, [], False)
             run(daemon.gossip._compare_replicas, heartbeat, "127.0.0.1", 10.0, 10.0)
@@ -285,7 +300,7 @@
     def test_an_older_heartbeat_is_ignored(self):
         daemon = _Daemon(3)
         daemon.now = 10.0
-        daemon.replica.mark_fresh(9.9)
+        daemon.replica.mark_copied(9.9)
         self._compare_replicas(daemon, daemon.replica.digest, 5.0)
         self.assertEqual(9.9, daemon.replica.fresh_at)
 
@@ -434,7 +449,7 @@
                 await store.put(f"servers/i-{number}", ENTRY)
             for _ in range(10):
                 daemon.now += 0.5
-                daemon.replica.mark_fresh(daemon.now)
+                daemon.replica.mark_copied(daemon.now)
                 daemon.feed.adopt_cursor(store.revision, daemon.now)
                 await reader._read_if_due()
             self.assertEqual(11, len(daemon.replica.server_records()))
@@ -471,7 +486,7 @@
     def test_a_daemon_with_a_fresh_replica_does_not_read(self):
         async def scenario(store, daemon, reader):
             daemon.now = 10.0
-            daemon.replica.mark_fresh(9.9)
+            daemon.replica.mark_copied(9.9)
             self.assertTrue(reader._next_read_at(daemon.now) > daemon.now)
             task = await curio.spawn(reader.run, daemon=True)
             await curio.sleep(0.05)
@@ -515,7 +530,7 @@
         self.told.replica.configuration_raw = orjson.dumps(
             {"version": 1, "routes": [], "services": []}
         )
-        self.told.replica.mark_fresh(0.0)
+        self.told.replica.mark_copied(0.0)
         response = run(self.told.gossip.handle_request, request)
         snapshot = decode_snapshot(response.body)
         run(self.other.gossip._apply_snapshot, snapshot, "10.0.0.1", 0.0)
