Put a configuration into force whose read failed later

Callers of a reader of the store could be served by an old configuration until the next change, although the entry named the new version in its heartbeats.

Cause: a full read takes the configuration before the list of servers. If the list fails (a refusal, a timeout, a restored store), the replica had the version, but nothing applied it, and from then on it counted as known.

Both tests fail on the code before ([3] applied where [3, 5] is due; version 0 in force where 3 is due). Tests of entry and rollout pass.

--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -124,8 +124,8 @@
         )
         # Evacuated domains whose servers are known to be no last resort any more.
         self._stopped_domains = set()
-        # Whether a configuration waits until the evacuated domains are known.
-        self._is_configuration_pending = False
+        # The ``Configuration`` that callers are served by, None before the first.
+        self._served_configuration = None
         # Where the newest configuration came from, for the log.
         self._configuration_source = ""
         self.gossip.set_loss_handler(self.crash_detector.merge_peer_losses)
@@ -444,19 +444,7 @@
         for record in records:
             await self._apply_record(record, source)
         if is_configuration_new:
-            self._is_configuration_pending = True
-            configuration = self.replica.configuration
-            self.table.connection_limits = {
-                name: service.max_connections
-                for name, service in configuration.services.items()
-            }
-            self._configure_warmup()
-            self.dispatcher.max_pause_s = max(
-                (route.timeout_s for route in configuration.routes),
-                default=DEFAULT_MAX_PAUSE_S,
-            )
             self._configuration_source = source
-            self._log_regions(configuration)
         self._update_role(boottime_now())
 
     def _log_regions(self, configuration):
@@ -472,18 +460,36 @@
                 )
 
     def _serve_configuration(self):
-        """Serve callers by a new configuration, once evacuated domains are known."""
-        if self._is_configuration_pending and self.feed.knows_evacuations:
-            self._is_configuration_pending = False
-            self.frontend.apply_configuration()
-            configuration = self.frontend.routes.configuration
-            self.log.info(
-                "configuration_in_force",
-                version=configuration.version,
-                revision=revision_of(self.replica.configuration_position),
-                routes=len(configuration.routes),
-                source=self._configuration_source,
-            )
+        """Serve callers by the replica's configuration if they are not yet.
+
+        It waits until the evacuated domains are known. What is in force is compared
+        with the replica, so that a version whose first application failed is applied
+        by the next call.
+        """
+        configuration = self.replica.configuration
+        if configuration is self._served_configuration:
+            return
+        if not self.feed.knows_evacuations:
+            return
+        self.table.connection_limits = {
+            name: service.max_connections
+            for name, service in configuration.services.items()
+        }
+        self._configure_warmup()
+        self.dispatcher.max_pause_s = max(
+            (route.timeout_s for route in configuration.routes),
+            default=DEFAULT_MAX_PAUSE_S,
+        )
+        self.frontend.apply_configuration()
+        self._served_configuration = configuration
+        self.log.info(
+            "configuration_in_force",
+            version=configuration.version,
+            revision=revision_of(self.replica.configuration_position),
+            routes=len(configuration.routes),
+            source=self._configuration_source,
+        )
+        self._log_regions(configuration)
 
     async def _apply_record(self, record, source):
         now = boottime_now()
--- a/almondtide/entry/reader.py
+++ b/almondtide/entry/reader.py
@@ -139,6 +139,8 @@
             changed = await self._read_store()
         except PlatformError as exc:
             self._note_failure(exc, started_at)
+            # The configuration may have been read before the list of servers failed.
+            await self._send_updates([], self._replica.configuration_version != before)
             return
         self._note_success()
         self._log.info(
--- a/tests/entry/test_daemon.py
+++ b/tests/entry/test_daemon.py
@@ -60,6 +60,19 @@
         self.assertEqual(expected, names)
 
 
+class ConfigurationTest(testtools.TestCase):
+    """Guards against a version that the replica has and nobody is served by."""
+
+    def test_a_version_whose_application_failed_is_applied_later(self):
+        settings = decode_settings(orjson.dumps(settings_document()))
+        daemon = EntryDaemon(settings, MemoryLog(), None, None)
+        raw = orjson.dumps({"version": 3, "routes": [], "services": []})
+        daemon.feed.merge_configuration(raw, 4)
+        # Housekeeping calls this.
+        daemon._update_role(daemon.started_at)
+        self.assertEqual(3, daemon.frontend.version_in_force)
+
+
 class EvacuationTest(testtools.TestCase):
     """Guards against callers that are served before the evacuations are known."""
 
--- a/tests/entry/test_gossip.py
+++ b/tests/entry/test_gossip.py
@@ -86,6 +86,7 @@
         self.log = MemoryLog()
         self.feed = StoreFeed(SETTINGS, self.replica, self.log)
         self.changed = []
+        self.versions_applied = []
         self.gossip = Gossip(
             SETTINGS,
             self.view,
@@ -99,6 +100,8 @@
 
     async def _on_changes(self, records, is_configuration_new, source):
         self.changed.extend(records)
+        if is_configuration_new:
+            self.versions_applied.append(self.replica.configuration_version)
 
     def heartbeat(self):
         """Send one round of heartbeats; returns the hosts and the first message."""
@@ -414,6 +417,20 @@
 
         self._run_scenario(scenario)
 
+    def test_a_configuration_of_a_read_that_fails_later_is_applied(self):
+        # It counted as known from then on, and was never put into force.
+        async def scenario(store, daemon, reader):
+            await store.put("op/config", {"version": 3, "routes": [], "services": []})
+            await reader._read()
+            await store.put("op/config", {"version": 5, "routes": [], "services": []})
+            store.drop_history()
+            store._range = lambda query: HTTPResponse(503)
+            await reader._read()
+            self.assertIn("store_lost", daemon.log.names())
+            self.assertEqual([3, 5], daemon.versions_applied)
+
+        self._run_scenario(scenario)
+
     def test_full_read_when_watches_are_not_answered(self):
         # The store answers other reads, but no watch.
         async def scenario(store, daemon, reader):
