Take a newer configuration from any peer that has it

An entry that had missed an update did not take the version from peers that named it in their heartbeats, if its own replica was fresher than theirs: it waited for the next read of the store.

Versions alone tell which configuration is newer; the age of a replica decides only for the list of servers. The log line newer_version_passed_over goes, as nothing is passed over any more. Tests of entry and rollout pass.

--- a/almondtide/entry/gossip.py
+++ b/almondtide/entry/gossip.py
@@ -100,7 +100,6 @@
         "_on_end_announced",
         "_on_limit_end",
         "_on_loss",
-        "_passed_over",
         "_rate_shares",
         "_replica",
         "_sock",
@@ -127,8 +126,6 @@
         self._tasks = []
         self._digest_differs_since = None
         self._last_pull_at = 0.0
-        # Highest version that a peer of an older replica named, for the log.
-        self._passed_over = 0
         self._heartbeat_requested = curio.Event()
         self.counts = {
             "datagrams_out": 0,
@@ -632,44 +629,27 @@
                 heartbeat.cursor, None if age_s is None else arrived_after - age_s
             )
             return
-        age_s = replica.age_s(now)
-        if age_s is not None and heartbeat.age_s >= age_s:
-            self._note_passed_over(heartbeat, host, age_s)
-            return
-        if self._digest_differs_since is None:
-            self._digest_differs_since = now
         is_other_domain = (
             self.view.is_large
             and heartbeat.sender.domain != self.view.local_member.domain
         )
-        grace_s = OTHER_DOMAIN_DIGEST_GRACE_S if is_other_domain else DIGEST_GRACE_S
-        has_waited = now - self._digest_differs_since >= grace_s
-        # A new configuration is pulled at once. In a large fleet only active members
-        # pull it from another failure domain; standbys pull it within their own.
+        # A newer configuration is pulled at once, whichever replica is older. In a
+        # large fleet only active members pull it from another failure domain; standbys
+        # pull it within their own.
         has_newer_configuration = (
             heartbeat.configuration_version > replica.configuration_version
-        )
-        has_newer_configuration = has_newer_configuration and (
-            self.view.local_member.is_active or not is_other_domain
-        )
+        ) and (self.view.local_member.is_active or not is_other_domain)
+        age_s = replica.age_s(now)
+        is_older = age_s is not None and heartbeat.age_s >= age_s
+        if is_older and not has_newer_configuration:
+            return
+        if self._digest_differs_since is None:
+            self._digest_differs_since = now
+        grace_s = OTHER_DOMAIN_DIGEST_GRACE_S if is_other_domain else DIGEST_GRACE_S
+        has_waited = now - self._digest_differs_since >= grace_s
         if not replica.is_complete or has_waited or has_newer_configuration:
             await self._start_pull(host, now)
 
-    def _note_passed_over(self, heartbeat, host, age_s):
-        """Log once that a peer has a newer version, but an older replica."""
-        version = heartbeat.configuration_version
-        if version <= max(self._replica.configuration_version, self._passed_over):
-            return
-        self._passed_over = version
-        self._log.info(
-            "newer_version_passed_over",
-            host=host,
-            version=version,
-            known=self._replica.configuration_version,
-            peer_age_ms=int(heartbeat.age_s * 1000),
-            age_ms=int(age_s * 1000),
-        )
-
     async def _start_pull(self, host, now):
         if now - self._last_pull_at < DIGEST_GRACE_S:
             return
--- a/tests/entry/test_gossip.py
+++ b/tests/entry/test_gossip.py
@@ -291,6 +291,15 @@
             run(daemon.gossip._compare_replicas, heartbeat, "127.0.0.1", 10.0, 10.0)
             self.assertEqual(is_pulled, daemon.gossip._last_pull_at == 10.0, sender)
 
+    def test_a_newer_configuration_is_pulled_from_a_peer_of_an_older_replica(self):
+        # The peer got it by an update, and the next read is up to a second away.
+        daemon = _Daemon(3)
+        daemon.now = 10.0
+        daemon.replica.configuration = Configuration(2)
+        daemon.replica.mark_copied(9.9)
+        self._compare_replicas(daemon, daemon.replica.digest, 0.8, version=3)
+        self.assertEqual(10.0, daemon.gossip._last_pull_at)
+
     def test_an_active_member_announces_a_configuration_that_it_pulled(self):
         for is_active in (False, True):
             daemon = _Daemon(40)
