Let the age of known evacuations name the read that proves it

The state has the reads that confirm it, as the replica has; the age of an earlier build counts from before the message can have been sent. The new test fails on the code before (12.0 where 10.0 is due).

--- a/almondtide/entry/codec.py
+++ b/almondtide/entry/codec.py
@@ -357,11 +357,11 @@
     return [statement.reader, statement.number, _pack_age(statement.age_s)]
 
 
-def _unpack_read(message):
-    """Return the ``ReadStatement`` in a heartbeat's array, or None."""
-    if len(message) <= READ_ITEM or message[READ_ITEM] is None:
+def _unpack_read(item):
+    """Return the ``ReadStatement`` in an item, or None."""
+    if item is None:
         return None
-    reader, number, age_ms = message[READ_ITEM][:3]
+    reader, number, age_ms = item[:3]
     return ReadStatement(
         _check_integer(reader),
         _check_integer(number),
@@ -395,6 +395,7 @@
         _pack_age(summary.age_s),
         summary.floor,
         [_pack_notice(notice) for notice in summary.notices],
+        _pack_read(summary.read),
     ]
 
 
@@ -406,6 +407,7 @@
         _check_number(age_ms, MAX_AGE_MS) / 1000.0,
         _check_integer(floor, MAX_POSITION),
         [_unpack_notice(notice) for notice in notices],
+        _unpack_read(item[3] if len(item) > 3 else None),
     )
 
 
@@ -643,7 +645,7 @@
         bool(has_failing_links),
         evacuations,
         _unpack_abilities(message),
-        _unpack_read(message),
+        _unpack_read(message[READ_ITEM] if len(message) > READ_ITEM else None),
     )
 
 
--- a/almondtide/entry/evacuations.py
+++ b/almondtide/entry/evacuations.py
@@ -5,6 +5,8 @@
 reads the change in the store, and go back to them when the change is withdrawn.
 """
 
+from .freshness import Freshness
+
 __all__ = [
     "MAX_MESSAGE_WAIT_S",
     "Evacuation",
@@ -54,25 +56,27 @@
     """All that an entry knows of evacuations, for a heartbeat or a snapshot.
 
     It matched the store ``age_s`` ago. Domains without a notice were not evacuated at
-    the position ``floor``.
+    the position ``floor``. ``read`` is the ``ReadStatement`` on the latest read that
+    confirms it, None from earlier builds.
     """
 
-    __slots__ = ("age_s", "floor", "notices")
+    __slots__ = ("age_s", "floor", "notices", "read")
 
-    def __init__(self, age_s, floor, notices):
+    def __init__(self, age_s, floor, notices, read=None):
         self.age_s = age_s
         self.floor = floor
         self.notices = list(notices)
+        self.read = read
 
 
 class Evacuations:
     """The evacuations known to one entry, merged by position.
 
-    ``known_at`` is the latest time at which they are known to have matched the store,
-    or None if they are unknown. Times are in s on the clock of the entry.
+    ``freshness`` holds the reads that confirm them. Times are in s on the clock of the
+    entry.
     """
 
-    __slots__ = ("_on_change", "_on_known", "_states", "counts", "floor", "known_at")
+    __slots__ = ("_on_change", "_on_known", "_states", "counts", "floor", "freshness")
 
     def __init__(self):
         # Domain -> Evacuation. A withdrawn one is kept until the floor passes it, so
@@ -81,7 +85,7 @@
         self._on_change = None
         self._on_known = None
         self.floor = 0
-        self.known_at = None
+        self.freshness = Freshness()
         self.counts = {"begun": 0, "withdrawn": 0, "held": 0, "invalid": 0}
 
     def set_listeners(self, on_change, on_known):
@@ -138,12 +142,33 @@
             if not state.is_active and state.position <= self.floor:
                 del self._states[domain]
 
-    def mark_known(self, at):
-        """Record that the state matched the store at a time."""
+    @property
+    def known_at(self):
+        """Latest time at which the state is known to have matched the store."""
+        return self.freshness.latest_at
+
+    def note_local_read(self, began_at):
+        """Record that a read of this entry confirms the state."""
+        was_known = self.known_at is not None
+        self.freshness.note_local_read(began_at)
+        self._report_known(was_known)
+
+    def confirm(self, summary, sent_at, counted_from):
+        """Record that a peer's ``EvacuationSummary`` of the same state arrived.
+
+        ``sent_at`` is about when it was sent, and ``counted_from`` a time before that,
+        from which an age counts that names no read, as of an earlier build.
+        """
         was_known = self.known_at is not None
-        if not was_known or at > self.known_at:
-            self.known_at = at
-        if not was_known and self._on_known is not None:
+        read = summary.read
+        if read is None:
+            self.freshness.note_copy(counted_from - summary.age_s)
+        else:
+            self.freshness.note_read(read.reader, read.number, sent_at - read.age_s)
+        self._report_known(was_known)
+
+    def _report_known(self, was_known):
+        if not was_known and self.known_at is not None and self._on_known is not None:
             self._on_known()
 
     def clear(self):
@@ -154,7 +179,7 @@
                 self._on_change(ended, "settings")
         self._states.clear()
         self.floor = 0
-        self.known_at = None
+        self.freshness = Freshness()
 
     def notices(self, now, states=None):
         """Return ``EvacuationNotice`` objects for some states, or for all."""
@@ -173,5 +198,8 @@
         if self.known_at is None:
             return None
         return EvacuationSummary(
-            max(0.0, now - self.known_at), self.floor, self.notices(now)
+            max(0.0, now - self.known_at),
+            self.floor,
+            self.notices(now),
+            self.freshness.statement(now),
         )
--- a/almondtide/entry/feed.py
+++ b/almondtide/entry/feed.py
@@ -271,7 +271,7 @@
             else:
                 self._merge_item(item, now, changed)
         if self.uses_evacuations and self.evacuations.known_at is not None:
-            self.evacuations.mark_known(now)
+            self.evacuations.note_local_read(now)
         self._set_position(max(position, self.cursor or 0), now)
         return changed
 
@@ -429,7 +429,7 @@
             else:
                 self._hold_withdrawal(state.domain, position, until)
         self.evacuations.raise_floor(position)
-        self.evacuations.mark_known(now)
+        self.evacuations.note_local_read(now)
 
     def _withdrawal_held_until(self, domain, now):
         """Return until when an evacuation of an earlier era is kept, or None."""
--- a/almondtide/entry/freshness.py
+++ b/almondtide/entry/freshness.py
@@ -1,6 +1,6 @@
-"""How recently a replica matched the store, as proved by reads that have an identity.
+"""How recently a state matched the store, as proved by reads that have an identity.
 
-Daemons tell each other the age of their replicas. An age that is passed on leaves out
+Daemons tell each other the age of what they know. An age that is passed on leaves out
 the time in which the message waited, so that ages that go round become too small, the
 more so if a process stands still in between; then nobody reads the store in time. So
 each age names the read that proves it, and of several statements on one read the
@@ -32,9 +32,10 @@
 
 
 class Freshness:
-    """The reads that confirm the replica of one daemon; times are on its clock in s.
+    """The reads that confirm what one daemon knows; times are on its clock in s.
 
-    ``latest_at`` is the time at which the latest of them began, or None.
+    ``latest_at`` is the latest time at which it is known to have matched the store: the
+    time at which a read began, or that of a copied state; None if there is none.
 
     >>> freshness = Freshness()
     >>> freshness.note_read(7, 1, 10.0)
@@ -43,14 +44,36 @@
     10.0
     """
 
-    __slots__ = ("_local_number", "_local_reader", "_reads", "latest_at")
+    __slots__ = (
+        "_copied_at",
+        "_local_number",
+        "_local_reader",
+        "_read_at",
+        "_reads",
+    )
 
     def __init__(self):
         self._local_reader = secrets.randbits(READER_ID_BITS)
         self._local_number = 0
         # Reader -> (number of its latest read, time at which it began).
         self._reads = {}
-        self.latest_at = None
+        # Time of the latest of these reads, and of the latest copy, or None.
+        self._read_at = None
+        self._copied_at = None
+
+    @property
+    def latest_at(self):
+        """Latest time at which the state is known to have matched the store, in s."""
+        times = (self._read_at, self._copied_at)
+        return max((at for at in times if at is not None), default=None)
+
+    def note_copy(self, at):
+        """Record that a state that was copied from a peer matched the store at ``at``.
+
+        ``at`` must not be later than that, whatever the copy's way took.
+        """
+        if self._copied_at is None or at > self._copied_at:
+            self._copied_at = at
 
     def note_local_read(self, began_at):
         """Record that a read of this daemon succeeded."""
@@ -58,7 +81,7 @@
         self._set(self._local_reader, self._local_number, began_at)
 
     def note_read(self, reader, number, began_at):
-        """Record a peer's statement on a read that confirms the replica.
+        """Record a peer's statement on a read that confirms the state.
 
         Statements on an earlier read of the same reader, and later times of the same
         read, change nothing.
@@ -72,15 +95,15 @@
 
     def _set(self, reader, number, began_at):
         self._reads[reader] = (number, began_at)
-        self.latest_at = max(at for _, at in self._reads.values())
-        oldest_at = self.latest_at - RETENTION_S
+        self._read_at = max(at for _, at in self._reads.values())
+        oldest_at = self._read_at - RETENTION_S
         for known, (_, at) in list(self._reads.items()):
             if at < oldest_at:
                 del self._reads[known]
 
     def statement(self, now):
         """Return the ``ReadStatement`` on the latest read, or None."""
-        if self.latest_at is None:
+        if not self._reads:
             return None
         reader, (number, began_at) = max(
             self._reads.items(), key=lambda item: (item[1][1], item[0])
--- a/almondtide/entry/gossip.py
+++ b/almondtide/entry/gossip.py
@@ -531,11 +531,14 @@
         if changed and self.view.is_large:
             await self.send_evacuations(changed, host)
 
-    def _learn_all_evacuations(self, summary, position, host, now, counted_from):
+    def _learn_all_evacuations(
+        self, summary, position, host, now, sent_at, counted_from
+    ):
         """Take over the evacuations in a heartbeat or a snapshot of a peer.
 
-        ``position`` is that of the peer's replica. Return whether the peer knows them
-        and all were taken over, so that its cursor may be adopted.
+        ``position`` is that of the peer's replica; for the times see
+        ``Evacuations.confirm``. Return whether the peer knows them and all were taken
+        over, so that its cursor may be adopted.
         """
         feed = self._feed
         if not feed.uses_evacuations:
@@ -546,13 +549,13 @@
             summary, counted_from, now, f"peer {host}"
         )
         if is_complete and era_of(position) >= feed.era:
-            feed.evacuations.mark_known(now - summary.age_s)
+            feed.evacuations.confirm(summary, sent_at, counted_from)
         return is_complete
 
     async def _on_heartbeat(self, heartbeat, host, now, arrived_after):
         self._feed.note_era(era_of(heartbeat.cursor), now)
         has_evacuations = self._learn_all_evacuations(
-            heartbeat.evacuations, heartbeat.cursor, host, now, arrived_after
+            heartbeat.evacuations, heartbeat.cursor, host, now, now, arrived_after
         )
         self._update_member(heartbeat.sender, now)
         if self.view.note_abilities(heartbeat.sender, heartbeat.abilities):
@@ -720,7 +723,7 @@
         self._feed.note_era(era_of(snapshot.position), now)
         # First, so that no server of an evacuated domain is used in between.
         self._learn_all_evacuations(
-            snapshot.evacuations, snapshot.position, host, now, asked_at
+            snapshot.evacuations, snapshot.position, host, now, asked_at, asked_at
         )
         is_configuration_new = self._feed.merge_configuration(
             snapshot.configuration_raw, snapshot.configuration_position
@@ -740,7 +743,7 @@
             for record in (replica.merge_server(*record, now) for record in records)
             if record is not None
         ]
-        replica.mark_copied(asked_at - snapshot.age_s)
+        replica.freshness.note_copy(asked_at - snapshot.age_s)
         self._digest_differs_since = None
         if changed or is_configuration_new:
             await self._on_changes(changed, is_configuration_new, f"snapshot {host}")
--- a/almondtide/entry/replica.py
+++ b/almondtide/entry/replica.py
@@ -105,7 +105,6 @@
     """
 
     __slots__ = (
-        "_copied_at",
         "_ends",
         "_records",
         "configuration",
@@ -126,8 +125,6 @@
         self.digest = 0
         self.position = 0
         self.freshness = Freshness()
-        # Latest time at which a copied replica matched the store, or None.
-        self._copied_at = None
 
     @property
     def configuration_version(self):
@@ -149,16 +146,7 @@
 
         None if there is none yet.
         """
-        times = (self.freshness.latest_at, self._copied_at)
-        return max((at for at in times if at is not None), default=None)
-
-    def mark_copied(self, at):
-        """Record that a replica that was copied matched the store at time ``at``.
-
-        ``at`` must not be later than that, whatever the copy's way took.
-        """
-        if self._copied_at is None or at > self._copied_at:
-            self._copied_at = at
+        return self.freshness.latest_at
 
     def merge_configuration(self, configuration, raw, position):
         """Store a configuration if its version is newer; returns whether it is."""
--- a/tests/entry/test_daemon.py
+++ b/tests/entry/test_daemon.py
@@ -83,7 +83,7 @@
         daemon = EntryDaemon(settings, MemoryLog(), None, lambda: self.reloaded)
         raw = orjson.dumps({"version": 3, "routes": [], "services": []})
         daemon.feed.merge_configuration(raw, 4)
-        daemon.replica.mark_copied(daemon.started_at)
+        daemon.replica.freshness.note_copy(daemon.started_at)
         run(daemon._on_changes, [], True, "snapshot")
         return daemon
 
@@ -91,7 +91,7 @@
         daemon = self._daemon(5000)
         self.assertIs(MemberState.NOT_READY, daemon.view.local_member.state)
         self.assertIsNone(daemon.frontend.routes)
-        daemon.feed.evacuations.mark_known(daemon.started_at)
+        daemon.feed.evacuations.note_local_read(daemon.started_at)
         self.assertIs(MemberState.READY, daemon.view.local_member.state)
         self.assertEqual(3, daemon.frontend.routes.configuration.version)
 
--- a/tests/entry/test_evacuations.py
+++ b/tests/entry/test_evacuations.py
@@ -335,6 +335,15 @@
         self.assertEqual((5, READ_AT), (self.peer.feed.cursor, self.peer.feed.read_at))
         self.assertEqual(READ_AT, self.peer.state.known_at)
 
+    def test_an_age_that_waited_does_not_confirm_a_known_read_anew(self):
+        # Otherwise no entry would read the store in time, and an evacuation be late.
+        raw = self.reader.heartbeat()
+        self.peer.receive(raw)
+        known_at = self.peer.state.known_at
+        self.peer.now += 2.0
+        self.peer.receive(raw)
+        self.assertEqual(known_at, self.peer.state.known_at)
+
     def test_a_malformed_state_is_refused(self):
         items = cbor2.loads(self.reader.heartbeat())
         for state in (3, [], [-1, 0, []], [0, 0, [["nadi", 5, True, float("nan")]]]):
@@ -434,7 +443,7 @@
     def test_an_entry_that_knows_no_evacuations_reads_all(self):
         # It has the replica and the cursor of peers of an older build.
         async def scenario(store, entry, reader):
-            entry.replica.mark_copied(entry.now)
+            entry.replica.freshness.note_copy(entry.now)
             entry.feed.cursor = store.revision
             self.assertTrue(reader._next_read_at(entry.now) <= entry.now)
             await reader._read()
@@ -446,9 +455,9 @@
         async def scenario(store, entry, reader):
             await reader._read()
             due_at = reader._next_read_at(entry.now)
-            entry.replica.mark_copied(entry.now + 5.0)
+            entry.replica.freshness.note_copy(entry.now + 5.0)
             self.assertEqual(due_at, reader._next_read_at(entry.now))
-            entry.state.mark_known(entry.now + 5.0)
+            entry.state.note_local_read(entry.now + 5.0)
             self.assertAlmostEqual(due_at + 5.0, reader._next_read_at(entry.now))
 
         self._run_scenario(scenario)
--- a/tests/entry/test_feed.py
+++ b/tests/entry/test_feed.py
@@ -169,7 +169,7 @@
 
     def test_a_read_in_progress_while_another_daemon_holds_removals(self):
         # The other daemon reports a fresh replica, but a cursor before the removals.
-        self.replica.mark_copied(self.back_at)
+        self.replica.freshness.note_copy(self.back_at)
         self.feed.adopt_cursor(5, 0.0)
         self.feed.apply_full_list([], 20, self.back_at + 0.05)
         self.assertEqual(12, len(self.known()))
@@ -258,7 +258,7 @@
 
     def test_freshness_reported_by_peers_gives_no_more_time(self):
         # Another daemon may have held the removal before this one took over.
-        self.replica.mark_copied(4.0)
+        self.replica.freshness.note_copy(4.0)
         (record,) = self.feed.apply_changes([_removal(1, 6)], 6, 4.5)
         self.assertEqual(self.until, record.serves_until)
 
--- a/tests/entry/test_gossip.py
+++ b/tests/entry/test_gossip.py
@@ -262,7 +262,7 @@
     def test_different_digest_does_not_confirm_freshness(self):
         daemon = _Daemon(3)
         daemon.now = 10.0
-        daemon.replica.mark_copied(5.0)
+        daemon.replica.freshness.note_copy(5.0)
         self._compare_replicas(daemon, daemon.replica.digest + 1, 0.4)
         self.assertEqual(5.0, daemon.replica.fresh_at)
         self.assertIsNone(daemon.feed.cursor)
@@ -270,7 +270,7 @@
     def test_a_large_fleet_prefers_snapshots_of_the_local_domain(self):
         for sender, delay_s in ((3, 0.3), (1, OTHER_DOMAIN_DIGEST_GRACE_S + 0.1)):
             daemon = _Daemon(40)
-            daemon.replica.mark_copied(1.0)
+            daemon.replica.freshness.note_copy(1.0)
             daemon.replica.configuration = Configuration(2)
             for now, is_pulled in ((10.0, False), (10.0 + delay_s, True)):
                 heartbeat = Heartbeat(_member(sender), 99, 2, 0.1, [], False)
@@ -285,7 +285,7 @@
         ):
             daemon = _Daemon(40)
             daemon.view.local_member.is_active = is_active
-            daemon.replica.mark_copied(1.0)
+            daemon.replica.freshness.note_copy(1.0)
             daemon.replica.configuration = Configuration(2)
             heartbeat = Heartbeat(_member(sender), 99, 3, 0.1, [], False)
             run(daemon.gossip._compare_replicas, heartbeat, "127.0.0.1", 10.0, 10.0)
@@ -296,7 +296,7 @@
         daemon = _Daemon(3)
         daemon.now = 10.0
         daemon.replica.configuration = Configuration(2)
-        daemon.replica.mark_copied(9.9)
+        daemon.replica.freshness.note_copy(9.9)
         self._compare_replicas(daemon, daemon.replica.digest, 0.8, version=3)
         self.assertEqual(10.0, daemon.gossip._last_pull_at)
 
@@ -312,7 +312,7 @@
     def test_an_older_heartbeat_is_ignored(self):
         daemon = _Daemon(3)
         daemon.now = 10.0
-        daemon.replica.mark_copied(9.9)
+        daemon.replica.freshness.note_copy(9.9)
         self._compare_replicas(daemon, daemon.replica.digest, 5.0)
         self.assertEqual(9.9, daemon.replica.fresh_at)
 
@@ -475,7 +475,7 @@
                 await store.put(f"servers/i-{number}", ENTRY)
             for _ in range(10):
                 daemon.now += 0.5
-                daemon.replica.mark_copied(daemon.now)
+                daemon.replica.freshness.note_copy(daemon.now)
                 daemon.feed.adopt_cursor(store.revision, daemon.now)
                 await reader._read_if_due()
             self.assertEqual(11, len(daemon.replica.server_records()))
@@ -512,7 +512,7 @@
     def test_a_daemon_with_a_fresh_replica_does_not_read(self):
         async def scenario(store, daemon, reader):
             daemon.now = 10.0
-            daemon.replica.mark_copied(9.9)
+            daemon.replica.freshness.note_copy(9.9)
             self.assertTrue(reader._next_read_at(daemon.now) > daemon.now)
             task = await curio.spawn(reader.run, daemon=True)
             await curio.sleep(0.05)
@@ -556,7 +556,7 @@
         self.told.replica.configuration_raw = orjson.dumps(
             {"version": 1, "routes": [], "services": []}
         )
-        self.told.replica.mark_copied(0.0)
+        self.told.replica.freshness.note_copy(0.0)
         response = run(self.told.gossip.handle_request, request)
         snapshot = decode_snapshot(response.body)
         run(self.other.gossip._apply_snapshot, snapshot, "10.0.0.1", 0.0)
--- a/tests/entry/test_replica.py
+++ b/tests/entry/test_replica.py
@@ -87,6 +87,6 @@
     def test_freshness_never_goes_back(self):
         replica = StoreReplica()
         self.assertIsNone(replica.age_s(10.0))
-        replica.mark_copied(9.0)
-        replica.mark_copied(8.0)
+        replica.freshness.note_copy(9.0)
+        replica.freshness.note_copy(8.0)
         self.assertEqual(1.0, replica.age_s(10.0))
