Test replies whose head is cut after each byte

Reported by operators of a like system: a server that closed within its answer's head gave callers a 200 with an empty body. No change of code.

--- a/tests/adapters/test_http.py
+++ b/tests/adapters/test_http.py
@@ -313,6 +313,9 @@
             result = self._request(data)
             self.assertIsInstance(result, UpstreamError, data)
             self.assertFalse(result.not_run)
+        head = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
+        for size in range(len(head)):
+            self.assertIsInstance(self._request(head[:size]), UpstreamError, size)
 
     def test_a_body_without_length_ends_with_the_connection(self):
         result = self._request(b"HTTP/1.1 200 OK\r\n\r\nabcd")
--- a/tests/entry/test_connections.py
+++ b/tests/entry/test_connections.py
@@ -359,7 +359,15 @@
         self.assert_broken(self.HEAD + b"\r\nabcd", "reset")
 
     def test_a_head_that_is_cut(self):
-        self.assert_broken(self.HEAD, "close")
+        # Callers got a complete answer with an empty body.
+        head = self.HEAD + b"Content-Length: 0\r\n\r\n"
+        kept = _reply(request_id=b"id-0")
+        for size in range(len(head)):
+            self.assert_broken(head[:size], "close")
+            _, _, made = _run_exchanges(
+                [[kept], [head[:size], "close"]], [{"request_id": "id-0"}, {}]
+            )
+            self.assertIs(Failure.BROKEN, made[1].result, size)
 
 
 class SilentServerTest(testtools.TestCase):
