Reject addresses with too many digits as any other invalid address

Reported by operators of a like system: one odd entry among those of the servers, and the machines that read the list ended again and again. It happens here with a port or a part of a host of more than 4,300 digits: int() raises ValueError, which no one takes for an invalid entry, so each read of the store fails, and after 20 failures in 30 s the reader ends the process. Entries nested 100,000 deep, numbers of 400 and 5,000 digits or beyond 64 bits, and the ports -1, 0 and 65536 were refused as one invalid entry before too.

The pattern of an address bounds its digits. The test fails on the code before with that ValueError.

--- a/almondtide/platform/fields.py
+++ b/almondtide/platform/fields.py
@@ -1,8 +1,12 @@
 """Typed access to fields of decoded JSON, which collects all problems."""
 
+import re
+
 __all__ = ["Fields"]
 
 _MISSING = object()
+# Without a limit of the digits, ``int`` raises ``ValueError`` for too many of them.
+_ADDRESS = re.compile(r"(?P<host>[0-9]{1,3}(\.[0-9]{1,3}){3}):(?P<port>[0-9]{1,5})")
 
 
 class Fields:
@@ -122,12 +126,8 @@
 
 def parse_address(text):
     """Return ``(host, port)`` of ``host:port`` with an IPv4 address, or None."""
-    host, _, port = text.rpartition(":")
-    parts = host.split(".")
-    if len(parts) != 4 or not all(
-        part.isascii() and part.isdigit() and int(part) < 256 for part in parts
-    ):
-        return None
-    if not (port.isascii() and port.isdigit() and 0 < int(port) < 65536):
+    match = _ADDRESS.fullmatch(text)
+    if match is None or any(int(part) > 255 for part in match["host"].split(".")):
         return None
-    return host, int(port)
+    port = int(match["port"])
+    return (match["host"], port) if 0 < port < 65536 else None
--- a/tests/entry/test_gossip.py
+++ b/tests/entry/test_gossip.py
@@ -440,6 +440,42 @@
 
         self._run_scenario(scenario)
 
+    def test_odd_entries_cost_neither_the_list_nor_the_reader(self):
+        # The reader failed again and again, and ended its process after 20 failures.
+        raw = orjson.dumps(ENTRY)
+        odd = [
+            b"[" * 100_000,
+            raw[:-1] + b',"x":' + b"[" * 1000 + b"]" * 1000 + b"}",
+            raw.replace(b'"capacity":3', b'"capacity":' + b"9" * 400),
+            raw.replace(b'"capacity":3', b'"capacity":' + b"9" * 5000),
+            raw.replace(b'"capacity":3', b'"capacity":18446744073709551616'),
+            *(
+                orjson.dumps({**ENTRY, "address": address})
+                for address in (
+                    "10.3.0.1:0",
+                    "10.3.0.1:-1",
+                    "10.3.0.1:65536",
+                    "10.3.0.1:" + "9" * 5000,
+                    "9" * 5000 + ".3.0.1:80",
+                )
+            ),
+        ]
+
+        async def scenario(store, daemon, reader):
+            for number, value in enumerate(odd):
+                await store.put(f"servers/i-{number}", value)
+            await store.put("servers/i-99", ENTRY)
+            await reader._read()
+            for number, value in enumerate(odd):
+                await store.put(f"servers/i-{number}", value)
+            await store.put("servers/i-98", ENTRY)
+            await reader._read()
+            known = {record.key for record in daemon.replica.server_records()}
+            # The nested value is that of an unknown field, which is ignored.
+            self.assertEqual({"servers/i-1", "servers/i-98", "servers/i-99"}, known)
+
+        self._run_scenario(scenario)
+
     def test_full_read_when_watches_are_not_answered(self):
         # The store answers other reads, but no watch.
         async def scenario(store, daemon, reader):
