Refuse an entry without an id, and only the odd record of a message

Reported: machines that read the list stopped following it.

Two sides of one fault: the two decoders accept different things, and a bad item costs the rest. An entry without an id names no server any more; a record that cannot be read is left out, logged and counted, and its key is not taken for removed.

--- a/almondtide/entry/codec.py
+++ b/almondtide/entry/codec.py
@@ -206,7 +206,8 @@
     ``position`` and ``age_s`` are those of the replica, ``records`` tuples of key,
     position and ``Server`` or None, ``ends`` a list of ``EndAnnouncement``.
     ``configuration_raw`` is the configuration's document. ``evacuations`` is an
-    ``EvacuationSummary`` or None.
+    ``EvacuationSummary`` or None. ``invalid_keys`` are those of records that could not
+    be read.
     """
 
     __slots__ = (
@@ -215,6 +216,7 @@
         "configuration_raw",
         "ends",
         "evacuations",
+        "invalid_keys",
         "position",
         "records",
     )
@@ -228,8 +230,10 @@
         records,
         ends=(),
         evacuations=None,
+        invalid_keys=(),
     ):
         self.age_s = age_s
+        self.invalid_keys = list(invalid_keys)
         self.position = position
         self.configuration_position = configuration_position
         self.configuration_raw = configuration_raw
@@ -560,13 +564,14 @@
     )
 
 
-def decode_message(raw, now):
+def decode_message(raw, now, on_invalid=None):
     """Return a message of a peer, or (records, configuration) of an update.
 
     An update that tells of evacuations is an ``EvacuationUpdate``.
     Records are tuples of key, position, ``Server`` or None, and the time in s for
     which a leaving server may still be used. The configuration is None or a pair of
-    position and document. Raises ``DocumentError`` for anything else.
+    position and document. ``on_invalid(key, reason)`` is called for a record that
+    cannot be read, which costs no other. Raises ``DocumentError`` for anything else.
     """
     try:
         message = _load(raw)
@@ -592,7 +597,7 @@
         if message[1] == LIMIT_END:
             return _unpack_limit_end(message)
         if message[1] == UPDATE:
-            records = [_unpack_update(item) for item in message[2]]
+            records, _ = _unpack_each(_unpack_update, message[2], on_invalid)
             configuration = _unpack_configuration(message[3])
             if len(message) > 4 and message[4]:
                 notices = [_unpack_notice(item) for item in message[4]]
@@ -663,15 +668,30 @@
     return _check_number(value, MAX_SERVING_MS) / 1000.0
 
 
-def _unpack_records(items):
-    return [
-        (
-            _check_string(key),
-            _check_integer(position, MAX_POSITION),
-            _unpack_server(server),
-        )
-        for key, position, server in items
-    ]
+def _unpack_record(item):
+    key, position, server = item
+    return (
+        _check_string(key),
+        _check_integer(position, MAX_POSITION),
+        _unpack_server(server),
+    )
+
+
+def _unpack_each(unpack, items, on_invalid):
+    """Return (records, keys of those that cannot be read); see ``decode_message``."""
+    if not isinstance(items, list):
+        raise ValueError("the records are not a list")
+    records, invalid_keys = [], []
+    for item in items:
+        try:
+            records.append(unpack(item))
+        except _MALFORMED as exc:
+            has_key = isinstance(item, list) and item and isinstance(item[0], str)
+            key = item[0] if has_key else ""
+            invalid_keys.append(key)
+            if on_invalid is not None:
+                on_invalid(key, str(exc))
+    return records, invalid_keys
 
 
 def encode_snapshot(replica, age_s, ends=None, evacuations=None):
@@ -701,8 +721,11 @@
     return zlib.compress(cbor2.dumps(message), SNAPSHOT_COMPRESSION_LEVEL)
 
 
-def decode_snapshot(raw):
-    """Return the ``Snapshot`` in a body; raises ``DocumentError``."""
+def decode_snapshot(raw, on_invalid=None):
+    """Return the ``Snapshot`` in a body; raises ``DocumentError``.
+
+    For ``on_invalid`` see ``decode_message``.
+    """
     try:
         message = _load(_decompress(raw, MAX_SNAPSHOT_BYTES))
         version, age_s, position, cfg_position, cfg_raw, records, *rest = message
@@ -710,14 +733,16 @@
             raise ValueError(f"version {version!r} is unknown")
         if not isinstance(cfg_raw, bytes):
             raise ValueError("the configuration is not bytes")
+        records, invalid_keys = _unpack_each(_unpack_record, records, on_invalid)
         return Snapshot(
             _check_number(age_s, MAX_AGE_MS / 1000.0),
             _check_integer(position, MAX_POSITION),
             _check_integer(cfg_position, MAX_POSITION),
             cfg_raw,
-            _unpack_records(records),
+            records,
             [_unpack_end(item) for item in (rest[0] if rest else ())],
             _unpack_evacuations(rest[1]) if len(rest) > 1 else None,
+            invalid_keys,
         )
     except _MALFORMED as exc:
         raise DocumentError(f"snapshot: {exc}") from exc
--- a/almondtide/entry/gossip.py
+++ b/almondtide/entry/gossip.py
@@ -132,6 +132,7 @@
             "datagrams_in": 0,
             "bytes_out": 0,
             "datagrams_invalid": 0,
+            "records_invalid": 0,
             "datagrams_failed": 0,
         }
 
@@ -470,7 +471,7 @@
         """
         now = self._now()
         try:
-            message = decode_message(raw, now)
+            message = decode_message(raw, now, self._note_invalid_record)
         except DocumentError as exc:
             self.counts["datagrams_invalid"] += 1
             self._log.warning("datagram_invalid", host=host, reason=exc.message[:200])
@@ -483,6 +484,10 @@
                 "datagram_failed", host=host, error=repr(exc), at=error_place(exc)
             )
 
+    def _note_invalid_record(self, key, reason):
+        self.counts["records_invalid"] += 1
+        self._log.warning("record_invalid", key=key[:200], reason=reason[:200])
+
     async def _on_message(self, message, host, now, arrived_after):
         if isinstance(message, Heartbeat):
             await self._on_heartbeat(message, host, now, arrived_after)
@@ -710,7 +715,7 @@
                     await client.close()
             if response.status != 200:
                 return
-            snapshot = decode_snapshot(response.body)
+            snapshot = decode_snapshot(response.body, self._note_invalid_record)
         except (OSError, UpstreamError, DocumentError, curio.TaskTimeout) as exc:
             self._log.warning("snapshot_failed", host=host, error=str(exc))
             return
@@ -732,6 +737,8 @@
         for end in snapshot.ends:
             self._learn_end(end, asked_at)
         keys = {key for key, _, _ in records}
+        # A build that reads fewer records than the sender must not remove the others.
+        keys.update(snapshot.invalid_keys)
         missing = [
             key
             for key in replica.keys_missing_from(keys, snapshot.position)
--- a/almondtide/platform/documents.py
+++ b/almondtide/platform/documents.py
@@ -107,6 +107,8 @@
     """
     if raw is None:
         raise DocumentError(f"{key}: no value")
+    if key == SERVER_PREFIX:
+        raise DocumentError(f"{key}: no id")
     fields = Fields(_load_json(raw, key))
     state = fields.string("state")
     server = Server(
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -93,6 +93,13 @@
     def test_unknown_fields_are_ignored(self):
         self.assertEqual(self._decode(), self._decode(flavour="new"))
 
+    def test_an_entry_without_an_id_names_no_server(self):
+        # Peers refused every update and snapshot that held it.
+        self.assertRaises(DocumentError, decode_server, "servers/", b"{}")
+        raw = orjson.dumps(ENTRY)
+        exc = self.assertRaises(DocumentError, decode_server, "servers/", raw)
+        self.assertIn("no id", exc.message)
+
     def test_entry_without_birth_is_accepted(self):
         entry = {name: value for name, value in ENTRY.items() if name != "born"}
         server = decode_server("servers/i-1", orjson.dumps(entry))
