Read pages and changes of the store past keys of any bytes

Reported: machines that read the list ended again and again, or stopped following it. It happens here in two ways. The key after which the next page begins was put into the request as it is: with a space, "&", "#", "%" or a letter beyond ASCII at the end of a page the list could not be read, or was read again and again, and an error of the encoder ended the reader, after 20 failures its process. And a key that is no UTF-8 made the whole answer unreadable.

Keys are quoted; an answer with bytes that are no UTF-8 is read with the standard library's decoder, and items whose key is no text are left out, with a log line. The test, which puts each such key at the end of a page, fails on the code before (UnicodeEncodeError, 'ascii' codec).

--- a/almondtide/entry/reader.py
+++ b/almondtide/entry/reader.py
@@ -154,6 +154,9 @@
         )
         if self._store.invalid_era is not None:
             self._log.warning("store_era_invalid", text=self._store.invalid_era[:40])
+        if self._store.invalid_key is not None:
+            self._log.warning("store_key_invalid", key=repr(self._store.invalid_key))
+            self._store.invalid_key = None
         await self._send_updates(changed, self._replica.configuration_version != before)
         await self._gossip.trigger_heartbeat()
 
--- a/almondtide/platform/store.py
+++ b/almondtide/platform/store.py
@@ -2,8 +2,11 @@
 
 import base64
 import binascii
+import json
+import urllib.parse
 
 import curio
+import orjson
 
 from ..adapters.http import HTTPClient
 from ..errors import PlatformError, UpstreamError
@@ -66,7 +69,8 @@
     Every call raises ``PlatformError`` if the store refuses it or does not answer
     within ``timeout_s``. ``call_count`` counts all calls, since the platform charges
     for each. ``era`` is that of the last answer that states one; ``invalid_era`` is the
-    text of a newer answer that cannot be read, or None.
+    text of a newer answer that cannot be read, or None. ``invalid_key`` is the last key
+    that is no text, or None; such items are left out.
     """
 
     __slots__ = (
@@ -75,6 +79,7 @@
         "call_count",
         "era",
         "invalid_era",
+        "invalid_key",
         "timeout_s",
     )
 
@@ -85,6 +90,7 @@
         self.call_count = 0
         self.era = 0
         self.invalid_era = None
+        self.invalid_key = None
 
     async def get(self, key):
         """Return the ``StoreItem`` at ``key``, or None if there is none."""
@@ -101,7 +107,7 @@
         position = None
         after = ""
         for _ in range(MAX_PAGES):
-            suffix = f"&after={after}" if after else ""
+            suffix = f"&after={_quote_key(after)}" if after else ""
             body = await self._call(f"/v1/kv-range?prefix={prefix}{suffix}")
             if position is None:
                 position = _decode_position(body, "as_of", self.era)
@@ -110,10 +116,11 @@
             page = body.get("items")
             if not isinstance(page, list):
                 raise PlatformError("the store's answer has no list of items")
-            items.extend(_decode_item(item, self.era) for item in page)
+            decoded = [_decode_item(item, self.era) for item in page]
+            items.extend(self._readable(decoded))
             if not body.get("has_more") or not page:
                 return items, position
-            after = items[-1].key
+            after = decoded[-1].key
         raise PlatformError(f"the store listed over {MAX_PAGES} pages of {prefix!r}")
 
     async def changes(self, prefix, after, wait_ms, timeout_s):
@@ -134,7 +141,14 @@
         if not isinstance(events, list):
             raise PlatformError("the store's answer has no list of events")
         changes = [_decode_item(event, self.era) for event in events]
-        return changes, _decode_position(body, "as_of", self.era)
+        return self._readable(changes), _decode_position(body, "as_of", self.era)
+
+    def _readable(self, items):
+        """Return the items whose keys are text; others may write keys of any bytes."""
+        readable = [item for item in items if _is_text(item.key)]
+        if len(readable) < len(items):
+            self.invalid_key = next(i.key for i in items if not _is_text(i.key))
+        return readable
 
     async def _call(self, path, timeout_s=None, is_missing_allowed=False):
         self.call_count += 1
@@ -156,7 +170,7 @@
         if response.status != 200:
             raise PlatformError(f"the store answered with status {response.status}")
         try:
-            body = response.json()
+            body = _load_json(response.body)
         except ValueError as exc:
             raise PlatformError(f"the store's answer is not JSON: {exc}") from exc
         if not isinstance(body, dict):
@@ -189,6 +203,36 @@
             await client.close()
 
 
+def _load_json(raw):
+    """Decode JSON; raises ``ValueError``.
+
+    Bytes that are not UTF-8 and lone surrogates in texts, which orjson refuses, become
+    lone surrogates as ``surrogateescape`` has it.
+    """
+    try:
+        return orjson.loads(raw)
+    except orjson.JSONDecodeError:
+        try:
+            return json.loads(raw.decode("utf-8", "surrogateescape"))
+        except RecursionError as exc:
+            raise ValueError("nested too deep") from exc
+
+
+def _is_text(key):
+    try:
+        key.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
+def _quote_key(key):
+    try:
+        return urllib.parse.quote(key, safe="/", errors="surrogateescape")
+    except UnicodeEncodeError:
+        return urllib.parse.quote(key, safe="/", errors="surrogatepass")
+
+
 def _get_integer(data, name):
     value = data.get(name)
     if not isinstance(value, int) or isinstance(value, bool):
--- a/standins/gossip_fleet.py
+++ b/standins/gossip_fleet.py
@@ -131,6 +131,7 @@
         self.call_count = 0
         self.era = 0
         self.invalid_era = None
+        self.invalid_key = None
 
     async def _call(self, timeout_s=STORE_TIMEOUT_S):
         self.call_count += 1
--- a/standins/store.py
+++ b/standins/store.py
@@ -1,11 +1,13 @@
 """Stand-in for the platform's key-value store."""
 
 import base64
+import json
+import urllib.parse
 
 import curio
 import orjson
 
-from almondtide.adapters.http import HTTPResponse, json_response, serve_http
+from almondtide.adapters.http import HTTPResponse, serve_http
 from almondtide.adapters.listener import Listener
 from almondtide.logs import Log
 
@@ -16,6 +18,23 @@
 MODES = ("normal", "busy", "silent", "reset")
 
 
+def _json_response(body):
+    """Return a response with a JSON body, whose keys may hold bytes of any kind.
+
+    Lone surrogates stand for bytes that are not UTF-8, as ``surrogateescape`` has it;
+    others are written as escapes.
+    """
+    try:
+        raw = orjson.dumps(body)
+    except TypeError:
+        try:
+            text = json.dumps(body, ensure_ascii=False)
+            raw = text.encode("utf-8", "surrogateescape")
+        except UnicodeEncodeError:
+            raw = json.dumps(body).encode()
+    return HTTPResponse(200, raw, {"content-type": "application/json"})
+
+
 class StoreServer:
     """Keeps items by key and counts all changes in one revision.
 
@@ -111,12 +130,16 @@
             await curio.sleep(3600)
         if self.mode != "normal":
             return HTTPResponse(503)
-        query = dict(pair.partition("=")[::2] for pair in request.query.split("&"))
+        pairs = (pair.partition("=")[::2] for pair in request.query.split("&"))
+        query = {
+            name: urllib.parse.unquote(value, errors="surrogateescape")
+            for name, value in pairs
+        }
         if request.path == "/v1/kv-key":
             item = self.items.get(query["key"])
             if item is None:
                 return HTTPResponse(404)
-            return json_response(200, {**item, "as_of": self.revision})
+            return _json_response({**item, "as_of": self.revision})
         if request.path == "/v1/kv-range":
             return self._range(query)
         if request.path == "/v1/kv-watch":
@@ -134,7 +157,7 @@
             "has_more": len(keys) > PAGE_ITEMS,
             "as_of": self.revision,
         }
-        return json_response(200, body)
+        return _json_response(body)
 
     async def _watch(self, query):
         after = int(query["after"])
@@ -150,7 +173,7 @@
         if len(found) > MAX_WATCH_EVENTS:
             found = found[:MAX_WATCH_EVENTS]
             as_of = found[-1]["revision"]
-        return json_response(200, {"events": found, "as_of": as_of})
+        return _json_response({"events": found, "as_of": as_of})
 
     def _events_after(self, after, prefix):
         return [
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -46,6 +46,25 @@
         self.assertEqual(2 * PAGE_ITEMS + 3, revision)
         self.assertEqual(3, calls)
 
+    def test_pages_after_keys_that_other_writers_chose(self):
+        # The list could not be read from then on, and the reader's process ended.
+        odd = ["a b&c", "a#", "a%41", "a+", "a\u00e9", "a\udcff", "a\ud800", "a\n"]
+        for name in odd:
+            keys = [f"servers/a{number:02}" for number in range(PAGE_ITEMS - 1)]
+
+            async def scenario(store, client, keys=keys, name=name):
+                for key in (*keys, f"servers/{name}", "servers/z"):
+                    await store.put(key, b"x")
+                changes, _ = await client.changes("", 1, 0, 0.3)
+                items, _ = await client.read("servers/")
+                return items, changes
+
+            for items in _run_scenario(scenario):
+                found = {item.key for item in items}
+                self.assertEqual({*keys, "servers/z"} - found, set(), repr(name))
+                for key in found:
+                    key.encode()
+
     def test_one_item_or_none(self):
         async def scenario(store, client):
             await store.put("op/config", b"doc")
