Refuse requests that a planned stop would cut

Reported: requests that came late in the grace of a planned stop were taken, passed on, and cut at its end, among them some that may not be repeated. Here each running request gets a final answer at the end, but a write that came late ran and was answered 504 with an unknown outcome (shown by a test). By the code, not played: a request whose last byte arrives while the final answers are sent is passed on and cut without any.

From SIGTERM on, a request is taken only if it can be expected to end before the entry ends its requests: a write if the slowest of a hundred exchanges of its route would, anything else if the usual one would, and nothing after that moment.

--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -261,11 +261,13 @@
     async def _stop(self, signum):
         """Announce the leave, finish requests, and return within the grace time.
 
-        Requests that arrive after the announcement are still answered. The platform
-        kills the process at the end of the grace time.
+        Requests that arrive after the announcement are still served if they can be
+        expected to end in time, else refused. The platform kills the process at the end
+        of the grace time.
         """
         stopping_since = boottime_now()
         grace_s = self.settings.grace_s
+        self.dispatcher.ends_at = stopping_since + END_FRACTION * grace_s
         self.view.local_member.state = MemberState.LEAVING
         self.view.local_member.is_active = False
         self.directory.invalidate()
--- a/almondtide/entry/dispatch.py
+++ b/almondtide/entry/dispatch.py
@@ -21,6 +21,7 @@
 from .policy.retry_budget import RetryBudget
 from .policy.route_latency import RouteLatency
 from .policy.shedding import CostQueue, Shedding, can_reach_coverage
+from .policy.stopping import can_finish
 from .regions import allowed_domains, share_domains, union_domains
 from .relay import RelayExchange, may_relay
 from .upstreams import DEPTH_OBJECTIVE_FRACTION, Failure
@@ -172,7 +173,8 @@
     The ``Timers`` call ``on_timer(kind, item)`` of this object. ``budget_share`` is the
     part of the fleet's slack of extra sends that this entry may use, 0.0 to 1.0; see
     ``RetryBudget``. ``max_pause_s`` bounds the pauses that servers ask for: the longest
-    timeout of a route.
+    timeout of a route. ``ends_at`` is when a stop of the entry ends the running calls,
+    None while it is not stopping.
     """
 
     __slots__ = (
@@ -192,6 +194,7 @@
         "_timers",
         "budget_share",
         "counts",
+        "ends_at",
         "links",
         "max_pause_s",
         "now",
@@ -221,12 +224,14 @@
         self.now = now
         self.budget_share = 1.0
         self.max_pause_s = DEFAULT_MAX_PAUSE_S
+        self.ends_at = None
         self.counts = {
             "sends": 0,
             "hedges": 0,
             "retries": 0,
             "copies": 0,
             "refused": 0,
+            "stop_refused": 0,
             "pauses": 0,
             "pauses_invalid": 0,
             "ends_announced": 0,
@@ -301,8 +306,25 @@
         finally:
             self._running_calls.discard(call)
 
+    def _refuse_late(self, call, now):
+        """Return a refusal of a call that the stop of this entry would cut, or None."""
+        latency = self.route_latency(call.route)
+        is_idempotent = call.route.is_idempotent
+        if self.ends_at is None or can_finish(
+            self.ends_at, call.expires_at, now, latency, is_idempotent
+        ):
+            return None
+        self.counts["refused"] += 1
+        self.counts["stop_refused"] += 1
+        call.refusal_reason = "stopping"
+        retry_s = retry_after_s(0.0, random.random())
+        return error_answer(503, ResultCode.DRAINING, "the entry stops", retry_s)
+
     async def _run(self, call):
         now = self.now()
+        refusal = self._refuse_late(call, now)
+        if refusal is not None:
+            return refusal
         refused_s = self._crash_detector.refused_for_s(call)
         if refused_s:
             self.counts["refused"] += 1
--- a/almondtide/entry/policy/route_latency.py
+++ b/almondtide/entry/policy/route_latency.py
@@ -8,6 +8,8 @@
 MIN_SAMPLES = 20
 # The hedge delay is this quantile of the latencies.
 HEDGE_QUANTILE = 0.9
+# Quantile of the latencies that counts as the time of a slow exchange.
+SLOW_QUANTILE = 0.99
 # Largest hedge delay as a multiple of the median. A few slow servers would otherwise
 # raise the quantile to their own latency.
 MAX_HEDGE_DELAY_MEDIANS = 1.8
@@ -48,6 +50,12 @@
         """The objective as a multiple of the expected latency."""
         return self.objective_s / max(0.001, self.expected_s)
 
+    @property
+    def slow_s(self):
+        """Time of a slow exchange; the objective while there was none yet."""
+        slow_s = self._window.quantile(SLOW_QUANTILE)
+        return self.objective_s if slow_s is None else max(slow_s, self.expected_s)
+
     def add(self, latency_s):
         """Add the latency of an exchange that succeeded."""
         self._window.add(latency_s)
--- a/tests/entry/test_processes.py
+++ b/tests/entry/test_processes.py
@@ -238,6 +238,31 @@
 
         self.run_scenario(scenario)
 
+    def test_planned_stop_refuses_late_writes_that_it_would_cut(self):
+        # They ran, and were ended with the process with an unknown outcome.
+        async def scenario(fleet):
+            for server in fleet.servers.values():
+                server.service_time_s = 1.2
+            warm = [
+                await curio.spawn(
+                    lambda n=n: fleet.write(0, f"w-{n}", deadline_ms=9000)
+                )
+                for n in range(2)
+            ]
+            self.assertEqual([200, 200], [(await task.join())[0] for task in warm])
+            fleet.processes[0].send_signal(signal.SIGTERM)
+            early = await curio.spawn(lambda: fleet.write(0, "early", deadline_ms=9000))
+            await curio.sleep(1.6)
+            status, headers, _ = await fleet.write(0, "late", deadline_ms=9000)
+            self.assertEqual(503, status)
+            self.assertIn("retry-after", headers)
+            self.assertEqual(200, (await early.join())[0])
+            ran = {id for server in fleet.servers.values() for id, _, _ in server.runs}
+            self.assertIn("early", ran)
+            self.assertNotIn("late", ran)
+
+        self.run_scenario(scenario)
+
     def test_planned_stop_gives_a_final_answer_to_slow_requests(self):
         # Requests that still ran at the end of the grace time got no answer (soak,
         # seed 12).
