Count the age of relayed members without this process's own pause

The age counts from the arrival as far as this process ran since it last found the socket empty. The test fails on the code before (a member that ended 3.9 s ago is live); one for a process that did not pause keeps its bound.

--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -106,6 +106,7 @@
         self.table = UpstreamTable(settings.domain)
         self.table.rate_shares.local_name = settings.instance
         self.gossip.set_rate_shares(self.table.rate_shares)
+        self.gossip.set_run_time(self.table.run_time)
         self.pool = ConnectionPool(now, log)
         self.pool.set_active(False)
         memory_bounds = MemoryBounds(settings)
--- a/almondtide/entry/gossip.py
+++ b/almondtide/entry/gossip.py
@@ -34,6 +34,7 @@
     encode_updates,
 )
 from .members import RELAY_ABILITY, MemberState
+from .run_time import RunTime
 
 __all__ = ["Gossip"]
 
@@ -102,6 +103,7 @@
         "_on_loss",
         "_rate_shares",
         "_replica",
+        "_run_time",
         "_sock",
         "_tasks",
         "counts",
@@ -119,6 +121,7 @@
         self._on_limit_end = None
         self._on_loss = None
         self._rate_shares = None
+        self._run_time = RunTime()
         self._links = None
         self._now = now
         self._log = log
@@ -158,6 +161,10 @@
         """Set the ``LinkMonitor`` whose state heartbeats exchange."""
         self._links = links
 
+    def set_run_time(self, run_time):
+        """Set the ``RunTime`` of this process."""
+        self._run_time = run_time
+
     def set_rate_shares(self, rate_shares):
         """Set the ``RateShares`` whose demands heartbeats exchange."""
         self._rate_shares = rate_shares
@@ -470,8 +477,11 @@
         ``arrived_after`` is a time before it can have arrived.
         """
         now = self._now()
+        # Members whose heartbeats waited here while this process stood still may have
+        # ended meanwhile, and this process relays what it heard of them.
+        arrived_at = arrived_after + self._run_time.ran_s(arrived_after, now)
         try:
-            message = decode_message(raw, now, self._note_invalid_record)
+            message = decode_message(raw, arrived_at, self._note_invalid_record)
         except DocumentError as exc:
             self.counts["datagrams_invalid"] += 1
             self._log.warning("datagram_invalid", host=host, reason=exc.message[:200])
--- a/standins/gossip_fleet.py
+++ b/standins/gossip_fleet.py
@@ -22,6 +22,7 @@
 )
 from almondtide.entry.reader import StoreReader
 from almondtide.entry.replica import StoreReplica
+from almondtide.entry.run_time import TICK_S, RunTime
 from almondtide.errors import DocumentError, PlatformError
 from almondtide.logs import Log
 from almondtide.model.position import make_position
@@ -258,6 +259,8 @@
             self.log,
         )
         self.gossip.fleet = fleet
+        self.run_time = RunTime()
+        self.gossip.set_run_time(self.run_time)
         self.gossip._sock = self.socket = _ModelSocket(fleet, self.host)
         self.store = _StoreSession(fleet.store, self.host)
         self.reader = StoreReader(
@@ -311,6 +314,7 @@
             self.gossip._run_heartbeats,
             self.reader.run,
             self._housekeeping,
+            self._tick,
         )
         for function in tasks:
             coroutine = _pausable(function(), lambda: self.is_paused)
@@ -322,6 +326,11 @@
         for task in self._tasks:
             await task.cancel()
 
+    async def _tick(self):
+        while True:
+            self.run_time.tick(self.fleet.now)
+            await curio.sleep(TICK_S)
+
     async def _housekeeping(self):
         local = self.view.local_member
         while True:
--- a/tests/entry/test_gossip.py
+++ b/tests/entry/test_gossip.py
@@ -32,6 +32,7 @@
 from almondtide.entry.members import Member, MembershipView, MemberState
 from almondtide.entry.reader import StoreReader
 from almondtide.entry.replica import StoreReplica
+from almondtide.entry.run_time import RunTime
 from almondtide.model.published import Configuration
 from almondtide.platform.documents import decode_server
 from almondtide.platform.settings import decode_settings
@@ -317,6 +318,35 @@
         self.assertEqual(9.9, daemon.replica.fresh_at)
 
 
+class PausedRelayTest(testtools.TestCase):
+    """Guards against ended members that live on where a paused process relays them."""
+
+    def test_an_old_heartbeat_of_a_member_does_not_make_it_live(self):
+        # The member ended at 6.1; this process was paused from 6.0 to 10.0.
+        daemon = _Daemon(3)
+        run_time = RunTime()
+        daemon.gossip.set_run_time(run_time)
+        run_time.tick(6.0)
+        daemon.now = 10.0
+        sender = _member(1, is_active=True, last_heard_at=6.05)
+        raw = encode_heartbeat(Heartbeat(sender, 0, 0, None, [], False), 6.05)
+        run(daemon.gossip.receive_datagram, raw, sender.host, 6.0)
+        member = daemon.view.members[sender.name]
+        self.assertFalse(daemon.view.is_alive(member, daemon.now))
+
+    def test_a_heartbeat_that_is_handled_at_once_does(self):
+        daemon = _Daemon(3)
+        run_time = RunTime()
+        daemon.gossip.set_run_time(run_time)
+        for tick in range(60, 101):
+            run_time.tick(tick / 10)
+        daemon.now = 10.0
+        sender = _member(1, is_active=True, last_heard_at=9.9)
+        raw = encode_heartbeat(Heartbeat(sender, 0, 0, None, [], False), 9.9)
+        run(daemon.gossip.receive_datagram, raw, sender.host, 6.0)
+        self.assertEqual(10.0, daemon.view.members[sender.name].last_heard_at)
+
+
 class DirectoryTest(testtools.TestCase):
     """Guards against callers that get no entry or failed ones."""
 
