Rank the readers of a rollout as the entries do, and cut one off

bench.rollout took all active entries before all standbys; entries rank the first active one of each failure domain before the second ones.

--- a/bench/rollout.py
+++ b/bench/rollout.py
@@ -13,6 +13,7 @@
 import curio
 import defopt
 
+from almondtide.entry.members import store_reader_rank
 from almondtide.presentation import format_table
 from almondtide.registry import Registry
 from standins.gossip_fleet import play
@@ -139,6 +140,15 @@
     return ()
 
 
+@patterns.register("isolated-reader")
+async def _play_isolated_reader(fleet):
+    """The first rank reads the store and is cut off from all other entries."""
+    reader = _by_rank(fleet)[0]
+    fleet.is_cut = lambda source, destination: reader.host in (source, destination)
+    await _publish_in_series(fleet)
+    return ()
+
+
 @patterns.register("busy-network")
 async def _play_busy_network(fleet):
     """Datagrams take up to 60 ms, as between entries with little processor time."""
@@ -149,13 +159,9 @@
 
 def _by_rank(fleet):
     """Return the entries in the order in which they take over as readers."""
-    members = fleet.entries[0].view
-
-    def sort_key(entry):
-        member = members.members.get(entry.name, entry.view.local_member)
-        return not member.is_active, member.sort_key
-
-    return sorted(fleet.entries, key=sort_key)
+    return sorted(
+        fleet.entries, key=lambda entry: store_reader_rank(entry.view, fleet.now)
+    )
 
 
 async def _publish_in_series(fleet):
--- a/standins/gossip_fleet.py
+++ b/standins/gossip_fleet.py
@@ -54,8 +54,8 @@
 }
 
 
-class _QuietLog(Log):
-    """Keeps the events of an entry for the one who examines a play."""
+class _RecordingLog(Log):
+    """Records the events of an entry as (time in s, name, fields)."""
 
     def __init__(self, now):
         super().__init__()
@@ -99,8 +99,7 @@
     """The platform's store: items, their changes, and how it answers each host.
 
     ``answer_s`` is the time of an answer, in s. ``refusals`` maps hosts to ``busy``,
-    which answers with a refusal, or ``silent``. ``restricted`` maps hosts to the only
-    kind of call that is answered: ``get``, ``read`` or ``changes``.
+    which answers with a refusal, or ``silent``.
     """
 
     def __init__(self, answer_s=0.004):
@@ -235,7 +234,7 @@
         domain = DOMAINS[number % len(DOMAINS)]
         settings = decode_settings(orjson.dumps(self._settings(domain)))
         now = fleet.clock.monotonic
-        self.log = _QuietLog(now)
+        self.log = _RecordingLog(now)
         local = Member(
             settings.instance,
             number + 1,
