Let no error of applying a configuration end housekeeping

Since what is in force is compared with the replica in each round of housekeeping, an error there would have failed that task every 0.25 s, and 20 failures end the process. The error is logged and counted, the last version stays in force, and the next round tries again. The test fails on the code before (AttributeError of the broken part).

--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -11,7 +11,7 @@
 from ..model.position import era_of, revision_of
 from ..platform.documents import SERVER_PREFIX
 from ..platform.store import StoreClient
-from ..supervision import TASK_FAILURES, Supervised
+from ..supervision import TASK_FAILURES, Supervised, error_place
 from ..timers import Timers
 from .boottime import BoottimeClock, boottime_now
 from .caller_memory import CallerMemory
@@ -474,6 +474,18 @@
             return
         if not self.feed.knows_evacuations:
             return
+        try:
+            self._apply_configuration(configuration)
+        except Exception as exc:
+            TASK_FAILURES["configuration"] += 1
+            self.log.error(
+                "configuration_not_applied",
+                version=configuration.version,
+                error=repr(exc),
+                at=error_place(exc),
+            )
+
+    def _apply_configuration(self, configuration):
         self.table.connection_limits = {
             name: service.max_connections
             for name, service in configuration.services.items()
--- a/standins/gossip_fleet.py
+++ b/standins/gossip_fleet.py
@@ -81,9 +81,7 @@
         result = exc = None
         try:
             result = yield trap
-        except curio.CancelledError as error:
-            exc = error
-        except Exception as error:
+        except (Exception, curio.CancelledError) as error:
             exc = error
         is_cancelled = is_cancelled or isinstance(exc, curio.TaskCancelled)
         while is_paused() and not is_cancelled:
--- a/tests/entry/test_daemon.py
+++ b/tests/entry/test_daemon.py
@@ -72,6 +72,19 @@
         daemon._update_role(daemon.started_at)
         self.assertEqual(3, daemon.frontend.version_in_force)
 
+    def test_an_error_of_the_application_ends_no_task(self):
+        # The one that fails is housekeeping, whose failures end the process in time.
+        settings = decode_settings(orjson.dumps(settings_document()))
+        daemon = EntryDaemon(settings, MemoryLog(), None, None)
+        raw = orjson.dumps({"version": 3, "routes": [], "services": []})
+        daemon.feed.merge_configuration(raw, 4)
+        limits, daemon.table.warmup_bounds = daemon.table.warmup_bounds, None
+        daemon._update_role(daemon.started_at)
+        self.assertIn("configuration_not_applied", daemon.log.names())
+        daemon.table.warmup_bounds = limits
+        daemon._update_role(daemon.started_at)
+        self.assertEqual(3, daemon.frontend.version_in_force)
+
 
 class EvacuationTest(testtools.TestCase):
     """Guards against callers that are served before the evacuations are known."""
