--- a/almondtide/entry/gossip.py
+++ b/almondtide/entry/gossip.py
@@ -74,6 +74,9 @@
 DIGEST_GRACE_S = 0.25
 OTHER_DOMAIN_DIGEST_GRACE_S = 1.0
 PULL_TIMEOUT_S = 1.0
+# Longest time in s from making a message to sending it. What is left of the time for
+# which a leaving server serves has a margin of 0.6 s.
+MAX_SEND_DELAY_S = 0.5
 # Largest datagram that is received, in bytes.
 MAX_RECEIVED_BYTES = 1 << 16
 # Number of failed members that also get each heartbeat, in case they are back.
@@ -137,6 +140,7 @@
             "datagrams_invalid": 0,
             "records_invalid": 0,
             "datagrams_failed": 0,
+            "datagrams_stale": 0,
         }
 
     def set_loss_handler(self, function):
@@ -235,7 +239,7 @@
             )
         for host in dict.fromkeys(hosts):
             if host != local.host:
-                await self._send(short_raw if host in active_hosts else raw, host)
+                await self._send(short_raw if host in active_hosts else raw, host, now)
 
     def _other_members(self, now):
         local = self.view.local_member
@@ -357,7 +361,14 @@
             return demands
         return dict(random.sample(list(demands.items()), MAX_REPORTED_DEMANDS))
 
-    async def _send(self, raw, host):
+    async def _send(self, raw, host, made_at):
+        """Send a datagram whose ages and remaining times are those of ``made_at``.
+
+        After a pause of this process they are not true any more, so it is dropped.
+        """
+        if self._now() - made_at > MAX_SEND_DELAY_S:
+            self.counts["datagrams_stale"] += 1
+            return
         self.counts["datagrams_out"] += 1
         self.counts["bytes_out"] += len(raw)
         try:
@@ -384,7 +395,7 @@
                 configuration = (position, packed)
         for raw in encode_updates(records, configuration, now=now):
             for host in hosts:
-                await self._send(raw, host)
+                await self._send(raw, host, now)
         if is_configuration_new and configuration is None:
             # Too large for a datagram: members pull a snapshot when a heartbeat names
             # the new version.
@@ -396,14 +407,14 @@
         raw = encode_evacuations(self._feed.evacuations.notices(now, evacuations))
         for member in self._update_targets(now, source_host is not None):
             if member.host != source_host:
-                await self._send(raw, member.host)
+                await self._send(raw, member.host, now)
 
     async def send_loss_reports(self, losses):
         """Report servers that ended while they ran requests to the active members."""
         active_members = [m for m in self._other_members(self._now()) if m.is_active]
         for raw in encode_loss_reports(losses):
             for member in _sample(active_members, UPDATE_FANOUT):
-                await self._send(raw, member.host)
+                await self._send(raw, member.host, self._now())
 
     async def send_end_announcement(self, server, serves_s):
         """Record that a server says that it leaves, and tell other members.
@@ -415,7 +426,7 @@
         key = SERVER_PREFIX + server.id
         if self._replica.announce_end(key, server.born_ms, now + serves_s):
             end = EndAnnouncement(server.id, server.born_ms, serves_s)
-            await self._send_end(end, self._update_targets(now, False))
+            await self._send_end(end, self._update_targets(now, False), now)
 
     async def send_limit_end(self, server):
         """Tell other members that a server no longer limits its rate.
@@ -423,13 +434,14 @@
         Those without a part of the rate send nothing to it that would tell them.
         """
         raw = encode_limit_end(LimitEnd(server.id, server.born_ms))
-        for member in self._update_targets(self._now(), False):
-            await self._send(raw, member.host)
+        now = self._now()
+        for member in self._update_targets(now, False):
+            await self._send(raw, member.host, now)
 
-    async def _send_end(self, end, members):
+    async def _send_end(self, end, members, now):
         raw = encode_end_announcement(end)
         for member in members:
-            await self._send(raw, member.host)
+            await self._send(raw, member.host, now)
 
     def _announced_ends(self, now):
         """Return ``EndAnnouncement`` objects for all announced ends, newest first."""
@@ -503,7 +515,7 @@
             await self._on_heartbeat(message, host, now, arrived_after)
         elif isinstance(message, EndAnnouncement):
             if self._learn_end(message, arrived_after) and self.view.is_large:
-                await self._send_end(message, self._update_targets(now, True))
+                await self._send_end(message, self._update_targets(now, True), now)
         elif isinstance(message, LimitEnd):
             self._on_limit_end(message.server_id, message.born_ms, arrived_after)
         elif isinstance(message, LossReport):
@@ -617,10 +629,10 @@
         rest = [member for member in others if not member.is_active]
         members += _sample(rest, REPLY_MEMBERS - len(members))
         await self._send(
-            encode_heartbeat(self._make_heartbeat(members, now, False), now), host
+            encode_heartbeat(self._make_heartbeat(members, now, False), now), host, now
         )
         for end in self._announced_ends(now)[:REPLY_ENDS]:
-            await self._send(encode_end_announcement(end), host)
+            await self._send(encode_end_announcement(end), host, now)
 
     async def _compare_replicas(
         self, heartbeat, host, now, arrived_after, has_evacuations=True
@@ -781,7 +793,7 @@
             if (end.server_id, end.born_ms) not in known
         ]
         for end in missing[:REPLY_ENDS]:
-            await self._send(encode_end_announcement(end), host)
+            await self._send(encode_end_announcement(end), host, now)
 
 
 def _sample(members, count):
--- a/tests/entry/test_gossip.py
+++ b/tests/entry/test_gossip.py
@@ -347,6 +347,39 @@
         self.assertEqual(10.0, daemon.view.members[sender.name].last_heard_at)
 
 
+class PausedSenderTest(testtools.TestCase):
+    """Guards against ages and remaining times from before a pause of the sender."""
+
+    def _daemon(self):
+        daemon = _Daemon(5, active_members=range(5))
+        send = daemon.socket.sendto
+
+        async def pause_after_the_first(raw, address):
+            await send(raw, address)
+            daemon.now += 3.0
+
+        daemon.socket.sendto = pause_after_the_first
+        return daemon
+
+    def test_the_rest_of_a_round_of_heartbeats_is_not_sent(self):
+        daemon = self._daemon()
+        run(daemon.gossip._send_heartbeats)
+        self.assertEqual(1, len(daemon.socket.sent))
+        self.assertTrue(daemon.gossip.counts["datagrams_stale"] >= 3)
+
+    def test_the_rest_of_an_update_is_not_sent(self):
+        daemon = self._daemon()
+        server = decode_server(*SERVER)
+        leaving = daemon.replica.merge_server("servers/i-1", 5, server, 0.0)
+        run(daemon.gossip.send_updates, [leaving], False)
+        self.assertEqual(1, len(daemon.socket.sent))
+
+    def test_the_rest_of_an_announced_end_is_not_sent(self):
+        daemon = self._daemon()
+        run(daemon.gossip.send_end_announcement, decode_server(*SERVER), 3.0)
+        self.assertEqual(1, len(daemon.socket.sent))
+
+
 class DirectoryTest(testtools.TestCase):
     """Guards against callers that get no entry or failed ones."""
 
