Let ages of an earlier build complete a replica

If nothing is known yet, such an age counts, from before the message can have arrived; a known one is confirmed by reads alone.

--- a/almondtide/entry/gossip.py
+++ b/almondtide/entry/gossip.py
@@ -649,8 +649,11 @@
             self._digest_differs_since = None
             read = heartbeat.read
             if read is not None:
-                # Ages that name no read, of earlier builds, may be too small.
                 replica.freshness.note_read(read.reader, read.number, now - read.age_s)
+            elif replica.fresh_at is None:
+                # An age that names no read, as of an earlier build, may be too small.
+                # It completes a replica, but confirms no known one.
+                replica.freshness.note_copy(arrived_after - heartbeat.age_s)
             if not has_evacuations:
                 # The changes up to the sender's cursor may contain evacuations.
                 return
