Compare the configuration with the store's own key, and log where reads began

Tests of entry/test_gossip, test_evacuations, test_feed and bench/test_rollout pass; two of them count calls and are unchanged, since a check never follows a full read at once.

--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -610,6 +610,10 @@
                 "Evacuations of failure domains by what became of them.",
                 self.feed.evacuations.counts,
             ),
+            "configuration_checks": (
+                "Comparisons of the configuration with the store's own key.",
+                self.reader.configuration_check.counts,
+            ),
             "task_failures": ("Failures of tasks that were restarted.", TASK_FAILURES),
         }
         metric_families = [
@@ -631,6 +635,14 @@
                 "Version of the replica.",
                 self.replica.configuration_version,
             ),
+            "configuration_revision": (
+                "Revision of the newest configuration that was read.",
+                revision_of(self.feed.configuration_read_position),
+            ),
+            "cursor_revision": (
+                "Revision after which changes of the store are read.",
+                revision_of(self.feed.cursor or 0),
+            ),
             "knowledge_age_seconds": ("Age of the knowledge.", age_s or 0.0),
             "carries": (
                 "Whether callers are sent here.",
--- a/almondtide/entry/feed.py
+++ b/almondtide/entry/feed.py
@@ -111,6 +111,8 @@
     ``cursor`` is the position after which changes are read, None before the first
     full read. The store accepted all later changes after the time ``read_at``.
     ``era`` is the highest era that is known from the store or from peers.
+    ``configuration_read_position`` is the highest one at which a configuration was
+    read, from the store or from peers, invalid ones included.
 
     Removals of entries that probably expired while the store was unavailable are held
     for a while. Meanwhile ``shared_position`` stays before them, so that a daemon that
@@ -135,9 +137,11 @@
         "_replica",
         "_restored_at",
         "_revived_positions",
+        "configuration_read_position",
         "cursor",
         "era",
         "evacuations",
+        "full_read_count",
         "read_at",
         "settings",
     )
@@ -161,8 +165,10 @@
         # When this daemon learned of the last restoration, and its ``read_at`` then.
         self._restored_at = None
         self._read_at_before_era = None
+        self.configuration_read_position = 0
         self.cursor = None
         self.era = 0
+        self.full_read_count = 0
         self.read_at = None
 
     def note_era(self, era, now):
@@ -214,6 +220,7 @@
 
         ``operator_items`` are all keys of the operator where evacuations are used.
         """
+        self.full_read_count += 1
         self.note_era(era_of(position), now)
         if operator_items is not None:
             self._apply_evacuation_list(operator_items, position, now)
@@ -314,16 +321,22 @@
             return self._position_before_held
         return self.cursor or 0, self.read_at
 
-    def adopt_cursor(self, cursor, read_at):
+    def adopt_cursor(self, cursor, read_at, source=""):
         """Adopt the position of a daemon with an equal replica unless it is older.
 
         While removals are held, the cursor stays, so that the next read shows which
-        entries are registered again.
+        entries are registered again. ``source`` names the daemon in the log.
         """
         if self._is_holding or cursor < (self.cursor or 0):
             return
         if cursor > (self.cursor or 0) or self.read_at is None:
             self.read_at = read_at
+            self._log.debug(
+                "cursor_adopted",
+                revision=revision_of(cursor),
+                known_revision=revision_of(self.cursor or 0),
+                source=source,
+            )
         elif read_at is not None:
             self.read_at = max(self.read_at, read_at)
         self.cursor = cursor
@@ -515,6 +528,9 @@
 
     def merge_configuration(self, raw, position):
         """Decode a configuration and store it if it is newer; returns whether it is."""
+        self.configuration_read_position = max(
+            self.configuration_read_position, position
+        )
         try:
             configuration = decode_configuration(raw or b"")
         except DocumentError as exc:
--- a/almondtide/entry/gossip.py
+++ b/almondtide/entry/gossip.py
@@ -659,7 +659,9 @@
                 return
             age_s = heartbeat.cursor_age_s
             self._feed.adopt_cursor(
-                heartbeat.cursor, None if age_s is None else arrived_after - age_s
+                heartbeat.cursor,
+                None if age_s is None else arrived_after - age_s,
+                f"peer {host}",
             )
             return
         is_other_domain = (
--- a/almondtide/entry/reader.py
+++ b/almondtide/entry/reader.py
@@ -8,6 +8,7 @@
 from ..model.position import era_of, revision_of
 from ..platform.documents import CONFIGURATION_KEY, OPERATOR_PREFIX, SERVER_PREFIX
 from ..platform.store import HistoryLostError, StoreRestoredError, StoreTimeoutError
+from .configuration_check import ConfigurationCheck
 from .feed import next_read_at
 from .members import store_reader_rank
 
@@ -25,6 +26,8 @@
 # Timeout of a watch, in s. The store may fail to answer watches while it answers full
 # reads, so a full read follows.
 WATCH_TIMEOUT_S = 0.3
+# Timeout of a check of the configuration, in s, so that it delays no read.
+CHECK_TIMEOUT_S = 0.3
 # The store returns at most about 500 changes per page; after an outage more may be
 # pending. A page with at least this many changes may be incomplete, so the next one is
 # read, up to a maximum number of pages.
@@ -55,6 +58,7 @@
         "_store",
         "_unavailable_since",
         "_view",
+        "configuration_check",
         "read_count",
         "settings",
     )
@@ -74,6 +78,7 @@
         self._started_at = now()
         self._read_failed_at = None
         self._unavailable_since = None
+        self.configuration_check = ConfigurationCheck()
         self.read_count = 0
 
     async def run(self):
@@ -134,6 +139,8 @@
         before = self._replica.configuration_version
         age_s = self._replica.age_s(started_at)
         calls_before = self._store.call_count
+        cursor_before = self._feed.cursor or 0
+        full_reads_before = self._feed.full_read_count
         self.read_count += 1
         try:
             changed = await self._read_store()
@@ -143,13 +150,21 @@
             await self._send_updates([], self._replica.configuration_version != before)
             return
         self._note_success()
+        is_full = self._feed.full_read_count > full_reads_before
+        if is_full:
+            self.configuration_check.note_full_read(
+                self._now(), self.settings.config_apply_s
+            )
         self._log.info(
             "replica_read",
+            kind="full" if is_full else "changes",
             ms=int((self._now() - started_at) * 1000),
             calls=self._store.call_count - calls_before,
             known_age_ms="none" if age_s is None else int(age_s * 1000),
             changed=len(changed),
             version=self._replica.configuration_version,
+            configuration_revision=revision_of(self._replica.configuration_position),
+            after_revision=revision_of(cursor_before),
             revision=revision_of(self._feed.cursor),
         )
         if self._store.invalid_era is not None:
@@ -159,6 +174,32 @@
             self._store.invalid_key = None
         await self._send_updates(changed, self._replica.configuration_version != before)
         await self._gossip.trigger_heartbeat()
+        if self.configuration_check.is_due(self._now(), self._now() - started_at):
+            await self._check_configuration()
+
+    async def _check_configuration(self):
+        """Compare the configuration with the store's, whatever the cursor is."""
+        check, within_s = self.configuration_check, self.settings.config_apply_s
+        try:
+            item = await self._store.get(CONFIGURATION_KEY, CHECK_TIMEOUT_S)
+        except PlatformError as exc:
+            check.note_failure(self._now(), within_s)
+            self._log.debug("configuration_not_checked", reason=exc.message)
+            return
+        check.note_answer(self._now(), within_s, len(item.value) if item else 0)
+        cursor, read_position = (
+            self._feed.cursor,
+            self._feed.configuration_read_position,
+        )
+        if item is None or not check.is_missed(item.position, cursor, read_position):
+            return
+        self._log.error(
+            "configuration_missed",
+            revision=revision_of(item.position),
+            known_revision=revision_of(read_position),
+            cursor_revision=revision_of(cursor),
+            version=self._replica.configuration_version,
+        )
 
     async def _send_updates(self, changed, is_configuration_new=False):
         evacuations = self._feed.take_evacuation_changes()
--- a/almondtide/platform/store.py
+++ b/almondtide/platform/store.py
@@ -92,9 +92,10 @@
         self.invalid_era = None
         self.invalid_key = None
 
-    async def get(self, key):
+    async def get(self, key, timeout_s=None):
         """Return the ``StoreItem`` at ``key``, or None if there is none."""
-        body = await self._call(f"/v1/kv-key?key={key}", is_missing_allowed=True)
+        path = f"/v1/kv-key?key={key}"
+        body = await self._call(path, timeout_s, is_missing_allowed=True)
         return None if body is None else _decode_item(body, self.era)
 
     async def read(self, prefix):
--- a/standins/gossip_fleet.py
+++ b/standins/gossip_fleet.py
@@ -32,7 +32,7 @@
 
 from .virtual_time import VirtualClock, run_in_virtual_time
 
-__all__ = ["GossipFleet", "ModelStore", "play"]
+__all__ = ["GossipFleet", "ModelStore", "entry_settings", "play"]
 
 DOMAINS = ("lautoka", "nadi", "suva")
 CONTROL_PORT = 8224
@@ -142,9 +142,9 @@
         if mode == "busy":
             raise PlatformError("the store answered with status 503")
 
-    async def get(self, key):
+    async def get(self, key, timeout_s=STORE_TIMEOUT_S):
         """Return the item at a key, or None."""
-        await self._call()
+        await self._call(timeout_s)
         return self._store.items.get(key)
 
     async def read(self, prefix):
@@ -219,6 +219,39 @@
         await self._apply_snapshot(snapshot, host, asked_at)
 
 
+def entry_settings(number, further_bounds=None):
+    """Return the settings document of the entry with a number, from 0.
+
+    ``further_bounds`` are added to ``BOUNDS``.
+    """
+    domain = DOMAINS[number % len(DOMAINS)]
+    host = _entry_host(number)
+    return {
+        "node_name": f"front-{domain}-{number + 1}",
+        "role": "entry",
+        "ip": host,
+        "zone": domain,
+        "region": "viti-levu",
+        "zones": dict.fromkeys(DOMAINS, "viti-levu"),
+        "listen": {
+            name: f"{host}:{CONTROL_PORT + offset}"
+            for offset, name in enumerate(
+                ("control", "directory", "front", "readiness")
+            )
+        },
+        "port_range": [7740, 7755],
+        "seeds": [f"10.1.0.{number}:{CONTROL_PORT}" for number in (1, 2, 3)],
+        "bootstrap": True,
+        "limits": {"cpu_share": 0.731, "cores": 1, "memory_mb": 222},
+        "bounds": {**BOUNDS, **(further_bounds or {})},
+        "platform": {"address": "10.200.1.7:8229", "form": "read"},
+    }
+
+
+def _entry_host(number):
+    return f"10.1.0.{number + 1}" if number < 250 else f"10.2.0.{number - 249}"
+
+
 class _ModelEntry:
     """One entry: replica, feed, gossip and reader."""
 
@@ -228,9 +261,9 @@
         self.paused_until = 0.0
         self.is_stopped = False
         self._tasks = []
-        self.host = f"10.1.0.{number + 1}" if number < 250 else f"10.2.0.{number - 249}"
+        self.host = _entry_host(number)
         domain = DOMAINS[number % len(DOMAINS)]
-        settings = decode_settings(orjson.dumps(self._settings(domain)))
+        settings = decode_settings(orjson.dumps(entry_settings(number)))
         now = fleet.clock.monotonic
         self.log = _RecordingLog(now)
         local = Member(
@@ -272,28 +305,6 @@
             self.log,
         )
 
-    def _settings(self, domain):
-        return {
-            "node_name": f"front-{domain}-{self.number + 1}",
-            "role": "entry",
-            "ip": self.host,
-            "zone": domain,
-            "region": "viti-levu",
-            "zones": dict.fromkeys(DOMAINS, "viti-levu"),
-            "listen": {
-                name: f"{self.host}:{CONTROL_PORT + offset}"
-                for offset, name in enumerate(
-                    ("control", "directory", "front", "readiness")
-                )
-            },
-            "port_range": [7740, 7755],
-            "seeds": [f"10.1.0.{number}:{CONTROL_PORT}" for number in (1, 2, 3)],
-            "bootstrap": True,
-            "limits": {"cpu_share": 0.731, "cores": 1, "memory_mb": 222},
-            "bounds": BOUNDS,
-            "platform": {"address": "10.200.1.7:8229", "form": "read"},
-        }
-
     @property
     def name(self):
         """Name of the entry."""
