--- a/standins/gossip_fleet.py
+++ b/standins/gossip_fleet.py
@@ -5,6 +5,7 @@
 the same seed.
 """
 
+import functools
 import random
 import types
 
@@ -25,14 +26,19 @@
 from almondtide.entry.run_time import TICK_S, RunTime
 from almondtide.errors import DocumentError, PlatformError
 from almondtide.logs import Log
-from almondtide.model.position import make_position
+from almondtide.model.position import era_of, make_position, revision_of
 from almondtide.platform.documents import CONFIGURATION_KEY, SERVER_PREFIX
 from almondtide.platform.settings import decode_settings
-from almondtide.platform.store import StoreItem, StoreTimeoutError
+from almondtide.platform.store import (
+    HistoryLostError,
+    StoreItem,
+    StoreRestoredError,
+    StoreTimeoutError,
+)
 
 from .virtual_time import VirtualClock, run_in_virtual_time
 
-__all__ = ["GossipFleet", "ModelStore", "entry_settings", "play"]
+__all__ = ["GossipFleet", "ModelStore", "RecordingLog", "entry_settings", "play"]
 
 DOMAINS = ("lautoka", "nadi", "suva")
 CONTROL_PORT = 8224
@@ -41,6 +47,8 @@
 HOUSEKEEPING_INTERVAL_S = 0.25
 PAUSE_POLL_S = 0.01
 SERVER_HEARTBEAT_S = 1.2
+# Distance of the incarnations of two processes of one entry.
+INCARNATION_STEP = 1000
 STORE_TIMEOUT_S = 0.8
 BOUNDS = {
     "contact_ms": 4000,
@@ -54,7 +62,7 @@
 }
 
 
-class _RecordingLog(Log):
+class RecordingLog(Log):
     """Records the events of an entry as (time in s, name, fields)."""
 
     def __init__(self, now):
@@ -97,27 +105,72 @@
     """The platform's store: items, their changes, and how it answers each host.
 
     ``answer_s`` is the time of an answer, in s. ``refusals`` maps hosts to ``busy``,
-    which answers with a refusal, or ``silent``.
+    which answers with a refusal, or ``silent``. ``silent_watches`` is the number of
+    watches of a host that get no answer. ``on_call`` is a function that is called with
+    (host, "before" or "after") around the making of each answer; None for none.
     """
 
     def __init__(self, answer_s=0.004):
         self.answer_s = answer_s
         self.refusals = {}
+        self.silent_watches = {}
+        self.on_call = None
         self.items = {}
         self.changes = []
         self.revision = 1
+        self.era = 0
+        self._first_revision = 1
 
     def put(self, key, document):
         """Write a document as JSON."""
         self.revision += 1
-        position = make_position(0, self.revision)
-        item = StoreItem(key, position, orjson.dumps(document))
+        item = StoreItem(key, self.position(), orjson.dumps(document))
         self.items[key] = item
         self.changes.append(item)
 
+    def remove(self, key):
+        """Remove a key."""
+        self.revision += 1
+        del self.items[key]
+        self.changes.append(StoreItem(key, self.position(), None))
+
     def position(self):
         """Return the position of the last change."""
-        return make_position(0, self.revision)
+        return make_position(self.era, self.revision)
+
+    def drop_history(self):
+        """Drop all past changes."""
+        self.changes = []
+        self._first_revision = self.revision + 1
+
+    def copy(self):
+        """Return a copy of the contents, for ``restore``."""
+        return dict(self.items), self.revision
+
+    def restore(self, copy):
+        """Go back to a copy, in a new era and without the history."""
+        items, self.revision = copy
+        self.era += 1
+        self.items = {
+            key: StoreItem(
+                key, make_position(self.era, revision_of(item.position)), item.value
+            )
+            for key, item in items.items()
+        }
+        self.drop_history()
+
+    def changes_after(self, position, prefix):
+        """Return the changes of keys with a prefix; raises ``HistoryLostError``."""
+        revision = revision_of(position)
+        if era_of(position) != self.era:
+            raise StoreRestoredError(f"the store was restored: era {self.era}")
+        if revision + 1 < self._first_revision or revision > self.revision:
+            raise HistoryLostError("the store no longer has these changes")
+        return [
+            item
+            for item in self.changes
+            if item.position > position and item.key.startswith(prefix)
+        ]
 
 
 class _StoreSession:
@@ -131,40 +184,65 @@
         self.invalid_era = None
         self.invalid_key = None
 
-    async def _call(self, timeout_s=STORE_TIMEOUT_S):
+    async def _call(self, make_answer, timeout_s=STORE_TIMEOUT_S, is_silent=False):
         self.call_count += 1
-        mode = self._store.refusals.get(self._host)
-        answer_s = self._store.answer_s
-        if mode == "silent" or answer_s > timeout_s:
+        store = self._store
+        mode = store.refusals.get(self._host)
+        if is_silent or mode == "silent" or store.answer_s > timeout_s:
             await curio.sleep(timeout_s)
             raise StoreTimeoutError(f"no answer within {timeout_s} s")
-        await curio.sleep(answer_s)
+        await curio.sleep(store.answer_s)
         if mode == "busy":
             raise PlatformError("the store answered with status 503")
+        self._report("before")
+        self.era = store.era
+        answer = make_answer()
+        self._report("after")
+        return answer
+
+    def _report(self, phase):
+        if self._store.on_call is not None:
+            self._store.on_call(self._host, phase)
 
     async def get(self, key, timeout_s=STORE_TIMEOUT_S):
         """Return the item at a key, or None."""
-        await self._call(timeout_s)
-        return self._store.items.get(key)
+        return await self._call(lambda: self._store.items.get(key), timeout_s)
 
     async def read(self, prefix):
         """Return (items with ``prefix``, position at the first page)."""
-        await self._call()
-        position = self._store.position()
-        keys = sorted(key for key in self._store.items if key.startswith(prefix))
-        for _ in range(PAGE_ITEMS, len(keys), PAGE_ITEMS):
-            await self._call()
-        return [self._store.items[key] for key in keys], position
+        items, position, after = [], None, ""
+        while True:
+            page, page_position, has_more = await self._call(
+                functools.partial(self._make_page, prefix, after)
+            )
+            items.extend(page)
+            if position is None:
+                position = page_position
+            elif era_of(position) != era_of(page_position):
+                raise StoreRestoredError("the store was restored during the read")
+            if not has_more:
+                return items, position
+            after = page[-1].key
+
+    def _make_page(self, prefix, after):
+        items = self._store.items
+        keys = sorted(key for key in items if key.startswith(prefix) and key > after)
+        page = [items[key] for key in keys[:PAGE_ITEMS]]
+        return page, self._store.position(), len(keys) > PAGE_ITEMS
 
     async def changes(self, prefix, after, wait_ms, timeout_s):
         """Return (changes since position ``after``, last position)."""
-        await self._call(timeout_s)
-        found = [
-            item
-            for item in self._store.changes
-            if item.position > after and item.key.startswith(prefix)
-        ]
-        return found, self._store.position()
+        silent_watches = self._store.silent_watches.get(self._host, 0)
+        if silent_watches:
+            self._store.silent_watches[self._host] = silent_watches - 1
+        return await self._call(
+            lambda: (
+                self._store.changes_after(after, prefix),
+                self._store.position(),
+            ),
+            timeout_s,
+            silent_watches > 0,
+        )
 
 
 class _ModelSocket:
@@ -201,13 +279,19 @@
 
 
 class _ModelGossip(Gossip):
-    """Pulls snapshots over the model's network."""
+    """Pulls snapshots over the model's network, but none until a time in s."""
 
     # ``Gossip`` has slots.
-    __slots__ = ("fleet",)
+    __slots__ = ("fleet", "no_snapshot_until")
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        self.no_snapshot_until = 0.0
 
     async def _pull_snapshot(self, host):
         asked_at = self._now()
+        if asked_at < self.no_snapshot_until:
+            return
         raw = await self.fleet.fetch_snapshot(self.view.local_member.host, host)
         if raw is None:
             return
@@ -253,7 +337,10 @@
 
 
 class _ModelEntry:
-    """One entry: replica, feed, gossip and reader."""
+    """One entry: replica, feed, gossip and reader; ``restart`` makes them anew.
+
+    ``log`` holds the events of all its processes.
+    """
 
     def __init__(self, fleet, number):
         self.fleet = fleet
@@ -262,15 +349,19 @@
         self.is_stopped = False
         self._tasks = []
         self.host = _entry_host(number)
-        domain = DOMAINS[number % len(DOMAINS)]
-        settings = decode_settings(orjson.dumps(entry_settings(number)))
+        self.log = RecordingLog(fleet.clock.monotonic)
+        self._incarnation = number + 1
+        self._create_process(entry_settings(number))
+
+    def _create_process(self, settings_document):
+        fleet = self.fleet
+        settings = decode_settings(orjson.dumps(settings_document))
         now = fleet.clock.monotonic
-        self.log = _RecordingLog(now)
         local = Member(
             settings.instance,
-            number + 1,
+            self._incarnation,
             self.host,
-            domain,
+            settings.domain,
             MemberState.NOT_READY,
             0.73,
             False,
@@ -305,6 +396,21 @@
             self.log,
         )
 
+    async def restart(self, is_supplied=True):
+        """End the process and start another one, which knows nothing of before.
+
+        Without ``is_supplied`` it gets no snapshot for a second, and has to read the
+        store itself.
+        """
+        await self.stop()
+        self._incarnation += INCARNATION_STEP
+        settings = {**entry_settings(self.number), "bootstrap": False}
+        self._create_process(settings)
+        if not is_supplied:
+            self.gossip.no_snapshot_until = self.fleet.now + 1.0
+        self.is_stopped = False
+        await self.start()
+
     @property
     def name(self):
         """Name of the entry."""
@@ -333,6 +439,7 @@
         self.is_stopped = True
         for task in self._tasks:
             await task.cancel()
+        self._tasks.clear()
 
     async def _tick(self):
         while True:
--- a/standins/store.py
+++ b/standins/store.py
@@ -15,6 +15,8 @@
 
 PAGE_ITEMS = 50
 MAX_WATCH_EVENTS = 500
+# Most bytes of the values in one answer, unless a single value is larger.
+MAX_ANSWER_BYTES = 1 << 20
 MODES = ("normal", "busy", "silent", "reset")
 
 
@@ -43,10 +45,28 @@
     answer, ``reset`` closes each new connection. After ``drop_history``, a watch from
     an earlier revision gets 410. ``restore`` goes back to an earlier ``copy`` and
     raises ``era``, which all answers state.
+
+    ``on_call`` is an async function that is awaited with "before" and "after" around
+    the making of each answer, so that a change falls between any two calls of a
+    reader; None for none. ``answer_delay_s`` holds each answer after it was made, in
+    s, and so stretches the time between two calls. As many watches as
+    ``silent_watches`` says get no answer.
     """
 
-    def __init__(self, address=("127.0.0.1", 0)):
+    def __init__(
+        self,
+        address=("127.0.0.1", 0),
+        page_items=PAGE_ITEMS,
+        max_watch_events=MAX_WATCH_EVENTS,
+        max_answer_bytes=MAX_ANSWER_BYTES,
+    ):
         self.listener = Listener(address, self._serve)
+        self.page_items = page_items
+        self.max_watch_events = max_watch_events
+        self.max_answer_bytes = max_answer_bytes
+        self.on_call = None
+        self.answer_delay_s = 0.0
+        self.silent_watches = 0
         self.items = {}
         self.events = []
         self.revision = 1
@@ -90,6 +110,10 @@
         event = {"key": key, "revision": self.revision, "removed": True}
         await self._append_event(event)
 
+    def value(self, key):
+        """Return the value of a key as bytes."""
+        return base64.b64decode(self.items[key]["value"])
+
     def drop_history(self):
         """Drop all past events."""
         self.events = []
@@ -120,8 +144,14 @@
         await serve_http(sock, self._handle, log=Log())
 
     async def _handle(self, request):
+        if self.on_call is not None:
+            await self.on_call("before")
         response = await self._respond(request)
         response.headers["store-era"] = str(self.era)
+        if self.on_call is not None:
+            await self.on_call("after")
+        if self.answer_delay_s:
+            await curio.sleep(self.answer_delay_s)
         return response
 
     async def _respond(self, request):
@@ -151,15 +181,31 @@
         keys = sorted(
             key for key in self.items if key.startswith(query["prefix"]) and key > after
         )
-        page = [self.items[key] for key in keys[:PAGE_ITEMS]]
+        page = self._cut(
+            [self.items[key] for key in keys[: self.page_items]], self.max_answer_bytes
+        )
         body = {
             "items": page,
-            "has_more": len(keys) > PAGE_ITEMS,
+            "has_more": len(keys) > len(page),
             "as_of": self.revision,
         }
         return _json_response(body)
 
+    @staticmethod
+    def _cut(items, max_bytes):
+        """Return the first items whose values fit into an answer, one at least."""
+        kept, size = [], 0
+        for item in items:
+            size += len(item.get("value", ""))
+            if kept and size > max_bytes:
+                break
+            kept.append(item)
+        return kept
+
     async def _watch(self, query):
+        if self.silent_watches:
+            self.silent_watches -= 1
+            await curio.sleep(3600)
         after = int(query["after"])
         found = []
         async with curio.ignore_after(int(query["wait_ms"]) / 1000.0):
@@ -169,11 +215,9 @@
                 await self._changed.wait()
         if after + 1 < self.first_event_revision or after > self.revision:
             return HTTPResponse(410)
-        as_of = self.revision
-        if len(found) > MAX_WATCH_EVENTS:
-            found = found[:MAX_WATCH_EVENTS]
-            as_of = found[-1]["revision"]
-        return _json_response({"events": found, "as_of": as_of})
+        page = self._cut(found[: self.max_watch_events], self.max_answer_bytes)
+        as_of = self.revision if len(page) == len(found) else page[-1]["revision"]
+        return _json_response({"events": page, "as_of": as_of})
 
     def _events_after(self, after, prefix):
         return [
