Read on after a page of changes that was cut by its bytes

The reader took a page for the last one if it had under 400 changes that it could read. The store also cuts pages by their bytes, and changes under keys that are no text did not count. What followed came one read (0.99 s) later for each page, and meanwhile the replica, its peers and the times for which leaving servers serve counted from the start of that read, as if all changes before had been read.

A page states its number of changes and bytes now, left-out ones included, and is taken for the last one only if a value as large as the next configuration may be would have fit. A read that ends at the maximum number of pages moves the cursor and confirms nothing.

The tests of StoreClient.changes compare a ChangePage in place of a tuple.

--- a/almondtide/entry/feed.py
+++ b/almondtide/entry/feed.py
@@ -261,10 +261,11 @@
             return False
         return True
 
-    def apply_changes(self, items, position, now, answered_at=None):
+    def apply_changes(self, items, position, now, answered_at=None, is_complete=True):
         """Apply a list of changes; returns the changed records.
 
-        The read began at ``now`` and was answered at ``answered_at``.
+        The read began at ``now`` and was answered at ``answered_at``. Unless it
+        ``is_complete``, changes before ``now`` are left, so that it confirms nothing.
         """
         missing = {item.key for item in items if self._is_removal(item)}
         missing = {key for key in missing if self._replica.has_server(key)}
@@ -277,9 +278,10 @@
                 self._merge_evacuation_change(item, now, answered_at or now)
             else:
                 self._merge_item(item, now, changed)
-        if self.uses_evacuations and self.evacuations.known_at is not None:
+        is_known = self.uses_evacuations and self.evacuations.known_at is not None
+        if is_known and is_complete:
             self.evacuations.note_local_read(now)
-        self._set_position(max(position, self.cursor or 0), now)
+        self._set_position(max(position, self.cursor or 0), now, is_complete)
         return changed
 
     @staticmethod
@@ -303,7 +305,7 @@
         """Whether something that the store no longer lists is kept for a while."""
         return bool(self._held_removals or self._held_withdrawals)
 
-    def _set_position(self, position, now):
+    def _set_position(self, position, now, is_complete=True):
         if not self._is_holding:
             self._position_before_held = None
         elif self._position_before_held is None:
@@ -311,8 +313,9 @@
             before = max(self.cursor or 0, make_position(self.era, 0))
             self._position_before_held = before, self.read_at
         self.cursor = position
-        self.read_at = now
-        self._replica.freshness.note_local_read(now)
+        if is_complete:
+            self.read_at = now
+            self._replica.freshness.note_local_read(now)
 
     @property
     def shared_position(self):
--- a/almondtide/entry/reader.py
+++ b/almondtide/entry/reader.py
@@ -28,17 +28,35 @@
 WATCH_TIMEOUT_S = 0.3
 # Timeout of a check of the configuration, in s, so that it delays no read.
 CHECK_TIMEOUT_S = 0.3
-# The store returns at most about 500 changes per page; after an outage more may be
-# pending. A page with at least this many changes may be incomplete, so the next one is
-# read, up to a maximum number of pages.
+# The store returns at most about 500 changes or 1 MB per page; after an outage more may
+# be pending. A page of at least this many changes, or bytes of encoded values, may be
+# incomplete, so the next one is read, up to a maximum number of pages.
 FULL_PAGE_CHANGES = 400
+FULL_PAGE_BYTES = 500_000
 MAX_PAGES = 40
+# Encoding in base64 makes this of a byte. The next configuration may be larger than the
+# known one, by this factor at most.
+ENCODED_BYTES = 4 / 3
+CONFIGURATION_GROWTH = 2.0
 # Bounds of the sleep until the next check whether a read is due, in s.
 MIN_SLEEP_S = 0.01
 MAX_SLEEP_S = 0.5
 PEER_POLL_S = 0.02
 
 
+def may_be_cut(page, configuration_bytes):
+    """Return whether the store may have more changes than a ``ChangePage`` holds.
+
+    That is so too if the next one may have been too large for the page: usually no
+    value is larger than the configuration, which has ``configuration_bytes``.
+    """
+    next_bytes = CONFIGURATION_GROWTH * ENCODED_BYTES * configuration_bytes
+    return page.event_count > 0 and (
+        page.event_count >= FULL_PAGE_CHANGES
+        or page.value_bytes + next_bytes >= FULL_PAGE_BYTES
+    )
+
+
 class StoreReader:
     """Reads the store into the replica of a daemon when a read is due.
 
@@ -287,16 +305,19 @@
         """Read all pending changes; returns the changed records."""
         changes = []
         after = self._feed.cursor
+        is_complete = False
         for _ in range(MAX_PAGES):
-            page, after = await self._store.changes(
-                "", after, WATCH_WAIT_MS, WATCH_TIMEOUT_S
-            )
+            page = await self._store.changes("", after, WATCH_WAIT_MS, WATCH_TIMEOUT_S)
+            after = page.position
             self._check_era(after)
-            changes.extend(page)
-            if len(page) < FULL_PAGE_CHANGES:
+            changes.extend(page.items)
+            if not may_be_cut(page, len(self._replica.configuration_raw)):
+                is_complete = True
                 break
         else:
             self._log.warning(
                 "changes_left", pages=MAX_PAGES, revision=revision_of(after)
             )
-        return self._feed.apply_changes(changes, after, started_at, self._now())
+        return self._feed.apply_changes(
+            changes, after, started_at, self._now(), is_complete
+        )
--- a/almondtide/platform/store.py
+++ b/almondtide/platform/store.py
@@ -13,6 +13,7 @@
 from ..model.position import MAX_ERA, MAX_REVISION, era_of, make_position, revision_of
 
 __all__ = [
+    "ChangePage",
     "HistoryLostError",
     "StoreClient",
     "StoreItem",
@@ -63,6 +64,22 @@
         self.value = value
 
 
+class ChangePage:
+    """A page of changes: ``items``, and the ``position`` up to which it has all.
+
+    ``event_count`` and ``value_bytes`` are those of the answer, in which values are
+    encoded, items that were left out included. The store cuts pages by both.
+    """
+
+    __slots__ = ("event_count", "items", "position", "value_bytes")
+
+    def __init__(self, items, position, event_count, value_bytes):
+        self.items = items
+        self.position = position
+        self.event_count = event_count
+        self.value_bytes = value_bytes
+
+
 class StoreClient:
     """Calls the store over one connection, one call at a time.
 
@@ -125,7 +142,7 @@
         raise PlatformError(f"the store listed over {MAX_PAGES} pages of {prefix!r}")
 
     async def changes(self, prefix, after, wait_ms, timeout_s):
-        """Return (changes with ``prefix`` since position ``after``, last position).
+        """Return a ``ChangePage`` of changes with ``prefix`` since ``after``.
 
         The store waits up to ``wait_ms`` for the first change. Raises
         ``HistoryLostError`` if a full read is needed, also when the store was restored
@@ -142,7 +159,12 @@
         if not isinstance(events, list):
             raise PlatformError("the store's answer has no list of events")
         changes = [_decode_item(event, self.era) for event in events]
-        return self._readable(changes), _decode_position(body, "as_of", self.era)
+        return ChangePage(
+            self._readable(changes),
+            _decode_position(body, "as_of", self.era),
+            len(events),
+            sum(_value_length(event) for event in events),
+        )
 
     def _readable(self, items):
         """Return the items whose keys are text; others may write keys of any bytes."""
@@ -248,6 +270,11 @@
     return make_position(era, revision)
 
 
+def _value_length(event):
+    value = event.get("value")
+    return len(value) if isinstance(value, str) else 0
+
+
 def _decode_item(data, era):
     if not isinstance(data, dict) or not isinstance(data.get("key"), str):
         raise PlatformError("the store's answer has an item without a key")
--- a/bench/interleave.py
+++ b/bench/interleave.py
@@ -254,6 +254,15 @@
         await entry.publish(PADDING_BYTES)
 
 
+@ways.register("page of changes cut before a large value")
+async def _before_large_change(entry):
+    entry.store.max_answer_bytes = MAX_ANSWER_BYTES
+    await entry.publish(PADDING_BYTES)
+    await entry.read()
+    await entry.register(0, capacity=4)
+    await entry.publish(2 * PADDING_BYTES)
+
+
 @ways.register("pages of a list cut by their bytes")
 async def _before_large_list(entry):
     entry.store.max_answer_bytes = MAX_ANSWER_BYTES
--- a/standins/gossip_fleet.py
+++ b/standins/gossip_fleet.py
@@ -30,6 +30,7 @@
 from almondtide.platform.documents import CONFIGURATION_KEY, SERVER_PREFIX
 from almondtide.platform.settings import decode_settings
 from almondtide.platform.store import (
+    ChangePage,
     HistoryLostError,
     StoreItem,
     StoreRestoredError,
@@ -231,14 +232,13 @@
         return page, self._store.position(), len(keys) > PAGE_ITEMS
 
     async def changes(self, prefix, after, wait_ms, timeout_s):
-        """Return (changes since position ``after``, last position)."""
+        """Return a ``ChangePage`` of all changes since position ``after``."""
         silent_watches = self._store.silent_watches.get(self._host, 0)
         if silent_watches:
             self._store.silent_watches[self._host] = silent_watches - 1
         return await self._call(
-            lambda: (
-                self._store.changes_after(after, prefix),
-                self._store.position(),
+            lambda: ChangePage(
+                self._store.changes_after(after, prefix), self._store.position(), 1, 0
             ),
             timeout_s,
             silent_watches > 0,
--- a/tests/bench/test_interleave.py
+++ b/tests/bench/test_interleave.py
@@ -39,7 +39,10 @@
         self._assert_ways("changes", "full pages of changes")
 
     def test_changes_after_a_page_cut_by_its_bytes_are_read_at_once(self):
-        self._assert_ways("pages of changes cut by their bytes")
+        self._assert_ways(
+            "pages of changes cut by their bytes",
+            "page of changes cut before a large value",
+        )
 
 
 class FleetTest(_InterleavingTest):
--- a/tests/entry/test_feed.py
+++ b/tests/entry/test_feed.py
@@ -87,6 +87,13 @@
         self.feed.apply_full_list([_item(2, 8)], 9, 1.0)
         self.assertEqual(["servers/i-2"], self.known())
 
+    def test_a_read_that_left_changes_confirms_nothing(self):
+        self.feed.apply_full_list([_item(1, 3)], 5, 0.0)
+        self.feed.apply_changes([_item(2, 7)], 7, 1.0, is_complete=False)
+        self.assertEqual(["servers/i-1", "servers/i-2"], self.known())
+        self.assertEqual((7, 0.0), (self.feed.cursor, self.feed.read_at))
+        self.assertEqual(0.0, self.replica.fresh_at)
+
 
 class ExpiryTest(_FeedTest):
     """Guards against loss of servers whose entries expired while the store was away."""
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -55,9 +55,11 @@
             async def scenario(store, client, keys=keys, name=name):
                 for key in (*keys, f"servers/{name}", "servers/z"):
                     await store.put(key, b"x")
-                changes, _ = await client.changes("", 1, 0, 0.3)
+                page = await client.changes("", 1, 0, 0.3)
+                # Changes that are left out count, or a full page would seem the last.
+                self.assertEqual(PAGE_ITEMS + 1, page.event_count)
                 items, _ = await client.read("servers/")
-                return items, changes
+                return items, page.items
 
             for items in _run_scenario(scenario):
                 found = {item.key for item in items}
@@ -81,18 +83,19 @@
             await store.remove("servers/i-1")
             return await client.changes("", 2, 20, 0.3)
 
-        changes, revision = _run_scenario(scenario)
+        page = _run_scenario(scenario)
         self.assertEqual(
             [("op/config", b"doc"), ("servers/i-1", None)],
-            [(change.key, change.value) for change in changes],
+            [(change.key, change.value) for change in page.items],
         )
-        self.assertEqual(4, revision)
+        self.assertEqual((4, 2, 4), (page.position, page.event_count, page.value_bytes))
 
     def test_no_change_within_the_wait(self):
         async def scenario(store, client):
             return await client.changes("", store.revision, 20, 0.3)
 
-        self.assertEqual(([], 1), _run_scenario(scenario))
+        page = _run_scenario(scenario)
+        self.assertEqual(([], 1), (page.items, page.position))
 
     def test_lost_history(self):
         async def scenario(store, client):
