Take over a configuration that the cursor has passed, and read all then

A second line behind the positions of reads. Entries of an earlier build keep stating cursors that passed a version unread, and their peers adopt them; a hole of this class that nobody thought of would look the same. The check of the store's own key, so far only logged, puts the version into force, and a full read follows, since other changes may have been passed too.

--- a/almondtide/entry/configuration_check.py
+++ b/almondtide/entry/configuration_check.py
@@ -49,14 +49,12 @@
         self.counts["failed"] += 1
         self._due_at = now + INTERVAL_FRACTION * within_s
 
-    def is_missed(self, position, cursor, read_position):
+    @staticmethod
+    def may_be_missed(position, cursor, read_position):
         """Return whether a configuration lies before the cursor and was not read.
 
         It is at ``position`` in the store, and the newest one that was read, from the
         store or from peers, at ``read_position``. What lies behind the cursor comes
-        with the next read.
+        with the next read. An invalid one that another entry read may seem missed.
         """
-        if cursor is None or not read_position < position <= cursor:
-            return False
-        self.counts["missed"] += 1
-        return True
+        return cursor is not None and read_position < position <= cursor
--- a/almondtide/entry/feed.py
+++ b/almondtide/entry/feed.py
@@ -112,7 +112,8 @@
     full read. The store accepted all later changes after the time ``read_at``.
     ``era`` is the highest era that is known from the store or from peers.
     ``configuration_read_position`` is the highest one at which a configuration was
-    read, from the store or from peers, invalid ones included.
+    read, from the store or from peers, invalid ones included. While
+    ``is_full_read_required``, the cursor is known to have passed changes unread.
 
     Removals of entries that probably expired while the store was unavailable are held
     for a while. Meanwhile ``shared_position`` stays before them, so that a daemon that
@@ -142,6 +143,7 @@
         "era",
         "evacuations",
         "full_read_count",
+        "is_full_read_required",
         "read_at",
         "settings",
     )
@@ -169,6 +171,7 @@
         self.cursor = None
         self.era = 0
         self.full_read_count = 0
+        self.is_full_read_required = False
         self.read_at = None
 
     def note_era(self, era, now):
@@ -205,6 +208,10 @@
         """Record that the store did not answer a read of this daemon."""
         self._read_failed_at = now
 
+    def require_full_read(self):
+        """Read all next, whatever the cursor is."""
+        self.is_full_read_required = True
+
     @property
     def uses_evacuations(self):
         """Whether the deployment evacuates failure domains."""
@@ -221,6 +228,7 @@
         ``operator_items`` are all keys of the operator where evacuations are used.
         """
         self.full_read_count += 1
+        self.is_full_read_required = False
         self.note_era(era_of(position), now)
         if operator_items is not None:
             self._apply_evacuation_list(operator_items, position, now)
--- a/almondtide/entry/reader.py
+++ b/almondtide/entry/reader.py
@@ -205,12 +205,21 @@
             self._log.debug("configuration_not_checked", reason=exc.message)
             return
         check.note_answer(self._now(), within_s, len(item.value) if item else 0)
-        cursor, read_position = (
-            self._feed.cursor,
-            self._feed.configuration_read_position,
-        )
-        if item is None or not check.is_missed(item.position, cursor, read_position):
+        if item is not None:
+            await self._take_missed(item)
+
+    async def _take_missed(self, item):
+        """Take over a configuration that the cursor has passed unread, if it is that.
+
+        The cursor may have passed other changes too, so a full read follows.
+        """
+        feed = self._feed
+        cursor, read_position = feed.cursor, feed.configuration_read_position
+        if not ConfigurationCheck.may_be_missed(item.position, cursor, read_position):
+            return
+        if not feed.merge_configuration(item.value, item.position):
             return
+        self.configuration_check.counts["missed"] += 1
         self._log.error(
             "configuration_missed",
             revision=revision_of(item.position),
@@ -218,6 +227,9 @@
             cursor_revision=revision_of(cursor),
             version=self._replica.configuration_version,
         )
+        await self._send_updates([], True)
+        feed.require_full_read()
+        await self._read()
 
     async def _send_updates(self, changed, is_configuration_new=False):
         evacuations = self._feed.take_evacuation_changes()
@@ -257,7 +269,8 @@
         feed = self._feed
         # A cursor at revision 0 says that there is no history to continue from.
         has_history = feed.cursor is not None and revision_of(feed.cursor)
-        if has_history and feed.knows_evacuations:
+        is_full_read_due = feed.is_full_read_required or not feed.knows_evacuations
+        if has_history and not is_full_read_due:
             try:
                 return await self._read_changes(self._now())
             except (HistoryLostError, StoreTimeoutError) as exc:
--- a/bench/rollout.py
+++ b/bench/rollout.py
@@ -157,6 +157,17 @@
     return ()
 
 
+@patterns.register("cursors-ahead")
+async def _play_cursors_ahead(fleet):
+    """All cursors pass each version unread, as by a peer that states a false one."""
+    for version in range(2, 6):
+        await curio.sleep(2.0 * fleet.rng.uniform(0.6, 1.4))
+        fleet.publish(version)
+        for entry in fleet.entries:
+            entry.feed.adopt_cursor(fleet.store.position(), fleet.now)
+    return ()
+
+
 def _by_rank(fleet):
     """Return the entries in the order in which they take over as readers."""
     return sorted(
--- a/tests/entry/test_gossip.py
+++ b/tests/entry/test_gossip.py
@@ -618,6 +618,42 @@
 
         self._run_scenario(scenario)
 
+    def test_changes_that_the_cursor_has_passed_unread_are_found(self):
+        # A peer, as one of an earlier build, may state a cursor that is too high.
+        async def scenario(store, daemon, reader):
+            await store.put("servers/i-1", ENTRY)
+            await store.put("op/config", {"version": 3, "routes": [], "services": []})
+            await reader._read()
+            await store.put("op/config", {"version": 5, "routes": [], "services": []})
+            await store.remove("servers/i-1")
+            daemon.feed.adopt_cursor(store.revision, daemon.now)
+            daemon.now += 2.0
+            await reader._read()
+            self.assertIn("configuration_missed", daemon.log.names())
+            self.assertEqual([3, 5], daemon.versions_applied)
+            self.assertEqual([], daemon.replica.server_records())
+            await reader._read()
+            self.assertEqual("/v1/kv-watch", store.calls[-1])
+
+        self._run_scenario(scenario)
+
+    def test_a_check_that_fails_is_no_failed_read(self):
+        async def scenario(store, daemon, reader):
+            await store.put("op/config", {"version": 3, "routes": [], "services": []})
+            await reader._read()
+
+            async def refuse_check(phase):
+                store.mode = "busy" if len(store.calls) == 3 else "normal"
+
+            store.on_call = refuse_check
+            daemon.now += 2.0
+            await reader._read()
+            self.assertEqual(4, len(store.calls))
+            self.assertEqual(1, reader.configuration_check.counts["failed"])
+            self.assertNotIn("store_lost", daemon.log.names())
+
+        self._run_scenario(scenario)
+
     def test_a_daemon_with_a_fresh_replica_does_not_read(self):
         async def scenario(store, daemon, reader):
             daemon.now = 10.0
