Continue after a read of changes from where it ended

A cursor that was adopted from a peer while a read of changes was in flight stayed, if it was higher. The peer's contents were equal then, but the read's older changes are applied on top: a server that was removed and registered again was removed here, and its registration lay before the cursor. The position that the read reached vouches for what it applied, so it is the cursor now; later changes are read again.

Evidence: the test fails on the code before (cursor 9, where the read ended at 6).

--- a/almondtide/entry/feed.py
+++ b/almondtide/entry/feed.py
@@ -289,7 +289,7 @@
         is_known = self.uses_evacuations and self.evacuations.known_at is not None
         if is_known and is_complete:
             self.evacuations.note_local_read(now)
-        self._set_position(max(position, self.cursor or 0), now, is_complete)
+        self._set_position(position, now, is_complete)
         return changed
 
     @staticmethod
--- a/tests/entry/test_feed.py
+++ b/tests/entry/test_feed.py
@@ -87,6 +87,17 @@
         self.feed.apply_full_list([_item(2, 8)], 9, 1.0)
         self.assertEqual(["servers/i-2"], self.known())
 
+    def test_a_cursor_adopted_during_a_read_does_not_outlast_it(self):
+        # The peer knew both changes of the server, whose contents are as before; the
+        # read shows the first one only.
+        self.feed.apply_full_list([_item(1, 3)], 5, 0.0)
+        self.feed.adopt_cursor(9, 1.0)
+        self.feed.apply_changes([_removal(1, 6)], 6, 1.0)
+        self.assertEqual([], self.known())
+        self.assertEqual(6, self.feed.cursor)
+        self.feed.apply_changes([_item(1, 7)], 9, 2.0)
+        self.assertEqual(["servers/i-1"], self.known())
+
     def test_a_read_that_left_changes_confirms_nothing(self):
         self.feed.apply_full_list([_item(1, 3)], 5, 0.0)
         self.feed.apply_changes([_item(2, 7)], 7, 1.0, is_complete=False)
