--- a/almondtide/entry/codec.py
+++ b/almondtide/entry/codec.py
@@ -203,8 +203,9 @@
 class Snapshot:
     """A whole replica: records, configuration, announced ends and evacuations.
 
-    ``position`` and ``age_s`` are those of the replica, ``records`` tuples of key,
-    position and ``Server`` or None, ``ends`` a list of ``EndAnnouncement``.
+    ``records`` are tuples of key, position and ``Server`` or None, of all changes up to
+    ``position`` and some later ones. ``age_s`` is the age of the replica, ``ends`` a
+    list of ``EndAnnouncement``.
     ``configuration_raw`` is the configuration's document. ``evacuations`` is an
     ``EvacuationSummary`` or None. ``invalid_keys`` are those of records that could not
     be read.
@@ -694,9 +695,12 @@
     return records, invalid_keys
 
 
-def encode_snapshot(replica, age_s, ends=None, evacuations=None):
+def encode_snapshot(replica, position, age_s, ends=None, evacuations=None):
     """Return a whole replica as one compressed body.
 
+    ``position`` is one up to which it has all changes: that of its newest record is
+    not, since the update of an earlier change may be lost.
+
     ``ends`` is a list of ``EndAnnouncement``, or None for a peer of a build whose
     decoder takes no further items. ``evacuations`` is an ``EvacuationSummary``, or None
     if they are not known or not used.
@@ -704,7 +708,7 @@
     message = [
         PROTOCOL_VERSION,
         age_s,
-        replica.position,
+        position,
         replica.configuration_position,
         replica.configuration_raw,
         [
--- a/almondtide/entry/gossip.py
+++ b/almondtide/entry/gossip.py
@@ -725,8 +725,9 @@
             ends = self._announced_ends(now)
         age_s = self._replica.age_s(now)
         evacuations = self._feed.evacuations.summary(now)
+        position, _ = self._feed.shared_position
         return HTTPResponse(
-            200, encode_snapshot(self._replica, age_s, ends, evacuations)
+            200, encode_snapshot(self._replica, position, age_s, ends, evacuations)
         )
 
     async def _pull_snapshot(self, host):
@@ -752,7 +753,8 @@
         records = snapshot.records
         now = self._now()
         replica = self._replica
-        self._feed.note_era(era_of(snapshot.position), now)
+        newest = max((position for _, position, _ in records), default=0)
+        self._feed.note_era(era_of(max(newest, snapshot.position)), now)
         # First, so that no server of an evacuated domain is used in between.
         self._learn_all_evacuations(
             snapshot.evacuations, snapshot.position, host, now, asked_at, asked_at
--- a/standins/gossip_fleet.py
+++ b/standins/gossip_fleet.py
@@ -556,7 +556,8 @@
             return None
         await curio.sleep(self._delay())
         replica = peer.replica
-        raw = encode_snapshot(replica, replica.age_s(self.now), [])
+        position, _ = peer.feed.shared_position
+        raw = encode_snapshot(replica, position, replica.age_s(self.now), [])
         await curio.sleep(self._delay())
         return raw
 
--- a/tests/entry/test_codec.py
+++ b/tests/entry/test_codec.py
@@ -85,7 +85,7 @@
         records, _ = decode_message(raw, 10.0)
         keys = ["servers/i-0", "servers/i-1"]
         self.assertEqual(keys, [key for key, *_ in records])
-        snapshot = decode_snapshot(encode_snapshot(replica, 0.1))
+        snapshot = decode_snapshot(encode_snapshot(replica, replica.position, 0.1))
         self.assertEqual(keys, [key for key, *_ in snapshot.records])
 
 
@@ -201,7 +201,7 @@
     def test_round_trip(self):
         replica = _replica(3)
         replica.merge_configuration(Configuration(4), b"raw", 12)
-        snapshot = decode_snapshot(encode_snapshot(replica, 0.5))
+        snapshot = decode_snapshot(encode_snapshot(replica, replica.position, 0.5))
         self.assertEqual((0.5, 3), (snapshot.age_s, snapshot.position))
         self.assertEqual(12, snapshot.configuration_position)
         self.assertEqual(b"raw", snapshot.configuration_raw)
@@ -215,7 +215,7 @@
         self.assertRaises(DocumentError, decode_snapshot, bomb)
 
     def test_a_cut_body_is_refused(self):
-        raw = encode_snapshot(_replica(3), 0.5)
+        raw = encode_snapshot(_replica(3), 3, 0.5)
         self.assertRaises(DocumentError, decode_snapshot, raw[:-9])
 
 
--- a/tests/entry/test_evacuations.py
+++ b/tests/entry/test_evacuations.py
@@ -283,7 +283,9 @@
     def test_a_snapshot_carries_the_state(self):
         self._begin()
         summary = self.reader.state.summary(self.reader.now)
-        raw = encode_snapshot(self.reader.replica, 0.1, [], summary)
+        raw = encode_snapshot(
+            self.reader.replica, self.reader.replica.position, 0.1, [], summary
+        )
         started = _Entry(2)
         self.assertFalse(started.feed.knows_evacuations)
         snapshot = decode_snapshot(raw)
--- a/tests/entry/test_gossip.py
+++ b/tests/entry/test_gossip.py
@@ -321,6 +321,29 @@
         self.assertEqual(9.9, daemon.replica.fresh_at)
 
 
+class SnapshotTest(testtools.TestCase):
+    """Guards against snapshots that take away what their sender has not heard of."""
+
+    def test_a_server_that_the_sender_missed_stays(self):
+        # The sender got the update of a later change, that of this server was lost.
+        sender, receiver = _Daemon(2), _Daemon(2, local_number=1)
+        for daemon, changes in ((sender, {1: 5, 2: 9}), (receiver, {1: 5, 3: 8})):
+            for number, position in changes.items():
+                key = f"servers/i-{number}"
+                server = decode_server(key, orjson.dumps(ENTRY))
+                daemon.replica.merge_server(key, position, server, 0.0)
+        raw = orjson.dumps({"version": 1, "routes": [], "services": []})
+        sender.replica.merge_configuration(Configuration(1), raw, 1)
+        sender.feed.cursor = 6
+        sender.replica.freshness.note_copy(0.0)
+        request = HTTPRequest("GET", "/snapshot", {}, b"")
+        response = run(sender.gossip.handle_request, request)
+        snapshot = decode_snapshot(response.body)
+        run(receiver.gossip._apply_snapshot, snapshot, "127.0.0.9", 0.0)
+        known = sorted(record.key for record in receiver.replica.server_records())
+        self.assertEqual(["servers/i-1", "servers/i-2", "servers/i-3"], known)
+
+
 class PausedRelayTest(testtools.TestCase):
     """Guards against ended members that live on where a paused process relays them."""
 
@@ -760,7 +783,9 @@
         _server_record(self.other)
         raw = orjson.dumps({"version": 1, "routes": [], "services": []})
         self.other.replica.merge_configuration(Configuration(1), raw, 1)
-        snapshot = decode_snapshot(encode_snapshot(self.other.replica, 0.0, []))
+        snapshot = decode_snapshot(
+            encode_snapshot(self.other.replica, self.other.replica.position, 0.0, [])
+        )
         run(self.told.gossip._apply_snapshot, snapshot, "10.0.0.2", 0.0)
         [(raw, host)] = self.told.gossip._sock.sent
         self.assertEqual("10.0.0.2", host)
@@ -783,7 +808,7 @@
 
     def test_a_peer_of_an_earlier_build_gets_a_snapshot_that_it_can_read(self):
         self.announce()
-        raw = encode_snapshot(self.told.replica, 0.1)
+        raw = encode_snapshot(self.told.replica, self.told.replica.position, 0.1)
         self.assertEqual([], decode_snapshot(raw).ends)
 
 
--- a/tests/entry/test_restoration.py
+++ b/tests/entry/test_restoration.py
@@ -76,7 +76,9 @@
         return self.replica.record(f"servers/i-{number}")
 
     def pull_snapshot_of(self, other):
-        snapshot = decode_snapshot(encode_snapshot(other.replica, 0.1))
+        snapshot = decode_snapshot(
+            encode_snapshot(other.replica, other.feed.shared_position[0], 0.1)
+        )
         run(self.gossip._apply_snapshot, snapshot, "127.0.0.9", self.now)
 
     def heartbeat(self):
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -172,7 +172,7 @@
 
     def test_snapshots(self):
         ends = [EndAnnouncement("i-1", 7, 1.5)]
-        raws = [encode_snapshot(_replica(3), 0.5, given) for given in (None, ends)]
+        raws = [encode_snapshot(_replica(3), 3, 0.5, given) for given in (None, ends)]
         self.check(decode_snapshot, raws, None, None, DocumentError)
 
     def test_frames_between_daemons(self):
