Count the age of a read from the arrival of the heartbeat that states it

A datagram that a paused receiver handled late made its replica seem fresh up to the length of the pause too late, if it named a read that was not known yet, and so did its evacuations. The times in relayed members, which the same datagram carries, were counted from its arrival already, without the pause of the receiver; so are reads now.

--- a/almondtide/entry/gossip.py
+++ b/almondtide/entry/gossip.py
@@ -499,7 +499,7 @@
             self._log.warning("datagram_invalid", host=host, reason=exc.message[:200])
             return
         try:
-            await self._on_message(message, host, now, arrived_after)
+            await self._on_message(message, host, now, arrived_after, arrived_at)
         except Exception as exc:
             self.counts["datagrams_failed"] += 1
             self._log.error(
@@ -510,9 +510,9 @@
         self.counts["records_invalid"] += 1
         self._log.warning("record_invalid", key=key[:200], reason=reason[:200])
 
-    async def _on_message(self, message, host, now, arrived_after):
+    async def _on_message(self, message, host, now, arrived_after, arrived_at):
         if isinstance(message, Heartbeat):
-            await self._on_heartbeat(message, host, now, arrived_after)
+            await self._on_heartbeat(message, host, now, arrived_after, arrived_at)
         elif isinstance(message, EndAnnouncement):
             if self._learn_end(message, arrived_after) and self.view.is_large:
                 await self._send_end(message, self._update_targets(now, True), now)
@@ -579,10 +579,20 @@
             feed.evacuations.confirm(summary, sent_at, counted_from)
         return is_complete
 
-    async def _on_heartbeat(self, heartbeat, host, now, arrived_after):
+    async def _on_heartbeat(self, heartbeat, host, now, arrived_after, arrived_at=None):
+        """Handle a heartbeat at the time ``now``.
+
+        It arrived later than ``arrived_after``, and at about ``arrived_at``, or now.
+        """
+        arrived_at = now if arrived_at is None else arrived_at
         self._feed.note_era(era_of(heartbeat.cursor), now)
         has_evacuations = self._learn_all_evacuations(
-            heartbeat.evacuations, heartbeat.cursor, host, now, now, arrived_after
+            heartbeat.evacuations,
+            heartbeat.cursor,
+            host,
+            now,
+            arrived_at,
+            arrived_after,
         )
         self._update_member(heartbeat.sender, now)
         if self.view.note_abilities(heartbeat.sender, heartbeat.abilities):
@@ -607,7 +617,7 @@
             await self._send_reply(host, now)
         if heartbeat.age_s is not None:
             await self._compare_replicas(
-                heartbeat, host, now, arrived_after, has_evacuations
+                heartbeat, host, now, arrived_after, has_evacuations, arrived_at
             )
 
     def _update_member(self, member, now):
@@ -635,9 +645,16 @@
             await self._send(encode_end_announcement(end), host, now)
 
     async def _compare_replicas(
-        self, heartbeat, host, now, arrived_after, has_evacuations=True
+        self,
+        heartbeat,
+        host,
+        now,
+        arrived_after,
+        has_evacuations=True,
+        arrived_at=None,
     ):
         replica = self._replica
+        arrived_at = now if arrived_at is None else arrived_at
         if era_of(heartbeat.cursor) < self._feed.era:
             # The sender does not know yet that the store was restored. Equal contents
             # do not show that it has the changes since.
@@ -649,7 +666,8 @@
             self._digest_differs_since = None
             read = heartbeat.read
             if read is not None:
-                replica.freshness.note_read(read.reader, read.number, now - read.age_s)
+                began_at = arrived_at - read.age_s
+                replica.freshness.note_read(read.reader, read.number, began_at)
             elif replica.fresh_at is None:
                 # An age that names no read, as of an earlier build, may be too small.
                 # It completes a replica, but confirms no known one.
--- a/tests/entry/test_gossip.py
+++ b/tests/entry/test_gossip.py
@@ -32,7 +32,7 @@
 from almondtide.entry.members import Member, MembershipView, MemberState
 from almondtide.entry.reader import StoreReader
 from almondtide.entry.replica import StoreReplica
-from almondtide.entry.run_time import RunTime
+from almondtide.entry.run_time import MAX_GAP_S, RunTime
 from almondtide.model.published import Configuration
 from almondtide.platform.documents import decode_server
 from almondtide.platform.settings import decode_settings
@@ -360,6 +360,24 @@
         member = daemon.view.members[sender.name]
         self.assertFalse(daemon.view.is_alive(member, daemon.now))
 
+    def test_the_age_of_a_read_counts_from_the_arrival(self):
+        # The read began at 5.6, and is not known yet.
+        daemon = _Daemon(3)
+        run_time = RunTime()
+        daemon.gossip.set_run_time(run_time)
+        run_time.tick(6.0)
+        daemon.now = 10.0
+        sender = _member(1, is_active=True, last_heard_at=6.0)
+        heartbeat = Heartbeat(sender, daemon.replica.digest, 0, 0.4, [], False)
+        heartbeat.read = ReadStatement(READER, 1, 0.4)
+        run(
+            daemon.gossip.receive_datagram,
+            encode_heartbeat(heartbeat, 6.0),
+            sender.host,
+            6.0,
+        )
+        self.assertTrue(daemon.replica.fresh_at < 5.6 + MAX_GAP_S + 0.01)
+
     def test_a_heartbeat_that_is_handled_at_once_does(self):
         daemon = _Daemon(3)
         run_time = RunTime()
