--- a/almondtide/entry/gossip.py
+++ b/almondtide/entry/gossip.py
@@ -607,12 +607,14 @@
             age_s = heartbeat.reply_age_s
             self._links.note_peer(
                 heartbeat.sender.name,
-                None if age_s is None else now - age_s,
+                None if age_s is None else arrived_at - age_s,
                 heartbeat.has_failing_links,
                 now,
             )
         if heartbeat.demands and self._rate_shares is not None:
-            self._rate_shares.note_report(heartbeat.sender.name, heartbeat.demands, now)
+            self._rate_shares.note_report(
+                heartbeat.sender.name, heartbeat.demands, arrived_at
+            )
         if heartbeat.wants_reply:
             await self._send_reply(host, now)
         if heartbeat.age_s is not None:
--- a/tests/entry/test_gossip.py
+++ b/tests/entry/test_gossip.py
@@ -1,5 +1,6 @@
 """Tests of the gossip's targets and updates, the directory and the store's reader."""
 
+import types
 import zlib
 
 import cbor2
@@ -378,6 +379,26 @@
         )
         self.assertTrue(daemon.replica.fresh_at < 5.6 + MAX_GAP_S + 0.01)
 
+    def test_reports_of_replies_and_demand_count_from_the_arrival(self):
+        daemon = _Daemon(3)
+        run_time = RunTime()
+        daemon.gossip.set_run_time(run_time)
+        run_time.tick(6.0)
+        daemon.now = 10.0
+        noted = []
+        links = types.SimpleNamespace(note_peer=lambda *args: noted.append(args[1]))
+        shares = types.SimpleNamespace(note_report=lambda *args: noted.append(args[2]))
+        daemon.gossip.set_links(links)
+        daemon.gossip.set_rate_shares(shares)
+        sender = _member(1, is_active=True, last_heard_at=6.0)
+        heartbeat = Heartbeat(sender, 0, 0, None, [], False, demands={7: 2.0})
+        heartbeat.reply_age_s = 0.5
+        raw = encode_heartbeat(heartbeat, 6.0)
+        run(daemon.gossip.receive_datagram, raw, sender.host, 6.0)
+        self.assertEqual(2, len(noted))
+        self.assertTrue(noted[0] < 5.5 + MAX_GAP_S + 0.01)
+        self.assertTrue(noted[1] < 6.0 + MAX_GAP_S + 0.01)
+
     def test_a_heartbeat_that_is_handled_at_once_does(self):
         daemon = _Daemon(3)
         run_time = RunTime()
