--- a/almondtide/entry/feed.py
+++ b/almondtide/entry/feed.py
@@ -320,6 +320,10 @@
         """Whether something that the store no longer lists is kept for a while."""
         return bool(self._held_removals or self._held_withdrawals)
 
+    def is_held(self, key):
+        """Return whether a server is kept that the store no longer lists."""
+        return key in self._held_removals
+
     def _set_position(self, position, now, is_complete=True):
         if not self._is_holding:
             self._position_before_held = None
--- a/bench/interleave_fleet.py
+++ b/bench/interleave_fleet.py
@@ -24,7 +24,7 @@
 
 from .interleave import COLUMNS, MAX_CALLS, PHASES, Outcome
 
-__all__ = ["changes", "main", "play_fleet", "play_way", "ways"]
+__all__ = ["changes", "main", "play_fleet", "play_way", "server_document", "ways"]
 
 DEFAULT_JOBS = 4
 ENTRY_COUNT = 6
@@ -101,7 +101,8 @@
     )
 
 
-def _server_document(**fields):
+def server_document(**fields):
+    """Return the entry of a server that writes no heartbeats."""
     document = {
         "service": "shard-1",
         "address": "10.3.1.1:8000",
@@ -123,17 +124,17 @@
 
 @changes.register("new server")
 def _add_server(fleet):
-    fleet.store.put(f"{SERVER_PREFIX}i-new", _server_document())
+    fleet.store.put(f"{SERVER_PREFIX}i-new", server_document())
 
 
 @changes.register("changed server")
 def _change_server(fleet):
-    fleet.store.put(SERVER_PREFIX + QUIET_SERVERS[0], _server_document(capacity=5))
+    fleet.store.put(SERVER_PREFIX + QUIET_SERVERS[0], server_document(capacity=5))
 
 
 @changes.register("leaving server")
 def _let_server_leave(fleet):
-    document = _server_document(state="draining")
+    document = server_document(state="draining")
     fleet.store.put(SERVER_PREFIX + QUIET_SERVERS[1], document)
 
 
@@ -171,7 +172,7 @@
     async def scenario(fleet):
         nonlocal calls, is_reached
         for server_id in QUIET_SERVERS:
-            fleet.store.put(SERVER_PREFIX + server_id, _server_document())
+            fleet.store.put(SERVER_PREFIX + server_id, server_document())
         await curio.sleep(2.0)
         reader = await ways.get(way)(fleet)
 
--- a/standins/gossip_fleet.py
+++ b/standins/gossip_fleet.py
@@ -109,7 +109,8 @@
     which answers with a refusal, or ``silent``. ``silent_watches`` is the number of
     watches of a host that get no answer, ``refused_calls`` that of calls of a host that
     are refused. ``on_call`` is a function that is called with
-    (host, "before" or "after") around the making of each answer; None for none.
+    (host, "before" or "after") around the making of each answer, ``on_change`` one that
+    is called with each changed ``StoreItem``; None for none.
     """
 
     def __init__(self, answer_s=0.004):
@@ -118,6 +119,7 @@
         self.silent_watches = {}
         self.refused_calls = {}
         self.on_call = None
+        self.on_change = None
         self.items = {}
         self.changes = []
         self.revision = 1
@@ -126,16 +128,24 @@
 
     def put(self, key, document):
         """Write a document as JSON."""
-        self.revision += 1
-        item = StoreItem(key, self.position(), orjson.dumps(document))
-        self.items[key] = item
-        self.changes.append(item)
+        self.put_raw(key, orjson.dumps(document))
+
+    def put_raw(self, key, value):
+        """Write a value of bytes."""
+        self.items[key] = self._append_change(key, value)
 
     def remove(self, key):
         """Remove a key."""
-        self.revision += 1
         del self.items[key]
-        self.changes.append(StoreItem(key, self.position(), None))
+        self._append_change(key, None)
+
+    def _append_change(self, key, value):
+        self.revision += 1
+        item = StoreItem(key, self.position(), value)
+        self.changes.append(item)
+        if self.on_change is not None:
+            self.on_change(item)
+        return item
 
     def position(self):
         """Return the position of the last change."""
@@ -598,7 +608,11 @@
         fleet = GossipFleet(clock, seed=seed, **options)
         await fleet.start()
         await curio.sleep(2.0)
-        return await scenario(fleet)
+        try:
+            return await scenario(fleet)
+        finally:
+            for entry in fleet.entries:
+                await entry.stop()
 
     try:
         return run_in_virtual_time(run_scenario, clock=clock)
