Take no server from a peer that was removed before the own cursor

It had no record that the key was removed, so any position seemed newer. Its cursor lay behind the removal already; peers of equal contents adopted it, and no read of changes ended the server's use on any entry.

A key that the replica lacks, at a position before the cursor and in its era, was removed, so a peer's record of it is ignored.

The check leaves out servers that some entry holds, or held within the hold time.

--- a/almondtide/entry/feed.py
+++ b/almondtide/entry/feed.py
@@ -363,6 +363,22 @@
             self.read_at = max(self.read_at, read_at)
         self.cursor = cursor
 
+    def merge_peer_record(self, key, position, server, now, serves_until=0.0):
+        """Store what a peer knows of a server; see ``StoreReplica.merge_server``.
+
+        A key that the replica lacks, with a position before the cursor, was removed:
+        the peer, or its message, is older than what this daemon has read.
+        """
+        if (
+            server is not None
+            and self._replica.record(key) is None
+            and self.cursor is not None
+            and position <= self.cursor
+            and era_of(position) == era_of(self.cursor)
+        ):
+            return None
+        return self._replica.merge_server(key, position, server, now, serves_until)
+
     def _merge_item(self, item, now, changed):
         if item.key == CONFIGURATION_KEY:
             self.merge_configuration(item.value, item.position)
--- a/almondtide/entry/gossip.py
+++ b/almondtide/entry/gossip.py
@@ -717,7 +717,7 @@
         changed = [
             record
             for record in (
-                self._replica.merge_server(
+                self._feed.merge_peer_record(
                     key, position, server, now, arrived_after + serves_s
                 )
                 for key, position, server, serves_s in records
@@ -796,7 +796,9 @@
         records.extend((key, snapshot.position, None) for key in missing)
         changed = [
             record
-            for record in (replica.merge_server(*record, now) for record in records)
+            for record in (
+                self._feed.merge_peer_record(*record, now) for record in records
+            )
             if record is not None
         ]
         replica.freshness.note_copy(asked_at - snapshot.age_s)
--- a/bench/claims.py
+++ b/bench/claims.py
@@ -13,6 +13,7 @@
 import curio
 import defopt
 
+from almondtide.entry.feed import REMOVAL_HOLD_S
 from almondtide.platform.documents import (
     CONFIGURATION_KEY,
     SERVER_PREFIX,
@@ -83,6 +84,9 @@
     def __init__(self, fleet):
         self._fleet = fleet
         self.histories = {}
+        # Key -> time until which an entry may keep a server that the store lacks, or
+        # another one that has copied its replica.
+        self._held_until = {}
         for item in fleet.store.items.values():
             self._append(item)
         fleet.store.on_change = self._append
@@ -94,6 +98,17 @@
         history = self.histories.setdefault(item.key, _History())
         history.append(item.position, self._fleet.now, content)
 
+    def note_held(self):
+        """Record which servers are held on some entry."""
+        for entry in self._fleet.entries:
+            for key in self.histories:
+                if entry.feed.is_held(key):
+                    self._held_until[key] = self._fleet.now + REMOVAL_HOLD_S
+
+    def is_held(self, key):
+        """Return whether some entry keeps a server that the store no longer lists."""
+        return self._fleet.now < self._held_until.get(key, 0.0)
+
 
 def check(recorder, entry):
     """Return (claim, key, stated, written) for each untrue statement of an entry."""
@@ -101,7 +116,7 @@
     fresh_at = entry.replica.fresh_at
     found = []
     for key, history in recorder.histories.items():
-        if entry.feed.is_held(key):
+        if recorder.is_held(key):
             continue
         at_cursor = bisect.bisect_right(history.positions, cursor) - 1
         if at_cursor >= 0 and not _has_change(entry.replica, key, history, at_cursor):
@@ -231,6 +246,7 @@
         found = {}
         while fleet.now < until:
             await curio.sleep(CHECK_INTERVAL_S)
+            recorder.note_held()
             for entry in fleet.entries:
                 for claim, key, stated, written in check(recorder, entry):
                     found.setdefault(
