--- a/almondtide/entry/feed.py
+++ b/almondtide/entry/feed.py
@@ -320,6 +320,11 @@
         """Whether something that the store no longer lists is kept for a while."""
         return bool(self._held_removals or self._held_withdrawals)
 
+    @property
+    def replica(self):
+        """The ``StoreReplica`` that reads are applied to."""
+        return self._replica
+
     def is_held(self, key):
         """Return whether a server is kept that the store no longer lists."""
         return key in self._held_removals
--- a/bench/claims.py
+++ b/bench/claims.py
@@ -16,12 +16,13 @@
 from almondtide.entry.feed import REMOVAL_HOLD_S
 from almondtide.platform.documents import (
     CONFIGURATION_KEY,
+    EVACUATION_PREFIX,
     SERVER_PREFIX,
     decode_server,
 )
 from almondtide.presentation import format_table
 from almondtide.registry import Registry
-from standins.gossip_fleet import play
+from standins.gossip_fleet import DOMAINS, play
 
 from .interleave_fleet import server_document
 
@@ -32,6 +33,9 @@
 DEFAULT_JOBS = 2
 ENTRY_COUNT = 8
 SERVER_COUNT = 6
+EVACUATE_MS = 2500
+# Content of the key of a failure domain that is evacuated.
+EVACUATED = "evacuated"
 PLAY_S = 15.0
 CHECK_INTERVAL_S = 0.05
 MAX_ACTION_INTERVAL_S = 0.4
@@ -95,6 +99,8 @@
         content = None
         if item.value is not None and item.key.startswith(SERVER_PREFIX):
             content = repr(decode_server(item.key, item.value))
+        elif item.value is not None:
+            content = EVACUATED
         history = self.histories.setdefault(item.key, _History())
         history.append(item.position, self._fleet.now, content)
 
@@ -113,27 +119,40 @@
 def check(recorder, entry):
     """Return (claim, key, stated, written) for each untrue statement of an entry."""
     cursor, _ = entry.feed.shared_position
-    fresh_at = entry.replica.fresh_at
     found = []
     for key, history in recorder.histories.items():
         if recorder.is_held(key):
             continue
+        is_evacuation = key.startswith(EVACUATION_PREFIX)
+        fresh_at = entry.replica.fresh_at
+        if is_evacuation:
+            fresh_at = entry.feed.evacuations.known_at
+            if fresh_at is None:
+                # Unused, or not known yet: then no peer takes over the cursor.
+                continue
         at_cursor = bisect.bisect_right(history.positions, cursor) - 1
-        if at_cursor >= 0 and not _has_change(entry.replica, key, history, at_cursor):
+        if at_cursor >= 0 and not _has_change(entry.feed, key, history, at_cursor):
             found.append(("cursor", key, cursor, history.positions[at_cursor]))
         if fresh_at is None:
             continue
         at_time = bisect.bisect_left(history.times, fresh_at - FRESH_TOLERANCE_S) - 1
-        if at_time >= 0 and not _has_change(entry.replica, key, history, at_time):
+        if at_time >= 0 and not _has_change(entry.feed, key, history, at_time):
             found.append(("fresh_at", key, fresh_at, history.times[at_time]))
     return found
 
 
-def _has_change(replica, key, history, number):
+def _has_change(feed, key, history, number):
     """Return whether a replica has a change of a key, or the contents since then."""
     position = history.positions[number]
+    replica = feed.replica
     if key == CONFIGURATION_KEY:
         return replica.configuration_position >= position
+    if key.startswith(EVACUATION_PREFIX):
+        state = feed.evacuations.get(key[len(EVACUATION_PREFIX) :])
+        if state is not None and state.position >= position:
+            return True
+        known = EVACUATED if state is not None and state.is_active else None
+        return known in history.contents[number:]
     record = replica.record(key)
     if record is not None and record.position >= position:
         return True
@@ -177,6 +196,18 @@
         fleet.store.put_raw(key, value)
 
 
+@actions.register("evacuate")
+async def _evacuate(fleet):
+    fleet.store.put(EVACUATION_PREFIX + fleet.rng.choice(DOMAINS), {})
+
+
+@actions.register("withdraw")
+async def _withdraw(fleet):
+    key = EVACUATION_PREFIX + fleet.rng.choice(DOMAINS)
+    if key in fleet.store.items:
+        fleet.store.remove(key)
+
+
 @actions.register("pause")
 async def _pause(fleet):
     fleet.pause(fleet.rng.choice(fleet.entries), fleet.rng.uniform(0.1, 2.5))
@@ -233,7 +264,11 @@
 
 
 def play_claims(seed):
-    """Play one seed; return the first ``UntrueClaim`` of each entry, claim and key."""
+    """Play one seed; return the first ``UntrueClaim`` of each entry, claim and key.
+
+    Entries with even seeds evacuate failure domains.
+    """
+    bounds = {} if seed % 2 else {"evacuate_ms": EVACUATE_MS}
 
     async def scenario(fleet):
         for number in range(SERVER_COUNT):
@@ -263,7 +298,7 @@
         await task.join()
         return list(found.values())
 
-    return play(scenario, seed, count=ENTRY_COUNT)
+    return play(scenario, seed, count=ENTRY_COUNT, further_bounds=bounds)
 
 
 def main(*, seeds: int = DEFAULT_SEEDS, first_seed: int = 1, jobs: int = DEFAULT_JOBS):
--- a/standins/gossip_fleet.py
+++ b/standins/gossip_fleet.py
@@ -366,7 +366,7 @@
         self.host = _entry_host(number)
         self.log = RecordingLog(fleet.clock.monotonic)
         self._incarnation = number + 1
-        self._create_process(entry_settings(number))
+        self._create_process(entry_settings(number, fleet.further_bounds))
 
     def _create_process(self, settings_document):
         fleet = self.fleet
@@ -419,8 +419,8 @@
         """
         await self.stop()
         self._incarnation += INCARNATION_STEP
-        settings = {**entry_settings(self.number), "bootstrap": False}
-        self._create_process(settings)
+        settings = entry_settings(self.number, self.fleet.further_bounds)
+        self._create_process({**settings, "bootstrap": False})
         if not is_supplied:
             self.gossip.no_snapshot_until = self.fleet.now + 1.0
         self.is_stopped = False
@@ -489,9 +489,17 @@
     """
 
     def __init__(
-        self, clock, count=15, seed=1, delay_s=0.0005, jitter_s=0.002, loss=0.0
+        self,
+        clock,
+        count=15,
+        seed=1,
+        delay_s=0.0005,
+        jitter_s=0.002,
+        loss=0.0,
+        further_bounds=None,
     ):
         self.clock = clock
+        self.further_bounds = further_bounds or {}
         self.rng = random.Random(seed)
         self.delay_s = delay_s
         self.jitter_s = jitter_s
@@ -572,7 +580,10 @@
         await curio.sleep(self._delay())
         replica = peer.replica
         position, _ = peer.feed.shared_position
-        raw = encode_snapshot(replica, position, replica.age_s(self.now), [])
+        evacuations = peer.feed.evacuations.summary(self.now)
+        raw = encode_snapshot(
+            replica, position, replica.age_s(self.now), [], evacuations
+        )
         await curio.sleep(self._delay())
         return raw
 
