--- a/almondtide/entry/gossip.py
+++ b/almondtide/entry/gossip.py
@@ -801,7 +801,8 @@
             )
             if record is not None
         ]
-        replica.freshness.note_copy(asked_at - snapshot.age_s)
+        if self._has_all_servers(snapshot):
+            replica.freshness.note_copy(asked_at - snapshot.age_s)
         self._digest_differs_since = None
         if changed or is_configuration_new:
             await self._on_changes(changed, is_configuration_new, f"snapshot {host}")
@@ -809,6 +810,22 @@
             await self.trigger_heartbeat()
         await self._send_missing_ends(snapshot, host, now)
 
+    def _has_all_servers(self, snapshot):
+        """Return whether the replica lacks no server that a merged snapshot has.
+
+        A record keeps its position while a server is removed and registered again
+        unchanged, if its holder learned of neither. One that is older than the removal
+        is not taken over, and then the replica is not as the sender's.
+        """
+        cursor = self._feed.cursor or 0
+        for key, _, server in snapshot.records:
+            known = self._replica.record(key)
+            if server is None or (known is not None and known.server is not None):
+                continue
+            if snapshot.position >= (cursor if known is None else known.position):
+                return False
+        return True
+
     async def _send_missing_ends(self, snapshot, host, now):
         """Tell a peer the announced ends that its snapshot does not contain.
 
--- a/tests/entry/test_gossip.py
+++ b/tests/entry/test_gossip.py
@@ -344,6 +344,22 @@
         known = sorted(record.key for record in receiver.replica.server_records())
         self.assertEqual(["servers/i-1", "servers/i-2", "servers/i-3"], known)
 
+    def test_a_snapshot_whose_server_is_not_taken_over_confirms_nothing(self):
+        # The server was removed at 7 and registered again unchanged at 8, of which the
+        # sender has heard nothing; the receiver has read the removal only.
+        for has_tombstone in (True, False):
+            daemon = _Daemon(2)
+            if has_tombstone:
+                daemon.replica.merge_server("servers/i-1", 7, None, 0.0)
+            daemon.feed.cursor = 7
+            server = decode_server("servers/i-1", orjson.dumps(ENTRY))
+            records = [("servers/i-1", 5, server)]
+            raw = orjson.dumps({"version": 1, "routes": [], "services": []})
+            snapshot = Snapshot(0.1, 9, 2, raw, records)
+            run(daemon.gossip._apply_snapshot, snapshot, "127.0.0.9", 10.0)
+            self.assertEqual([], daemon.replica.server_records())
+            self.assertIsNone(daemon.replica.fresh_at)
+
 
 class PausedRelayTest(testtools.TestCase):
     """Guards against ended members that live on where a paused process relays them."""
