--- a/bench/claims.py
+++ b/bench/claims.py
@@ -22,9 +22,7 @@
 )
 from almondtide.presentation import format_table
 from almondtide.registry import Registry
-from standins.gossip_fleet import DOMAINS, play
-
-from .interleave_fleet import server_document
+from standins.gossip_fleet import DOMAINS, play, server_document
 
 __all__ = ["UntrueClaim", "actions", "check", "main", "play_claims"]
 
--- a/bench/interleave.py
+++ b/bench/interleave.py
@@ -32,7 +32,7 @@
 from almondtide.platform.store import StoreClient
 from almondtide.presentation import format_table
 from almondtide.registry import Registry
-from standins.gossip_fleet import RecordingLog, entry_settings
+from standins.gossip_fleet import RecordingLog, entry_settings, server_document
 from standins.store import MAX_WATCH_EVENTS, StoreServer
 
 __all__ = ["Outcome", "ReadingEntry", "changes", "main", "play", "play_all", "ways"]
@@ -151,18 +151,10 @@
 
     async def register(self, number, **fields):
         """Write the entry of a server."""
-        document = {
-            "service": "s",
-            "address": f"127.0.0.1:{8000 + number}",
-            "zone": "lautoka",
-            "version": "1",
-            "capacity": 3,
-            "state": "ready",
-            "warmup_left_ms": 0,
-            "sequence": self.store.revision,
-            "born": 7,
-        }
-        await self.store.put(f"{SERVER_PREFIX}i-{number}", {**document, **fields})
+        document = server_document(
+            address=f"127.0.0.1:{8000 + number}", sequence=self.store.revision, **fields
+        )
+        await self.store.put(f"{SERVER_PREFIX}i-{number}", document)
 
     def differences(self):
         """Return the keys whose values in the replica are not those of the store."""
@@ -211,7 +203,7 @@
 @ways.register("changes")
 async def _before_changes(entry):
     await entry.read()
-    await entry.register(0, sequence=1)
+    await entry.register(0)
 
 
 @ways.register("after lost history")
@@ -219,7 +211,7 @@
     await entry.read()
     await entry.register(0, capacity=4)
     entry.store.drop_history()
-    await entry.register(1, sequence=1)
+    await entry.register(1)
 
 
 @ways.register("after a silent watch")
--- a/bench/interleave_fleet.py
+++ b/bench/interleave_fleet.py
@@ -20,11 +20,11 @@
 )
 from almondtide.presentation import format_table
 from almondtide.registry import Registry
-from standins.gossip_fleet import BOUNDS, play
+from standins.gossip_fleet import BOUNDS, play, server_document
 
 from .interleave import COLUMNS, MAX_CALLS, PHASES, Outcome
 
-__all__ = ["changes", "main", "play_fleet", "play_way", "server_document", "ways"]
+__all__ = ["changes", "main", "play_fleet", "play_way", "ways"]
 
 DEFAULT_JOBS = 4
 ENTRY_COUNT = 6
@@ -101,22 +101,6 @@
     )
 
 
-def server_document(**fields):
-    """Return the entry of a server that writes no heartbeats."""
-    document = {
-        "service": "shard-1",
-        "address": "10.3.1.1:8000",
-        "zone": "lautoka",
-        "version": "1",
-        "capacity": 3,
-        "state": "ready",
-        "warmup_left_ms": 0,
-        "sequence": 1,
-        "born": 7,
-    }
-    return {**document, **fields}
-
-
 @changes.register("configuration")
 def _change_configuration(fleet):
     fleet.publish(NEW_VERSION)
--- a/standins/gossip_fleet.py
+++ b/standins/gossip_fleet.py
@@ -39,7 +39,14 @@
 
 from .virtual_time import VirtualClock, run_in_virtual_time
 
-__all__ = ["GossipFleet", "ModelStore", "RecordingLog", "entry_settings", "play"]
+__all__ = [
+    "GossipFleet",
+    "ModelStore",
+    "RecordingLog",
+    "entry_settings",
+    "play",
+    "server_document",
+]
 
 DOMAINS = ("lautoka", "nadi", "suva")
 CONTROL_PORT = 8224
@@ -347,6 +354,22 @@
     }
 
 
+def server_document(**fields):
+    """Return what a server writes of itself to the store, with some fields changed."""
+    document = {
+        "service": "shard-1",
+        "address": "10.3.1.1:8000",
+        "zone": DOMAINS[0],
+        "version": "1",
+        "capacity": 3,
+        "state": "ready",
+        "warmup_left_ms": 0,
+        "sequence": 1,
+        "born": 7,
+    }
+    return {**document, **fields}
+
+
 def _entry_host(number):
     return f"10.1.0.{number + 1}" if number < 250 else f"10.2.0.{number - 249}"
 
@@ -529,17 +552,12 @@
         sequence = 0
         while True:
             for number in range(count):
-                document = {
-                    "service": f"shard-{number % 10}",
-                    "address": f"10.3.0.{number + 1}:8000",
-                    "zone": DOMAINS[number % len(DOMAINS)],
-                    "version": "1",
-                    "capacity": 3,
-                    "state": "ready",
-                    "warmup_left_ms": 0,
-                    "sequence": sequence,
-                    "born": 7,
-                }
+                document = server_document(
+                    service=f"shard-{number % 10}",
+                    address=f"10.3.0.{number + 1}:8000",
+                    zone=DOMAINS[number % len(DOMAINS)],
+                    sequence=sequence,
+                )
                 self.store.put(f"{SERVER_PREFIX}i-{number}", document)
                 if sequence:
                     await curio.sleep(SERVER_HEARTBEAT_S / count)
