Excuse requests that a link held up from the check of evacuations

Traced: eight requests were sent 1.2 s after the evacuation began, in time, while a fault held all links; they arrived at all servers, also those of other domains, in one moment, 3.6 s after it, when the links went on. The platform's rules do not count a request as late at a server whose link was harmed in the last 4 s.

Faults of links are recorded now, and the check leaves out a request only if the link of that very server was harmed within 4 s of its arrival.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -58,6 +58,9 @@
 # from this long before the evacuation.
 CALM_BEFORE_EVACUATION_S = 4.0
 EVACUATION_EXCUSES = ("pause", "store")
+# A request that was sent in time may arrive late if the link to the server was harmed
+# since this long before its arrival (rule "Held up" of the platform), in s.
+HELD_UP_S = 4.0
 
 checks = Registry("check")
 
@@ -283,9 +286,11 @@
             if history.domain_of(id) != evacuation.domain:
                 continue
             for request_id, _, at in server.runs:
-                if start < at < end and not history.had_fault(
-                    None, None, calm_from, at, EVACUATION_EXCUSES
+                if not start < at < end or history.had_fault(
+                    "link", id, at - HELD_UP_S, at, ("link",)
                 ):
+                    continue
+                if not history.had_fault(None, None, calm_from, at, EVACUATION_EXCUSES):
                     late_s = at - evacuation.start - EVACUATE_S
                     yield f"{request_id}: reached {id} {late_s:.2f} s late"
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,5 +1,6 @@
 """Faults of daemons, servers, links, the store and the operator."""
 
+import contextlib
 import signal
 import time
 
@@ -316,7 +317,8 @@
 @faults.register("link")
 async def disturb_link(session, rng):
     """Make the link of a server alter, hold or delay replies, or cut it."""
-    link = session.fleet.links[rng.choice(sorted(session.fleet.links))]
+    id = rng.choice(sorted(session.fleet.links))
+    link = session.fleet.links[id]
     change = rng.choice(
         [
             {"cut": True},
@@ -327,17 +329,20 @@
             {"cross_share": 0.3},
         ]
     )
-    await link.change(change)
-    await curio.sleep(_draw_duration_s(rng))
-    await link.change({name: type(value)() for name, value in change.items()})
+    with session.record_fault("link", id, "link"):
+        await link.change(change)
+        await curio.sleep(_draw_duration_s(rng))
+        await link.change({name: type(value)() for name, value in change.items()})
 
 
 async def _change_all_links(session, change, seconds):
-    for link in session.fleet.links.values():
-        await link.change(change)
-    await curio.sleep(seconds)
-    for link in session.fleet.links.values():
-        await link.change({name: type(value)() for name, value in change.items()})
+    with contextlib.ExitStack() as stack:
+        for id, link in list(session.fleet.links.items()):
+            stack.enter_context(session.record_fault("link", id, "link"))
+            await link.change(change)
+        await curio.sleep(seconds)
+        for link in session.fleet.links.values():
+            await link.change({name: type(value)() for name, value in change.items()})
 
 
 @faults.register("lose")
