--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,5 +1,6 @@
 """Tests of the store's client against a stand-in, also with faults."""
 
+import curio
 import testtools
 from hypothesis import given
 from hypothesis import strategies as st
@@ -13,7 +14,7 @@
     _decode_item,
 )
 from standins.store import PAGE_ITEMS, StoreServer
-from tests.support import HTTPServer, run
+from tests.support import HTTPServer, StallMeter, run
 
 
 def _run_scenario(scenario):
@@ -21,8 +22,14 @@
         store = StoreServer()
         await store.start()
         client = StoreClient(store.address, 0.3)
+        meter = StallMeter()
+        await curio.spawn(meter.run, daemon=True)
         try:
             return await scenario(store, client)
+        except PlatformError as exc:
+            # Tells a stand-in that did not answer from a process that did not run.
+            exc.add_note(f"longest stall of this process: {meter.longest_s:.3f} s")
+            raise
         finally:
             await client.close()
             await store.close()
