Let plays of interleaved changes report what only the check of the key found

The second line would hide holes in the first: a configuration between the calls of a full read is found by the check before the play compares, so that a return of the fault would go unseen. Plays report it as a difference now.

--- a/bench/interleave.py
+++ b/bench/interleave.py
@@ -157,8 +157,13 @@
         await self.store.put(f"{SERVER_PREFIX}i-{number}", document)
 
     def differences(self):
-        """Return the keys whose values in the replica are not those of the store."""
+        """Return the keys whose values in the replica are not those of the store.
+
+        A configuration that was missed and found by the check of its key is named too.
+        """
         found = []
+        if self.reader.configuration_check.counts["missed"]:
+            found.append("configuration_missed")
         version = decode_configuration(self._stored(CONFIGURATION_KEY)).version
         if self.replica.configuration_version != version:
             found.append(CONFIGURATION_KEY)
--- a/bench/interleave_fleet.py
+++ b/bench/interleave_fleet.py
@@ -128,12 +128,17 @@
 
 
 def _differences(fleet):
-    """Return texts "entry:key" for the entries whose replica is not the store."""
+    """Return texts "entry:key" for the entries whose replica is not the store.
+
+    A configuration that was missed and found by the check of its key is named too.
+    """
     items = fleet.store.items
     listed = {key for key in items if key.startswith(SERVER_PREFIX)}
     found = []
     for entry in fleet.entries:
         replica = entry.replica
+        if entry.reader.configuration_check.counts["missed"]:
+            found.append(f"{entry.number}:configuration_missed")
         configuration_position = items[CONFIGURATION_KEY].position
         if revision_of(replica.configuration_position) != revision_of(
             configuration_position
