Log requests that are served by an older version than is known

Change: VersionLag records the versions of heartbeats and reports, once a second at most, a request that is served by an older one, with what the entry believed: newest revision read, cursor, age of the replica, the read that states it and the age of its own last read. A metric counts all.

--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -39,6 +39,7 @@
 from .replica import StoreReplica
 from .run_time import TICK_S
 from .upstreams import UpstreamTable
+from .version_lag import VersionLag
 
 __all__ = ["EntryDaemon"]
 
@@ -155,6 +156,9 @@
             now,
             log,
         )
+        self.version_lag = VersionLag(feed, now, log)
+        self.gossip.set_version_lag(self.version_lag)
+        self.frontend.version_lag = self.version_lag
         self._caller_listener = Listener(
             settings.caller_address, self.frontend.serve_connection, log
         )
@@ -614,6 +618,10 @@
                 "Comparisons of the configuration with the store's own key.",
                 self.reader.configuration_check.counts,
             ),
+            "served_by_older_version": (
+                "Requests served by an older configuration than one that is known.",
+                {"requests": self.version_lag.count},
+            ),
             "task_failures": ("Failures of tasks that were restarted.", TASK_FAILURES),
         }
         metric_families = [
--- a/almondtide/entry/freshness.py
+++ b/almondtide/entry/freshness.py
@@ -61,6 +61,11 @@
         self._read_at = None
         self._copied_at = None
 
+    @property
+    def local_at(self):
+        """Time at which the last own read that succeeded began, in s, or None."""
+        return self._reads.get(self._local_reader, (0, None))[1]
+
     @property
     def latest_at(self):
         """Latest time at which the state is known to have matched the store, in s."""
--- a/almondtide/entry/frontend.py
+++ b/almondtide/entry/frontend.py
@@ -27,7 +27,8 @@
 class Frontend:
     """The side of one entry that faces callers: their connections and metrics.
 
-    ``memory`` is the ``CallerMemory`` of these connections.
+    ``memory`` is the ``CallerMemory`` of these connections, ``version_lag`` the
+    ``VersionLag`` that requests are reported to, or None.
     """
 
     __slots__ = (
@@ -43,6 +44,7 @@
         "memory",
         "routes",
         "running_requests",
+        "version_lag",
     )
 
     def __init__(self, dispatcher, replica, view, started_at, memory, now, log):
@@ -56,6 +58,7 @@
         self._connections = {}
         self._latency_histograms = {}
         self.routes = None
+        self.version_lag = None
         self.running_requests = 0
         # (route, status, code) -> number of answers.
         self.answer_counts = {}
@@ -113,6 +116,8 @@
                 not_ready_retry_s(arrived_at - self._started_at, random.random()),
             )
             return self._record_answer(request, None, answer, arrived_at)
+        if self.version_lag is not None:
+            self.version_lag.note_request(request.id, self.version_in_force)
         route = self.routes.find_route(request.host, request.path)
         if route is None:
             answer = error_answer(404, ResultCode.NOT_FOUND, "no route")
--- a/almondtide/entry/gossip.py
+++ b/almondtide/entry/gossip.py
@@ -109,6 +109,7 @@
         "_run_time",
         "_sock",
         "_tasks",
+        "_version_lag",
         "counts",
         "settings",
         "view",
@@ -126,6 +127,7 @@
         self._rate_shares = None
         self._run_time = RunTime()
         self._links = None
+        self._version_lag = None
         self._now = now
         self._log = log
         self._sock = None
@@ -169,6 +171,10 @@
         """Set the ``RunTime`` of this process."""
         self._run_time = run_time
 
+    def set_version_lag(self, version_lag):
+        """Set the ``VersionLag`` that hears of the versions of heartbeats."""
+        self._version_lag = version_lag
+
     def set_rate_shares(self, rate_shares):
         """Set the ``RateShares`` whose demands heartbeats exchange."""
         self._rate_shares = rate_shares
@@ -603,6 +609,10 @@
             )
         for member in heartbeat.members:
             self._update_member(member, now)
+        if self._version_lag is not None:
+            self._version_lag.note_heard(
+                heartbeat.configuration_version, heartbeat.sender.name
+            )
         if self._links is not None:
             age_s = heartbeat.reply_age_s
             self._links.note_peer(
--- /dev/null
+++ b/almondtide/entry/version_lag.py
@@ -0,0 +1,85 @@
+"""Reports requests that are served by an older configuration than is known."""
+
+from ..model.position import revision_of
+
+__all__ = ["VersionLag"]
+
+# Least time between two log lines, in s.
+REPORT_INTERVAL_S = 1.0
+
+
+class VersionLag:
+    """The newest version that an entry knows or heard of, and what it believes.
+
+    ``watch_state()`` returns a dict of further log fields.
+    """
+
+    __slots__ = (
+        "_feed",
+        "_heard_at",
+        "_heard_from",
+        "_heard_version",
+        "_log",
+        "_now",
+        "_reported_at",
+        "count",
+        "watch_state",
+    )
+
+    def __init__(self, feed, now, log):
+        self._feed = feed
+        self._now = now
+        self._log = log
+        self._heard_version = 0
+        self._heard_from = ""
+        self._heard_at = None
+        self._reported_at = None
+        self.count = 0
+        self.watch_state = dict
+
+    def note_heard(self, version, source):
+        """Record that a peer serves by a version; ``source`` names it in the log."""
+        if version > self._heard_version:
+            self._heard_version = version
+            self._heard_from = source
+            self._heard_at = self._now()
+
+    def note_request(self, request_id, version):
+        """Count a request that is served by ``version``, and log it, if it is older."""
+        replica = self._feed.replica
+        if version >= max(replica.configuration_version, self._heard_version):
+            return
+        self.count += 1
+        now = self._now()
+        if self._reported_at is not None and (
+            now - self._reported_at < REPORT_INTERVAL_S
+        ):
+            return
+        self._reported_at = now
+        self._log.warning(
+            "served_by_older_version",
+            id=request_id,
+            version=version,
+            replica_version=replica.configuration_version,
+            heard_version=self._heard_version,
+            heard_from=self._heard_from or "none",
+            heard_ms=_age_ms(self._heard_at, now),
+            **self.beliefs(now),
+        )
+
+    def beliefs(self, now):
+        """Return log fields: what this entry holds its configuration for, and why."""
+        feed = self._feed
+        read = feed.replica.freshness.statement(now)
+        return {
+            "configuration_revision": revision_of(feed.configuration_read_position),
+            "cursor_revision": revision_of(feed.cursor or 0),
+            "known_age_ms": _age_ms(feed.replica.fresh_at, now),
+            "read": "none" if read is None else f"{read.reader:x}/{read.number}",
+            "own_read_ms": _age_ms(feed.replica.freshness.local_at, now),
+            **self.watch_state(),
+        }
+
+
+def _age_ms(at, now):
+    return "none" if at is None else int((now - at) * 1000)
