--- a/bench/claims.py
+++ b/bench/claims.py
@@ -24,7 +24,7 @@
 from almondtide.registry import Registry
 from standins.gossip_fleet import DOMAINS, play, server_document
 
-__all__ = ["UntrueClaim", "actions", "check", "main", "play_claims"]
+__all__ = ["Recorder", "UntrueClaim", "actions", "check", "main", "play_claims"]
 
 COLUMNS = ("seed", "at_s", "entry", "claim", "key", "stated", "written")
 DEFAULT_SEEDS = 20
@@ -80,7 +80,7 @@
         self.contents.append(content)
 
 
-class _Recorder:
+class Recorder:
     """Keeps the history of all keys of a ``ModelStore``; times are in s."""
 
     def __init__(self, fleet):
@@ -271,7 +271,7 @@
     async def scenario(fleet):
         for number in range(SERVER_COUNT):
             fleet.store.put(f"{SERVER_PREFIX}i-q{number}", server_document())
-        recorder = _Recorder(fleet)
+        recorder = Recorder(fleet)
         await curio.sleep(1.5)
         started_at = fleet.now
         until = started_at + PLAY_S
--- a/bench/rollout.py
+++ b/bench/rollout.py
@@ -160,6 +160,41 @@
     return ()
 
 
+@patterns.register("isolated-standby")
+async def _play_isolated_standby(fleet):
+    """The last rank is cut off from all other entries, and loses two answers."""
+    standby = _by_rank(fleet)[-1]
+    fleet.is_cut = lambda source, destination: standby.host in (source, destination)
+    await curio.sleep(fleet.rng.uniform(0.0, 1.0))
+    fleet.store.lost_answers[standby.host] = 2
+    await _publish_in_series(fleet)
+    return ()
+
+
+@patterns.register("held-datagrams")
+async def _play_held_datagrams(fleet):
+    """The link of the first rank holds what it sends to its peers.
+
+    That entry is out of touch.
+    """
+    reader = _by_rank(fleet)[0]
+    fleet.held_s[reader.host] = fleet.rng.uniform(1.0, 4.0)
+    await _publish_in_series(fleet)
+    return (reader,)
+
+
+@patterns.register("killed-refused-lost")
+async def _play_killed_refused_lost(fleet):
+    """The first rank ends, the second is refused, the third loses two answers."""
+    first, second, third = _by_rank(fleet)[:3]
+    await curio.sleep(fleet.rng.uniform(0.5, 1.5))
+    await first.stop()
+    fleet.store.refusals[second.host] = "silent"
+    fleet.store.lost_answers[third.host] = 2
+    await _publish_in_series(fleet)
+    return ()
+
+
 @patterns.register("busy-network")
 async def _play_busy_network(fleet):
     """Datagrams take up to 60 ms, as between entries with little processor time."""
--- a/standins/gossip_fleet.py
+++ b/standins/gossip_fleet.py
@@ -54,6 +54,10 @@
 # Time in s between two roles of an entry, and between two looks at the end of a pause.
 HOUSEKEEPING_INTERVAL_S = 0.25
 PAUSE_POLL_S = 0.01
+# Time in s between two looks of a waiting watch, and how long watches hear nothing
+# before the history is dropped.
+WATCH_POLL_S = 0.005
+COMPACTION_S = 1.0
 SERVER_HEARTBEAT_S = 1.2
 # Distance of the incarnations of two processes of one entry.
 INCARNATION_STEP = 1000
@@ -115,7 +119,9 @@
     ``answer_s`` is the time of an answer, in s. ``refusals`` maps hosts to ``busy``,
     which answers with a refusal, or ``silent``. ``silent_watches`` is the number of
     watches of a host that get no answer, ``refused_calls`` that of calls of a host that
-    are refused. ``on_call`` is a function that is called with
+    are refused, and ``lost_answers`` that of answers to a host that are lost: the next
+    ones to be made, of watches that wait too. While ``is_compacting``, watches get no
+    answer. ``on_call`` is a function that is called with
     (host, "before" or "after") around the making of each answer, ``on_change`` one that
     is called with each changed ``StoreItem``; None for none.
     """
@@ -125,6 +131,9 @@
         self.refusals = {}
         self.silent_watches = {}
         self.refused_calls = {}
+        self.lost_answers = {}
+        self.is_compacting = False
+        self.watches_cut = 0
         self.on_call = None
         self.on_change = None
         self.items = {}
@@ -163,6 +172,14 @@
         self.changes = []
         self._first_revision = self.revision + 1
 
+    async def compact(self):
+        """Let watches hear nothing for a while, then drop the history and cut them."""
+        self.is_compacting = True
+        await curio.sleep(COMPACTION_S)
+        self.is_compacting = False
+        self.drop_history()
+        self.watches_cut += 1
+
     def copy(self):
         """Return a copy of the contents, for ``restore``."""
         return dict(self.items), self.revision
@@ -217,6 +234,11 @@
             store.refused_calls[self._host] = refused_calls - 1
         if mode == "busy" or refused_calls:
             raise PlatformError("the store answered with status 503")
+        lost_answers = store.lost_answers.get(self._host, 0)
+        if lost_answers:
+            store.lost_answers[self._host] = lost_answers - 1
+            await curio.sleep(timeout_s)
+            raise StoreTimeoutError(f"no answer within {timeout_s} s")
         self._report("before")
         self.era = store.era
         answer = make_answer()
@@ -254,18 +276,49 @@
         return page, self._store.position(), len(keys) > PAGE_ITEMS
 
     async def changes(self, prefix, after, wait_ms, timeout_s):
-        """Return a ``ChangePage`` of all changes since position ``after``."""
+        """Return a ``ChangePage`` of all changes since position ``after``.
+
+        The store waits up to ``wait_ms`` for the first one.
+        """
         silent_watches = self._store.silent_watches.get(self._host, 0)
         if silent_watches:
             self._store.silent_watches[self._host] = silent_watches - 1
+            return await self._call(None, timeout_s, is_silent=True)
+        try:
+            async with curio.timeout_after(timeout_s):
+                await self._wait_for_change(prefix, after, wait_ms)
+        except curio.TaskTimeout as exc:
+            self.call_count += 1
+            raise StoreTimeoutError(f"no answer within {timeout_s} s") from exc
         return await self._call(
             lambda: ChangePage(
                 self._store.changes_after(after, prefix), self._store.position(), 1, 0
             ),
             timeout_s,
-            silent_watches > 0,
         )
 
+    async def _wait_for_change(self, prefix, after, wait_ms):
+        """Wait until a watch would be answered; raises if it is cut."""
+        store = self._store
+        watches_cut = store.watches_cut
+        polls_left = int(wait_ms / 1000.0 / WATCH_POLL_S)
+        while True:
+            is_silent = store.refusals.get(self._host) == "silent"
+            if store.watches_cut > watches_cut or store.refusals.get(self._host):
+                if not is_silent:
+                    raise PlatformError("the watch was cut")
+            elif not store.is_compacting and (
+                polls_left <= 0
+                or store.era != era_of(after)
+                or store.changes_after(after, prefix)
+            ):
+                return
+            polls_left -= 1
+            await curio.sleep(WATCH_POLL_S)
+
+    async def close(self):
+        """Close the connection; the model has none."""
+
 
 class _ModelSocket:
     """A datagram socket of the model's network."""
@@ -506,7 +559,8 @@
     """Entries, their network and their store.
 
     Delays are in s and uniform between ``delay_s`` and ``delay_s + jitter_s``;
-    ``loss`` is the share of datagrams that are lost. ``in_force`` maps versions of the
+    ``loss`` is the share of datagrams that are lost, ``server_count`` the number of
+    servers that write heartbeats. ``in_force`` maps versions of the
     configuration to the times at which entries put them into force, by name, and
     ``acknowledged`` to the time of the store's acknowledgement.
     """
@@ -520,8 +574,10 @@
         jitter_s=0.002,
         loss=0.0,
         further_bounds=None,
+        server_count=40,
     ):
         self.clock = clock
+        self.server_count = server_count
         self.further_bounds = further_bounds or {}
         self.rng = random.Random(seed)
         self.delay_s = delay_s
@@ -534,16 +590,18 @@
         self._entries_by_host = {entry.host: entry for entry in self.entries}
         # Functions (source, destination) -> whether datagrams and snapshots are cut.
         self.is_cut = lambda source, destination: False
+        # Host -> time in s that its link holds each datagram that it sends.
+        self.held_s = {}
 
     @property
     def now(self):
         """Current time in s."""
         return self.clock.monotonic()
 
-    async def start(self, server_count=40):
+    async def start(self):
         """Write the first contents of the store and start all entries."""
         self.publish(1)
-        await curio.spawn(self._run_servers, server_count, daemon=True)
+        await curio.spawn(self._run_servers, self.server_count, daemon=True)
         for entry in self.entries:
             await entry.start()
 
@@ -583,7 +641,7 @@
         await curio.spawn(self._deliver, raw, source, receiver, daemon=True)
 
     async def _deliver(self, raw, source, receiver):
-        await curio.sleep(self._delay())
+        await curio.sleep(self._delay() + self.held_s.get(source, 0.0))
         await receiver.socket.put(raw, source)
 
     def _delay(self):
--- a/tests/bench/test_rollout.py
+++ b/tests/bench/test_rollout.py
@@ -33,3 +33,8 @@
             ("short-pauses", 18),
         ):
             self._assert_in_time(name, seed)
+
+    def test_an_entry_that_hears_no_peer_is_in_time_after_lost_answers(self):
+        # It waited for the rank after which it reads, and then for each call.
+        for seed in (3, 9):
+            self._assert_in_time("isolated-standby", seed)
