Watch the configuration's key on each entry

Each wrong belief, late statement or lost answer adds to one sum of 2.55 s by design, and an entry that reaches the store does not ask it.

Change: each entry of a small fleet, and the active ones and four of each failure domain in a large one, keep a watch of the key that waits 10 s, with a connection, position and repetitions of their own. Peers' statements never move its position; they only lead to a read of the key, when a version came another way or nothing was proved for 0.43 of the bound. A version that lay before the cursor requires a full read.

The list of components with settings in test_daemon.py names the new one.

--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -15,6 +15,7 @@
 from ..timers import Timers
 from .boottime import BoottimeClock, boottime_now
 from .caller_memory import CallerMemory
+from .configuration_watcher import ConfigurationWatcher
 from .connections import ConnectionPool
 from .crash_detector import CrashDetector
 from .directory import Directory
@@ -104,6 +105,16 @@
             now,
             log,
         )
+        self.watcher = ConfigurationWatcher(
+            settings,
+            StoreClient(settings.store_address, STORE_TIMEOUT_S),
+            self.view,
+            feed,
+            self.gossip,
+            self._on_changes,
+            now,
+            log,
+        )
         self.table = UpstreamTable(settings.domain)
         self.table.rate_shares.local_name = settings.instance
         self.gossip.set_rate_shares(self.table.rate_shares)
@@ -157,6 +168,7 @@
             log,
         )
         self.version_lag = VersionLag(feed, now, log)
+        self.version_lag.watch_state = self.watcher.state
         self.gossip.set_version_lag(self.version_lag)
         self.frontend.version_lag = self.version_lag
         self._caller_listener = Listener(
@@ -172,6 +184,7 @@
         self.settings_users = (
             self.gossip,
             self.reader,
+            self.watcher,
             feed,
             self.dispatcher,
             self.directory,
@@ -209,6 +222,7 @@
         )
         tasks = {
             "reader": self.reader.run,
+            "watcher": self.watcher.run,
             "housekeeping": self._housekeeping,
             "links": self.link_watch.run,
             "run_time": self._tick,
@@ -308,6 +322,7 @@
         await self.gossip.stop()
         await self.timers.stop()
         await self.store.close()
+        await self.watcher.close()
 
     async def _housekeeping(self):
         last_round_at = settings_checked_at = sends_logged_at = boottime_now()
@@ -618,6 +633,10 @@
                 "Comparisons of the configuration with the store's own key.",
                 self.reader.configuration_check.counts,
             ),
+            "configuration_watch": (
+                "Calls of the own watch of the configuration, and renewals by reason.",
+                self.watcher.watch.counts,
+            ),
             "served_by_older_version": (
                 "Requests served by an older configuration than one that is known.",
                 {"requests": self.version_lag.count},
@@ -692,7 +711,10 @@
                     for member in self.view.alive_members(now)
                 ),
             ),
-            "store_calls": ("Calls of the store.", self.store.call_count),
+            "store_calls": (
+                "Calls of the store.",
+                self.store.call_count + self.watcher.call_count,
+            ),
             "store_reads": (
                 "Reads of the store, failed ones included.",
                 self.reader.read_count,
--- a/standins/gossip_fleet.py
+++ b/standins/gossip_fleet.py
@@ -13,6 +13,7 @@
 import orjson
 
 from almondtide.entry.codec import decode_snapshot, encode_snapshot
+from almondtide.entry.configuration_watcher import ConfigurationWatcher
 from almondtide.entry.feed import StoreFeed
 from almondtide.entry.gossip import Gossip
 from almondtide.entry.members import (
@@ -487,6 +488,17 @@
             self.log,
         )
 
+        self.watcher = ConfigurationWatcher(
+            settings,
+            _StoreSession(fleet.store, self.host),
+            self.view,
+            self.feed,
+            self.gossip,
+            self._on_changes,
+            now,
+            self.log,
+        )
+
     async def restart(self, is_supplied=True):
         """End the process and start another one, which knows nothing of before.
 
@@ -518,6 +530,7 @@
             self.gossip._receive,
             self.gossip._run_heartbeats,
             self.reader.run,
+            self.watcher.run,
             self._housekeeping,
             self._tick,
         )
--- a/tests/entry/test_daemon.py
+++ b/tests/entry/test_daemon.py
@@ -56,7 +56,7 @@
             self.assertEqual(9.0, part.settings.drain_s, type(part).__name__)
         names = {type(part).__name__ for part in daemon.settings_users}
         expected = {"Gossip", "StoreReader", "StoreFeed", "Dispatcher", "Directory"}
-        expected.add("MemoryBounds")
+        expected.update(("MemoryBounds", "ConfigurationWatcher"))
         self.assertEqual(expected, names)
 
 
