Check the statements of entries at each read, and find both earlier faults

Cause: bench.orders looked at cursors and ages each 0.05 s, and a watch brings what a read has missed within some milliseconds. Servers, which no watch brings, were only changed by their heartbeats.

Change: statements are checked after each read and each cursor that is adopted. Events change a server that writes nothing else, also between two calls.

--- a/bench/orders.py
+++ b/bench/orders.py
@@ -22,9 +22,10 @@
 import defopt
 
 from almondtide.entry.members import store_reader_rank
+from almondtide.platform.documents import CONFIGURATION_KEY, SERVER_PREFIX
 from almondtide.presentation import format_table
 from almondtide.registry import Registry
-from standins.gossip_fleet import BOUNDS, play
+from standins.gossip_fleet import BOUNDS, play, server_document
 
 from .claims import Recorder, check
 
@@ -35,6 +36,10 @@
 DEFAULT_JOBS = 4
 ENTRY_COUNT = 3
 SERVER_COUNT = 6
+# A server that writes no heartbeats, so that nothing repeats a change of it, and the
+# time in s until all entries know it.
+QUIET_SERVER = f"{SERVER_PREFIX}i-q"
+FIRST_READ_S = 1.2
 # Longest time in s from the acknowledgement of a version until all entries in touch
 # have it in force: without a fault, with at most two, and with more.
 CALM_BOUND_S = 0.5
@@ -47,7 +52,8 @@
 WAIT_S = 0.4
 SETTLE_S = 3.4
 CHECK_INTERVAL_S = 0.05
-PAUSE_S = 1.0
+CHECKED_EVENTS = ("replica_read", "cursor_adopted")
+PAUSE_S = 0.7
 UPDATES_LOST_S = 0.25
 # Ages in a state are told apart by this much, in s.
 AGE_STEP_S = 0.1
@@ -83,8 +89,16 @@
         # Entries that were ended, started or paused: they are out of touch.
         self.excused = set()
         self.fault_count = 0
+        self.server_changes = 0
         self.found = {}
         fleet.is_cut = self._is_cut
+        for entry in fleet.entries:
+            entry.log.on_event = self._on_event
+
+    def _on_event(self, name):
+        # A watch may bring soon afterwards what a read has missed.
+        if name in CHECKED_EVENTS:
+            self.check()
 
     def _is_cut(self, source, destination):
         return (
@@ -103,6 +117,12 @@
                 text = f"{claim} of entry {entry.number} claims {key}"
                 self.found.setdefault(text, (stated, written))
 
+    def change_server(self):
+        """Change the server that writes no heartbeats."""
+        self.server_changes += 1
+        document = server_document(capacity=3 + self.server_changes)
+        self.fleet.store.put(QUIET_SERVER, document)
+
     async def pass_time(self, seconds):
         """Let time pass, and check statements meanwhile."""
         until = self.fleet.now + seconds
@@ -143,12 +163,16 @@
             store.is_compacting,
             _steps(now - fleet.acknowledged[newest]) if newest > 1 else None,
             self.fault_count,
+            self.server_changes,
         )
 
     def _entry_state(self, entry, newest, now):
         feed, replica = entry.feed, entry.replica
-        configuration_position = self.fleet.store.items["op/config"].position
+        items = self.fleet.store.items
+        configuration_position = items[CONFIGURATION_KEY].position
+        server = replica.record(QUIET_SERVER)
         return (
+            server is None or server.position < items[QUIET_SERVER].position,
             entry.is_stopped,
             entry in self.excused,
             _steps(max(0.0, entry.paused_until - now)),
@@ -156,6 +180,8 @@
             feed.cursor is not None and feed.cursor >= configuration_position,
             _steps(replica.age_s(now)),
             feed.is_full_read_required,
+            entry.watcher.watch.position is None,
+            min(entry.watcher.watch.failures, 2),
             store_reader_rank(entry.view, now),
         )
 
@@ -194,16 +220,33 @@
 @_register("change in a call", is_fault=False)
 async def _change_in_call(run, entry):
     """Publish a version right after the next answer to an entry was made."""
+    fleet = run.fleet
+    return _act_in_call(run, entry, lambda: fleet.publish(max(fleet.acknowledged) + 1))
+
+
+def _act_in_call(run, entry, action):
     store = run.fleet.store
 
     def on_call(host, phase):
         if host == entry.host and phase == "after":
             store.on_call = None
-            run.fleet.publish(max(run.fleet.acknowledged) + 1)
+            action()
 
     if store.on_call is not None:
         return False
     store.on_call = on_call
+    return True
+
+
+@_register("server change", has_entry=False, is_fault=False)
+async def _change_server(run, entry):
+    run.change_server()
+
+
+@_register("server change in a call", is_fault=False)
+async def _change_server_in_call(run, entry):
+    """Change a server that writes nothing else, as in ``_change_in_call``."""
+    return _act_in_call(run, entry, run.change_server)
 
 
 @_register("time", has_entry=False, is_fault=False)
@@ -280,6 +323,8 @@
     names = [name if number is None else f"{name} {number}" for name, number in order]
 
     async def scenario(fleet):
+        fleet.store.put(QUIET_SERVER, server_document())
+        await curio.sleep(FIRST_READ_S)
         run = _Play(fleet, is_rule_only)
         for name, number in order:
             event = events.get(name)
--- a/standins/gossip_fleet.py
+++ b/standins/gossip_fleet.py
@@ -76,15 +76,21 @@
 
 
 class RecordingLog(Log):
-    """Records the events of an entry as (time in s, name, fields)."""
+    """Records the events of an entry as (time in s, name, fields).
+
+    ``on_event`` is a function that is called with each name, or None.
+    """
 
     def __init__(self, now):
         super().__init__()
         self._now = now
+        self.on_event = None
         self.events = []
 
     def _note(self, name, **fields):
         self.events.append((self._now(), name, fields))
+        if self.on_event is not None:
+            self.on_event(name)
 
     info = warning = refusal = error = debug = trace = _note
 
--- a/tests/bench/test_orders.py
+++ b/tests/bench/test_orders.py
@@ -1,7 +1,12 @@
 """Tests of all orders of a few events around a change of the configuration."""
 
+from unittest import mock
+
 import testtools
 
+from almondtide.entry import reader
+from almondtide.entry.freshness import Freshness
+from almondtide.entry.gossip import Gossip
 from bench.orders import play_order, search
 
 
@@ -35,3 +40,36 @@
         found, states = search(2)
         self.assertEqual([], [("; ".join(o.names), o.found) for o in found])
         self.assertGreater(states, 100)
+
+
+class EarlierFaultsTest(testtools.TestCase):
+    """Guards against a search that would not find faults of this kind any more."""
+
+    def _assert_found(self, claim, *orders):
+        found = [text for order in orders for text in play_order(order).found]
+        self.assertIn(claim, " ".join(found))
+
+    def test_a_cursor_that_passes_a_change_between_two_calls_is_found(self):
+        with mock.patch.object(reader, "min", max, create=True):
+            self._assert_found(
+                "cursor of entry 0 claims op/config",
+                [("change in a call", 0), ("start", 0)],
+            )
+
+    def test_an_age_that_counts_from_the_handling_of_a_message_is_found(self):
+        receive = Gossip.receive_datagram
+
+        async def receive_without_wait(gossip, raw, host, arrived_after):
+            await receive(gossip, raw, host, gossip._now())
+
+        def note_any(freshness, reader_id, number, began_at):
+            freshness.note_copy(began_at)
+
+        with (
+            mock.patch.object(Gossip, "receive_datagram", receive_without_wait),
+            mock.patch.object(Freshness, "note_read", note_any),
+        ):
+            self._assert_found(
+                "fresh_at of entry 1 claims servers/i-q",
+                [("pause", 1), ("server change in a call", 0)],
+            )
