Take over reading the store sooner in the first ranks

Cause: removals, drains and evacuations still come by the reader alone. Where the first ranks do not read, the others waited for 0.36 to 1.32 s.

Change: ranks 1 to 5 take over 0.15 to 0.51 s after a read was due. Later ranks, which are many in a large fleet and hear of reads late, wait as before.

--- a/almondtide/entry/feed.py
+++ b/almondtide/entry/feed.py
@@ -27,10 +27,12 @@
 # two reads of the reader, the extra delay until the daemon of rank 1 takes over
 # because updates are late, and the further delay of each rank after it.
 READ_INTERVAL_FRACTION = 0.33
-TAKEOVER_DELAY_FRACTION = 0.12
-RANK_DELAY_FRACTION = 0.08
-# Daemons of higher ranks wait as long as one of this rank.
+TAKEOVER_DELAY_FRACTION = 0.05
+RANK_DELAY_FRACTION = 0.03
+# Daemons of this rank and higher ones have another delay. In a large fleet statements
+# of reads may take a second to reach them, and there are many of them.
 MAX_RANK = 6
+LAST_RANKS_DELAY_FRACTION = 0.52
 # Delay of a daemon after its own failed read, in s, and its growth by rank. A first
 # failure may be of one call; after several the store is likely to be unavailable.
 FIRST_RETRY_DELAY_S = 0.15
@@ -71,7 +73,9 @@
     due = 0.0
     if fresh_at is not None:
         due = fresh_at + READ_INTERVAL_FRACTION * within_s
-        if rank:
+        if rank == MAX_RANK:
+            due += LAST_RANKS_DELAY_FRACTION * within_s
+        elif rank:
             due += (
                 TAKEOVER_DELAY_FRACTION + RANK_DELAY_FRACTION * (rank - 1)
             ) * within_s
