Take the time that a link held a heartbeat off its ages

Cause: an age counts from the arrival of its heartbeat, so a statement that a link held for seconds makes an old read look recent, and no peer reads.

Change: heartbeats carry the sender's clock. What one took longer than the fastest of the last 30 to 60 s is taken off its time of arrival; other datagrams of that host count as the last heartbeat. Earlier builds send no clock and ignore it.

The test of unknown items of a heartbeat uses item 17 now, since 16 is known.

--- a/almondtide/entry/codec.py
+++ b/almondtide/entry/codec.py
@@ -58,6 +58,8 @@
 MAX_ABILITY_LENGTH = 32
 # Index of the read of the store that confirms the sender's replica, in a heartbeat.
 READ_ITEM = 15
+# Index of the sender's clock in a heartbeat.
+CLOCK_ITEM = 16
 # Abilities of a build that names none but sends items 10 to 12.
 IMPLIED_ABILITIES = frozenset({RELAY_ABILITY})
 
@@ -92,7 +94,9 @@
     ``EvacuationSummary``, None from a sender that does not know or does not use them.
     ``abilities`` holds the names of what the sender's build can do for its peers.
     ``read`` is the ``ReadStatement`` on the latest read of the store that confirms the
-    sender's replica, None before the first one and from earlier builds.
+    sender's replica, None before the first one and from earlier builds. ``sent_at`` is
+    the time at which it was encoded, in s on the sender's own clock, None from earlier
+    builds.
     """
 
     __slots__ = (
@@ -109,6 +113,7 @@
         "read",
         "reply_age_s",
         "sender",
+        "sent_at",
         "wants_reply",
     )
 
@@ -128,6 +133,7 @@
         evacuations=None,
         abilities=(),
         read=None,
+        sent_at=None,
     ):
         self.sender = sender
         self.digest = digest
@@ -143,6 +149,7 @@
         self.evacuations = evacuations
         self.abilities = frozenset(abilities)
         self.read = read
+        self.sent_at = sent_at
 
 
 class EvacuationUpdate:
@@ -350,6 +357,7 @@
         _pack_evacuations(heartbeat.evacuations),
         sorted(heartbeat.abilities) or None,
         _pack_read(heartbeat.read),
+        _pack_clock(heartbeat.sent_at),
     ]
     while optional and optional[-1] is None:
         optional.pop()
@@ -652,9 +660,18 @@
         evacuations,
         _unpack_abilities(message),
         _unpack_read(message[READ_ITEM] if len(message) > READ_ITEM else None),
+        _unpack_clock(message[CLOCK_ITEM] if len(message) > CLOCK_ITEM else None),
     )
 
 
+def _pack_clock(sent_at):
+    return None if sent_at is None else int(sent_at * 1000)
+
+
+def _unpack_clock(clock_ms):
+    return None if clock_ms is None else _check_integer(clock_ms) / 1000.0
+
+
 def _unpack_update(item):
     key, position, server, *rest = item
     return (
--- a/almondtide/entry/gossip.py
+++ b/almondtide/entry/gossip.py
@@ -35,6 +35,7 @@
 )
 from .members import RELAY_ABILITY, MemberState
 from .run_time import RunTime
+from .transit_delay import TransitDelays
 
 __all__ = ["Gossip"]
 
@@ -77,6 +78,8 @@
 # Longest time in s from making a message to sending it. What is left of the time for
 # which a leaving server serves has a margin of 0.6 s.
 MAX_SEND_DELAY_S = 0.5
+# Delay of a datagram beyond the usual one, in s, from which on it is counted as held.
+LONG_TRANSIT_S = 0.25
 # Largest datagram that is received, in bytes.
 MAX_RECEIVED_BYTES = 1 << 16
 # Number of failed members that also get each heartbeat, in case they are back.
@@ -109,6 +112,7 @@
         "_run_time",
         "_sock",
         "_tasks",
+        "_transit_delays",
         "_version_lag",
         "counts",
         "settings",
@@ -128,6 +132,7 @@
         self._run_time = RunTime()
         self._links = None
         self._version_lag = None
+        self._transit_delays = TransitDelays()
         self._now = now
         self._log = log
         self._sock = None
@@ -143,6 +148,7 @@
             "records_invalid": 0,
             "datagrams_failed": 0,
             "datagrams_stale": 0,
+            "datagrams_held": 0,
         }
 
     def set_loss_handler(self, function):
@@ -357,6 +363,7 @@
             self._feed.evacuations.summary(now),
             ABILITIES,
             replica.freshness.statement(now),
+            now,
         )
 
     def _demands_to_report(self, now):
@@ -517,6 +524,18 @@
         self._log.warning("record_invalid", key=key[:200], reason=reason[:200])
 
     async def _on_message(self, message, host, now, arrived_after, arrived_at):
+        if isinstance(message, Heartbeat) and message.sent_at is not None:
+            delay_s = self._transit_delays.note(
+                host, message.sender.incarnation, message.sent_at, arrived_at, now
+            )
+        else:
+            # A link that holds heartbeats holds other messages as long.
+            delay_s = self._transit_delays.latest_s(host)
+        if delay_s > LONG_TRANSIT_S:
+            self.counts["datagrams_held"] += 1
+            self._log.debug("datagram_held", host=host, ms=int(delay_s * 1000))
+        arrived_after -= delay_s
+        arrived_at -= delay_s
         if isinstance(message, Heartbeat):
             await self._on_heartbeat(message, host, now, arrived_after, arrived_at)
         elif isinstance(message, EndAnnouncement):
--- a/bench/orders.py
+++ b/bench/orders.py
@@ -55,6 +55,7 @@
 CHECKED_EVENTS = ("replica_read", "cursor_adopted")
 PAUSE_S = 0.7
 UPDATES_LOST_S = 0.25
+HELD_S = 0.6
 # Ages in a state are told apart by this much, in s.
 AGE_STEP_S = 0.1
 
@@ -160,6 +161,7 @@
             tuple(sorted(h for h, until in self.lossy_hosts.items() if now < until)),
             tuple(sorted(h for h, count in store.lost_answers.items() if count)),
             tuple(sorted(h for h, count in store.refused_calls.items() if count)),
+            tuple(sorted(fleet.held_s)),
             store.is_compacting,
             _steps(now - fleet.acknowledged[newest]) if newest > 1 else None,
             self.fault_count,
@@ -277,6 +279,13 @@
     run.cut_hosts.add(entry.host)
 
 
+@_register("held datagrams")
+async def _hold_datagrams(run, entry):
+    """Let the link of an entry hold what it sends to its peers."""
+    run.excused.add(entry)
+    run.fleet.held_s[entry.host] = HELD_S
+
+
 @_register("pause")
 async def _pause(run, entry):
     if entry.is_stopped:
--- a/tests/bench/test_orders.py
+++ b/tests/bench/test_orders.py
@@ -7,6 +7,7 @@
 from almondtide.entry import reader
 from almondtide.entry.freshness import Freshness
 from almondtide.entry.gossip import Gossip
+from almondtide.entry.transit_delay import TransitDelays
 from bench.orders import play_order, search
 
 
@@ -36,6 +37,12 @@
             [("lost history", None), ("change", None), ("lost updates", 2)],
         )
 
+    def test_no_age_counts_from_the_end_of_a_link_that_held_its_statement(self):
+        self._assert_holds(
+            [("held datagrams", 2), ("server change in a call", 1)],
+            [("time", None), ("held datagrams", 2), ("server change in a call", 1)],
+        )
+
     def test_all_orders_of_two_events(self):
         found, states = search(2)
         self.assertEqual([], [("; ".join(o.names), o.found) for o in found])
@@ -68,6 +75,8 @@
         with (
             mock.patch.object(Gossip, "receive_datagram", receive_without_wait),
             mock.patch.object(Freshness, "note_read", note_any),
+            # It would take the wait for time that a link held the datagram.
+            mock.patch.object(TransitDelays, "note", lambda *_: 0.0),
         ):
             self._assert_found(
                 "fresh_at of entry 1 claims servers/i-q",
--- a/tests/entry/test_codec.py
+++ b/tests/entry/test_codec.py
@@ -108,7 +108,7 @@
         items = self.encode("relay")
         # Item 13 holds the evacuations.
         items[13] = [100, 7, []]
-        self.assertEqual({"relay"}, self.decode([*items, None, "later"]))
+        self.assertEqual({"relay"}, self.decode([*items, None, None, "later"]))
 
     def test_builds_that_name_none(self):
         items = self.encode()
