Log that the configuration has not been proved for half of its bound

Cause: an entry whose reader, watch and peers are all silent said so only in the line of the first failed read.

Change: configuration_unproved, once a second at most, with what the entry believes and why.

Result: a test of the line and its bound; no change of logic.

--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -354,6 +354,11 @@
             self.replica.remove_expired_tombstones(now)
             self.crash_detector.remove_expired()
             self._update_role(now)
+            if self.replica.is_complete:
+                self.version_lag.note_proof(
+                    self.watcher.watch.last_proof_at(self.replica.fresh_at),
+                    self.settings.config_apply_s,
+                )
 
     async def _tick(self):
         while True:
--- a/almondtide/entry/version_lag.py
+++ b/almondtide/entry/version_lag.py
@@ -1,11 +1,14 @@
-"""Reports requests that are served by an older configuration than is known."""
+"""Reports old configurations: requests served by them, and proofs that are overdue."""
 
 from ..model.position import revision_of
 
 __all__ = ["VersionLag"]
 
-# Least time between two log lines, in s.
+# Least time between two log lines of a kind, in s.
 REPORT_INTERVAL_S = 1.0
+# Fraction of the time in which a configuration must be in force, after which an entry
+# without a proof from the store reports it.
+OVERDUE_FRACTION = 0.5
 
 
 class VersionLag:
@@ -21,6 +24,7 @@
         "_heard_version",
         "_log",
         "_now",
+        "_overdue_reported_at",
         "_reported_at",
         "count",
         "watch_state",
@@ -34,6 +38,7 @@
         self._heard_from = ""
         self._heard_at = None
         self._reported_at = None
+        self._overdue_reported_at = None
         self.count = 0
         self.watch_state = dict
 
@@ -67,6 +72,29 @@
             **self.beliefs(now),
         )
 
+    def note_proof(self, proved_at, within_s):
+        """Log that no read and no watch has proved anything for too long.
+
+        ``proved_at`` is the time of the latest proof of any kind. A configuration must
+        be in force ``within_s`` seconds after its acknowledgement.
+        """
+        now = self._now()
+        if now - proved_at <= OVERDUE_FRACTION * within_s:
+            return
+        if self._overdue_reported_at is not None and (
+            now - self._overdue_reported_at < REPORT_INTERVAL_S
+        ):
+            return
+        self._overdue_reported_at = now
+        self._log.warning(
+            "configuration_unproved",
+            version=self._feed.replica.configuration_version,
+            proof_ms=int((now - proved_at) * 1000),
+            heard_version=self._heard_version,
+            heard_from=self._heard_from or "none",
+            **self.beliefs(now),
+        )
+
     def beliefs(self, now):
         """Return log fields: what this entry holds its configuration for, and why."""
         feed = self._feed
--- a/tests/entry/test_version_lag.py
+++ b/tests/entry/test_version_lag.py
@@ -41,3 +41,14 @@
             self.now += 0.1
         self.assertEqual(30, self.lag.count)
         self.assertEqual(3, len(self.log.events))
+
+    def test_a_proof_that_is_overdue_is_reported_once_a_second(self):
+        self.lag.note_proof(8.6, 3.0)
+        self.assertEqual([], self.log.events)
+        for _ in range(30):
+            self.lag.note_proof(8.4, 3.0)
+            self.now += 0.1
+        self.assertEqual(
+            ["configuration_unproved"] * 3, [name for name, _ in self.log.events]
+        )
+        self.assertEqual(1600, self.log.events[0][1]["proof_ms"])
