Ask the store once for a version that it has lost

Cause: while peers keep a configuration at a position that the store does not have, the watch counted as overtaken again after each answer, and the key was read again and again on each entry.

Change: a position and era lead to one renewal.

Result: one renewal in 3 s; the test failed before.

--- a/almondtide/entry/configuration_watch.py
+++ b/almondtide/entry/configuration_watch.py
@@ -52,6 +52,7 @@
 
     __slots__ = (
         "_overtaken_at",
+        "_renewed_for",
         "counts",
         "failures",
         "position",
@@ -66,6 +67,8 @@
         # Time of the next call.
         self.retry_at = 0.0
         self._overtaken_at = None
+        # What a watch was overtaken by last: (position, era).
+        self._renewed_for = None
         self.counts = dict.fromkeys(
             ("answered", "failed", "missed", "overtaken", "unproved", "paused"), 0
         )
@@ -113,13 +116,16 @@
         """
         if self.position is None:
             return None
-        if known_position > self.position or era > era_of(self.position):
+        is_overtaken = known_position > self.position or era > era_of(self.position)
+        # Once only: peers may have what the store has lost.
+        if not is_overtaken or self._renewed_for == (known_position, era):
+            self._overtaken_at = None
+        else:
             if self._overtaken_at is None:
                 self._overtaken_at = now
             if now - self._overtaken_at >= OVERTAKEN_S:
+                self._renewed_for = (known_position, era)
                 return "overtaken"
-        else:
-            self._overtaken_at = None
         if now - self.last_proof_at(fresh_at) > PROOF_FRACTION * within_s:
             return "unproved"
         return None
--- a/tests/entry/test_configuration_watch.py
+++ b/tests/entry/test_configuration_watch.py
@@ -34,6 +34,18 @@
         self.assertIsNone(self._reason(10.1 + 0.9 * OVERTAKEN_S, known=41))
         self.assertEqual("overtaken", self._reason(10.2 + OVERTAKEN_S, known=41))
 
+    def test_a_version_that_the_store_has_lost_is_asked_for_once(self):
+        now = 10.0
+        reasons = []
+        for _ in range(30):
+            now += 0.1
+            reason = self._reason(now, known=41, fresh_at=now)
+            if reason is not None:
+                reasons.append(reason)
+                self.watch.renew(reason)
+                self.watch.note_answer(make_position(0, 40), now)
+        self.assertEqual(["overtaken"], reasons)
+
     def test_a_restored_store_is_asked_anew(self):
         self._reason(10.1, era=1)
         self.assertEqual("overtaken", self._reason(10.2 + OVERTAKEN_S, era=1))
