Let an entry without a watch read the key when its proof is overdue

What callers may see: in a fleet of more than 24, an entry that does not watch and is cut off from its peers serves an old configuration beyond the bound.

Cause: it waits for the rank after which it reads the store, 2.55 s, and each lost answer adds a timeout of 0.8 s. For watching entries too two lost answers took 0.8 s each.

Change: such an entry reads the key when nothing was proved for 0.55 of the bound. The first two reads of the key time out after 0.4 s, later ones after 0.8 s; the second repetition comes after 0.15 to 0.3 s.

A test with 60 entries failed before.

--- a/almondtide/entry/configuration_watch.py
+++ b/almondtide/entry/configuration_watch.py
@@ -15,13 +15,20 @@
 # proved nothing for longer, neither by own calls nor by reads that peers state, the
 # key is read.
 PROOF_FRACTION = 0.43
+# The same for an entry that has no watch. In a large fleet statements of reads may take
+# a second to reach it.
+STANDBY_PROOF_FRACTION = 0.55
 # Time in s that a watch has to answer with a configuration that came another way.
 OVERTAKEN_S = 0.3
 # Delay of the first repetition of a call that failed, in s, of the second one, and the
 # longest one. Each is up to twice as long, so that entries do not call all at once.
 FIRST_RETRY_S = 0.03
-RETRY_S = 0.3
+RETRY_S = 0.15
 MAX_RETRY_S = 1.6
+# Timeout of a read of the key, in s, in the first calls and after as many failures.
+QUICK_ANSWER_S = 0.4
+QUICK_CALLS = 2
+SLOW_ANSWER_S = 0.8
 # Number of entries of each failure domain that watch in a large fleet. The others
 # learn from these as they learn of servers.
 LARGE_DOMAIN_WATCHERS = 4
@@ -130,6 +137,21 @@
             return "unproved"
         return None
 
+    def is_read_due(self, now, fresh_at, within_s):
+        """Return whether an entry without a watch reads the key itself.
+
+        For the arguments see ``renewal_reason``.
+        """
+        return now - self.last_proof_at(fresh_at) > STANDBY_PROOF_FRACTION * within_s
+
+    @property
+    def answer_timeout_s(self):
+        """Time in s that a read of the key may take.
+
+        Short at first, since a single answer may be lost; the store may also be slow.
+        """
+        return QUICK_ANSWER_S if self.failures < QUICK_CALLS else SLOW_ANSWER_S
+
     def last_proof_at(self, fresh_at):
         """Return the time of the latest proof of any kind, in s."""
         times = (self.proved_at, fresh_at)
--- a/almondtide/entry/configuration_watcher.py
+++ b/almondtide/entry/configuration_watcher.py
@@ -85,8 +85,13 @@
         """Watch the key until cancelled."""
         while True:
             now = self._now()
-            if not self._decide_role(now) or now < self.watch.retry_at:
-                await curio.sleep(POLL_S if not self._is_watcher else self._delay(now))
+            if not self._decide_role(now):
+                # A watch that is left alone for longer misses changes.
+                self.watch.position = None
+                await curio.sleep(POLL_S)
+                continue
+            if now < self.watch.retry_at:
+                await curio.sleep(min(POLL_S, self.watch.retry_at - now))
                 continue
             task = await curio.spawn(self._call, daemon=True)
             try:
@@ -94,19 +99,19 @@
             finally:
                 await task.cancel()
 
-    def _delay(self, now):
-        return min(POLL_S, max(0.0, self.watch.retry_at - now))
-
     def _decide_role(self, now):
-        """Return whether this entry watches; it does so once it can serve."""
-        if not self._feed.replica.is_complete:
+        """Return whether this entry calls the store; it does so once it can serve."""
+        replica = self._feed.replica
+        if not replica.is_complete:
             return False
         if self._role_decided_at is None or (
             now - self._role_decided_at >= ROLE_INTERVAL_S
         ):
             self._role_decided_at = now
             self._is_watcher = is_watcher(self._view, now)
-        return self._is_watcher
+        return self._is_watcher or self.watch.is_read_due(
+            now, replica.fresh_at, self.settings.config_apply_s
+        )
 
     async def _wait_for(self, task):
         """Wait for a call, and give it up if there is a reason."""
@@ -147,6 +152,7 @@
         began_at = self._now()
         try:
             if watch.position is None:
+                self._store.timeout_s = watch.answer_timeout_s
                 items, position = await self._store.read(CONFIGURATION_KEY)
                 proved_at = began_at
             else:
--- a/standins/gossip_fleet.py
+++ b/standins/gossip_fleet.py
@@ -223,13 +223,15 @@
     def __init__(self, store, host):
         self._store = store
         self._host = host
+        self.timeout_s = STORE_TIMEOUT_S
         self.call_count = 0
         self.era = 0
         self.invalid_era = None
         self.invalid_key = None
 
-    async def _call(self, make_answer, timeout_s=STORE_TIMEOUT_S, is_silent=False):
+    async def _call(self, make_answer, timeout_s=None, is_silent=False):
         self.call_count += 1
+        timeout_s = self.timeout_s if timeout_s is None else timeout_s
         store = self._store
         mode = store.refusals.get(self._host)
         if is_silent or mode == "silent" or store.answer_s > timeout_s:
@@ -256,7 +258,7 @@
         if self._store.on_call is not None:
             self._store.on_call(self._host, phase)
 
-    async def get(self, key, timeout_s=STORE_TIMEOUT_S):
+    async def get(self, key, timeout_s=None):
         """Return the item at a key, or None."""
         return await self._call(lambda: self._store.items.get(key), timeout_s)
 
--- a/tests/bench/test_rollout.py
+++ b/tests/bench/test_rollout.py
@@ -11,8 +11,8 @@
 class RolloutTest(testtools.TestCase):
     """Guards against entries that serve by an old configuration for too long."""
 
-    def _assert_in_time(self, name, seed):
-        rollouts = play_pattern(name, seed)
+    def _assert_in_time(self, name, seed, count=15):
+        rollouts = play_pattern(name, seed, count)
         self.assertNotEqual([], rollouts)
         late = {
             rollout.version: round(rollout.total_s, 3)
@@ -38,3 +38,5 @@
         # It waited for the rank after which it reads, and then for each call.
         for seed in (3, 9):
             self._assert_in_time("isolated-standby", seed)
+        # In a large fleet it has no watch.
+        self._assert_in_time("isolated-standby", 2, count=60)
--- a/tests/entry/test_configuration_watch.py
+++ b/tests/entry/test_configuration_watch.py
@@ -9,6 +9,8 @@
     MAX_RETRY_S,
     OVERTAKEN_S,
     PROOF_FRACTION,
+    SLOW_ANSWER_S,
+    STANDBY_PROOF_FRACTION,
     ConfigurationWatch,
     is_watcher,
 )
@@ -70,6 +72,21 @@
         self.assertEqual(sorted(delays), delays)
         self.assertLessEqual(delays[-1], 2 * MAX_RETRY_S)
 
+    def test_an_entry_without_a_watch_reads_before_the_bound_is_spent(self):
+        deadline = 10.0 + STANDBY_PROOF_FRACTION * WITHIN_S
+        self.assertFalse(self.watch.is_read_due(deadline - 0.01, None, WITHIN_S))
+        self.assertTrue(self.watch.is_read_due(deadline + 0.01, None, WITHIN_S))
+        self.assertFalse(self.watch.is_read_due(deadline, deadline - 1.0, WITHIN_S))
+
+    def test_lost_answers_of_an_overdue_proof_leave_time_within_the_bound(self):
+        now = PROOF_FRACTION * WITHIN_S
+        for _ in range(2):
+            now += self.watch.answer_timeout_s
+            self.watch.note_failure(now, jitter=1.0)
+            now = self.watch.retry_at
+        self.assertLess(now, WITHIN_S - 0.5)
+        self.assertEqual(SLOW_ANSWER_S, self.watch.answer_timeout_s)
+
     def test_a_key_that_is_being_read_is_not_given_up(self):
         self.watch.renew("unproved")
         self.assertIsNone(self._reason(30.0, known=90))
