Bound the calls of a watch that is answered at once

Cause: after each answer the next call followed at once. Changes in quick succession cost a call each on each entry, and a store that answers a watch before its wait is over was called without a pause; such an answer also counted as made at the end of the wait.

Change: 0.1 s from an answer with a change, or from lost history, to the next call, 0.5 s from an answer that came too early, which proves no more than its start.

--- a/almondtide/entry/configuration_watch.py
+++ b/almondtide/entry/configuration_watch.py
@@ -25,6 +25,10 @@
 FIRST_RETRY_S = 0.03
 RETRY_S = 0.15
 MAX_RETRY_S = 1.6
+# Time in s between an answer and the next call. Changes in quick succession come with
+# one answer, and a store that answers each watch at once is not called all the time.
+CALL_INTERVAL_S = 0.1
+IDLE_INTERVAL_S = 0.5
 # Timeout of a read of the key, in s, in the first calls and after as many failures.
 QUICK_ANSWER_S = 0.4
 QUICK_CALLS = 2
@@ -80,16 +84,16 @@
             ("answered", "failed", "missed", "overtaken", "unproved", "paused"), 0
         )
 
-    def note_answer(self, position, proved_at):
+    def note_answer(self, position, proved_at, retry_at=0.0):
         """Record that the store answered; its position was ``position``.
 
-        It was made at ``proved_at`` or later.
+        The answer was made at ``proved_at`` or later. The next call is at ``retry_at``.
         """
         self.counts["answered"] += 1
         self.position = position
         self.proved_at = max(proved_at, self.proved_at or proved_at)
         self.failures = 0
-        self.retry_at = 0.0
+        self.retry_at = retry_at
         self._overtaken_at = None
 
     def note_failure(self, now, jitter):
@@ -105,12 +109,15 @@
             delay_s = min(MAX_RETRY_S, RETRY_S * 2 ** (self.failures - 2))
         self.retry_at = now + delay_s * (1.0 + jitter)
 
-    def renew(self, reason=None):
-        """Read the key next. ``reason`` is that of ``renewal_reason``, if any."""
+    def renew(self, reason=None, retry_at=0.0):
+        """Read the key next, at ``retry_at``.
+
+        ``reason`` is that of ``renewal_reason``, if any.
+        """
         if reason is not None:
             self.counts[reason] += 1
         self.position = None
-        self.retry_at = 0.0
+        self.retry_at = retry_at
         self._overtaken_at = None
 
     def renewal_reason(self, now, known_position, fresh_at, era, within_s):
--- a/almondtide/entry/configuration_watcher.py
+++ b/almondtide/entry/configuration_watcher.py
@@ -9,7 +9,12 @@
 from ..platform.documents import CONFIGURATION_KEY
 from ..platform.store import HistoryLostError
 from .configuration_check import ConfigurationCheck
-from .configuration_watch import ConfigurationWatch, is_watcher
+from .configuration_watch import (
+    CALL_INTERVAL_S,
+    IDLE_INTERVAL_S,
+    ConfigurationWatch,
+    is_watcher,
+)
 from .members import store_reader_rank
 
 __all__ = ["ConfigurationWatcher"]
@@ -86,7 +91,7 @@
         while True:
             now = self._now()
             if not self._decide_role(now):
-                # A watch that is left alone for longer misses changes.
+                # The store may drop the history after it before the next call.
                 self.watch.position = None
                 await curio.sleep(POLL_S)
                 continue
@@ -150,11 +155,11 @@
         """Make one call: read the key, or wait for its next change."""
         watch = self.watch
         began_at = self._now()
+        is_read = watch.position is None
         try:
-            if watch.position is None:
+            if is_read:
                 self._store.timeout_s = watch.answer_timeout_s
                 items, position = await self._store.read(CONFIGURATION_KEY)
-                proved_at = began_at
             else:
                 page = await self._store.changes(
                     CONFIGURATION_KEY,
@@ -163,10 +168,8 @@
                     WAIT_S + ANSWER_MARGIN_S,
                 )
                 items, position = page.items, page.position
-                # An answer without a change is made at the end of the wait.
-                proved_at = began_at if items else began_at + WAIT_S
         except HistoryLostError:
-            watch.renew()
+            watch.renew(retry_at=self._now() + CALL_INTERVAL_S)
             return
         except PlatformError as exc:
             self._note_failure(exc.message)
@@ -174,7 +177,16 @@
         if era_of(position) < self._feed.era:
             self._note_failure("the answer is from before the store was restored")
             return
-        watch.note_answer(position, min(proved_at, self._now()))
+        now = self._now()
+        proved_at, retry_at = began_at, 0.0
+        if items and not is_read:
+            retry_at = now + CALL_INTERVAL_S
+        elif not is_read and now - began_at >= WAIT_S:
+            # An answer without a change is made at the end of the wait.
+            proved_at = began_at + WAIT_S
+        elif not is_read:
+            retry_at = now + IDLE_INTERVAL_S
+        watch.note_answer(position, proved_at, retry_at)
         for item in items:
             if item.key == CONFIGURATION_KEY and item.value is not None:
                 await self._take(item)
--- a/standins/gossip_fleet.py
+++ b/standins/gossip_fleet.py
@@ -128,9 +128,9 @@
     watches of a host that get no answer, ``refused_calls`` that of calls of a host that
     are refused, and ``lost_answers`` that of answers to a host that are lost: the next
     ones to be made, of watches that wait too. While ``is_compacting``, watches get no
-    answer. ``on_call`` is a function that is called with
-    (host, "before" or "after") around the making of each answer, ``on_change`` one that
-    is called with each changed ``StoreItem``; None for none.
+    answer; they wait ``max_wait_ms`` at most. ``on_call`` is a function that is called
+    with (host, "before" or "after") around the making of each answer, ``on_change`` one
+    that is called with each changed ``StoreItem``; None for none.
     """
 
     def __init__(self, answer_s=0.004):
@@ -141,6 +141,7 @@
         self.lost_answers = {}
         self.is_compacting = False
         self.watches_cut = 0
+        self.max_wait_ms = 30_000
         self.on_call = None
         self.on_change = None
         self.items = {}
@@ -310,7 +311,7 @@
         """Wait until a watch would be answered; raises if it is cut."""
         store = self._store
         watches_cut = store.watches_cut
-        polls_left = int(wait_ms / 1000.0 / WATCH_POLL_S)
+        polls_left = int(min(wait_ms, store.max_wait_ms) / 1000.0 / WATCH_POLL_S)
         while True:
             is_silent = store.refusals.get(self._host) == "silent"
             if store.watches_cut > watches_cut or store.refusals.get(self._host):
