Pass a watched configuration on within the domain in large fleets

Cause: entries pass an update on to their failure domain only if it brought them something new. With a watch of their own it never does, and only three domains have an entry of the first ranks, which send without that.

Change: active entries of a large fleet send what their watch brought to the members of their domain.

--- a/almondtide/entry/configuration_watcher.py
+++ b/almondtide/entry/configuration_watcher.py
@@ -216,6 +216,10 @@
         await self._on_changes([], True, "watch")
         if store_reader_rank(self._view, self._now()) < SENDING_RANKS:
             await self._gossip.send_updates([], True)
+        elif self._view.is_large and self._view.local_member.is_active:
+            # An update from another domain brings nothing new here, so that this
+            # entry would not pass it on to those of its domain that have no watch.
+            await self._gossip.send_updates([], True, is_known_elsewhere=True)
 
     async def close(self):
         """Close the connection to the store."""
--- a/almondtide/entry/gossip.py
+++ b/almondtide/entry/gossip.py
@@ -390,14 +390,18 @@
             # Datagrams may be lost anyway; the next heartbeat makes up for it.
             self._log.debug("datagram_not_sent", host=host, error=str(exc))
 
-    async def send_updates(self, records, is_configuration_new, source_host=None):
+    async def send_updates(
+        self, records, is_configuration_new, source_host=None, is_known_elsewhere=False
+    ):
         """Send changed records and a new configuration to other members.
 
         ``source_host`` is the host of the peer that sent the update, or None. That
-        peer does not get it again.
+        peer does not get it again. With ``is_known_elsewhere`` the other failure
+        domains learn of it by themselves.
         """
         now = self._now()
-        targets = self._update_targets(now, source_host is not None)
+        is_relayed = source_host is not None or is_known_elsewhere
+        targets = self._update_targets(now, is_relayed)
         hosts = [member.host for member in targets if member.host != source_host]
         configuration = None
         if is_configuration_new:
--- a/tests/entry/test_configuration_watcher.py
+++ b/tests/entry/test_configuration_watcher.py
@@ -1,8 +1,11 @@
 """Tests of an entry's own watch of the configuration, on a modelled fleet."""
 
+from unittest import mock
+
 import curio
 import testtools
 
+from almondtide.entry import configuration_watcher
 from standins.gossip_fleet import play
 
 ENTRY_COUNT = 4
@@ -78,3 +81,18 @@
 
         found = play(scenario, count=ENTRY_COUNT)
         self.assertEqual([(2, 1, True)] * ENTRY_COUNT, found)
+
+
+class LargeFleetTest(testtools.TestCase):
+    """Guards against entries without a watch that wait for the next heartbeat."""
+
+    def test_active_entries_pass_a_version_on_within_their_domain(self):
+        async def scenario(fleet):
+            await curio.sleep(2.0)
+            fleet.publish(2)
+            await curio.sleep(0.2)
+            return fleet.last_in_force_s(2)
+
+        # As in a fleet of more failure domains than entries that send to all.
+        with mock.patch.object(configuration_watcher, "SENDING_RANKS", 1):
+            self.assertLess(play(scenario, count=48), 0.1)
