Tell changes that wait for calls of different entries apart

Cause: the state of an order left out which call a change waits for, so that most orders with such a change were taken for known ones.

Change: the state names it. Changes are made by the running order.

--- a/bench/orders.py
+++ b/bench/orders.py
@@ -91,6 +91,8 @@
         self.excused = set()
         self.fault_count = 0
         self.server_changes = 0
+        # The change that waits for a call: (its name, number of the entry), or None.
+        self.awaited_call = None
         self.found = {}
         fleet.is_cut = self._is_cut
         for entry in fleet.entries:
@@ -118,8 +120,26 @@
                 text = f"{claim} of entry {entry.number} claims {key}"
                 self.found.setdefault(text, (stated, written))
 
-    def change_server(self):
-        """Change the server that writes no heartbeats."""
+    def act_in_call(self, entry, name):
+        """Make a change in the next call of an entry; return whether none waits yet."""
+        store = self.fleet.store
+        if self.awaited_call is not None:
+            return False
+
+        def on_call(host, phase):
+            if host == entry.host and phase == "after":
+                store.on_call = self.awaited_call = None
+                self.act(name)
+
+        self.awaited_call = (name, entry.number)
+        store.on_call = on_call
+        return True
+
+    def act(self, name):
+        """Make a change now: that of the configuration, or of the quiet server."""
+        if name == "change":
+            self.fleet.publish(max(self.fleet.acknowledged) + 1)
+            return
         self.server_changes += 1
         document = server_document(capacity=3 + self.server_changes)
         self.fleet.store.put(QUIET_SERVER, document)
@@ -166,6 +186,7 @@
             _steps(now - fleet.acknowledged[newest]) if newest > 1 else None,
             self.fault_count,
             self.server_changes,
+            self.awaited_call,
         )
 
     def _entry_state(self, entry, newest, now):
@@ -216,39 +237,25 @@
 
 @_register("change", has_entry=False, is_fault=False)
 async def _change(run, entry):
-    run.fleet.publish(max(run.fleet.acknowledged) + 1)
+    run.act("change")
 
 
 @_register("change in a call", is_fault=False)
 async def _change_in_call(run, entry):
     """Publish a version right after the next answer to an entry was made."""
-    fleet = run.fleet
-    return _act_in_call(run, entry, lambda: fleet.publish(max(fleet.acknowledged) + 1))
-
-
-def _act_in_call(run, entry, action):
-    store = run.fleet.store
-
-    def on_call(host, phase):
-        if host == entry.host and phase == "after":
-            store.on_call = None
-            action()
-
-    if store.on_call is not None:
-        return False
-    store.on_call = on_call
-    return True
+    return run.act_in_call(entry, "change")
 
 
 @_register("server change", has_entry=False, is_fault=False)
 async def _change_server(run, entry):
-    run.change_server()
+    """Change a server that writes nothing else."""
+    run.act("server change")
 
 
 @_register("server change in a call", is_fault=False)
 async def _change_server_in_call(run, entry):
-    """Change a server that writes nothing else, as in ``_change_in_call``."""
-    return _act_in_call(run, entry, run.change_server)
+    """Change the server right after the next answer to an entry was made."""
+    return run.act_in_call(entry, "server change")
 
 
 @_register("time", has_entry=False, is_fault=False)
--- a/tests/bench/test_orders.py
+++ b/tests/bench/test_orders.py
@@ -43,6 +43,11 @@
             [("time", None), ("held datagrams", 2), ("server change in a call", 1)],
         )
 
+    def test_changes_that_wait_for_calls_of_two_entries_are_not_one_state(self):
+        orders = ([("change in a call", 1)], [("change in a call", 2)])
+        states = {play_order(order).state for order in orders}
+        self.assertEqual(2, len(states))
+
     def test_all_orders_of_two_events(self):
         found, states = search(2)
         self.assertEqual([], [("; ".join(o.names), o.found) for o in found])
