--- a/review/3/play.py
+++ b/review/3/play.py
@@ -16,7 +16,7 @@
 SHARDS = [f"despacho-{number}" for number in range(10)]
 SERVERS_PER_SHARD = 3
 # Requests a second of each entry, and the times of the play.
-PER_S = 15.0
+PER_S = 25.0
 CALM_S = 4.0
 AFTER_S = 4.0
 TIMEOUT_MS = 800
