Let a peer state that a request has not run, and take all else as final

Cause: one channel carries a peer's own answers and those of servers, and the entry told them apart by the status. A 503 without Not-Run breaks in the same way, so no list of statuses is a repair.

Change: a peer marks its own answers to requests that no server has run since the hand-over (relay_marks). The mark is removed from servers' replies. Only a marked answer allows another peer (policy/relaying); any other is passed on unchanged, those of an earlier build too. A refusal of a peer before the whole request is read now has the request's id and the mark; it was counted as a lost answer before.

Tests changed: five tests of test_relay used an unmarked 503 or 404 for the refusal of a peer; such an answer proves nothing now, so their peers send the mark. What they check is the same.

--- a/almondtide/entry/answers.py
+++ b/almondtide/entry/answers.py
@@ -6,6 +6,7 @@
 from ..platform import headers as wire
 from .calls import BranchState
 from .merge import merge_records
+from .relay_marks import mark_not_run, without_marks
 
 __all__ = ["Answer", "build_answer", "error_answer", "relayed_answer"]
 
@@ -14,20 +15,33 @@
 
 
 class Answer:
-    """Status, headers and body for the caller, and the result code for the log."""
+    """Status, headers and body for the caller, and the result code for the log.
 
-    __slots__ = ("body", "code", "headers", "status")
+    ``is_own`` tells that this entry made the answer and no server sent any part of it.
+    ``is_not_run`` tells that no server has run the request since it came to this entry,
+    and that none will.
+    """
+
+    __slots__ = ("body", "code", "headers", "is_not_run", "is_own", "status")
 
-    def __init__(self, status, headers, body, code):
+    def __init__(self, status, headers, body, code, is_own=False):
         self.status = status
         self.headers = headers
         self.body = body
         self.code = code
+        self.is_own = is_own
+        self.is_not_run = False
+
+    def address_to_peer(self, request_id):
+        """Add what a peer that handed the request on needs to know of the answer.
 
-    def state_request_id(self, request_id):
-        """Add the id of the request, by which a peer matches the answer to it."""
+        That is the id of the request, by which the peer matches the answer to it, and
+        whether it may still be sent elsewhere.
+        """
         if not any(name.lower() == wire.REQUEST_ID for name, _ in self.headers):
             self.headers.append((wire.REQUEST_ID, request_id.encode("latin-1")))
+        if self.is_not_run:
+            mark_not_run(self.headers)
 
 
 def error_answer(status, code, message, retry_after_s=None):
@@ -36,16 +50,18 @@
     A status of 429 or 503 states that the request has not run and will not run.
     """
     body = orjson.dumps({"code": int(code), "name": code.name, "message": message})
-    return Answer(status, wire.refusal_answer_headers(retry_after_s), body, code)
+    headers = wire.refusal_answer_headers(retry_after_s)
+    return Answer(status, headers, body, code, is_own=True)
 
 
-def relayed_answer(call, reply):
+def relayed_answer(call, reply, is_not_run):
     """Return the answer of a peer that ran a call for this entry.
 
     A peer's statement that it did not run the call says nothing about the servers that
-    this entry had sent it to.
+    this entry had sent it to. Without such a statement (``is_not_run``) the answer is
+    taken for that of a server and passed on unchanged.
     """
-    if reply.status in NOT_RUN_STATUSES and call.may_have_run:
+    if is_not_run and reply.status in NOT_RUN_STATUSES and call.may_have_run:
         return error_answer(502, ResultCode.PEER_LOST, "handed on, and refused there")
     code = ResultCode.OK
     if reply.status in NOT_RUN_STATUSES:
@@ -103,5 +119,5 @@
     if reply is None:
         return None
     code = ResultCode.OK if reply.is_success else ResultCode.UPSTREAM_ERROR
-    headers = wire.forwarded_reply_headers(reply)
+    headers = without_marks(wire.forwarded_reply_headers(reply))
     return Answer(reply.status, headers, reply.body, code)
--- a/almondtide/entry/callers.py
+++ b/almondtide/entry/callers.py
@@ -15,7 +15,7 @@
 from ..platform.headers import decode_request
 from .answers import error_answer
 from .policy.admission import retry_after_s
-from .relay import take_relay_mark
+from .relay_marks import take_relay_mark
 from .transit_time import round_trip_s
 
 __all__ = ["CallerConnection"]
@@ -46,6 +46,7 @@
     __slots__ = (
         "_conn",
         "_frontend",
+        "_incoming",
         "_sock",
         "call",
         "is_head_request",
@@ -60,6 +61,8 @@
         self._conn = h11.Connection(
             h11.SERVER, max_incomplete_event_size=frontend.limits().max_header_bytes
         )
+        # The ``Request`` of which the head has arrived, until it is answered.
+        self._incoming = None
         self.call = None
         self.request_id = ""
         self.is_head_request = False
@@ -90,12 +93,20 @@
         self._frontend.record_refusal(code, message)
         try:
             answer = error_answer(status, code, message, retry_s)
+            self._address_refusal(answer)
             await self._write(self._encode(answer, close=True))
             await linger_before_close(self._sock)
         except (OSError, curio.TaskTimeout, h11.LocalProtocolError):
             # The caller is gone, so the refusal cannot be delivered.
             pass
 
+    def _address_refusal(self, answer):
+        """Let a peer match a refusal to the request that it hands on."""
+        incoming = self._incoming
+        if incoming is not None and incoming.relay_mark is not None and incoming.id:
+            answer.is_not_run = True
+            answer.address_to_peer(incoming.id)
+
     async def _serve_request(self):
         """Serve one request; returns whether another may follow."""
         try:
@@ -107,6 +118,7 @@
         request = await self._read_request()
         if request is None:
             return False
+        self._incoming = None
         self.is_idle = False
         self.request_id = request.id
         self.rtt_s = round_trip_s(self._sock._socket)
@@ -119,7 +131,7 @@
             return False
         try:
             if request.relay_mark is not None:
-                answer.state_request_id(request.id)
+                answer.address_to_peer(request.id)
             wire = self._encode(answer, close=self._frontend.is_closing())
             # The body is not held twice while the caller reads.
             del answer
@@ -153,7 +165,7 @@
         memory = self._frontend.memory
         conn = self._conn
         timeout_s = limits.idle_timeout_s
-        head = None
+        request = None
         chunks = []
         body_bytes = 0
         while True:
@@ -166,12 +178,16 @@
                     await self._sock.sendall(conn.send(continue_response))
                 async with curio.timeout_after(timeout_s):
                     data = await self._sock.recv(RECEIVE_BYTES)
-                if not data and head is None and not conn.trailing_data[0]:
+                if not data and request is None and not conn.trailing_data[0]:
                     return None
                 conn.receive_data(data)
                 timeout_s = limits.header_timeout_s
             elif type(event) is h11.Request:
-                head = event
+                request = decode_request(
+                    event.method, event.target, list(event.headers), b""
+                )
+                request.relay_mark = take_relay_mark(request)
+                self._incoming = request
                 self.is_head_request = event.method == b"HEAD"
                 if memory.is_bounded:
                     self._check_stated_size(event, limits)
@@ -186,10 +202,7 @@
                 break
             else:
                 return None
-        request = decode_request(
-            head.method, head.target, list(head.headers), b"".join(chunks)
-        )
-        request.relay_mark = take_relay_mark(request)
+        request.body = b"".join(chunks)
         if not request.host or not request.id:
             raise _BadRequestError(
                 400, ResultCode.BAD_REQUEST, "a host and a request id are needed"
--- a/almondtide/entry/dispatch.py
+++ b/almondtide/entry/dispatch.py
@@ -17,6 +17,7 @@
     retry_after_s,
 )
 from .policy.branch_queue import BranchQueue
+from .policy.relaying import RelayDecision, decide_relay
 from .policy.retries import RetryDecision, decide_retry, may_hedge, may_send_again
 from .policy.retry_budget import RetryBudget
 from .policy.route_latency import RouteLatency
@@ -242,6 +243,7 @@
             "loads_invalid": 0,
             "hedges_spared": 0,
             "relayed": 0,
+            "relay_refused": 0,
             "regional": 0,
             "regional_refused": 0,
         }
@@ -302,9 +304,12 @@
         """Run a call to its end and return its ``Answer``."""
         self._running_calls.add(call)
         try:
-            return await self._run(call)
+            answer = await self._run(call)
         finally:
             self._running_calls.discard(call)
+        earlier_run_count = call.request.relay_mark or 0
+        answer.is_not_run = answer.is_own and call.run_count <= earlier_run_count
+        return answer
 
     def _refuse_late(self, call, now):
         """Return a refusal of a call that the stop of this entry would cut, or None."""
@@ -557,27 +562,26 @@
             await self._pool.send(exchange)
             await self._wait_for_peer(call, exchange)
             call.relay = None
-            reply = exchange.reply
-            if reply is not None and reply.status == 503 and refusal is None:
-                # Requests of several entries may meet at this peer.
-                refusal = reply
-                continue
-            if reply is not None and reply.status != 404:
-                return relayed_answer(call, reply)
-            if not exchange.has_ended:
-                await self._pool.close(exchange.connection)
-            if reply is None:
+            reply, is_not_run = exchange.reply, exchange.is_not_run
+            decision = decide_relay(
+                None if reply is None else reply.status, is_not_run, refusal is not None
+            )
+            if decision is RelayDecision.PASS_ON:
+                return relayed_answer(call, reply, is_not_run)
+            if decision is RelayDecision.LOST:
+                if not exchange.has_ended:
+                    await self._pool.close(exchange.connection)
                 call.relay_run_count += exchange.is_written
                 self._relay_peers.note_failure(name, self.now())
-            self._log.info(
-                "relay_failed",
-                id=call.request.id,
-                peer=name,
-                written=exchange.is_written,
-                reason=exchange.reason or "no answer",
-            )
+                self._log_relay(call, exchange, exchange.reason or "no answer")
+                continue
+            self.counts["relay_refused"] += 1
+            self._log_relay(call, exchange, f"not run, status {reply.status}")
+            if decision is RelayDecision.KEEP_REFUSAL:
+                # Requests of several entries may meet at this peer.
+                refusal = reply
         if refusal is not None and not call.relay_run_count:
-            return relayed_answer(call, refusal)
+            return relayed_answer(call, refusal, True)
         if call.relay_run_count:
             is_late = self.now() >= call.expires_at
             return error_answer(
@@ -585,6 +589,16 @@
             )
         return None
 
+    def _log_relay(self, call, exchange, reason):
+        """Log that a peer did not run a call."""
+        self._log.info(
+            "relay_failed",
+            id=call.request.id,
+            peer=exchange.upstream.server.id,
+            written=exchange.is_written,
+            reason=reason,
+        )
+
     async def _wait_for_peer(self, call, exchange):
         """Wait until a peer has answered, has failed, or the call has ended."""
         name = exchange.upstream.server.id
--- a/almondtide/entry/frontend.py
+++ b/almondtide/entry/frontend.py
@@ -115,12 +115,14 @@
                 "no configuration yet",
                 not_ready_retry_s(arrived_at - self._started_at, random.random()),
             )
+            answer.is_not_run = True
             return self._record_answer(request, None, answer, arrived_at)
         if self.version_lag is not None:
             self.version_lag.note_request(request.id, self.version_in_force)
         route = self.routes.find_route(request.host, request.path)
         if route is None:
             answer = error_answer(404, ResultCode.NOT_FOUND, "no route")
+            answer.is_not_run = True
             return self._record_answer(request, None, answer, arrived_at)
         services = route.shards or (self.routes.pick_service(route),)
         transit_time = estimate_transit_time(
--- a/almondtide/entry/relay.py
+++ b/almondtide/entry/relay.py
@@ -10,6 +10,7 @@
 
 from ..model.published import Server
 from .members import RELAY_ABILITY
+from .relay_marks import RELAY_HEADER, take_not_run_mark
 from .upstreams import Upstream
 
 __all__ = [
@@ -17,38 +18,14 @@
     "RelayExchange",
     "RelayPeers",
     "may_relay",
-    "take_relay_mark",
 ]
 
-# Header of a request that a peer hands on: the number of servers that may have run each
-# of its parts already, at most.
-RELAY_HEADER = b"almondtide-relay"
-MAX_RELAY_MARK = 99
 # Name of the service that stands for the entries of the fleet.
 PEER_SERVICE = "entries"
 # A peer that failed gets no requests for this long, in s.
 PEER_BACKOFF_S = 1.0
 
 
-def take_relay_mark(request):
-    """Remove the mark of a request that a peer handed on.
-
-    Return how many servers may have run it before, or None for a request of a caller.
-    A mark that cannot be read counts as 0.
-
-    >>> class Marked:
-    ...     headers = [(b"host", b"h"), (b"almondtide-relay", b"1")]
-    >>> take_relay_mark(Marked), Marked.headers
-    (1, [(b'host', b'h')])
-    """
-    marks = [value for name, value in request.headers if name == RELAY_HEADER]
-    if not marks:
-        return None
-    request.headers = [pair for pair in request.headers if pair[0] != RELAY_HEADER]
-    mark = marks[0].strip()
-    return min(MAX_RELAY_MARK, int(mark)) if mark.isdigit() and len(mark) < 3 else 0
-
-
 def may_relay(call):
     """Return whether a peer may run a call, which may have been sent to servers.
 
@@ -129,7 +106,9 @@
     """A caller's request that is sent to a peer, and the peer's answer.
 
     It has the interface of an exchange of ``ConnectionPool``. At its end either
-    ``reply`` or ``failure`` is set, and ``call.changed`` as well.
+    ``reply`` or ``failure`` is set, and ``call.changed`` as well. ``is_not_run`` tells
+    that the peer states that no server has run the request for it. Any other reply may
+    be a server's, whatever its status.
     """
 
     __slots__ = (
@@ -137,6 +116,7 @@
         "_now",
         "connection",
         "failure",
+        "is_not_run",
         "is_written",
         "reason",
         "reply",
@@ -149,6 +129,7 @@
         self.upstream = upstream
         self.connection = None
         self.is_written = False
+        self.is_not_run = False
         self.reply = None
         self.failure = None
         self.reason = ""
@@ -189,6 +170,7 @@
 
     async def on_reply(self, reply):
         """Take the peer's answer."""
+        self.is_not_run = take_not_run_mark(reply)
         self.reply = reply
         await self._call.changed.set()
 
--- a/tests/entry/test_callers.py
+++ b/tests/entry/test_callers.py
@@ -138,6 +138,20 @@
         self.assertTrue(data.startswith(b"HTTP/1.1 400"))
         self.assertEqual([], frontend.requests)
 
+    def test_refusal_of_a_request_that_a_peer_hands_on(self):
+        # Without the id the peer takes it for a reply to another request and counts a
+        # run, so its caller gets 502 in place of another try.
+        head = (
+            b"POST /p/x HTTP/1.1\r\nHost: h\r\nRequest-Id: one\r\n"
+            b"Content-Length: 20\r\n%b\r\n"
+        )
+        limits = CallerLimits(max_body_bytes=10)
+        for mark, expected in ((b"almondtide-relay: 0\r\n", 1), (b"", 0)):
+            data = _exchange(_Frontend(limits=limits), head % mark, b"x" * 20)
+            self.assertTrue(data.startswith(b"HTTP/1.1 413"), data)
+            self.assertEqual(expected, data.count(b"request-id: one"))
+            self.assertEqual(expected, data.count(b"almondtide-relay-not-run: 1"))
+
     def test_request_without_id_or_host(self):
         for head in (
             b"GET / HTTP/1.1\r\nHost: h\r\n\r\n",
--- a/tests/entry/test_relay.py
+++ b/tests/entry/test_relay.py
@@ -18,6 +18,9 @@
     PEER_SERVICE,
     RelayPeers,
     may_relay,
+)
+from almondtide.entry.relay_marks import (
+    RELAY_NOT_RUN_HEADER,
     take_relay_mark,
 )
 from almondtide.entry.upstreams import Failure
@@ -93,6 +96,13 @@
     return run(scenario)
 
 
+def _refused(status=503, headers=()):
+    """Return a peer's reply which states that no server has run the request."""
+    reply = make_reply(b"{}", None, status)
+    reply.headers = [*headers, (RELAY_NOT_RUN_HEADER, b"1")]
+    return reply
+
+
 def _answered(status=200, **fields):
     return lambda exchange: (0.001, make_reply(b"body", status=status, **fields))
 
@@ -277,25 +287,24 @@
         self.assertEqual([(b"almondtide-relay", b"0")], headers)
 
     def test_a_refusal_of_two_peers_is_passed_on(self):
-        reply = make_reply(b"{}", status=503)
-        reply.headers = [(b"retry-after", b"0.250")]
+        headers = [(b"retry-after", b"0.250")]
         peers = [_member(f"front-{number}") for number in range(2, 6)]
-        fleet, _, answer = _run_cut(lambda exchange: (0.001, reply), peers=peers)
-        self.assertEqual(503, answer.status)
-        self.assertIn((b"retry-after", b"0.250"), answer.headers)
+        fleet, _, answer = _run_cut(
+            lambda exchange: (0.001, _refused(headers=headers)), peers=peers
+        )
+        self.assertEqual((503, headers), (answer.status, answer.headers))
         self.assertEqual(2, len(fleet.peer_names()))
 
     def test_a_refusal_of_the_only_peer_is_passed_on(self):
-        reply = make_reply(b"{}", status=503)
         peers = [_member("front-2")]
-        fleet, _, answer = _run_cut(lambda exchange: (0.001, reply), peers=peers)
+        fleet, _, answer = _run_cut(lambda exchange: (0.001, _refused()), peers=peers)
         self.assertEqual(503, answer.status)
         self.assertEqual(1, len(fleet.peer_names()))
 
     def test_another_peer_after_one_that_is_full(self):
         def answer_peer(exchange):
             is_first = exchange.upstream.server.id == "front-2"
-            return (0.001, make_reply(b"body", status=503 if is_first else 200))
+            return (0.001, _refused() if is_first else make_reply(b"body"))
 
         fleet, _, answer = _run_cut(answer_peer)
         self.assertEqual(200, answer.status)
@@ -305,7 +314,7 @@
         def mark(call):
             call.branches[0].possible_run_count = 1
 
-        _, _, answer = _run_cut(_answered(status=503), prepare=mark)
+        _, _, answer = _run_cut(lambda exchange: (0.001, _refused()), prepare=mark)
         self.assertEqual(502, answer.status)
 
     def test_another_peer_after_one_that_refuses_connections(self):
@@ -322,7 +331,7 @@
     def test_a_peer_that_does_not_know_the_route_yet(self):
         def answer_peer(exchange):
             is_first = exchange.upstream.server.id == "front-2"
-            return (0.001, make_reply(status=404 if is_first else 200))
+            return (0.001, _refused(404) if is_first else make_reply())
 
         _, _, answer = _run_cut(answer_peer)
         self.assertEqual(200, answer.status)
