Never send a request again on a connection that has replied to it

Cause: a reply was matched to a request by its id, which all sends of the request share. A late copy of "not run" was taken for the reply to the next send on that connection, so the count of possible runs went down although the server had just begun to run it.

Change: the pool remembers until the deadline which connections have replied to a request that may be sent again (answered_requests), and sends it on another idle connection or on a new one that takes the place of an idle one. What does not fit into the memory closes the connection.

--- a/almondtide/entry/connections.py
+++ b/almondtide/entry/connections.py
@@ -8,6 +8,7 @@
 
 from ..platform.headers import decode_reply, forwarded_request_headers
 from ..supervision import TASK_FAILURES, error_place
+from .answered_requests import AnsweredRequests
 from .upstreams import Failure
 
 __all__ = ["ConnectionPool"]
@@ -65,6 +66,7 @@
         "idle_since",
         "idle_until",
         "is_proven",
+        "number",
         "pool",
         "task",
         "upstream",
@@ -72,6 +74,8 @@
 
     def __init__(self, pool, upstream, exchange):
         self.pool = pool
+        # Tells it from all other connections of the pool.
+        self.number = pool.opened_count
         self.upstream = upstream
         self.exchange = exchange
         self.idle_since = 0.0
@@ -190,6 +194,7 @@
             await self._stop_writer()
         self.is_proven = True
         is_reusable = self._is_written and self._is_reusable(reply)
+        is_reusable = is_reusable and self.pool.note_answered(self, exchange, reply)
         self.exchange = None
         await exchange.on_reply(reply)
         return is_reusable and not self.upstream.is_removed
@@ -358,8 +363,10 @@
     """
 
     __slots__ = (
+        "_answered",
         "_idle",
         "buffered_bytes",
+        "diverted_count",
         "log",
         "max_idle_s",
         "memory_bounds",
@@ -373,6 +380,9 @@
         self._idle = {}
         self.max_idle_s = MAX_IDLE_S
         self.opened_count = 0
+        self._answered = AnsweredRequests()
+        # Sends that a connection could not carry, as it had replied to the request.
+        self.diverted_count = 0
         self.memory_bounds = None
         # Bytes of replies that are not complete yet.
         self.buffered_bytes = 0
@@ -419,18 +429,22 @@
     async def connect(self, exchange):
         """Start an exchange on a new connection."""
         upstream = exchange.upstream
+        self.opened_count += 1
         connection = Connection(self, upstream, exchange)
         exchange.connection = connection
         upstream.connection_count += 1
-        self.opened_count += 1
         connection.task = await curio.spawn(connection.run, daemon=True)
 
     async def _take_idle(self, exchange):
         idle = self._idle.get(exchange.upstream)
         now = self.now()
         while idle:
-            connection = idle.pop()
+            connection = self._pop_idle(idle, exchange)
             exchange.upstream.idle_connection_count = len(idle)
+            if not self._answered.may_carry(exchange.request.id, connection.number):
+                # A new connection takes its place, so that the server has no more.
+                await connection.assign(None)
+                return None
             is_fresh = now < connection.idle_until and not connection.is_stale()
             if is_fresh and not (
                 exchange.is_at_most_once
@@ -440,6 +454,33 @@
             await connection.assign(None)
         return None
 
+    def _pop_idle(self, idle, exchange):
+        """Remove and return the last idle connection that may carry an exchange.
+
+        If none may, that is the last one.
+        """
+        request_id = exchange.request.id
+        if self._answered.may_carry(request_id, idle[-1].number):
+            return idle.pop()
+        self.diverted_count += 1
+        for index in range(len(idle) - 2, -1, -1):
+            if self._answered.may_carry(request_id, idle[index].number):
+                return idle.pop(index)
+        return idle.pop()
+
+    def note_answered(self, connection, exchange, reply):
+        """Remember a reply after which the request may be sent again.
+
+        Return whether the connection can be used for other requests. A request that a
+        peer hands on may come again whatever its reply.
+        """
+        request = exchange.request
+        if reply.is_success and request.relay_mark is None:
+            return True
+        now = self.now()
+        until = now + exchange.remaining_s()
+        return self._answered.note(request.id, connection.number, until, now)
+
     def add_idle(self, connection):
         """Keep a connection open for the next exchange."""
         upstream = connection.upstream
--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -729,6 +729,10 @@
                 self.pool.buffered_bytes,
             ),
             "connections_opened": ("Connections to servers.", self.pool.opened_count),
+            "sends_diverted": (
+                "Sends kept off a connection that had replied to the same request.",
+                self.pool.diverted_count,
+            ),
         }
         metric_families.extend(
             MetricFamily("gauge", name, help_text, {(): value})
--- a/tests/entry/test_connections.py
+++ b/tests/entry/test_connections.py
@@ -65,6 +65,32 @@
                     await client.sendall(part)
 
 
+class _CopyingServer(_Server):
+    """Turns each request away once on a connection, and runs it the second time.
+
+    Each reply comes again right before the next one.
+    """
+
+    def __init__(self):
+        super().__init__([])
+        self.turned_away = 0
+
+    async def _serve(self, client):
+        seen, copy = set(), b""
+        async with client:
+            while data := await client.recv(65536):
+                id = data.partition(b"request-id: ")[2].partition(b"\r\n")[0]
+                reply = _reply(request_id=id)
+                if id not in seen:
+                    self.turned_away += 1
+                    reply = _reply(
+                        request_id=id, status=b"503 Full", extra=b"Not-Run: 1\r\n"
+                    )
+                seen.add(id)
+                await client.sendall(copy + reply)
+                copy = reply
+
+
 class _Exchange:
     """Records the result of one exchange."""
 
@@ -268,6 +294,51 @@
             self.assertEqual(2, server.connections)
             self.assertEqual(b"new", made[1].result.body)
 
+    def test_late_copy_is_not_taken_for_the_next_reply_to_the_request(self):
+        # A copy of "not run" would state that of a send which the server then runs.
+        turned_away = _reply(status=b"503 Full", extra=b"Not-Run: 1\r\n")
+        for status, extra in ((b"503 Full", b"Not-Run: 1\r\n"), (b"500 Bad", b"")):
+            first = _reply(status=status, extra=extra)
+            server, pool, made = _run_exchanges(
+                [[first], [first], [_reply()]],
+                [{}, {"request_id": "id-1"}, {"request_id": "id-1"}],
+            )
+            self.assertEqual(3, server.connections)
+            self.assertEqual(200, made[2].result.status)
+            self.assertEqual(2, pool.diverted_count)
+        # The connection still carries other requests.
+        server, _, made = _run_exchanges(
+            [[turned_away], [turned_away + _reply(request_id=b"id-2")]],
+            [{}, {"request_id": "id-2"}],
+        )
+        self.assertEqual((1, 200), (server.connections, made[1].result.status))
+
+    def test_another_idle_connection_carries_a_request_again(self):
+        async def scenario():
+            async with _CopyingServer() as server:
+                pool = ConnectionPool(time.monotonic, MemoryLog())
+                upstream = Upstream(make_server("i-1", port=server.port))
+
+                async def send(*ids):
+                    exchanges = [_Exchange(upstream, id) for id in ids]
+                    for exchange in exchanges:
+                        await pool.send(exchange)
+                    for exchange in exchanges:
+                        await exchange.done.wait()
+                    await curio.sleep(0.02)
+                    return [exchange.result.is_not_run for exchange in exchanges]
+
+                # Both connections have replied; the one of id-2 is on top.
+                await send("id-1", "id-2")
+                return server, pool, [await send("id-1"), await send("id-2")]
+
+        server, _, found = run(scenario)
+        # The server turns each request away once on each connection, and repeats that
+        # reply right before the next one.
+        self.assertEqual([[True], [True]], found)
+        self.assertEqual(2, server.connections)
+        self.assertEqual(4, server.turned_away)
+
     def test_connection_that_the_server_closes_is_not_reused(self):
         close = _reply(extra=b"Connection: close\r\n")
         server, _, _ = _run_exchanges(
