Bound the work of messages that come in many small parts

Cause: a turn ended and a body was bounded by bytes of payload. The parser takes as long for a chunk of one byte as for one of thousands, and each chunk was held as an object of its own.

Change: framing counts steps (events and reads). Other tasks get a turn each 64 steps; what messages in small parts take together is bounded by a tenth of the process's share of a core, and a message whose parts are too small is refused: the exchange of a server is broken, a caller gets 400. Heads and trailers are bounded by fields, bodies are held as one run of bytes. One reader serves the connections to servers, callers, the HTTP server and its client. Heads of replies are read up to 32 KiB instead of 64.

Evidence, on: test_endless_replies fails in three tests with chunks of one byte (1.1 s between two turns, no end after 5 s); test_memory_and_time_are_in_proportion_to_the_bytes fails (497 kB on the wire, 3.2 MB held); both tests of test_reading_cost.SmallPartsTest had not ended after 250 s together.

--- /dev/null
+++ b/almondtide/adapters/event_reader.py
@@ -0,0 +1,87 @@
+"""Reads the events of a parser within the bounds of ``framing``."""
+
+import time
+
+import curio
+import h11
+
+from ..errors import FramingError
+from ..framing import MAX_FIELDS, WORK_BUDGET, MessageWork
+
+__all__ = ["EventReader"]
+
+RECEIVE_BYTES = 65536
+# Bytes that are read at once from a sender whose message is slowed down. What the
+# parser has not read yet is held meanwhile.
+SLOWED_RECEIVE_BYTES = 4096
+# Bytes that are read at once before other tasks get a turn. A sender that is faster
+# than the parser always has more to read.
+TURN_BYTES = 4 * RECEIVE_BYTES
+
+
+class EventReader:
+    """Reads messages from a socket, and gives other tasks a turn in between.
+
+    ``min_part_bytes`` is the least mean size of the parts of a long message. The
+    methods raise ``FramingError`` for one in smaller parts or with too many fields.
+    """
+
+    __slots__ = (
+        "_budget",
+        "_min_part_bytes",
+        "_sock",
+        "_turn_bytes",
+        "_work",
+        "is_at_eof",
+    )
+
+    def __init__(self, sock, min_part_bytes, budget=WORK_BUDGET):
+        self._sock = sock
+        self._min_part_bytes = min_part_bytes
+        self._budget = budget
+        self.start_message()
+        # Bytes that were read since other tasks last had a turn.
+        self._turn_bytes = 0
+        # Whether the last read met the end of the connection.
+        self.is_at_eof = False
+
+    def start_message(self):
+        """Count the work for the next message from 0."""
+        self._work = MessageWork(self._budget, self._min_part_bytes)
+
+    async def receive(self):
+        """Return the next bytes of the socket, none at its end."""
+        size = SLOWED_RECEIVE_BYTES if self._work.is_slowed else RECEIVE_BYTES
+        data = await self._sock.recv(size)
+        self.is_at_eof = not data
+        return data
+
+    async def note_received(self, size):
+        """Count bytes that were given to the parser."""
+        self._turn_bytes += size
+        if self._turn_bytes >= TURN_BYTES:
+            self._turn_bytes = 0
+            await curio.sleep(0)
+        await self._note_step(0)
+
+    async def note_event(self, event):
+        """Count an event of the parser."""
+        fields = getattr(event, "headers", ())
+        if len(fields) > MAX_FIELDS:
+            raise FramingError(f"{len(fields)} fields in a head")
+        await self._note_step(len(event.data) if type(event) is h11.Data else 0)
+
+    async def next_event(self, conn):
+        """Return the next event of an h11 connection, reading as needed."""
+        while True:
+            event = conn.next_event()
+            if event is not h11.NEED_DATA:
+                await self.note_event(event)
+                return event
+            data = await self.receive()
+            conn.receive_data(data)
+            await self.note_received(len(data))
+
+    async def _note_step(self, body_bytes):
+        if self._work.note_step(body_bytes):
+            await curio.sleep(self._work.check(time.monotonic()))
--- a/almondtide/adapters/http.py
+++ b/almondtide/adapters/http.py
@@ -9,10 +9,13 @@
 from ..errors import (
     AlmondtideError,
     BadRequestError,
+    FramingError,
     ResultCode,
     UpstreamError,
     http_status,
 )
+from ..framing import MIN_REPLY_PART_BYTES, MIN_REQUEST_PART_BYTES
+from .event_reader import RECEIVE_BYTES, EventReader
 from .listener import connect, linger_before_close
 
 __all__ = [
@@ -26,15 +29,11 @@
     "serve_http",
 ]
 
-RECEIVE_BYTES = 65536
 DEFAULT_MAX_HEADER_BYTES = 16 * 1024
 DEFAULT_MAX_BODY_BYTES = 256 * 1024
 DEFAULT_MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 # Most informational responses (status 1xx) before a response.
 MAX_INFORMATIONAL_RESPONSES = 8
-# Bytes of a response that are read at once before other tasks get a turn. A sender
-# that is faster than the parser always has more to read.
-TURN_BYTES = 4 * RECEIVE_BYTES
 DEFAULT_IDLE_TIMEOUT_S = 75.0
 READ_TIMEOUT_S = 10.0
 SEND_TIMEOUT_S = 10.0
@@ -152,10 +151,18 @@
 
 
 class _ServerConnection:
-    __slots__ = ("conn", "has_partial_request", "max_body_bytes", "method", "sock")
+    __slots__ = (
+        "_reader",
+        "conn",
+        "has_partial_request",
+        "max_body_bytes",
+        "method",
+        "sock",
+    )
 
     def __init__(self, sock, max_body_bytes, max_header_bytes):
         self.sock = sock
+        self._reader = EventReader(sock, MIN_REQUEST_PART_BYTES)
         self.max_body_bytes = max_body_bytes
         self.conn = h11.Connection(
             h11.SERVER, max_incomplete_event_size=max_header_bytes
@@ -179,16 +186,20 @@
         while True:
             event = self.conn.next_event()
             if event is not h11.NEED_DATA:
+                await self._reader.note_event(event)
                 return event
             if self.conn.they_are_waiting_for_100_continue:
                 continue_response = h11.InformationalResponse(
                     status_code=100, headers=[]
                 )
                 await self.sock.sendall(self.conn.send(continue_response))
-            self.conn.receive_data(await self.sock.recv(RECEIVE_BYTES))
+            data = await self._reader.receive()
+            self.conn.receive_data(data)
+            await self._reader.note_received(len(data))
 
     async def read_request(self):
         """Return the next request, or None when the caller has closed."""
+        self._reader.start_message()
         event = await self._next_event()
         if not isinstance(event, h11.Request):
             return None
@@ -209,21 +220,19 @@
         )
 
     async def _read_body(self):
-        chunks = []
-        size = 0
+        body = bytearray()
         while True:
             event = await self._next_event()
             if isinstance(event, h11.EndOfMessage):
-                return b"".join(chunks)
+                return bytes(body)
             if not isinstance(event, h11.Data):
                 raise BadRequestError("the request ended before its body")
-            size += len(event.data)
-            if size > self.max_body_bytes:
+            body += event.data
+            if len(body) > self.max_body_bytes:
                 raise BadRequestError(
                     f"the body is over {self.max_body_bytes} bytes",
                     ResultCode.BODY_TOO_LARGE,
                 )
-            chunks.append(bytes(event.data))
 
     async def send(self, response, close=False):
         """Send ``response``.
@@ -396,10 +405,9 @@
     __slots__ = (
         "_conn",
         "_host",
-        "_is_at_eof",
         "_max_response_bytes",
+        "_reader",
         "_sock",
-        "_turn_bytes",
         "is_usable",
     )
 
@@ -408,9 +416,7 @@
         self._host = host
         self._max_response_bytes = max_response_bytes
         self._conn = h11.Connection(h11.CLIENT)
-        self._is_at_eof = False
-        # Bytes that were read since other tasks last had a turn.
-        self._turn_bytes = 0
+        self._reader = EventReader(sock, MIN_REPLY_PART_BYTES)
         self.is_usable = True
 
     @classmethod
@@ -452,10 +458,12 @@
                 f"connection lost: {exc}", ResultCode.UPSTREAM_LOST
             ) from exc
         except h11.RemoteProtocolError as exc:
-            code = (
-                ResultCode.UPSTREAM_LOST if self._is_at_eof else ResultCode.BAD_RESPONSE
-            )
+            code = ResultCode.BAD_RESPONSE
+            if self._reader.is_at_eof:
+                code = ResultCode.UPSTREAM_LOST
             raise UpstreamError(f"invalid response: {exc}", code) from exc
+        except FramingError as exc:
+            raise UpstreamError(exc.message, ResultCode.BAD_RESPONSE) from exc
         if (self._conn.our_state, self._conn.their_state) == (h11.DONE, h11.DONE):
             self._conn.start_next_cycle()
             self.is_usable = True
@@ -473,19 +481,10 @@
         return b"".join(parts)
 
     async def _next_event(self):
-        while True:
-            event = self._conn.next_event()
-            if event is not h11.NEED_DATA:
-                return event
-            data = await self._sock.recv(RECEIVE_BYTES)
-            self._is_at_eof = not data
-            self._conn.receive_data(data)
-            self._turn_bytes += len(data)
-            if self._turn_bytes >= TURN_BYTES:
-                self._turn_bytes = 0
-                await curio.sleep(0)
+        return await self._reader.next_event(self._conn)
 
     async def _read_response(self):
+        self._reader.start_message()
         event = await self._next_event()
         for _ in range(MAX_INFORMATIONAL_RESPONSES):
             if not isinstance(event, h11.InformationalResponse):
@@ -497,8 +496,7 @@
             raise UpstreamError(
                 "connection closed before a response", ResultCode.UPSTREAM_LOST
             )
-        chunks = []
-        size = 0
+        body = bytearray()
         while True:
             part = await self._next_event()
             if isinstance(part, h11.EndOfMessage):
@@ -507,15 +505,14 @@
                 raise UpstreamError(
                     "connection closed within a response", ResultCode.UPSTREAM_LOST
                 )
-            size += len(part.data)
-            if size > self._max_response_bytes:
+            body += part.data
+            if len(body) > self._max_response_bytes:
                 raise UpstreamError(
                     f"the response is over {self._max_response_bytes} bytes",
                     ResultCode.BAD_RESPONSE,
                 )
-            chunks.append(bytes(part.data))
         return HTTPResponse(
-            event.status_code, b"".join(chunks), _decode_headers(event.headers)
+            event.status_code, bytes(body), _decode_headers(event.headers)
         )
 
     async def close(self):
--- a/almondtide/entry/callers.py
+++ b/almondtide/entry/callers.py
@@ -10,8 +10,10 @@
 import curio
 import h11
 
+from ..adapters.event_reader import RECEIVE_BYTES, EventReader
 from ..adapters.listener import linger_before_close
-from ..errors import ResultCode
+from ..errors import FramingError, ResultCode
+from ..framing import MIN_REQUEST_PART_BYTES
 from ..platform.headers import decode_request
 from .answers import error_answer
 from .policy.admission import retry_after_s
@@ -20,7 +22,6 @@
 
 __all__ = ["CallerConnection"]
 
-RECEIVE_BYTES = 65536
 # Longest time for sending an answer, in s, if there is no memory limit. With a limit
 # the ``CallerMemory`` decides which callers may not go on reading.
 SEND_TIMEOUT_S = 10.0
@@ -47,6 +48,7 @@
         "_conn",
         "_frontend",
         "_incoming",
+        "_reader",
         "_sock",
         "call",
         "is_head_request",
@@ -57,6 +59,7 @@
 
     def __init__(self, sock, frontend):
         self._sock = sock
+        self._reader = EventReader(sock, MIN_REQUEST_PART_BYTES)
         self._frontend = frontend
         self._conn = h11.Connection(
             h11.SERVER, max_incomplete_event_size=frontend.limits().max_header_bytes
@@ -81,6 +84,8 @@
             await self._refuse(431 if too_large else 400, code, str(exc))
         except _BadRequestError as exc:
             await self._refuse(*exc.args)
+        except FramingError as exc:
+            await self._refuse(400, exc.code, exc.message)
         except (OSError, curio.TaskTimeout):
             # The caller closed the connection or was idle for too long.
             pass
@@ -164,10 +169,11 @@
         limits = self._frontend.limits()
         memory = self._frontend.memory
         conn = self._conn
+        reader = self._reader
+        reader.start_message()
         timeout_s = limits.idle_timeout_s
         request = None
-        chunks = []
-        body_bytes = 0
+        body = bytearray()
         while True:
             event = conn.next_event()
             if event is h11.NEED_DATA:
@@ -177,12 +183,15 @@
                     )
                     await self._sock.sendall(conn.send(continue_response))
                 async with curio.timeout_after(timeout_s):
-                    data = await self._sock.recv(RECEIVE_BYTES)
+                    data = await reader.receive()
                 if not data and request is None and not conn.trailing_data[0]:
                     return None
                 conn.receive_data(data)
+                await reader.note_received(len(data))
                 timeout_s = limits.header_timeout_s
-            elif type(event) is h11.Request:
+                continue
+            await reader.note_event(event)
+            if type(event) is h11.Request:
                 request = decode_request(
                     event.method, event.target, list(event.headers), b""
                 )
@@ -192,17 +201,16 @@
                 if memory.is_bounded:
                     self._check_stated_size(event, limits)
             elif type(event) is h11.Data:
-                body_bytes += len(event.data)
-                if body_bytes > limits.max_body_bytes:
+                if len(body) + len(event.data) > limits.max_body_bytes:
                     raise _body_too_large(limits)
                 if not memory.hold_body(self, len(event.data)):
                     raise _no_body_room()
-                chunks.append(event.data)
+                body += event.data
             elif type(event) is h11.EndOfMessage:
                 break
             else:
                 return None
-        request.body = b"".join(chunks)
+        request.body = bytes(body)
         if not request.host or not request.id:
             raise _BadRequestError(
                 400, ResultCode.BAD_REQUEST, "a host and a request id are needed"
--- a/almondtide/entry/connections.py
+++ b/almondtide/entry/connections.py
@@ -6,6 +6,9 @@
 import h11
 from curio import socket
 
+from ..adapters.event_reader import EventReader
+from ..errors import FramingError
+from ..framing import MIN_REPLY_PART_BYTES
 from ..platform.headers import decode_reply, forwarded_request_headers
 from ..supervision import TASK_FAILURES, error_place
 from .answered_requests import AnsweredRequests
@@ -13,7 +16,6 @@
 
 __all__ = ["ConnectionPool"]
 
-RECEIVE_BYTES = 65536
 # A server whose accept queue is full drops the SYN packet, and the kernel only sends
 # it again after a second.
 CONNECT_TIMEOUT_S = 0.3
@@ -38,13 +40,10 @@
 MAX_BUFFERED_BYTES = 32 * 1024 * 1024
 # Most informational responses (status 1xx) before a reply.
 MAX_INFORMATIONAL_RESPONSES = 8
-# Bytes that are read at once before other tasks get a turn. A sender that is faster
-# than the parser always has more to read.
-TURN_BYTES = 4 * RECEIVE_BYTES
 # Most replies that are read for one request. Replies to earlier requests, which are
 # skipped, count as well.
 MAX_REPLIES_PER_REQUEST = 4
-MAX_HEADER_BYTES = 65536
+MAX_HEADER_BYTES = 32768
 
 
 class _ExchangeError(Exception):
@@ -57,8 +56,8 @@
     __slots__ = (
         "_conn",
         "_is_written",
+        "_reader",
         "_sock",
-        "_turn_bytes",
         "_user_timeout_ms",
         "_wake",
         "_writer",
@@ -85,9 +84,8 @@
         self.task = None
         self._conn = None
         self._sock = None
+        self._reader = None
         self._user_timeout_ms = 0
-        # Bytes that were read since other tasks last had a turn.
-        self._turn_bytes = 0
         self._wake = curio.Event()
         # The task that writes the rest of a request, or None, and whether the last
         # request was written to its end.
@@ -130,6 +128,7 @@
     async def _connect(self):
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sock = sock
+        self._reader = EventReader(sock, MIN_REPLY_PART_BYTES)
         sock.setsockopt(stdlib_socket.IPPROTO_TCP, stdlib_socket.TCP_NODELAY, 1)
         self._set_user_timeout(TCP_USER_TIMEOUT_MS)
         try:
@@ -186,6 +185,15 @@
                 self.upstream.note_connection_reset(self.pool.now())
             await self._fail(Failure.BROKEN, str(exc) or type(exc).__name__)
             return False
+        except FramingError as exc:
+            self.pool.log.info(
+                "reply_refused",
+                server=self.upstream.server.id,
+                id=exchange.request.id,
+                reason=exc.message,
+            )
+            await self._fail(Failure.BROKEN, exc.message)
+            return False
         except h11.LocalProtocolError as exc:
             # The request cannot be encoded; nothing was written.
             await self._fail(Failure.NOT_SENT, f"encode: {exc}")
@@ -254,6 +262,7 @@
         )
 
     async def _receive(self, request):
+        self._reader.start_message()
         for _ in range(MAX_REPLIES_PER_REQUEST):
             reply = await self._read_reply()
             if reply.request_id == request.id:
@@ -287,17 +296,7 @@
         self._conn = conn
 
     async def _next_event(self):
-        conn = self._conn
-        while True:
-            event = conn.next_event()
-            if event is not h11.NEED_DATA:
-                return event
-            data = await self._sock.recv(RECEIVE_BYTES)
-            conn.receive_data(data)
-            self._turn_bytes += len(data)
-            if self._turn_bytes >= TURN_BYTES:
-                self._turn_bytes = 0
-                await curio.sleep(0)
+        return await self._reader.next_event(self._conn)
 
     async def _read_reply(self):
         event = await self._next_event()
@@ -311,13 +310,13 @@
         return decode_reply(event.status_code, list(event.headers), body)
 
     async def _read_body(self):
-        chunks = []
+        body = bytearray()
         size = 0
         try:
             while True:
                 part = await self._next_event()
                 if type(part) is h11.EndOfMessage:
-                    return b"".join(chunks)
+                    return bytes(body)
                 if type(part) is not h11.Data:
                     raise _ExchangeError("closed within a reply")
                 if size + len(part.data) > self.pool.max_reply_bytes:
@@ -325,7 +324,7 @@
                 if not self.pool.reserve(len(part.data)):
                     raise _ExchangeError("replies too large together")
                 size += len(part.data)
-                chunks.append(part.data)
+                body += part.data
         finally:
             self.pool.release(size)
 
--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -8,6 +8,7 @@
 from ..adapters.http import HTTPResponse, serve_http
 from ..adapters.listener import Listener
 from ..errors import SettingsError
+from ..framing import WORK_BUDGET
 from ..model.position import era_of, revision_of
 from ..platform.documents import SERVER_PREFIX
 from ..platform.store import StoreClient
@@ -73,6 +74,7 @@
     def __init__(self, settings, log, signals, reload_settings):
         now = boottime_now
         self.settings = settings
+        WORK_BUDGET.set_core_share(settings.core_share)
         self.log = log
         self._signals = signals
         self._reload_settings = reload_settings
@@ -271,6 +273,7 @@
         if changed or cause == "signal":
             self.log.info("reloaded", cause=cause, changed=changed or "nothing")
         self.settings = settings
+        WORK_BUDGET.set_core_share(settings.core_share)
         for part in self.settings_users:
             part.settings = settings
         if not self.feed.uses_evacuations:
@@ -729,6 +732,14 @@
                 self.pool.buffered_bytes,
             ),
             "connections_opened": ("Connections to servers.", self.pool.opened_count),
+            "messages_slowed": (
+                "Messages in small parts that were read slowly.",
+                WORK_BUDGET.counts["slowed"],
+            ),
+            "messages_refused": (
+                "Messages in too many small parts.",
+                WORK_BUDGET.counts["refused"],
+            ),
             "sends_diverted": (
                 "Sends kept off a connection that had replied to the same request.",
                 self.pool.diverted_count,
--- a/almondtide/errors.py
+++ b/almondtide/errors.py
@@ -10,6 +10,7 @@
     "ConfigurationError",
     "DocumentError",
     "ExecutionError",
+    "FramingError",
     "PeerError",
     "PeerSilentError",
     "PlatformError",
@@ -160,6 +161,10 @@
         super().__init__(message, code, not_run=True)
 
 
+class FramingError(BadRequestError):
+    """A message came in so many small parts that reading it costs too much."""
+
+
 class RefusedError(AlmondtideError):
     """The request was refused before any upstream received it."""
 
