Close a client's connection that holds bytes after a response

A copy of a response in the same segment stayed in the parser and was taken for the next response: the store's client would have read an old answer, and almondtided a reply to another exchange. is_stale only looks at the socket.

Change: the client of the store, of peers and of almondtided's servers does not use such a connection again.

Evidence: test_bytes_after_a_response_belong_to_no_request fails on (is_usable is true after a response and its copy) and passes now.

--- a/almondtide/adapters/http.py
+++ b/almondtide/adapters/http.py
@@ -464,8 +464,12 @@
             raise UpstreamError(f"invalid response: {exc}", code) from exc
         except FramingError as exc:
             raise UpstreamError(exc.message, ResultCode.BAD_RESPONSE) from exc
-        if (self._conn.our_state, self._conn.their_state) == (h11.DONE, h11.DONE):
-            self._conn.start_next_cycle()
+        conn = self._conn
+        # Bytes after a response, such as a copy of it, belong to no request. The parser
+        # would take them for the next response.
+        has_extra = conn.trailing_data[0] or conn.trailing_data[1]
+        if (conn.our_state, conn.their_state) == (h11.DONE, h11.DONE) and not has_extra:
+            conn.start_next_cycle()
             self.is_usable = True
         return response
 
--- a/tests/adapters/test_http.py
+++ b/tests/adapters/test_http.py
@@ -317,6 +317,25 @@
         for size in range(len(head)):
             self.assertIsInstance(self._request(head[:size]), UpstreamError, size)
 
+    def test_bytes_after_a_response_belong_to_no_request(self):
+        # A copy of a response in the same segment, and of one without a body.
+        for response in (
+            b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nold",
+            b"HTTP/1.1 204 No Content\r\n\r\n",
+        ):
+
+            async def scenario(response=response):
+                ours, theirs = socket_pair()
+                client = HTTPClient(theirs, "h")
+                task = await curio.spawn(client.request, "GET", "/")
+                await curio.run_in_thread(ours.recv, 65536)
+                ours.sendall(response + response)
+                await task.join()
+                ours.close()
+                return client.is_usable
+
+            self.assertFalse(run(scenario), response)
+
     def test_a_body_without_length_ends_with_the_connection(self):
         result = self._request(b"HTTP/1.1 200 OK\r\n\r\nabcd")
         self.assertEqual(b"abcd", result.body)
