Send a refused revision again on another connection only

almondtided sends a revision that a server refused as not run again, with the same execution id.

Change: a connection remembers the revisions that were refused on it, 64 at most, and is replaced before it carries one again.

No play of almondtided with late copies was run.

--- a/almondtide/adapters/upstream.py
+++ b/almondtide/adapters/upstream.py
@@ -12,6 +12,9 @@
 __all__ = ["HTTPUpstreams"]
 
 STATUS_TIMEOUT_S = 1.0
+# Most refused revisions that a connection remembers. One that has refused more is not
+# used again.
+MAX_REVISED_IDS = 64
 # Numbers of up to 18 digits fit into the 64-bit integers of peer messages.
 _NUMBER = re.compile(r"[0-9]{1,18}")
 
@@ -63,12 +66,14 @@
 class HTTPUpstreamConnection(BaseUpstreamConnection):
     """One HTTP connection to a server."""
 
-    __slots__ = ("_client", "_exchange_count")
+    __slots__ = ("_client", "_exchange_count", "_revised_ids")
 
     def __init__(self, client):
         self._client = client
         # Exchanges begun on this connection.
         self._exchange_count = 0
+        # Ids of the last revisions that were refused on it.
+        self._revised_ids = set()
 
     @property
     def is_usable(self):
@@ -141,8 +146,20 @@
         )
         reply = _decode_reply(response)
         self._check_identity(response, reply, "execution_id", sub.execution_id)
+        if reply.code != ResultCode.OK:
+            self._note_refused(sub.execution_id)
         return reply
 
+    def may_revise(self, execution_id):
+        """Return whether no revision with ``execution_id`` was refused on it."""
+        return execution_id not in self._revised_ids
+
+    def _note_refused(self, execution_id):
+        """Remember a refused revision, which may be sent to the server again."""
+        if len(self._revised_ids) >= MAX_REVISED_IDS:
+            self._client.is_usable = False
+        self._revised_ids.add(execution_id)
+
     async def cancel(self, request_id):
         """Ask the server to cancel the exchange with ``request_id``."""
         await self._client.request("DELETE", f"/v1/requests/{request_id}")
--- a/almondtide/ports.py
+++ b/almondtide/ports.py
@@ -160,6 +160,13 @@
         """Return whether the server closed the idle connection."""
         return False
 
+    def may_revise(self, execution_id):
+        """Return whether the connection may carry a revision.
+
+        A copy of an earlier reply to it could be taken for the next one.
+        """
+        return True
+
     async def search(self, request_id, remaining_s, sub_request):
         """Run the idempotent ``sub_request`` and return an ``UpstreamReply``.
 
--- a/almondtide/servers.py
+++ b/almondtide/servers.py
@@ -123,14 +123,17 @@
                 await curio.sleep(owner.shed_delay_s())
 
     async def _exchange(self, owner, attempt):
+        sub = attempt.item.sub
         # The server may have closed the idle connection, for example on a restart.
-        if self.conn.is_stale() and not await self._connect(owner):
+        needs_new = self.conn.is_stale() or not (
+            sub.is_idempotent or self.conn.may_revise(sub.execution_id)
+        )
+        if needs_new and not await self._connect(owner):
             raise UpstreamError(
                 f"{self.server.instance} cannot be reached",
                 ResultCode.UPSTREAM_UNREACHABLE,
                 not_run=True,
             )
-        sub = attempt.item.sub
         remaining_s = sub.deadline - owner.clock.monotonic()
         try:
             async with curio.timeout_after(max(0.0, remaining_s) + EXCHANGE_MARGIN_S):
--- a/tests/adapters/test_upstream.py
+++ b/tests/adapters/test_upstream.py
@@ -76,6 +76,26 @@
             self.assertFalse(client.is_usable)
             return exc
 
+    def test_a_refused_revision_needs_another_connection(self):
+        # A late copy of the refusal would say "not run" of the next send of it.
+        refusals = [self._refusal(**{"x-request-id": f"a~b~0~{n}"}) for n in range(65)]
+        client = _Client(*refusals, self._success(65))
+        connection = HTTPUpstreamConnection(client)
+
+        async def revise(number):
+            execution_id = f"a~b~0~{number}"
+            self.assertTrue(connection.may_revise(execution_id))
+            sub = SubRequest("q", "w", "s", 1.0, body={}, execution_id=execution_id)
+            await connection.revise(1.0, sub, lambda: None)
+
+        for number in range(65):
+            self.assertTrue(client.is_usable)
+            run(revise, number)
+        self.assertFalse(connection.may_revise("a~b~0~0"))
+        self.assertFalse(client.is_usable)
+        run(revise, 65)
+        self.assertTrue(connection.may_revise("a~b~0~65"))
+
     def _refusal(self, **headers):
         return HTTPResponse(503, self.REFUSAL, headers)
 
