Bound the work of websocket frames that end no message

A peer that sends fragments of one byte, or pings, without end kept a daemon from its other peers: 1.0 us of processor time a byte and no turn, as the library reads all frames of a read at once; empty fragments were kept without a bound.

Change: frames that end no message count as steps of framing; beyond its bounds the connection ends as a protocol error. Whole small messages are not counted, however many arrive.

--- a/almondtide/adapters/event_reader.py
+++ b/almondtide/adapters/event_reader.py
@@ -69,7 +69,11 @@
         fields = getattr(event, "headers", ())
         if len(fields) > MAX_FIELDS:
             raise FramingError(f"{len(fields)} fields in a head")
-        await self._note_step(len(event.data) if type(event) is h11.Data else 0)
+        await self.note_part(len(event.data) if type(event) is h11.Data else 0)
+
+    async def note_part(self, size):
+        """Count a part of a message with ``size`` bytes of its body."""
+        await self._note_step(size)
 
     async def next_event(self, conn):
         """Return the next event of an h11 connection, reading as needed."""
--- a/almondtide/adapters/websocket.py
+++ b/almondtide/adapters/websocket.py
@@ -9,14 +9,15 @@
 from websockets.server import ServerProtocol
 from websockets.uri import parse_uri
 
-from ..errors import BadRequestError, PeerError, ResultCode
+from ..errors import BadRequestError, FramingError, PeerError, ResultCode
+from ..framing import MIN_REPLY_PART_BYTES
 from ..messages import MAX_FRAME_BYTES
+from .event_reader import RECEIVE_BYTES, EventReader
 from .http import refuse_connection
 from .listener import connect, linger_before_close
 
 __all__ = ["TRAFFIC", "Traffic", "WebSocket", "accept_websocket", "open_websocket"]
 
-RECEIVE_BYTES = 65536
 SWITCHING_PROTOCOLS_STATUS = 101
 # A query may wait for a new connection, so the limit is far below usual deadlines.
 # The latency between regions is less than 200 ms.
@@ -57,9 +58,10 @@
     """
 
     __slots__ = (
-        "_fragments",
+        "_fragment",
         "_messages",
         "_protocol",
+        "_reader",
         "_send_lock",
         "_sock",
         "sent_bytes",
@@ -68,8 +70,9 @@
     def __init__(self, sock, protocol):
         self._sock = sock
         self._protocol = protocol
+        self._reader = EventReader(sock, MIN_REPLY_PART_BYTES)
         self._messages = []
-        self._fragments = []
+        self._fragment = bytearray()
         self._send_lock = curio.Lock()
         self.sent_bytes = 0
 
@@ -98,14 +101,15 @@
         """
         while not self._messages:
             try:
-                data = await self._sock.recv(RECEIVE_BYTES)
+                data = await self._reader.receive()
             except OSError:
                 return None
             if not data:
                 return None
             TRAFFIC.received_bytes += len(data)
             self._protocol.receive_data(data)
-            self._collect_messages()
+            await self._reader.note_received(len(data))
+            await self._note_frames(self._collect_messages())
             await self._flush_replies()
             if self._protocol.parser_exc is not None:
                 raise PeerError(
@@ -126,17 +130,36 @@
             async with self._send_lock:
                 await self._flush()
 
+    async def _note_frames(self, frames):
+        """Count frames that end no message; raises ``PeerError`` for too many."""
+        try:
+            for size, ends_message in frames:
+                if ends_message:
+                    self._reader.start_message()
+                else:
+                    await self._reader.note_part(size)
+        except FramingError as exc:
+            raise PeerError(exc.message, ResultCode.PEER_PROTOCOL) from exc
+
     def _collect_messages(self):
+        """Take over the frames that have arrived.
+
+        Return a list of (size in bytes, whether it ends a message).
+        """
+        frames = []
         for event in self._protocol.events_received():
             if not hasattr(event, "opcode"):
                 continue
+            is_data = event.opcode in (Opcode.BINARY, Opcode.CONT)
+            frames.append((len(event.data), is_data and event.fin))
             if event.opcode is Opcode.TEXT:
                 raise PeerError("unexpected text message", ResultCode.PEER_PROTOCOL)
-            if event.opcode in (Opcode.BINARY, Opcode.CONT):
-                self._fragments.append(event.data)
+            if is_data:
+                self._fragment += event.data
                 if event.fin:
-                    self._messages.append(b"".join(self._fragments))
-                    self._fragments = []
+                    self._messages.append(bytes(self._fragment))
+                    self._fragment = bytearray()
+        return frames
 
     async def close(self):
         """Send a close frame if the connection is open, and close the socket."""
--- a/tests/adapters/test_websocket.py
+++ b/tests/adapters/test_websocket.py
@@ -129,6 +129,20 @@
         )
         self.assertEqual([b"ab"], results)
 
+    def test_frames_of_one_byte_without_end(self):
+        # They would keep the daemon from all other peers.
+        for data in (
+            b"\x02\x81\0\0\0\0x" + b"\x00\x81\0\0\0\0x" * 4000,
+            b"\x89\x80\0\0\0\0" * 4000,
+        ):
+            _, results = self.send_frames(data)
+            self.assertEqual(ResultCode.PEER_PROTOCOL, results[0].code)
+
+    def test_many_small_messages_are_received(self):
+        frame = self.frame(Opcode.BINARY, b"x")
+        _, results = self.send_frames(frame * 4000)
+        self.assertEqual([b"x"] * 4000, results)
+
     def test_invalid_frames(self):
         for bad in (
             self.frame(Opcode.TEXT, b"hi"),
