Keep the pauses that servers ask for, up to an hour

Cause: a pause was cut to the longest timeout of a route, a bound against nonsense that also cut sound values.

Change: the bound is an hour. A pause ends with the server's incarnation. What is kept of a server that the store no longer lists is kept as long as its pause, if that is longer than a minute.

--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -20,7 +20,7 @@
 from .connections import ConnectionPool
 from .crash_detector import CrashDetector
 from .directory import Directory
-from .dispatch import DEFAULT_MAX_PAUSE_S, Dispatcher
+from .dispatch import Dispatcher
 from .feed import StoreFeed
 from .frontend import Frontend
 from .gossip import Gossip
@@ -518,10 +518,6 @@
             for name, service in configuration.services.items()
         }
         self._configure_warmup()
-        self.dispatcher.max_pause_s = max(
-            (route.timeout_s for route in configuration.routes),
-            default=DEFAULT_MAX_PAUSE_S,
-        )
         self.frontend.apply_configuration()
         self._served_configuration = configuration
         self.log.info(
--- a/almondtide/entry/dispatch.py
+++ b/almondtide/entry/dispatch.py
@@ -51,8 +51,9 @@
 # Fraction of the retry budget that hedges leave to retries. A branch that failed gets
 # no answer without a retry; a slow branch mostly gets one without a hedge.
 RETRY_RESERVE_FRACTION = 0.35
-# Bound of a server's pause in s, before there is a configuration.
-DEFAULT_MAX_PAUSE_S = 10.0
+# Longest pause of a server in s. A pause ends with the server's incarnation, so a sound
+# server that states a long time is asked again as soon as it has started anew.
+MAX_PAUSE_S = 3600.0
 # Bound of a pause in the log, in s.
 MAX_LOGGED_PAUSE_S = 1e6
 # Largest fraction of the objective for waiting in the queue and being served. A
@@ -173,8 +174,7 @@
 
     The ``Timers`` call ``on_timer(kind, item)`` of this object. ``budget_share`` is the
     part of the fleet's slack of extra sends that this entry may use, 0.0 to 1.0; see
-    ``RetryBudget``. ``max_pause_s`` bounds the pauses that servers ask for: the longest
-    timeout of a route. ``ends_at`` is when a stop of the entry ends the running calls,
+    ``RetryBudget``. ``ends_at`` is when a stop of the entry ends the running calls,
     None while it is not stopping.
     """
 
@@ -197,7 +197,6 @@
         "counts",
         "ends_at",
         "links",
-        "max_pause_s",
         "now",
         "settings",
         "shedding",
@@ -224,7 +223,6 @@
         self._resend_at = {}
         self.now = now
         self.budget_share = 1.0
-        self.max_pause_s = DEFAULT_MAX_PAUSE_S
         self.ends_at = None
         self.counts = {
             "sends": 0,
@@ -1110,7 +1108,7 @@
             self._log.debug("pause_invalid", server=upstream.server.id)
         if reply.pause_s:
             self.counts["pauses"] += 1
-            upstream.pause(now + min(reply.pause_s, self.max_pause_s))
+            upstream.pause(now + min(reply.pause_s, MAX_PAUSE_S))
             self._log.info(
                 "server_paused",
                 server=upstream.server.id,
--- a/almondtide/entry/upstreams.py
+++ b/almondtide/entry/upstreams.py
@@ -182,8 +182,9 @@
             for upstream in self._by_id.values()
             if upstream.is_retired and upstream.serves_until <= now
         ]
-        for server_id, (removed_at, _) in list(self._removed.items()):
-            if now - removed_at > REMOVED_RETENTION_S:
+        for server_id, (removed_at, earlier) in list(self._removed.items()):
+            kept_until = max(removed_at + REMOVED_RETENTION_S, earlier.paused_until)
+            if now > kept_until:
                 del self._removed[server_id]
         return [self._forget(server_id, now) for server_id in expired_ids]
 
