Put a request on trial after its quarantine for crashing servers

Cause: the end of the quarantine by the clock also forgot the lost servers, though nothing had shown that the request had become harmless.

Change: the losses are kept. After a quarantine, of 20 to 40 s now, the request is on trial: it gets one server and no retry, an answer clears it, and a lost server puts it back for twice as long, up to ten minutes. After two losses on trial it is refused for as long as it keeps coming to an entry. The random part keeps entries from letting it through together; what peers report is merged during a quarantine too. almondtided uses the same rules.

--- a/almondtide/entry/crash_detector.py
+++ b/almondtide/entry/crash_detector.py
@@ -1,5 +1,7 @@
 """Detects requests that crash the servers that run them, and quarantines them."""
 
+import random
+
 from ..platform.headers import stable_headers
 from ..quarantine import Quarantine, request_fingerprint
 
@@ -57,10 +59,12 @@
         "_unconfirmed_losses",
     )
 
-    def __init__(self, now, log, limit=CRASH_LIMIT, quarantine_s=QUARANTINE_S):
+    def __init__(
+        self, now, log, limit=CRASH_LIMIT, quarantine_s=QUARANTINE_S, rng=random
+    ):
         self._clock = _Clock(now)
         self._log = log
-        self._quarantine = Quarantine(self._clock, limit, quarantine_s)
+        self._quarantine = Quarantine(self._clock, limit, quarantine_s, rng)
         # Server id -> losses of connections to it that are not confirmed yet.
         self._unconfirmed_losses = {}
         # When the newest quarantine ends. After that no fingerprint is computed for a
@@ -72,9 +76,12 @@
 
     def refused_for_s(self, call):
         """Return the rest of the quarantine of a call's request in s, or 0.0."""
-        if self._clock.monotonic() >= self._refusing_until:
+        now = self._clock.monotonic()
+        if now >= self._refusing_until:
             return 0.0
-        return self._quarantine.remaining_s(_call_fingerprint(call))
+        refused_s = self._quarantine.refuse_s(_call_fingerprint(call))
+        self._refusing_until = max(self._refusing_until, now + refused_s)
+        return refused_s
 
     def is_suspect(self, call):
         """Return whether a server was lost under the request and none answered it."""
@@ -82,6 +89,12 @@
             _call_fingerprint(call)
         )
 
+    def is_on_trial(self, call):
+        """Return whether the request was in quarantine, so that it gets one server."""
+        return bool(self._counted_losses) and self._quarantine.is_on_trial(
+            _call_fingerprint(call)
+        )
+
     def on_connection_broken(self, call, server_id):
         """Record that a connection broke while the server may have run a call.
 
@@ -127,13 +140,15 @@
             lost=len(servers),
             refused_ms=int(self._quarantine.remaining_s(fingerprint) * 1000),
         )
-        yield fingerprint, sorted(servers)
+        # A report holds a few servers, and peers may know the others.
+        yield fingerprint, [server_id, *sorted(servers - {server_id})]
 
     def _merge(self, fingerprint, servers):
         """Add lost servers; return whether they put the request in quarantine."""
         is_refused = self._quarantine.add_lost_servers(fingerprint, servers)
         if is_refused:
-            self._refusing_until = self._clock.monotonic() + self._quarantine.duration_s
+            until = self._clock.monotonic() + self._quarantine.remaining_s(fingerprint)
+            self._refusing_until = max(self._refusing_until, until)
         return is_refused
 
     def on_answer(self, call):
@@ -146,8 +161,6 @@
 
     def merge_peer_losses(self, fingerprint, servers):
         """Add servers that other daemons lost under a request."""
-        if self._quarantine.remaining_s(fingerprint):
-            return
         self._counted_losses.setdefault(fingerprint, (None, self._clock.monotonic()))
         if self._merge(fingerprint, servers):
             self._log.warning(
--- a/almondtide/entry/dispatch.py
+++ b/almondtide/entry/dispatch.py
@@ -1189,6 +1189,8 @@
         elif failure is Failure.ERROR and not 200 <= reply.status < 300:
             branch.last_error_reply = reply
         decision = decide_retry(branch, now)
+        if failure is Failure.BROKEN and self._crash_detector.is_on_trial(branch.call):
+            decision = RetryDecision.GIVE_UP
         if decision is RetryDecision.RETRY:
             await self._send(branch, "retry", now)
         elif decision is RetryDecision.GIVE_UP:
