--- a/almondtide/entry/answered_requests.py
+++ b/almondtide/entry/answered_requests.py
@@ -9,7 +9,7 @@
 
 __all__ = ["MAX_REQUESTS", "AnsweredRequests"]
 
-# Most requests that are remembered, about 3.5 MB. Each one is forgotten at its deadline.
+# Most requests that are remembered, about 3.5 MB. Each is forgotten at its deadline.
 MAX_REQUESTS = 8192
 
 
