Report late refusals with the waits of all daemons for a core

test_not_run_is_true fails on a busy machine, and its message does not tell which of the daemons refused the request or had no core: the time taken off is that of the entry for a query and that of all daemons for an execution, and neither is named.

Change: a violation names the kind of the request, who refused it and the wait of each daemon. The bound and what is taken off are unchanged.

Result: the new test of the message fails before (no such attribute of a call). The cause is still open.

--- a/proofs/callers.py
+++ b/proofs/callers.py
@@ -200,11 +200,14 @@
         return call
 
     def note_core_waits(self, sampler):
-        """Set ``core_wait_s`` of all calls from a ``CoreWaitSampler`` by address."""
+        """Set the core waits of all calls from a ``CoreWaitSampler`` by address."""
         for call in self.calls:
+            call.core_waits_s = {
+                address: sampler.wait_s(address, call.sent, call.received)
+                for address in sampler.names
+            }
             call.core_wait_s = sum(
-                sampler.wait_s(address, call.sent, call.received)
-                for address in self._path_addresses(call)
+                call.core_waits_s[address] for address in self._path_addresses(call)
             )
 
     def _path_addresses(self, call):
--- a/proofs/checks.py
+++ b/proofs/checks.py
@@ -227,12 +227,21 @@
                     call.request_id,
                     f"refused with code {call.code} after {elapsed_s:.3f} s of "
                     f"{call.deadline_s:.3f} s, and {call.core_wait_s:.3f} s without "
-                    "a core",
+                    f"a core ({_describe_path(call)})",
                 )
             )
     return violations
 
 
+def _describe_path(call):
+    """Return what tells which daemons a refusal came from and which had no core."""
+    source = "the owners" if call.field("coverage") else "the entry"
+    if call.kind == "revise":
+        source = "home or owner"
+    waits = ", ".join(f"{at} {s:.3f}" for at, s in call.core_waits_s.items())
+    return f"{call.kind} at {call.entry}, refused by {source}; waits in s: {waits}"
+
+
 def check_executions(calls, executions):
     """Check that nothing ran twice and that answers agree with the records.
 
--- a/proofs/history.py
+++ b/proofs/history.py
@@ -12,6 +12,7 @@
     its thread may read it later. ``core_wait_s`` is the time between sending and
     response in which daemons were runnable but waited for a CPU core: the entry, and
     for an execution also the others, of which one is its home and one the owner.
+    ``core_waits_s`` are those of all daemons, by address.
     ``marker`` is the value in the body that the upstream records; only resent
     requests share it.
     """
@@ -20,6 +21,7 @@
         "answer",
         "body",
         "core_wait_s",
+        "core_waits_s",
         "deadline_s",
         "entry",
         "error",
@@ -44,6 +46,7 @@
         self.sent = 0.0
         self.received = 0.0
         self.core_wait_s = 0.0
+        self.core_waits_s = {}
         self.status = None
         self.header_request_id = None
         self.answer = None
--- a/tests/proofs/test_checks.py
+++ b/tests/proofs/test_checks.py
@@ -209,6 +209,15 @@
         call.core_wait_s = 0.2
         self.assertEqual(1, len(checks.check_refusals([call])))
 
+    def test_late_refusal_is_reported_with_the_waits_of_all_daemons(self):
+        call = make_refusal(received=1.9)
+        call.entry = "127.0.0.1:1"
+        call.core_waits_s = {"127.0.0.1:1": 0.1, "127.0.0.1:2": 0.4}
+        (violation,) = checks.check_refusals([call])
+        self.assertIn(
+            "waits in s: 127.0.0.1:1 0.100, 127.0.0.1:2 0.400", violation.message
+        )
+
 
 class ExecutionCheckTest(testtools.TestCase):
     """Guards against a check that misses a second run."""
