Let the head of a caller's request take no longer than its timeout

What callers saw: a caller that sends a byte of a head now and then kept its connection for good, and one whose request stopped was cut off without an answer.

Cause: header_timeout_ms ran anew with each read, and its end was taken for that of an idle connection. almondtided bounds the whole request and answers 408; almondtide-entry did neither.

Change: the head must be complete in that time after its first byte; a body may take longer, but not stop for so long. Otherwise the caller gets 408, which is true since nothing was sent to a server.

--- a/almondtide/entry/callers.py
+++ b/almondtide/entry/callers.py
@@ -6,6 +6,7 @@
 import struct
 import sys
 import termios
+import time
 
 import curio
 import h11
@@ -171,7 +172,8 @@
         conn = self._conn
         reader = self._reader
         reader.start_message()
-        timeout_s = limits.idle_timeout_s
+        # When the first bytes of the request arrived, or None.
+        began_at = time.monotonic() if conn.trailing_data[0] else None
         request = None
         body = bytearray()
         while True:
@@ -182,13 +184,13 @@
                         status_code=100, headers=[]
                     )
                     await self._sock.sendall(conn.send(continue_response))
-                async with curio.timeout_after(timeout_s):
-                    data = await reader.receive()
+                data = await self._receive(limits, began_at, request is None)
                 if not data and request is None and not conn.trailing_data[0]:
                     return None
                 conn.receive_data(data)
                 await reader.note_received(len(data))
-                timeout_s = limits.header_timeout_s
+                if began_at is None:
+                    began_at = time.monotonic()
                 continue
             await reader.note_event(event)
             if type(event) is h11.Request:
@@ -221,6 +223,26 @@
             )
         return request
 
+    async def _receive(self, limits, began_at, is_head):
+        """Return the next bytes of a request whose first bytes came at ``began_at``.
+
+        The head must be complete in its time, however often a part of it arrives. A
+        body may take longer, but not stop for so long.
+        """
+        if began_at is None:
+            async with curio.timeout_after(limits.idle_timeout_s):
+                return await self._reader.receive()
+        timeout_s = limits.header_timeout_s
+        if is_head:
+            timeout_s = max(0.0, began_at + timeout_s - time.monotonic())
+        try:
+            async with curio.timeout_after(timeout_s):
+                return await self._reader.receive()
+        except curio.TaskTimeout:
+            raise _BadRequestError(
+                408, ResultCode.REQUEST_TIMEOUT, "the request did not arrive in time"
+            ) from None
+
     def _check_stated_size(self, head, limits):
         """Refuse a request before its body, if that is too large or does not fit."""
         stated_bytes = _stated_body_bytes(head)
--- a/tests/entry/test_callers.py
+++ b/tests/entry/test_callers.py
@@ -181,6 +181,28 @@
         data = _exchange(frontend, REQUEST % b"one")
         self.assertEqual(1, data.count(b"HTTP/1.1"))
 
+    def test_a_head_that_never_ends_keeps_no_connection(self):
+        frontend = _Frontend(limits=CallerLimits(header_timeout_s=0.1))
+        request = REQUEST % b"one"
+        data = _exchange(frontend, request, *[b"x"] * 8, pause_s=0.03)
+        self.assertEqual(1, len(frontend.requests))
+        self.assertIn(b"HTTP/1.1 408", data)
+        data = _exchange(frontend, *[b"x"] * 8, pause_s=0.03)
+        self.assertTrue(data.startswith(b"HTTP/1.1 408"), data)
+        self.assertEqual([108, 108], frontend.refusals)
+
+    def test_a_body_may_take_longer_than_a_head_but_not_stop(self):
+        frontend = _Frontend(limits=CallerLimits(header_timeout_s=0.25))
+        head = (
+            b"POST / HTTP/1.1\r\nHost: h\r\nRequest-Id: one\r\n"
+            b"Content-Length: 12\r\n\r\n"
+        )
+        data = _exchange(frontend, head, *[b"x"] * 12, pause_s=0.03)
+        self.assertTrue(data.startswith(b"HTTP/1.1 200"), data)
+        data = _exchange(frontend, head, b"x", pause_s=0.02)
+        self.assertTrue(data.startswith(b"HTTP/1.1 408"), data)
+        self.assertEqual([108], frontend.refusals)
+
     def test_answers_of_a_leaving_entry_close_the_connection(self):
         data = _exchange(_Frontend(is_leaving=True), REQUEST % b"one", REQUEST % b"two")
         self.assertIn(b"connection: close", data.lower())
