Keep no more of a shard's part than the merged answer needs

What callers could see: an entry that runs out of memory while servers of several shards send long replies, and with it the end of the requests of all its clients. A reply in progress is bounded, but a complete one that waits for the other shards was counted nowhere, and merging made an object of each of its records.

Change: a part is shortened to the greatest records while it is read, each time 16 KiB have come. The bounds on received bytes are unchanged, so that replies without end are cut off as before.

Ruled out on the way: to count only the bytes that are kept.

--- a/almondtide/entry/connections.py
+++ b/almondtide/entry/connections.py
@@ -12,6 +12,7 @@
 from ..platform.headers import decode_reply, forwarded_request_headers
 from ..supervision import TASK_FAILURES, error_place
 from .answered_requests import AnsweredRequests
+from .reply_body import ReplyBody
 from .upstreams import Failure
 
 __all__ = ["ConnectionPool"]
@@ -179,7 +180,7 @@
             return not self.upstream.is_removed
         try:
             await self._send(exchange.request, exchange.remaining_s())
-            reply = await self._receive(exchange.request)
+            reply = await self._receive(exchange.request, exchange.record_limit)
         except (OSError, _ExchangeError, h11.RemoteProtocolError) as exc:
             if not self.is_proven and isinstance(exc, ConnectionResetError):
                 self.upstream.note_connection_reset(self.pool.now())
@@ -261,10 +262,10 @@
             stdlib_socket.IPPROTO_TCP, stdlib_socket.TCP_USER_TIMEOUT, timeout_ms
         )
 
-    async def _receive(self, request):
+    async def _receive(self, request, record_limit=None):
         self._reader.start_message()
         for _ in range(MAX_REPLIES_PER_REQUEST):
-            reply = await self._read_reply()
+            reply = await self._read_reply(record_limit)
             if reply.request_id == request.id:
                 return reply
             if reply.request_id is None:
@@ -298,7 +299,7 @@
     async def _next_event(self):
         return await self._reader.next_event(self._conn)
 
-    async def _read_reply(self):
+    async def _read_reply(self, record_limit):
         event = await self._next_event()
         for _ in range(MAX_INFORMATIONAL_RESPONSES):
             if type(event) is not h11.InformationalResponse:
@@ -306,12 +307,11 @@
             event = await self._next_event()
         if type(event) is not h11.Response:
             raise _ExchangeError("no reply")
-        body = await self._read_body()
+        body = await self._read_body(record_limit)
         return decode_reply(event.status_code, list(event.headers), body)
 
-    async def _read_body(self):
-        body = bytearray()
-        size = 0
+    async def _read_body(self, record_limit):
+        body = ReplyBody(record_limit)
         try:
             while True:
                 part = await self._next_event()
@@ -319,14 +319,14 @@
                     return bytes(body)
                 if type(part) is not h11.Data:
                     raise _ExchangeError("closed within a reply")
-                if size + len(part.data) > self.pool.max_reply_bytes:
+                size = len(part.data)
+                if body.received_bytes + size > self.pool.max_reply_bytes:
                     raise _ExchangeError("reply too large")
-                if not self.pool.reserve(len(part.data)):
+                if not self.pool.reserve(size):
                     raise _ExchangeError("replies too large together")
-                size += len(part.data)
-                body += part.data
+                body.add(part.data)
         finally:
-            self.pool.release(size)
+            self.pool.release(body.received_bytes)
 
     def _is_reusable(self, reply):
         conn = self._conn
@@ -351,14 +351,16 @@
 class ConnectionPool:
     """Connections to all servers, which are kept open while idle.
 
-    Exchanges have the attributes ``request``, ``upstream`` and ``is_at_most_once``, and
-    ``connection``, which is set here. ``on_connected()`` is called when a connection
-    was opened for them. ``is_wanted()`` is called before the request is written;
-    ``remaining_s()``, ``extra_headers()`` and ``on_write()`` follow if it returns true.
-    At the end one of the async methods ``on_reply(reply)``, ``on_skipped()`` and
-    ``on_failure(failure, reason, reply)`` is called, once. A closed exchange gets none
-    of these calls. ``max_idle_s`` is how long idle connections are kept, see
-    ``set_active``. ``memory_bounds`` is a ``MemoryBounds`` or None.
+    Exchanges have the attributes ``request``, ``upstream``, ``is_at_most_once`` and
+    ``record_limit`` (how many records of a reply are needed, None for its whole body),
+    and ``connection``, which is set here. ``on_connected()`` is called when a
+    connection was opened for them. ``is_wanted()`` is called before the request is
+    written; ``remaining_s()``, ``extra_headers()`` and ``on_write()`` follow if it
+    returns true. At the end one of the async methods ``on_reply(reply)``,
+    ``on_skipped()`` and ``on_failure(failure, reason, reply)`` is called, once. A
+    closed exchange gets none of these calls. ``max_idle_s`` is how long idle
+    connections are kept, see ``set_active``. ``memory_bounds`` is a ``MemoryBounds`` or
+    None.
     """
 
     __slots__ = (
@@ -383,7 +385,7 @@
         # Sends that a connection could not carry, as it had replied to the request.
         self.diverted_count = 0
         self.memory_bounds = None
-        # Bytes of replies that are not complete yet.
+        # Received bytes of the bodies of replies that are not complete yet.
         self.buffered_bytes = 0
 
     def reserve(self, size):
--- a/almondtide/entry/dispatch.py
+++ b/almondtide/entry/dispatch.py
@@ -102,6 +102,11 @@
     def is_at_most_once(self):
         return not self.branch.call.route.is_idempotent
 
+    @property
+    def record_limit(self):
+        call = self.branch.call
+        return call.route.top_records if call.is_merged else None
+
     def remaining_s(self):
         if self.is_finished:
             return 0.0
--- a/almondtide/entry/relay.py
+++ b/almondtide/entry/relay.py
@@ -123,6 +123,9 @@
         "upstream",
     )
 
+    # The peer has merged its answer.
+    record_limit = None
+
     def __init__(self, call, upstream, now):
         self._call = call
         self._now = now
--- a/tests/entry/test_connections.py
+++ b/tests/entry/test_connections.py
@@ -102,6 +102,7 @@
         headers = [(b"host", b"h"), (b"request-id", request_id.encode())]
         self.request = Request(method, "/p/x?y=1", "h", request_id, 1, headers, body)
         self.is_at_most_once = is_at_most_once
+        self.record_limit = None
         self.wanted = wanted
         self.written = 0
         self.result = None
