Keep the signature of the method that receives a reply

The partitioned entries of the soak replace Connection._receive. The product was not affected: only the soak and its tests replace the method.

Change: the connection notes how many records its exchange needs.

--- a/almondtide/entry/connections.py
+++ b/almondtide/entry/connections.py
@@ -58,6 +58,7 @@
         "_conn",
         "_is_written",
         "_reader",
+        "_record_limit",
         "_sock",
         "_user_timeout_ms",
         "_wake",
@@ -86,6 +87,8 @@
         self._conn = None
         self._sock = None
         self._reader = None
+        # How many records of a reply are needed, None for its whole body.
+        self._record_limit = None
         self._user_timeout_ms = 0
         self._wake = curio.Event()
         # The task that writes the rest of a request, or None, and whether the last
@@ -179,8 +182,9 @@
             self._start_idle(self.pool.max_idle_s)
             return not self.upstream.is_removed
         try:
+            self._record_limit = exchange.record_limit
             await self._send(exchange.request, exchange.remaining_s())
-            reply = await self._receive(exchange.request, exchange.record_limit)
+            reply = await self._receive(exchange.request)
         except (OSError, _ExchangeError, h11.RemoteProtocolError) as exc:
             if not self.is_proven and isinstance(exc, ConnectionResetError):
                 self.upstream.note_connection_reset(self.pool.now())
@@ -262,10 +266,10 @@
             stdlib_socket.IPPROTO_TCP, stdlib_socket.TCP_USER_TIMEOUT, timeout_ms
         )
 
-    async def _receive(self, request, record_limit=None):
+    async def _receive(self, request):
         self._reader.start_message()
         for _ in range(MAX_REPLIES_PER_REQUEST):
-            reply = await self._read_reply(record_limit)
+            reply = await self._read_reply()
             if reply.request_id == request.id:
                 return reply
             if reply.request_id is None:
@@ -299,7 +303,7 @@
     async def _next_event(self):
         return await self._reader.next_event(self._conn)
 
-    async def _read_reply(self, record_limit):
+    async def _read_reply(self):
         event = await self._next_event()
         for _ in range(MAX_INFORMATIONAL_RESPONSES):
             if type(event) is not h11.InformationalResponse:
@@ -307,11 +311,11 @@
             event = await self._next_event()
         if type(event) is not h11.Response:
             raise _ExchangeError("no reply")
-        body = await self._read_body(record_limit)
+        body = await self._read_body()
         return decode_reply(event.status_code, list(event.headers), body)
 
-    async def _read_body(self, record_limit):
-        body = ReplyBody(record_limit)
+    async def _read_body(self):
+        body = ReplyBody(self._record_limit)
         try:
             while True:
                 part = await self._next_event()
