Count a lost peer as all servers that the route still allowed

Callers: a request that may be repeated, handed to a peer which was lost while it ran it, was handed to another peer as if one server had run it. With max_attempts 2 it could reach three servers or more (BUDGET). Cause: the count of runs across the hop was the number of peers, not of servers; only the peer knows how many it used. Change: policy/relaying.py counts all that the peer was allowed.

--- a/almondtide/entry/calls.py
+++ b/almondtide/entry/calls.py
@@ -176,8 +176,8 @@
             branch.possible_run_count = request.relay_mark or 0
         # The exchange with the peer that runs it in place of this entry, or None.
         self.relay = None
-        # Names of the peers that it was handed to, and how many of them may have run it
-        # without an answer.
+        # Names of the peers that it was handed to, and how many servers may have run it
+        # for those that gave no answer.
         self.relay_names = []
         self.relay_run_count = 0
         # Digest that is equal for a resent request; None until it is first needed.
--- a/almondtide/entry/dispatch.py
+++ b/almondtide/entry/dispatch.py
@@ -17,7 +17,7 @@
     retry_after_s,
 )
 from .policy.branch_queue import BranchQueue
-from .policy.relaying import RelayDecision, decide_relay
+from .policy.relaying import RelayDecision, decide_relay, lost_peer_run_count
 from .policy.retries import RetryDecision, decide_retry, may_hedge, may_send_again
 from .policy.retry_budget import RetryBudget
 from .policy.route_latency import RouteLatency
@@ -574,7 +574,10 @@
             if decision is RelayDecision.LOST:
                 if not exchange.has_ended:
                     await self._pool.close(exchange.connection)
-                call.relay_run_count += exchange.is_written
+                if exchange.is_written:
+                    call.relay_run_count += lost_peer_run_count(
+                        call.route.max_servers, call.run_count
+                    )
                 self._relay_peers.note_failure(name, self.now())
                 self._log_relay(call, exchange, exchange.reason or "no answer")
                 continue
--- a/almondtide/entry/policy/relaying.py
+++ b/almondtide/entry/policy/relaying.py
@@ -7,7 +7,7 @@
 
 import enum
 
-__all__ = ["RelayDecision", "decide_relay"]
+__all__ = ["RelayDecision", "decide_relay", "lost_peer_run_count"]
 
 UNAVAILABLE_STATUS = 503
 
@@ -43,3 +43,15 @@
     if status != UNAVAILABLE_STATUS:
         return RelayDecision.TRY_ANOTHER
     return RelayDecision.PASS_ON if has_refusal else RelayDecision.KEEP_REFUSAL
+
+
+def lost_peer_run_count(max_servers, run_count):
+    """Return how many servers may have run a request for a peer that gave no answer.
+
+    The peer was told of the ``run_count`` servers before it, and may have used all that
+    the route allows beside them.
+
+    >>> lost_peer_run_count(3, 1), lost_peer_run_count(2, 2)
+    (2, 1)
+    """
+    return max(1, max_servers - run_count)
