Count error replies that wait while their requests are sent again

Cause: bytes were counted until a reply was complete; an error reply of a single service is kept after that. Change: entry/error_replies.py keeps them within the bound of incomplete replies. One that does not fit is dropped and logged, and its caller gets 502 or 504 if no other server answers; one that is final is passed on at once in any case. ModelPool and the pool of the dispatcher's tests have the new methods.

--- a/almondtide/entry/calls.py
+++ b/almondtide/entry/calls.py
@@ -21,6 +21,7 @@
     __slots__ = (
         "call",
         "ended_at",
+        "error_reply_bytes",
         "failures",
         "is_late",
         "is_probe",
@@ -54,6 +55,8 @@
         self.reply = None
         # The newest error response that a server sent after it ran the request.
         self.last_error_reply = None
+        # Bytes that are counted for it while the request is sent again.
+        self.error_reply_bytes = 0
         # Why its exchanges and the branch itself failed, as texts for the log.
         self.failures = []
         # When its reply arrived, or None.
--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -724,9 +724,13 @@
                 self.reader.read_count,
             ),
             "reply_bytes": (
-                "Bytes of replies that are not complete.",
+                "Bytes of replies that are not complete, or kept for a while.",
                 self.pool.buffered_bytes,
             ),
+            "error_replies_dropped": (
+                "Error replies not kept while their requests were sent again.",
+                self.dispatcher.error_replies.counts["dropped"],
+            ),
             "connections_opened": ("Connections to servers.", self.pool.opened_count),
             "messages_slowed": (
                 "Messages in small parts that were read slowly.",
--- a/almondtide/entry/dispatch.py
+++ b/almondtide/entry/dispatch.py
@@ -8,6 +8,7 @@
 from ..errors import ResultCode
 from .answers import build_answer, error_answer, relayed_answer
 from .calls import BranchState
+from .error_replies import ErrorReplies
 from .feed import LEAVING_MARGIN_S
 from .links import LinkMonitor
 from .policy.admission import (
@@ -201,6 +202,7 @@
         "budget_share",
         "counts",
         "ends_at",
+        "error_replies",
         "links",
         "now",
         "settings",
@@ -216,6 +218,7 @@
         self._report_losses = None
         self._relay_peers = None
         self._running_calls = set()
+        self.error_replies = ErrorReplies(pool, log)
         self.links = LinkMonitor(now())
         self.settings = settings
         self._log = log
@@ -310,6 +313,7 @@
             answer = await self._run(call)
         finally:
             self._running_calls.discard(call)
+            self.error_replies.release(call)
         earlier_run_count = call.request.relay_mark or 0
         answer.is_not_run = answer.is_own and call.run_count <= earlier_run_count
         return answer
@@ -1194,9 +1198,10 @@
         await self._record_crash_evidence(exchange, failure)
         if failure.is_certainly_not_run:
             branch.possible_run_count -= exchange.is_written
-        elif failure is Failure.ERROR and not 200 <= reply.status < 300:
-            branch.last_error_reply = reply
         decision = decide_retry(branch, now)
+        if failure is Failure.ERROR and not 200 <= reply.status < 300:
+            is_final = decision is RetryDecision.GIVE_UP
+            self.error_replies.keep(exchange, reply, is_final)
         if failure is Failure.BROKEN and self._crash_detector.is_on_trial(branch.call):
             decision = RetryDecision.GIVE_UP
         if decision is RetryDecision.RETRY:
--- a/standins/server_model.py
+++ b/standins/server_model.py
@@ -241,6 +241,13 @@
         self.written_count = 0
         self.crossing_count = 0
 
+    def reserve(self, size):
+        """Count bytes of a reply that is kept; the model has room for all."""
+        return True
+
+    def release(self, size):
+        """Stop counting bytes of a reply."""
+
     async def send(self, exchange):
         """Start an exchange; its task stands for the connection."""
         exchange.connection = await curio.spawn(self._run, exchange, daemon=True)
--- a/tests/entry/test_dispatch.py
+++ b/tests/entry/test_dispatch.py
@@ -1,5 +1,6 @@
 """Tests of the dispatcher against simulated servers in memory."""
 
+import math
 import time
 
 import curio
@@ -50,6 +51,17 @@
         self.checked = []
         # Ids of servers that accept no connections.
         self.ended = set()
+        self.buffered_bytes = 0
+        self.bound_bytes = math.inf
+
+    def reserve(self, size):
+        if self.buffered_bytes + size > self.bound_bytes:
+            return False
+        self.buffered_bytes += size
+        return True
+
+    def release(self, size):
+        self.buffered_bytes -= size
 
     async def send(self, exchange):
         self.sent.append(exchange)
