Refuse long replies whose parts are small but not tiny

Cause: only parts below 64 bytes on average were judged. Change: a server's reply gets at most 4,096 excess steps, 0.05 s of processor time, whatever the size of its parts; then it is broken, and another server is asked if the route allows. Bodies of callers and the store's pages have no such bound: they end, and may be long. Before: chunks of 128 bytes were still read after 3 s. After: chunks of 65, 128 and 256 bytes are refused within 3 s, and a sound reply of 256 KiB in chunks of 100 bytes is read as before.

--- a/almondtide/adapters/event_reader.py
+++ b/almondtide/adapters/event_reader.py
@@ -1,5 +1,6 @@
 """Reads the events of a parser within the bounds of ``framing``."""
 
+import math
 import time
 
 import curio
@@ -22,12 +23,13 @@
 class EventReader:
     """Reads messages from a socket, and gives other tasks a turn in between.
 
-    ``min_part_bytes`` is the least mean size of the parts of a long message. The
-    methods raise ``FramingError`` for one in smaller parts or with too many fields.
+    ``min_part_bytes`` and ``max_excess_steps`` are those of ``MessageWork``. The
+    methods raise ``FramingError`` for a message beyond them or with too many fields.
     """
 
     __slots__ = (
         "_budget",
+        "_max_excess_steps",
         "_min_part_bytes",
         "_sock",
         "_turn_bytes",
@@ -35,9 +37,12 @@
         "is_at_eof",
     )
 
-    def __init__(self, sock, min_part_bytes, budget=WORK_BUDGET):
+    def __init__(
+        self, sock, min_part_bytes, budget=WORK_BUDGET, max_excess_steps=math.inf
+    ):
         self._sock = sock
         self._min_part_bytes = min_part_bytes
+        self._max_excess_steps = max_excess_steps
         self._budget = budget
         self.start_message()
         # Bytes that were read since other tasks last had a turn.
@@ -47,7 +52,9 @@
 
     def start_message(self):
         """Count the work for the next message from 0."""
-        self._work = MessageWork(self._budget, self._min_part_bytes)
+        self._work = MessageWork(
+            self._budget, self._min_part_bytes, self._max_excess_steps
+        )
 
     async def receive(self):
         """Return the next bytes of the socket, none at its end."""
--- a/almondtide/entry/connections.py
+++ b/almondtide/entry/connections.py
@@ -8,7 +8,7 @@
 
 from ..adapters.event_reader import EventReader
 from ..errors import FramingError
-from ..framing import MIN_REPLY_PART_BYTES
+from ..framing import MAX_REPLY_EXCESS_STEPS, MIN_REPLY_PART_BYTES
 from ..platform.headers import decode_reply, forwarded_request_headers
 from ..supervision import TASK_FAILURES, error_place
 from .answered_requests import AnsweredRequests
@@ -132,7 +132,9 @@
     async def _connect(self):
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sock = sock
-        self._reader = EventReader(sock, MIN_REPLY_PART_BYTES)
+        self._reader = EventReader(
+            sock, MIN_REPLY_PART_BYTES, max_excess_steps=MAX_REPLY_EXCESS_STEPS
+        )
         sock.setsockopt(stdlib_socket.IPPROTO_TCP, stdlib_socket.TCP_NODELAY, 1)
         self._set_user_timeout(TCP_USER_TIMEOUT_MS)
         try:
--- a/almondtide/framing.py
+++ b/almondtide/framing.py
@@ -6,11 +6,14 @@
 memory. Work is counted in steps. A step is one event of the parser or one read.
 """
 
+import math
+
 from .errors import FramingError
 
 __all__ = [
     "MAX_EXCESS_STEPS",
     "MAX_FIELDS",
+    "MAX_REPLY_EXCESS_STEPS",
     "MIN_REPLY_PART_BYTES",
     "MIN_REQUEST_PART_BYTES",
     "WORK_BUDGET",
@@ -33,6 +36,9 @@
 # requests are much shorter than replies may be, so callers may send smaller parts.
 MIN_REPLY_PART_BYTES = 64
 MIN_REQUEST_PART_BYTES = 16
+# Most excess steps of a server's reply whatever the size of its parts. It leaves room
+# for a reply of 2 MB in parts of 256 bytes.
+MAX_REPLY_EXCESS_STEPS = 4096
 # Most fields of a head or of trailers. A field takes about 300 bytes, however short.
 MAX_FIELDS = 256
 # Processor time of a step in s, and the part of the process's share of a core that
@@ -87,7 +93,8 @@
     """The steps made to read one message.
 
     ``budget`` is a ``WorkBudget``. ``min_part_bytes`` is the least mean size of the
-    parts of a long message.
+    parts of a long message, and ``max_excess_steps`` bounds the excess of one with
+    larger parts.
 
     >>> work = MessageWork(WorkBudget(), MIN_REPLY_PART_BYTES)
     >>> any(work.note_step(4096) for _ in range(TURN_STEPS - 1))
@@ -101,15 +108,17 @@
         "_budget",
         "_check_at",
         "_excess",
+        "_max_excess_steps",
         "_min_part_bytes",
         "_started_at",
         "_steps",
         "is_slowed",
     )
 
-    def __init__(self, budget, min_part_bytes):
+    def __init__(self, budget, min_part_bytes, max_excess_steps=math.inf):
         self._budget = budget
         self._min_part_bytes = min_part_bytes
+        self._max_excess_steps = max_excess_steps
         self._steps = 0
         self._body_bytes = 0
         self._check_at = TURN_STEPS
@@ -140,7 +149,10 @@
         limit = MAX_EXCESS_STEPS
         if self._budget.is_used_up(now):
             limit = MAX_EXCESS_STEPS_UNDER_LOAD
-        if excess > limit and self._body_bytes < self._steps * self._min_part_bytes:
+        is_in_small_parts = self._body_bytes < self._steps * self._min_part_bytes
+        if not is_in_small_parts:
+            limit = self._max_excess_steps
+        if excess > limit:
             self._budget.counts["refused"] += 1
             raise FramingError(
                 f"{self._body_bytes} bytes of a body in {self._steps} parts"
--- a/tests/entry/test_endless_replies.py
+++ b/tests/entry/test_endless_replies.py
@@ -127,6 +127,36 @@
             gaps = [after - at for at, after in itertools.pairwise(ticks)]
             self.assertTrue(max(gaps) < 0.25, (name, max(gaps)))
 
+    def test_a_stream_of_parts_that_are_not_tiny_ends_soon(self):
+        # Each is slowed down, and would be read until the request's deadline.
+        for size in (65, 128, 256):
+            block = ((b"%x\r\n" % size) + b"x" * size + b"\r\n") * (BLOCK // size)
+            result, _, is_closed, _ = _read_endless(CHUNKED, block, timeout_s=3.0)
+            self.assertIs(Failure.BROKEN, result, size)
+            self.assertTrue(is_closed, size)
+
+    def test_a_reply_in_parts_that_are_not_tiny_is_read(self):
+        # As a sound server that flushes each record of a long reply would send it.
+        body = b"x" * (256 << 10)
+        parts = b"".join(
+            b"64\r\n" + body[at : at + 100] + b"\r\n" for at in range(0, 262_100, 100)
+        )
+        reply = CHUNKED + parts + b"2c\r\n" + body[:44] + b"\r\n0\r\n\r\n"
+        server = _EndlessServer(reply, b"")
+        server.sent_bytes = MAX_SENT_BYTES
+
+        async def scenario():
+            pool = ConnectionPool(time.monotonic, MemoryLog())
+            exchange = _Exchange(Upstream(make_server("i-1", port=server.port)))
+            await pool.send(exchange)
+            await exchange.done.wait()
+            return exchange.result
+
+        try:
+            self.assertEqual(body, run(scenario).body)
+        finally:
+            server.close()
+
     def test_many_endless_replies_share_a_bound(self):
         head, block = STREAMS["body to the end of the connection"]
         server = _EndlessServer(head, block)
