--- a/almondtide/entry/codec.py
+++ b/almondtide/entry/codec.py
@@ -153,7 +153,7 @@
 
 
 class EvacuationUpdate:
-    """An update that tells of evacuations.
+    """An update that states evacuations.
 
     ``notices`` is a list of ``EvacuationNotice``. ``records`` and ``configuration``
     are those of any update, see ``decode_message``.
@@ -576,7 +576,7 @@
 def decode_message(raw, now, on_invalid=None):
     """Return a message of a peer, or (records, configuration) of an update.
 
-    An update that tells of evacuations is an ``EvacuationUpdate``.
+    An update that states evacuations is an ``EvacuationUpdate``.
     Records are tuples of key, position, ``Server`` or None, and the time in s for
     which a leaving server may still be used. The configuration is None or a pair of
     position and document. ``on_invalid(key, reason)`` is called for a record that
--- a/almondtide/entry/freshness.py
+++ b/almondtide/entry/freshness.py
@@ -2,7 +2,7 @@
 
 Daemons tell each other the age of what they know. An age that is passed on leaves out
 the time in which the message waited, so that ages that go round become too small, the
-more so if a process stands still in between; then nobody reads the store in time. So
+more so if a process is paused in between; then nobody reads the store in time. So
 each age names the read that proves it, and of several statements on one read the
 earliest time counts.
 """
--- a/almondtide/entry/frontend.py
+++ b/almondtide/entry/frontend.py
@@ -246,7 +246,7 @@
             ),
             MetricFamily("histogram", "answer_seconds", "Time to answer.", latencies),
             MetricFamily(
-                "gauge", "running", "Requests under way.", {(): self.running_requests}
+                "gauge", "running", "Requests in progress.", {(): self.running_requests}
             ),
             MetricFamily(
                 "gauge", "connections", "Connections of callers.", connections
--- a/almondtide/metrics.py
+++ b/almondtide/metrics.py
@@ -31,9 +31,9 @@
 GAUGES = {
     "configuration_revision": "Revision of the configuration in force.",
     "connections": "Open connections, by listener.",
-    "running": "Requests of callers under way.",
+    "running": "Requests of callers in progress.",
     "queue_length": "Sub-requests waiting for a slot, by service.",
-    "in_flight": "Exchanges under way, by service.",
+    "in_flight": "Exchanges in progress, by service.",
     "upstream_connections": "Connections to upstreams, by service.",
     "services_owned": "Services that this daemon owns.",
     "peer_links": "Open links to peers.",
--- a/bench/rollout.py
+++ b/bench/rollout.py
@@ -86,7 +86,7 @@
 
 @patterns.register("paused-readers")
 async def _play_paused_readers(fleet):
-    """All entries of the first ranks stand still, one after the other."""
+    """All entries of the first ranks are paused, one after the other."""
     await curio.spawn(_publish_in_series, fleet, daemon=True)
     paused = _by_rank(fleet)[:4]
     for entry in paused:
--- a/standins/gossip_fleet.py
+++ b/standins/gossip_fleet.py
@@ -530,7 +530,7 @@
 
     @property
     def is_paused(self):
-        """Whether the process stands still."""
+        """Whether the process is paused."""
         return self.fleet.now < self.paused_until
 
     async def start(self):
@@ -650,7 +650,7 @@
         self.acknowledged[version] = self.now
 
     def pause(self, entry, for_s):
-        """Let the process of an entry stand still."""
+        """Pause the process of an entry."""
         entry.paused_until = max(entry.paused_until, self.now + for_s)
 
     async def send(self, raw, source, destination):
--- a/tests/adapters/test_websocket.py
+++ b/tests/adapters/test_websocket.py
@@ -49,7 +49,7 @@
 
 
 class HandshakeTest(testtools.TestCase):
-    """Checks the peer listener with clients that do not speak its protocol."""
+    """Checks the peer listener with clients that do not follow its protocol."""
 
     def ask(self, data, half_close):
         async def main():
--- a/tests/entry/test_directory.py
+++ b/tests/entry/test_directory.py
@@ -33,7 +33,7 @@
         self.log = MemoryLog()
         self.directory = Directory(SETTINGS, self.view, lambda: self.now, self.log)
         self.ended = set()
-        self.beat(0.0)
+        self.send_heartbeats(0.0)
 
     def member(self, number, is_active=False, heard_at=0.0):
         return Member(
@@ -48,7 +48,7 @@
             heard_at,
         )
 
-    def beat(self, now):
+    def send_heartbeats(self, now):
         """Take a heartbeat of each member that runs."""
         self.now = now
         for number in range(1, self.count):
@@ -72,14 +72,14 @@
         # active entries of nadi, 7 is next in rank.
         fleet = _Fleet()
         for second in range(1, 20):
-            fleet.beat(float(second))
+            fleet.send_heartbeats(float(second))
         self.assertEqual([1, 4], fleet.named())
         fleet.ended.add(7)
         for second in range(20, 25):
-            fleet.beat(float(second))
+            fleet.send_heartbeats(float(second))
         fleet.ended.update((1, 4))
         for second in range(25, 40):
-            fleet.beat(float(second))
+            fleet.send_heartbeats(float(second))
             for number in fleet.named():
                 ended_at = {7: 19.0, 1: 24.0, 4: 24.0}.get(number)
                 if ended_at is not None:
@@ -90,7 +90,7 @@
         self.assertEqual([10, 13], fleet.named())
         # An entry that started again is named.
         fleet.ended.discard(7)
-        fleet.beat(40.0)
+        fleet.send_heartbeats(40.0)
         self.assertEqual([7, 10], fleet.named())
 
     def _domain_without_active_entries(self, heard_at):
@@ -100,7 +100,7 @@
         for number in fleet.ended - {1, 4}:
             fleet.view.update(fleet.member(number, heard_at=heard_at))
         for second in range(1, 25):
-            fleet.beat(float(second))
+            fleet.send_heartbeats(float(second))
         return fleet
 
     def test_entries_of_other_domains_come_before_silent_ones(self):
--- a/tests/entry/test_version_lag.py
+++ b/tests/entry/test_version_lag.py
@@ -9,7 +9,7 @@
 
 
 class VersionLagTest(testtools.TestCase):
-    """Guards against old versions in use that no log line tells of."""
+    """Guards against old versions in use that no log line states."""
 
     def setUp(self):
         super().setUp()
