Split exchanges and the hand-over to peers from the dispatcher

Cause: dispatch.py had 1,212 lines, and two of its parts need little of the rest: what the pool of connections is given, and how a peer runs a call for an entry without links. Change: entry/exchanges.py and entry/hand_over.py; dispatch.py has 1,032 lines. No behaviour changes; methods of exchanges have docstrings.

--- a/almondtide/entry/dispatch.py
+++ b/almondtide/entry/dispatch.py
@@ -6,10 +6,12 @@
 import curio
 
 from ..errors import ResultCode
-from .answers import build_answer, error_answer, relayed_answer
+from .answers import build_answer, error_answer
 from .calls import BranchState
 from .error_replies import ErrorReplies
+from .exchanges import Exchange, ReachabilityCheck
 from .feed import LEAVING_MARGIN_S
+from .hand_over import HandOver
 from .links import LinkMonitor
 from .policy.admission import (
     ServiceState,
@@ -18,14 +20,13 @@
     retry_after_s,
 )
 from .policy.branch_queue import BranchQueue
-from .policy.relaying import RelayDecision, decide_relay, lost_peer_run_count
 from .policy.retries import RetryDecision, decide_retry, may_hedge, may_send_again
 from .policy.retry_budget import RetryBudget
 from .policy.route_latency import RouteLatency
 from .policy.shedding import CostQueue, Shedding, can_reach_coverage
 from .policy.stopping import can_finish
 from .regions import allowed_domains, share_domains, union_domains
-from .relay import RelayExchange, may_relay
+from .relay import may_relay
 from .upstreams import DEPTH_OBJECTIVE_FRACTION, Failure
 
 __all__ = ["Dispatcher"]
@@ -41,8 +42,6 @@
 ANSWER_MARGIN_S = 0.006
 # Largest margin as a fraction of the objective.
 MAX_ANSWER_MARGIN_FRACTION = 0.25
-# How often it is checked that a peer which runs a call is still alive, in s.
-PEER_CHECK_INTERVAL_S = 0.25
 # How long a written exchange may go on after its call was answered, in s. If its reply
 # arrives in this time, the connection can be used again. Exchanges of a call that was
 # abandoned or has expired are closed immediately.
@@ -62,119 +61,6 @@
 MAX_QUEUE_FRACTION = 0.8
 
 
-class _Exchange:
-    """One request of a branch to one server, and the reply to it.
-
-    ``kind`` is "first", "retry", "hedge" or "copy", see ``SEND_COUNTS``. ``is_extra``
-    tells whether it took an extra send from the retry budget.
-    """
-
-    __slots__ = (
-        "_dispatcher",
-        "branch",
-        "connection",
-        "is_extra",
-        "is_finished",
-        "is_written",
-        "kind",
-        "started_at",
-        "upstream",
-        "warmup_limit",
-    )
-
-    def __init__(self, dispatcher, branch, upstream, kind, is_extra):
-        self._dispatcher = dispatcher
-        self.branch = branch
-        self.upstream = upstream
-        self.kind = kind
-        self.is_extra = is_extra
-        self.connection = None
-        self.is_finished = False
-        self.is_written = False
-        # When it was assigned, and the ``warmup_limit`` against which it was counted.
-        self.started_at = dispatcher.now()
-        self.warmup_limit = upstream.warmup_limit
-
-    @property
-    def request(self):
-        return self.branch.call.request
-
-    @property
-    def is_at_most_once(self):
-        return not self.branch.call.route.is_idempotent
-
-    @property
-    def record_limit(self):
-        call = self.branch.call
-        return call.route.top_records if call.is_merged else None
-
-    def remaining_s(self):
-        if self.is_finished:
-            return 0.0
-        return self.branch.call.expires_at - self._dispatcher.now()
-
-    def is_wanted(self):
-        branch = self.branch
-        now = self._dispatcher.now()
-        domains = self._dispatcher.allowed_domains(branch.call.route)
-        return (
-            not self.is_finished
-            and branch.state is BranchState.OPEN
-            and may_send_again(branch, now)
-            and self.upstream.accepts_requests(now)
-            and (domains is None or self.upstream.server.domain in domains)
-            and self._dispatcher.may_write(self, now)
-        )
-
-    def extra_headers(self):
-        return []
-
-    def on_connected(self):
-        self._dispatcher.on_connected(self.upstream)
-
-    def on_write(self):
-        self.is_written = True
-        self.branch.write_count += 1
-        self.branch.possible_run_count += 1
-        for limit in (self.upstream.rate_limit, self.upstream.warmup_limit):
-            if limit is not None:
-                limit.count_send(self.kind)
-
-    async def on_reply(self, reply):
-        await self._dispatcher.on_reply(self, reply)
-
-    async def on_failure(self, failure, reason, reply):
-        await self._dispatcher.on_failure(self, failure, reason, reply)
-
-    async def on_skipped(self):
-        await self._dispatcher.on_skipped(self)
-
-
-class _ReachabilityCheck:
-    """Opens a connection without a request, to see whether a server accepts it."""
-
-    __slots__ = ("_dispatcher", "connection", "upstream")
-
-    is_at_most_once = False
-
-    def __init__(self, dispatcher, upstream):
-        self._dispatcher = dispatcher
-        self.upstream = upstream
-        self.connection = None
-
-    def is_wanted(self):
-        return False
-
-    def on_connected(self):
-        self._dispatcher.on_connected(self.upstream)
-
-    async def on_skipped(self):
-        await self._dispatcher.on_checked(self.upstream, None)
-
-    async def on_failure(self, failure, reason, reply):
-        await self._dispatcher.on_checked(self.upstream, failure)
-
-
 class Dispatcher:
     """Runs the calls of one entry.
 
@@ -186,9 +72,9 @@
 
     __slots__ = (
         "_crash_detector",
+        "_hand_over",
         "_log",
         "_pool",
-        "_relay_peers",
         "_report_end",
         "_report_limit_end",
         "_report_losses",
@@ -216,7 +102,7 @@
         self._report_end = None
         self._report_limit_end = None
         self._report_losses = None
-        self._relay_peers = None
+        self._hand_over = None
         self._running_calls = set()
         self.error_replies = ErrorReplies(pool, log)
         self.links = LinkMonitor(now())
@@ -261,7 +147,14 @@
     def set_links(self, links, relay_peers):
         """Set the ``LinkMonitor``, and the ``RelayPeers`` for calls without links."""
         self.links = links
-        self._relay_peers = relay_peers
+        self._hand_over = HandOver(
+            relay_peers,
+            self._pool,
+            self.counts,
+            self.allowed_domains,
+            self.now,
+            self._log,
+        )
 
     def set_loss_reporter(self, report):
         """Set the async function that reports lost servers to other daemons.
@@ -344,8 +237,8 @@
             return error_answer(
                 503, ResultCode.QUARANTINED, "the request crashes servers", refused_s
             )
-        if self.links.is_failing and may_relay(call):
-            answer = await self._relay(call)
+        if self.links.is_failing and self._hand_over is not None:
+            answer = await self._hand_over.run(call)
             if answer is not None:
                 return answer
             now = self.now()
@@ -388,7 +281,7 @@
         await self._wait(call)
         if self._is_cut_off(call):
             await self._finish(call, is_late=True)
-            answer = await self._relay(call)
+            answer = await self._hand_over.run(call)
             if answer is not None:
                 return answer
         is_late = self.now() >= call.expires_at
@@ -538,89 +431,16 @@
             and self.links.is_silent(self.now())
             and call.answered_count < call.needed_count
             and may_relay(call)
-            and self._relay_peers is not None
-            and self._choose_peer(call, ()) is not None
+            and self._hand_over is not None
+            and self._hand_over.choose_peer(call) is not None
         )
 
-    def _choose_peer(self, call, tried_names):
-        """Return the ``Upstream`` of a peer that may run a call, or None."""
-        domains = self.allowed_domains(call.route)
-        return self._relay_peers.choose(tried_names, self.now(), domains)
-
     async def hand_over_calls(self):
         """Hand the calls that wait for silent servers to peers, if links are lost."""
         for call in list(self._running_calls):
             if self._is_cut_off(call):
                 await call.changed.set()
 
-    async def _relay(self, call):
-        """Let a peer run a call; return its ``Answer``, or None if none can."""
-        tried_names = set()
-        refusal = None
-        while self._relay_peers is not None and may_relay(call):
-            upstream = self._choose_peer(call, tried_names)
-            if upstream is None or self.now() >= call.expires_at:
-                break
-            name = upstream.server.id
-            tried_names.add(name)
-            call.relay_names.append(name)
-            self.counts["relayed"] += 1
-            exchange = call.relay = RelayExchange(call, upstream, self.now)
-            await self._pool.send(exchange)
-            await self._wait_for_peer(call, exchange)
-            call.relay = None
-            reply, is_not_run = exchange.reply, exchange.is_not_run
-            decision = decide_relay(
-                None if reply is None else reply.status, is_not_run, refusal is not None
-            )
-            if decision is RelayDecision.PASS_ON:
-                return relayed_answer(call, reply, is_not_run)
-            if decision is RelayDecision.LOST:
-                if not exchange.has_ended:
-                    await self._pool.close(exchange.connection)
-                if exchange.is_written:
-                    call.relay_run_count += lost_peer_run_count(
-                        call.route.max_servers, call.run_count
-                    )
-                self._relay_peers.note_failure(name, self.now())
-                self._log_relay(call, exchange, exchange.reason or "no answer")
-                continue
-            self.counts["relay_refused"] += 1
-            self._log_relay(call, exchange, f"not run, status {reply.status}")
-            if decision is RelayDecision.KEEP_REFUSAL:
-                # Requests of several entries may meet at this peer.
-                refusal = reply
-        if refusal is not None and not call.relay_run_count:
-            return relayed_answer(call, refusal, True)
-        if call.relay_run_count:
-            is_late = self.now() >= call.expires_at
-            return error_answer(
-                504 if is_late else 502, ResultCode.PEER_LOST, "the peer did not answer"
-            )
-        return None
-
-    def _log_relay(self, call, exchange, reason):
-        """Log that a peer did not run a call."""
-        self._log.info(
-            "relay_failed",
-            id=call.request.id,
-            peer=exchange.upstream.server.id,
-            written=exchange.is_written,
-            reason=reason,
-        )
-
-    async def _wait_for_peer(self, call, exchange):
-        """Wait until a peer has answered, has failed, or the call has ended."""
-        name = exchange.upstream.server.id
-        while not exchange.has_ended and not call.is_abandoned:
-            now = self.now()
-            remaining_s = call.expires_at - now
-            if remaining_s <= 0 or not self._relay_peers.is_alive(name, now):
-                return
-            call.changed.clear()
-            async with curio.ignore_after(min(remaining_s, PEER_CHECK_INTERVAL_S)):
-                await call.changed.wait()
-
     async def _finish(self, call, is_late):
         """Fail open branches and close their exchanges, now or after a delay."""
         now = self.now()
@@ -737,7 +557,7 @@
         return self.retry_budget(branch.service).try_spend(now, reserved_fraction)
 
     async def _start_exchange(self, branch, upstream, kind, is_extra, now):
-        exchange = _Exchange(self, branch, upstream, kind, is_extra)
+        exchange = Exchange(self, branch, upstream, kind, is_extra)
         branch.tried_ids.add(upstream.server.id)
         branch.open_exchanges.append(exchange)
         branch.sends.append((kind, upstream.server.id, now))
@@ -993,7 +813,7 @@
                 and upstream.accepts_requests(now)
                 and self._table.may_connect(upstream, now)
             ):
-                await self._pool.connect(_ReachabilityCheck(self, upstream))
+                await self._pool.connect(ReachabilityCheck(self, upstream))
         elif failure is Failure.NO_LISTENER:
             await self._record_server_end(server_id)
 
