Keep the connection to a peer that has answered when the caller leaves

Callers: a request that an entry without links had handed to a peer could wait until its deadline without an answer, if the caller of the request before it on that connection left in the very turn in which the peer's answer arrived. Cause: abandon() closed the connection of the hand-over although it had ended and might carry another call, which is then closed without a result. Change: only a hand-over that has not ended is closed. Before: the new test finds the connection closed. After: it is kept.

--- a/almondtide/entry/dispatch.py
+++ b/almondtide/entry/dispatch.py
@@ -482,8 +482,10 @@
         """End a call whose caller has disconnected, and close its exchanges."""
         call.is_abandoned = True
         await call.changed.set()
-        if call.relay is not None and call.relay.connection is not None:
-            await self._pool.close(call.relay.connection)
+        relay = call.relay
+        # The connection of one that has ended may carry the request of another call.
+        if relay is not None and relay.connection is not None and not relay.has_ended:
+            await self._pool.close(relay.connection)
         for branch in call.branches:
             if branch.state is BranchState.OPEN:
                 branch.state = BranchState.FAILED
--- a/tests/entry/test_relay.py
+++ b/tests/entry/test_relay.py
@@ -401,6 +401,25 @@
         self.assertIn(fleet.pool.sent[0], fleet.pool.closed)
         self.assertTrue(time.monotonic() < call.expires_at)
 
+    def test_a_caller_that_leaves_as_the_peer_answers(self):
+        # The connection may carry another request by then, which would end with it.
+        async def scenario():
+            fleet = _CutFleet(lambda exchange: None)
+            await fleet.timers.start()
+            fleet.lose_links()
+            call = make_call(QUERY, 0.8, time.monotonic())
+            task = await curio.spawn(fleet.dispatcher.run, call)
+            await curio.sleep(0.02)
+            # In one turn, before the call goes on.
+            await call.relay.on_reply(make_reply())
+            await fleet.dispatcher.abandon(call)
+            await task.join()
+            return fleet
+
+        fleet = run(scenario)
+        self.assertEqual(1, len(fleet.peer_names()))
+        self.assertEqual([], fleet.pool.closed)
+
 
 class HandOverTest(testtools.TestCase):
     """Guards against calls that began before the links were lost and wait in vain."""
