--- a/soak/checks.py
+++ b/soak/checks.py
@@ -102,6 +102,25 @@
             yield f"{record}: the answer to another request"
 
 
+@checks.register("failure-unchanged")
+def check_failures(history):
+    """A write that a server ran and answered with a failure gets that answer.
+
+    The answer may be lost on a harmed link, or with a daemon that ends or is cut off.
+    """
+    for server in history.servers.values():
+        for id, status in server.failures.items():
+            record = history.records.get(id)
+            if record is None or record.kind != "write" or record.ended is None:
+                continue
+            is_lost = record.status in (None, 502, 504)
+            if record.status != status and not is_lost:
+                yield f"{record}: {server.id} had answered {status}"
+            stamp = record.headers.get("server-stamp")
+            if not is_lost and stamp != f"{server.id}.{id}":
+                yield f"{record}: the stamp {stamp} of another answer"
+
+
 @checks.register("at-most-once")
 def check_run_counts(history):
     """A write runs at most once, and every run belongs to a request of a caller."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,6 +6,7 @@
 
 import curio
 
+from almondtide.adapters.http import HTTPResponse
 from almondtide.registry import Registry
 from standins.entry_fleet import (
     DOMAINS,
@@ -19,9 +20,18 @@
 from .checks import EVACUATE_S
 from .history import EvacuationInterval, RateLimitInterval
 
-__all__ = ["faults"]
+__all__ = ["REPLY_FAULTS", "default_fault_names", "faults"]
 
 faults = Registry("fault")
+# Faults that are drawn only where they are named, so that the draws of earlier seeds
+# stay as they are.
+REPLY_FAULTS = ("endless", "fail")
+# Sizes of the parts of endless replies, in bytes, and failures that servers answer
+# with. All of them ran; 429 and 503 would promise that they have not.
+ENDLESS_PART_BYTES = (1, 64, 200, 4096)
+ENDLESS_SHARE = 0.1
+FAILURE_STATUSES = (404, 409, 500)
+FAILURE_SHARE = 0.5
 MAX_FAULT_S = 3.0
 # Partitions last longer: callers must be served from a certain time on.
 MAX_PARTITION_S = 7.0
@@ -39,6 +49,11 @@
 HEARTBEATS_LOST = 8
 
 
+def default_fault_names():
+    """Return the kinds of faults that a run draws from if none are named."""
+    return [name for name in faults.names() if name not in REPLY_FAULTS]
+
+
 def _draw_duration_s(rng):
     return rng.uniform(0.3, MAX_FAULT_S)
 
@@ -368,3 +383,48 @@
             "op/config", make_configuration(session.configuration_version)
         )
         await curio.sleep(rng.uniform(0.01, 0.3))
+
+
+@faults.register("endless")
+async def send_endless_replies(session, rng):
+    """Let a share of the replies of one service's servers go on without end."""
+    service = rng.choice([*SHARDS, "drafts"])
+    part_bytes = rng.choice(ENDLESS_PART_BYTES)
+    with contextlib.ExitStack() as stack:
+        links = [
+            link
+            for id, link in session.fleet.links.items()
+            if session.service_of(id) == service
+        ]
+        for link in links:
+            stack.enter_context(session.record_fault("link", link.name, "link"))
+            await link.change(
+                {"endless_share": ENDLESS_SHARE, "endless_part_bytes": part_bytes}
+            )
+        await curio.sleep(_draw_duration_s(rng))
+        for link in links:
+            await link.change({"endless_share": 0.0})
+
+
+@faults.register("fail")
+async def answer_with_failures(session, rng):
+    """Let the servers of one service run requests and answer some with a failure."""
+    service = "drafts" if rng.random() < 0.5 else rng.choice(SHARDS)
+    status = rng.choice(FAILURE_STATUSES)
+    servers = [s for s in session.servers.values() if s.service == service]
+
+    def override_of(server):
+        def override(request):
+            if rng.random() >= FAILURE_SHARE:
+                return None
+            id = request.headers["request-id"]
+            headers = {"server-stamp": f"{server.id}.{id}", "request-id": id}
+            return HTTPResponse(status, b"failed", headers)
+
+        return override
+
+    for server in servers:
+        server.override_response = override_of(server)
+    await curio.sleep(_draw_duration_s(rng))
+    for server in servers:
+        server.override_response = lambda request: None
--- a/soak/run.py
+++ b/soak/run.py
@@ -25,7 +25,7 @@
     return [int(line.split()[0]) for line in lines if line and not line.startswith("#")]
 
 
-def run_seed(seed, seconds, break_name=None, logs=None):
+def run_seed(seed, seconds, break_name=None, logs=None, fault_names=None):
     """Run one seed; returns (violations, session).
 
     ``break_name`` runs the daemons with that defect and the faults that show it.
@@ -34,7 +34,7 @@
     argv = None if break_name is None else ["-m", "soak.broken", break_name]
     with tempfile.TemporaryDirectory() as folder:
         session = SoakSession(
-            seed, seconds, folder, argv, FAULTS_BY_BREAK.get(break_name)
+            seed, seconds, folder, argv, FAULTS_BY_BREAK.get(break_name, fault_names)
         )
         violations = curio.run(session.run)
         if violations and logs:
@@ -51,6 +51,7 @@
     regressions: bool = False,
     naive: bool = False,
     only: list[str] | None = None,
+    faults: list[str] | None = None,
     logs: str | None = None,
 ):
     """Run seeds; the exit status is 0 when all ended as expected.
@@ -60,6 +61,7 @@
     :param seconds: time in which faults are started, in s
     :param regressions: also run the seeds that once failed
     :param only: names of the promises to break with --naive, all by default
+    :param faults: kinds of faults to draw from, all but those of replies by default
     :param logs: folder for the daemons' logs of seeds with violations
     :param naive: break each promise in turn; the run must detect it
     """
@@ -71,7 +73,7 @@
     has_passed = True
     for name in names:
         for number in seeds:
-            violations, session = run_seed(number, seconds, name, logs)
+            violations, session = run_seed(number, seconds, name, logs, faults)
             if name:
                 # Other checks may notice the defect too; the promise's own must.
                 check = CHECKS_BY_BREAK.get(name, name)
--- a/soak/session.py
+++ b/soak/session.py
@@ -17,7 +17,7 @@
 from standins.entry_fleet import EntryFleet
 
 from .checks import EVACUATE_S, find_violations
-from .faults import faults
+from .faults import default_fault_names, faults
 from .history import FaultInterval, RequestRecord
 
 __all__ = ["SoakSession"]
@@ -43,7 +43,7 @@
 
     def __init__(self, seed, seconds, folder, argv=None, fault_names=None):
         self.seed = seed
-        self.fault_names = fault_names or faults.names()
+        self.fault_names = fault_names or default_fault_names()
         self.seconds = seconds
         self.fleet = EntryFleet(
             folder,
--- a/standins/link.py
+++ b/standins/link.py
@@ -27,7 +27,16 @@
     "duplicate_share": 0.0,
     "truncate_share": 0.0,
     "cross_share": 0.0,
+    "endless_share": 0.0,
+    "endless_part_bytes": 1,
 }
+# Bytes that an endless reply sends at once, and after which it ends by itself.
+ENDLESS_BLOCK_BYTES = 16384
+MAX_ENDLESS_BYTES = 64 << 20
+
+
+# Faults of a piece of a reply; the share of each is in ``behaviour``.
+REPLY_FAULTS = ("duplicate", "truncate", "cross", "endless")
 
 
 class _WaitingReply:
@@ -48,8 +57,9 @@
     the data arrives late then. ``delay_ms`` delays each piece of data, in both
     directions. A piece is what one receive call returns. Each share is that of the
     pieces of replies with a fault: ``duplicate_share`` are sent twice,
-    ``truncate_share`` are cut in half and the connection is closed, and
-    ``cross_share`` are exchanged with a piece of another connection.
+    ``truncate_share`` are cut in half and the connection is closed,
+    ``cross_share`` are exchanged with a piece of another connection, and
+    ``endless_share`` get a body in chunks of ``endless_part_bytes`` that does not end.
     """
 
     def __init__(self, name, port, target, seed=1):
@@ -60,7 +70,7 @@
         self.behaviour = dict(DEFAULT_BEHAVIOUR)
         self.listener = Listener(("127.0.0.1", port), self._serve)
         self.waiting_reply = None
-        self.counts = {"connections": 0, "duplicate": 0, "truncate": 0, "cross": 0}
+        self.counts = dict.fromkeys(("connections", *REPLY_FAULTS), 0)
         self._open_sockets = set()
 
     async def start(self):
@@ -115,6 +125,9 @@
                 if kind == "truncate":
                     await sink.sendall(data[: len(data) // 2])
                     return
+                if kind == "endless":
+                    await self._send_endless(data, sink)
+                    return
                 if kind == "cross":
                     data = await self._exchange_reply(data)
                 await sink.sendall(data)
@@ -126,13 +139,26 @@
     def _draw_fault(self):
         """Return the fault that the next piece of a reply gets, or None."""
         draw = self.rng.random()
-        for kind in ("duplicate", "truncate", "cross"):
+        for kind in REPLY_FAULTS:
             draw -= self.behaviour[f"{kind}_share"]
             if draw < 0:
                 self.counts[kind] += 1
                 return kind
         return None
 
+    async def _send_endless(self, data, sink):
+        """Send the head of a reply with a body that only the receiver ends."""
+        lines = data.partition(b"\r\n\r\n")[0].split(b"\r\n")
+        lines = [x for x in lines if not x.lower().startswith(b"content-length:")]
+        await sink.sendall(
+            b"\r\n".join([*lines, b"Transfer-Encoding: chunked", b"", b""])
+        )
+        size = self.behaviour["endless_part_bytes"]
+        chunk = b"%x\r\n" % size + b"x" * size + b"\r\n"
+        block = chunk * max(1, ENDLESS_BLOCK_BYTES // len(chunk))
+        for _ in range(MAX_ENDLESS_BYTES // len(block)):
+            await sink.sendall(block)
+
     async def _exchange_reply(self, data):
         """Exchange ``data`` with the piece that waits, or wait for the next piece.
 
--- a/standins/shard.py
+++ b/standins/shard.py
@@ -29,10 +29,11 @@
 class ShardServer:
     """Runs requests of one service and records each that it began to run.
 
-    ``runs`` holds (request id, request, time). ``override_response(request)`` may
-    return an ``HTTPResponse`` in place of the usual one. A request for which
-    ``should_crash(request)`` returns true closes the server. A request takes
-    ``service_time_s``.
+    ``runs`` holds (request id, request, time), and ``failures`` the status by id of
+    each request that it ran and answered with a failure.
+    ``override_response(request)`` may return an ``HTTPResponse`` in place of the usual
+    one. A request for which ``should_crash(request)`` returns true closes the server.
+    A request takes ``service_time_s``.
 
     A request for another instance gets 421. One beyond ``slots`` gets 503 with the
     header ``not-run``. A request with a body gets the body back, another one gets
@@ -55,6 +56,7 @@
         self.override_response = lambda request: None
         self.should_crash = lambda request: False
         self.runs = []
+        self.failures = {}
         self.is_leaving = False
         self.closes_connections = False
         self.rate_limit = None
@@ -135,6 +137,8 @@
             await curio.sleep(CRASH_TIMEOUT_S)
         override = self.override_response(request)
         if override is not None:
+            if override.status >= 300:
+                self.failures[request_id] = override.status
             return override
         headers = {"server-stamp": f"{self.id}.{request_id}", **echo}
         body = request.body or make_records(self.service, request_id)
--- a/tests/standins/test_link.py
+++ b/tests/standins/test_link.py
@@ -72,6 +72,17 @@
 
         self.assertEqual(b"ab", run_with_link(scenario, truncate_share=1.0))
 
+    def test_endless_share_sends_a_body_without_end(self):
+        reply = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nx: 1\r\n\r\nab"
+
+        async def scenario(link, address):
+            return await exchange(address, reply, 100_000)
+
+        data = run_with_link(scenario, endless_share=1.0, endless_part_bytes=3)
+        head = b"HTTP/1.1 200 OK\r\nx: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        self.assertTrue(data.startswith(head + b"3\r\nxxx\r\n3\r\n"), data[:90])
+        self.assertTrue(len(data) >= 100_000)
+
     def test_cross_share_exchanges_replies_of_two_connections(self):
         async def scenario(link, address):
             first = await curio.spawn(exchange, address, b"aaaa", 4)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,6 +15,8 @@
 
 SEED = 5
 SECONDS = 4.0
+REPLY_SEED = 96002
+REPLY_SECONDS = 12.0
 
 
 class _Server:
@@ -22,6 +24,7 @@
         self.id = f"i-{service}"
         self.service = service
         self.runs = []
+        self.failures = {}
         self.announcements = []
         self.refusals = []
         self.arrivals = []
@@ -256,6 +259,23 @@
             found = [text.partition(":")[0] for text in find_violations(history)]
             self.assertEqual(names, found, (at, count))
 
+    def test_failures_that_servers_answered_with(self):
+        # An entry without links ran such a write again, and answered 503 or another
+        # server's 200.
+        stamp = {"server-stamp": "i-drafts.w-1"}
+        for status, headers, names in (
+            (404, stamp, []),
+            (502, {}, []),
+            (404, {}, ["failure-unchanged"]),
+            (500, stamp, ["failure-unchanged"]),
+            (503, {}, ["failure-unchanged", "failure-unchanged", "not-run-is-true"]),
+        ):
+            history = _History()
+            history.add("w-1", "write", status, ran=["i-drafts"], headers=headers)
+            history.servers["i-drafts"].failures["w-1"] = 404
+            found = [text.partition(":")[0] for text in find_violations(history)]
+            self.assertEqual(names, found, status)
+
     def test_requests_in_a_pause_that_a_peer_was_asked_for(self):
         # The requests of a partitioned daemon ran at a peer (soak, seed 63047).
         for kind, names in (("partition", []), ("announce", ["pause"])):
@@ -265,7 +285,7 @@
             self.assertEqual(names, found, kind)
 
     def test_every_check_has_a_name(self):
-        self.assertEqual(12, len(checks.names()))
+        self.assertEqual(13, len(checks.names()))
 
 
 class RunTest(testtools.TestCase):
@@ -276,5 +296,12 @@
         self.assertEqual([], violations)
         self.assertTrue(len(session.records) > 100)
 
+    def test_seed_of_failures_and_endless_replies(self):
+        # On fd996f7 an entry without links runs writes again (seed 96002, 12 s).
+        faults = ["endless", "fail", "partition", "kill"]
+        violations, session = run_seed(REPLY_SEED, REPLY_SECONDS, fault_names=faults)
+        self.assertEqual([], violations)
+        self.assertTrue(len(session.records) > 100)
+
     def test_regression_seeds_are_listed(self):
         self.assertIn(12, read_regression_seeds())
