--- a/soak/faults.py
+++ b/soak/faults.py
@@ -20,12 +20,12 @@
 from .checks import EVACUATE_S
 from .history import EvacuationInterval, RateLimitInterval
 
-__all__ = ["REPLY_FAULTS", "default_fault_names", "faults"]
+__all__ = ["OPTIONAL_FAULTS", "default_fault_names", "faults"]
 
 faults = Registry("fault")
 # Faults that are drawn only where they are named, so that the draws of earlier seeds
 # stay as they are.
-REPLY_FAULTS = ("endless", "fail")
+OPTIONAL_FAULTS = ("endless", "fail")
 # Sizes of the parts of endless replies, in bytes, and failures that servers answer
 # with. All of them ran; 429 and 503 would promise that they have not.
 ENDLESS_PART_BYTES = (1, 64, 200, 4096)
@@ -51,7 +51,7 @@
 
 def default_fault_names():
     """Return the kinds of faults that a run draws from if none are named."""
-    return [name for name in faults.names() if name not in REPLY_FAULTS]
+    return [name for name in faults.names() if name not in OPTIONAL_FAULTS]
 
 
 def _draw_duration_s(rng):
--- a/soak/run.py
+++ b/soak/run.py
@@ -61,7 +61,7 @@
     :param seconds: time in which faults are started, in s
     :param regressions: also run the seeds that once failed
     :param only: names of the promises to break with --naive, all by default
-    :param faults: kinds of faults to draw from, all but those of replies by default
+    :param faults: kinds of faults to draw from, all but the optional ones by default
     :param logs: folder for the daemons' logs of seeds with violations
     :param naive: break each promise in turn; the run must detect it
     """
--- a/standins/link.py
+++ b/standins/link.py
@@ -20,6 +20,8 @@
 # A piece of a reply waits this long for one of another connection to be exchanged with.
 CROSS_WAIT_S = 0.05
 
+# Faults of a piece of a reply; ``behaviour`` has the share of each.
+REPLY_FAULTS = ("duplicate", "truncate", "cross", "endless")
 DEFAULT_BEHAVIOUR = {
     "cut": False,
     "hold": False,
@@ -35,10 +37,6 @@
 MAX_ENDLESS_BYTES = 64 << 20
 
 
-# Faults of a piece of a reply; the share of each is in ``behaviour``.
-REPLY_FAULTS = ("duplicate", "truncate", "cross", "endless")
-
-
 class _WaitingReply:
     """A piece of a reply that waits to be exchanged with one of another connection."""
 
