Expect a connection to break after its exchange was closed

Cause: closing takes the exchange off the connection and cancels its task; a task that was to run already meets the broken connection first and reported it to no exchange. Change: nothing is reported without an exchange. The connection ends as before, and no caller sees a difference. Before: the new test finds exchange_error. After: it does not.

--- a/almondtide/entry/connections.py
+++ b/almondtide/entry/connections.py
@@ -170,7 +170,9 @@
 
     async def _fail(self, failure, reason):
         exchange, self.exchange = self.exchange, None
-        await exchange.on_failure(failure, reason, None)
+        # There is none if it was closed in the turn in which the connection broke.
+        if exchange is not None:
+            await exchange.on_failure(failure, reason, None)
 
     async def _exchange(self):
         """Run one exchange; return whether the connection can be used again."""
--- a/tests/entry/test_connections.py
+++ b/tests/entry/test_connections.py
@@ -490,3 +490,22 @@
         self.assertIs(Failure.BROKEN, results[0])
         self.assertEqual(b"ok", results[1].body)
         self.assertIn("exchange_error", log.names())
+
+    def test_an_exchange_that_is_closed_as_its_connection_breaks(self):
+        # It left an unexpected error in the log (soak, seed 96024).
+        log = MemoryLog()
+
+        async def scenario():
+            async with _Server([["reset"]]) as server:
+                pool = ConnectionPool(time.monotonic, log)
+                exchange = _Exchange(Upstream(make_server("i-1", port=server.port)))
+                await pool.send(exchange)
+                # As ``close`` does before its cancellation is delivered.
+                while not exchange.written:
+                    await curio.sleep(0)
+                exchange.connection.exchange = None
+                await exchange.connection.task.wait()
+                return exchange.result
+
+        self.assertIsNone(run(scenario))
+        self.assertNotIn("exchange_error", log.names())
