Revert "Take no lost links for servers that a request has crashed"

Where several servers are down at once by the request itself, both servers that are asked may be among them, and the entry drops a loss that it should have counted.

--- a/almondtide/entry/crash_detector.py
+++ b/almondtide/entry/crash_detector.py
@@ -107,14 +107,6 @@
         del losses[:-MAX_UNCONFIRMED_PER_SERVER]
         return needs_check
 
-    def has_losses(self, server_id):
-        """Return whether connections to a server broke under requests lately."""
-        return server_id in self._unconfirmed_losses
-
-    def discard_losses(self, server_id):
-        """Forget the losses of a server that may still run; return their number."""
-        return len(self._unconfirmed_losses.pop(server_id, ()))
-
     def on_server_ended(self, server_id):
         """Record that a server has ended: its address refuses connections.
 
--- a/almondtide/entry/dispatch.py
+++ b/almondtide/entry/dispatch.py
@@ -27,7 +27,6 @@
 from .policy.stopping import can_finish
 from .regions import allowed_domains, share_domains, union_domains
 from .relay import may_relay
-from .server_ends import ServerEnds
 from .upstreams import DEPTH_OBJECTIVE_FRACTION, Failure
 
 __all__ = ["Dispatcher"]
@@ -78,11 +77,11 @@
         "_pool",
         "_report_end",
         "_report_limit_end",
+        "_report_losses",
         "_resend_at",
         "_retry_budgets",
         "_route_latencies",
         "_running_calls",
-        "_server_ends",
         "_service_queues",
         "_table",
         "_timers",
@@ -102,13 +101,11 @@
         self._crash_detector = crash_detector
         self._report_end = None
         self._report_limit_end = None
+        self._report_losses = None
         self._hand_over = None
         self._running_calls = set()
         self.error_replies = ErrorReplies(pool, log)
         self.links = LinkMonitor(now())
-        self._server_ends = ServerEnds(
-            table, pool, crash_detector, self.links, now, log
-        )
         self.settings = settings
         self._log = log
         self._timers = None
@@ -150,7 +147,6 @@
     def set_links(self, links, relay_peers):
         """Set the ``LinkMonitor``, and the ``RelayPeers`` for calls without links."""
         self.links = links
-        self._server_ends.links = links
         self._hand_over = HandOver(
             relay_peers,
             self._pool,
@@ -165,7 +161,7 @@
 
         Its argument is a list of (fingerprint of a request, ids of servers).
         """
-        self._server_ends.report_losses = report
+        self._report_losses = report
 
     def set_limit_end_reporter(self, report):
         """Set the async function called with a server that limits its rate no more."""
@@ -821,7 +817,13 @@
             ):
                 await self._pool.connect(ReachabilityCheck(self, upstream))
         elif failure is Failure.NO_LISTENER:
-            await self._server_ends.note_refused(server_id)
+            await self._record_server_end(server_id)
+
+    async def _record_server_end(self, server_id):
+        """Tell the crash detector and other daemons that a server has ended."""
+        losses = self._crash_detector.on_server_ended(server_id)
+        if losses and self._report_losses is not None:
+            await self._report_losses(losses)
 
     async def on_checked(self, upstream, failure):
         """Handle the result of a reachability check; no failure means reachable."""
@@ -829,7 +831,7 @@
             self._record_failure(upstream, None, failure, self.now())
             self._note_link_failure(upstream, failure, self.now())
         if failure is Failure.NO_LISTENER:
-            await self._server_ends.note_refused(upstream.server.id)
+            await self._record_server_end(upstream.server.id)
 
     def on_connected(self, upstream):
         """Record a new connection to a server."""
