--- a/almondtide/framing.py
+++ b/almondtide/framing.py
@@ -37,7 +37,7 @@
 MIN_REPLY_PART_BYTES = 64
 MIN_REQUEST_PART_BYTES = 16
 # Most excess steps of a server's reply whatever the size of its parts. It leaves room
-# for a reply of 2 MB in parts of 256 bytes.
+# for more than 1 MB in parts of 256 bytes.
 MAX_REPLY_EXCESS_STEPS = 4096
 # Most fields of a head or of trailers. A field takes about 300 bytes, however short.
 MAX_FIELDS = 256
