--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,5 +1,6 @@
 """Some servers fail a part of the requests that they have run, with status 503."""
 
+import collections
 import os
 import random
 import sys
@@ -56,21 +57,32 @@
         return HTTPResponse(503, b"failed", headers)
 
     async def write(self, number):
-        """Send one write."""
-        request_id = f"w-{number}"
+        """Send one write, and once more after a promise that it has not run."""
+        if await self._send(number, f"w-{number}") in PROMISES:
+            await self._send(number, f"w-{number}-again")
+
+    async def _send(self, number, request_id):
         entry = number % len(self._fleet.hosts)
+        body = b"draft %d" % number
         try:
-            status, _, _ = await self._fleet.write(entry, request_id)
+            status, _, _ = await self._fleet.write(entry, request_id, body)
         except (OSError, curio.TaskTimeout) as exc:
             status = type(exc).__name__
         self.statuses[request_id] = status
         self._record.add("answered", request=request_id, status=status)
+        return status
+
+    def _runs(self):
+        return [run for server in self._fleet.servers.values() for run in server.runs]
+
+    def doubled_drafts(self):
+        """Return the bodies that ran more than once."""
+        counts = collections.Counter(request.body for _, request, _ in self._runs())
+        return sorted(body for body, count in counts.items() if count > 1)
 
     def false_promises(self):
         """Return the ids of writes that were answered as not run, and have run."""
-        ran = {
-            id for server in self._fleet.servers.values() for id, _, _ in server.runs
-        }
+        ran = {id for id, _, _ in self._runs()}
         return sorted(
             id
             for id, status in self.statuses.items()
@@ -91,7 +103,8 @@
         false = case.false_promises()
         text = (
             f"{len(false)} of {WRITES} writes answered as not run have run"
-            f" ({len(case.failed_ids)} failed after their run)"
+            f" ({len(case.failed_ids)} failed after their run); sent again,"
+            f" {len(case.doubled_drafts())} drafts ran twice"
         )
         return finish(record, bool(false), text)
 
