Withhold a status that promises "not run" where nothing proves it

What callers saw: one of three servers runs writes and answers some with 503, without Not-Run.

Cause: a status was taken for a proof. The single, the kept and the relayed answer went out with any status, and a bare 421 counted as "another server has the address", so that the entry itself sent the request again. Ruled out: the entry does not make the 503 itself (the reply counts as a run and no other server gets the request), and links or hand-overs are not needed for it.

Change: almondtide/promises.py judges what a reply proves (Not-Run, or 421 with the id of another server) and which status may be stated of a request. Dispatcher.run, through which every answer to a call leaves, applies it. Without a proof a caller whose request may run once gets 502 of the entry's own at once, with code 311; status_withheld names server and status.

--- a/almondtide/entry/answers.py
+++ b/almondtide/entry/answers.py
@@ -4,14 +4,18 @@
 
 from ..errors import ResultCode
 from ..platform import headers as wire
+from ..promises import NOT_RUN_STATUSES
 from .calls import BranchState
 from .merge import merge_records
 from .relay_marks import mark_not_run, without_marks
 
-__all__ = ["Answer", "build_answer", "error_answer", "relayed_answer"]
-
-# Statuses that promise that a request has not run and will not run.
-NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+__all__ = [
+    "Answer",
+    "build_answer",
+    "error_answer",
+    "relayed_answer",
+    "withheld_answer",
+]
 
 
 class Answer:
@@ -68,7 +72,20 @@
         code = ResultCode.OVERLOADED
     elif reply.status >= 300:
         code = ResultCode.UPSTREAM_ERROR
-    return Answer(reply.status, wire.forwarded_reply_headers(reply), reply.body, code)
+    headers = wire.forwarded_reply_headers(reply)
+    answer = Answer(reply.status, headers, reply.body, code)
+    answer.is_not_run = is_not_run and not call.may_have_run
+    return answer
+
+
+def withheld_answer():
+    """Return the answer in place of one whose status would be a false "not run".
+
+    It has nothing of the server's: not the status, and so not the stamp, the body or a
+    time to come back.
+    """
+    message = "the server's status would state that the request has not run"
+    return error_answer(502, ResultCode.STATUS_WITHHELD, message)
 
 
 def build_answer(call, is_late, retry_after_s):
--- a/almondtide/entry/dispatch.py
+++ b/almondtide/entry/dispatch.py
@@ -6,7 +6,8 @@
 import curio
 
 from ..errors import ResultCode
-from .answers import build_answer, error_answer
+from ..promises import RunEvidence, judge_reply, may_state
+from .answers import build_answer, error_answer, withheld_answer
 from .calls import BranchState
 from .error_replies import ErrorReplies
 from .exchanges import Exchange, ReachabilityCheck
@@ -138,6 +139,7 @@
             "relay_refused": 0,
             "regional": 0,
             "regional_refused": 0,
+            "statuses_withheld": 0,
         }
 
     def set_timers(self, timers):
@@ -207,10 +209,27 @@
         finally:
             self._running_calls.discard(call)
             self.error_replies.release(call)
-        earlier_run_count = call.request.relay_mark or 0
-        answer.is_not_run = answer.is_own and call.run_count <= earlier_run_count
+        if answer.is_own:
+            earlier_run_count = call.request.relay_mark or 0
+            answer.is_not_run = call.run_count <= earlier_run_count
+        if not may_state(answer.status, call.route.is_idempotent, answer.is_not_run):
+            return self._withhold(call, answer)
         return answer
 
+    def _withhold(self, call, answer):
+        """Return an answer without a status that nothing proves to be true."""
+        self.counts["statuses_withheld"] += 1
+        sends = [send for branch in call.branches for send in branch.sends]
+        sources = call.relay_names or [server_id for _, server_id, _ in sends]
+        self._log.info(
+            "status_withheld",
+            id=call.request.id,
+            route=call.route.name,
+            status=answer.status,
+            source=sources[-1] if sources else "",
+        )
+        return withheld_answer()
+
     def _refuse_late(self, call, now):
         """Return a refusal of a call that the stop of this entry would cut, or None."""
         latency = self.route_latency(call.route)
@@ -877,14 +896,18 @@
         self.links.note_reply(self.now())
         if exchange.is_finished:
             return
-        if reply.is_misdirected:
+        server_id = exchange.upstream.server.id
+        evidence = judge_reply(
+            reply.status, reply.is_not_run, reply.server_id, server_id
+        )
+        if evidence is RunEvidence.MISDIRECTED:
             # Another server answered, so its headers say nothing about this one.
             await self.on_failure(exchange, Failure.MISDIRECTED, "421", reply)
             return
         await self._note_announcements(exchange, reply)
         await self._note_rate_limit(exchange, reply)
         self._note_load(exchange, reply)
-        if reply.is_not_run:
+        if evidence is RunEvidence.NOT_RUN:
             await self.on_failure(exchange, Failure.NOT_RUN, "not run", reply)
             return
         if not reply.is_success:
--- a/almondtide/entry/upstream.py
+++ b/almondtide/entry/upstream.py
@@ -47,7 +47,7 @@
     NO_LISTENER = "no_listener"
     # The server states that it did not run the request.
     NOT_RUN = "not_run"
-    # Another server has the address; the request did not run.
+    # Another server has the address, and says so; the request did not run.
     MISDIRECTED = "misdirected"
     # The connection broke or the reply was invalid; the request may have run.
     BROKEN = "broken"
--- a/almondtide/explanation.py
+++ b/almondtide/explanation.py
@@ -40,7 +40,8 @@
     "entry_missing_held",
     "entry_revived",
 )
-QUARANTINE_EVENTS = ("server_lost_under", "request_quarantined")
+# Events of one request, whose id they have.
+OWN_EVENTS = ("server_lost_under", "request_quarantined", "status_withheld")
 
 _PREFIX = re.compile(r"[IWEF](\d{2})(\d{2}) (\d{2}):(\d{2}):(\d{2})\.(\d{6})")
 _FIELD = re.compile(r'([\w.-]+)=("(?:[^"\\]|\\.)*"|\S*)')
@@ -155,9 +156,7 @@
         return False
     if line.event in ENTRY_EVENTS:
         return True
-    if line.event in QUARANTINE_EVENTS and line.fields.get("id") == (
-        attempt.fields.get("id")
-    ):
+    if line.event in OWN_EVENTS and line.fields.get("id") == (attempt.fields.get("id")):
         return True
     if line.event not in SERVER_EVENTS:
         return False
@@ -177,6 +176,8 @@
         yield f"{where}: refused as not run, {refused}"
     elif "error:status" in fields.get("history", "") and fields.get("code") == "306":
         yield f"{where}: a server's own failure: {fields['history']}"
+    elif fields.get("code") == "311":
+        yield f"{where}: it may have run, status withheld: {fields.get('history')}"
     elif status == "503":
         yield f"{where}: no server took it: {fields.get('history', 'no configuration')}"
     elif status == "504":
@@ -215,6 +216,7 @@
     "requests_ended": "the entry ended its {running} last requests",
     "store_lost": "the store did not answer the entry: {reason}",
     "store_restored": "the store came back from a copy, era {era}",
+    "status_withheld": "status {status} of {source} would have been a false promise",
     "server_left_out": "server {server} of {service} was left out: {failure}",
     "server_paused": "server {server} of {service} asked for a pause of {asked_ms} ms",
     "server_announced_end": "server {server} of {service} announced its end",
--- a/almondtide/model/http_messages.py
+++ b/almondtide/model/http_messages.py
@@ -65,7 +65,7 @@
     ``server_stamp`` proves which server ran the request; a reply without it does not
     come from a run. ``request_id`` is the id that the server repeated, or None.
     ``is_not_run`` means that the server states that it did not run the request.
-    ``is_misdirected`` means that another server has the address. ``keep_alive_s`` is
+    ``server_id`` is the id that the server gives itself, or None. ``keep_alive_s`` is
     how long the server keeps an idle connection open, in seconds: 0.0 if it closes
     the connection now, None if it does not say. ``is_leaving`` means that the server
     announces its end. ``pause_s`` is how long the server, which turned the request
@@ -85,13 +85,13 @@
         "headers",
         "is_encoded",
         "is_leaving",
-        "is_misdirected",
         "is_not_run",
         "keep_alive_s",
         "pause_s",
         "rate_limit",
         "reported_load",
         "request_id",
+        "server_id",
         "server_stamp",
         "status",
     )
@@ -103,7 +103,7 @@
         self.server_stamp = None
         self.request_id = None
         self.is_not_run = False
-        self.is_misdirected = False
+        self.server_id = None
         self.is_encoded = False
         self.is_leaving = False
         self.keep_alive_s = None
--- a/almondtide/platform/headers.py
+++ b/almondtide/platform/headers.py
@@ -33,6 +33,7 @@
 REQUEST_ID = b"request-id"
 DEADLINE_MS = b"deadline-ms"
 EXPECT_INSTANCE = b"expect-instance"
+INSTANCE_ID = b"instance-id"
 NOT_RUN = b"not-run"
 SERVER_STAMP = b"server-stamp"
 SERVER_LEAVING = b"server-leaving"
@@ -41,7 +42,6 @@
 RETRY_AFTER = b"retry-after"
 PART_STAMPS = b"Part-Stamps"
 MISSING_PARTS = b"Missing-Parts"
-MISDIRECTED_STATUS = 421
 TURNED_AWAY_STATUS = 503
 # A decimal number without sign, exponent or the underscores that ``float`` takes.
 _NUMBER = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,12})?")
@@ -143,6 +143,8 @@
             reply.server_stamp = value
         elif name == REQUEST_ID:
             reply.request_id = value.decode("latin-1")
+        elif name == INSTANCE_ID:
+            reply.server_id = value.decode("latin-1")
         elif name == NOT_RUN:
             reply.is_not_run = True
         elif name == SERVER_LEAVING:
@@ -159,7 +161,6 @@
             reply.is_encoded = True
         elif name == b"keep-alive":
             reply.keep_alive_s = _parse_idle_s(value)
-    reply.is_misdirected = status == MISDIRECTED_STATUS
     if b"close" in tokens:
         reply.keep_alive_s = 0.0
     return reply
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -25,12 +25,15 @@
 faults = Registry("fault")
 # Faults that are drawn only where they are named, so that the draws of earlier seeds
 # stay as they are.
-OPTIONAL_FAULTS = ("endless", "fail")
+OPTIONAL_FAULTS = ("endless", "fail", "unproven")
 # Sizes of the parts of endless replies, in bytes, and failures that servers answer
-# with. All of them ran; 429 and 503 would promise that they have not.
+# with after a run. The latter ones promise that there was none, which nothing proves.
 ENDLESS_PART_BYTES = (1, 64, 200, 4096)
 ENDLESS_SHARE = 0.1
 FAILURE_STATUSES = (404, 409, 500)
+UNPROVEN_STATUSES = (408, 421, 429, 503)
+# Time to come back that servers state with half of these, in s.
+UNPROVEN_PAUSE_S = 1.0
 FAILURE_SHARE = 0.5
 MAX_FAULT_S = 3.0
 # Partitions last longer: callers must be served from a certain time on.
@@ -409,8 +412,19 @@
 @faults.register("fail")
 async def answer_with_failures(session, rng):
     """Let the servers of one service run requests and answer some with a failure."""
+    await _fail_requests(session, rng, FAILURE_STATUSES)
+
+
+@faults.register("unproven")
+async def answer_with_false_promises(session, rng):
+    """Like "fail", with statuses that promise that the request has not run."""
+    await _fail_requests(session, rng, UNPROVEN_STATUSES)
+
+
+async def _fail_requests(session, rng, statuses):
     service = "drafts" if rng.random() < 0.5 else rng.choice(SHARDS)
-    status = rng.choice(FAILURE_STATUSES)
+    status = rng.choice(statuses)
+    pause_s = UNPROVEN_PAUSE_S if status == 503 and rng.random() < 0.5 else None
     servers = [s for s in session.servers.values() if s.service == service]
 
     def override_of(server):
@@ -419,6 +433,10 @@
                 return None
             id = request.headers["request-id"]
             headers = {"server-stamp": f"{server.id}.{id}", "request-id": id}
+            if pause_s is not None:
+                now = time.monotonic()
+                server.refusals.append((id, now, now + pause_s))
+                headers["retry-after"] = str(pause_s)
             return HTTPResponse(status, b"failed", headers)
 
         return override
--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -40,6 +40,13 @@
 sends=1 history="ziye0a first@i-aa+0ms i-aa:error:status 504 no more tries failed"
 Traceback (most recent call last):
 """
+WITHHELD_LOG = """\
+ 40.0000 front-1 I0408 21:06:57.000000 7 dispatch.py:250] event=status_withheld \
+id=q-6 route=r-4 status=503 source=i-dd
+ 40.0001 front-1 I0408 21:06:57.000100 7 frontend.py:133] event=request_failed \
+id=q-6 route=r-4 status=502 code=311 ms=21.0 version=7 age_ms=9 parts=0/1 left=False \
+sends=1 history="ziye0a first@i-dd+0ms i-dd:error:status 503 failed"
+"""
 
 
 def _lines(text=LOG, entry="x"):
@@ -77,6 +84,15 @@
         self.assertEqual({"history": value, "id": "q"}, line.fields)
 
 
+class WithheldStatusTest(testtools.TestCase):
+    """Guards against a 502 that does not lead to the server that ran the request."""
+
+    def test_the_id_leads_to_server_and_status(self):
+        causes = explain_request(_lines(WITHHELD_LOG), "q-6").causes
+        self.assertIn("it may have run, status withheld: ziye0a", causes[0])
+        self.assertIn("status 503 of i-dd", causes[1])
+
+
 class ExplainTest(testtools.TestCase):
     """Guards against causes that are missed, and against lines of other requests."""
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -16,6 +16,7 @@
 SEED = 5
 SECONDS = 4.0
 REPLY_SEED = 96002
+UNPROVEN_SEED = 97001
 REPLY_SECONDS = 12.0
 
 
@@ -303,5 +304,13 @@
         self.assertEqual([], violations)
         self.assertTrue(len(session.records) > 100)
 
+    def test_seed_of_statuses_that_promise_falsely(self):
+        # On 930080b writes ran up to three times after a 421 without proof, and others
+        # were answered with 408 though they had run (seeds 97001 to 97003).
+        faults = ["unproven", "partition", "kill"]
+        violations, session = run_seed(UNPROVEN_SEED, REPLY_SECONDS, fault_names=faults)
+        self.assertEqual([], violations)
+        self.assertTrue(len(session.records) > 100)
+
     def test_regression_seeds_are_listed(self):
         self.assertIn(12, read_regression_seeds())
