Answer revisions that may have run with 502 in place of 503

Cause: the status of almondtided's answer came from the result code alone. A revision that its home, or the entry that forwards it, refuses as NOT_READY, DRAINING or OVERLOADED got 503 although an earlier attempt with the same execution id may have run (not_run false in the body).

Change: http_status asks promises.may_state. Queries, which may be repeated, keep their status; codes and bodies are as before.

--- a/almondtide/adapters/caller.py
+++ b/almondtide/adapters/caller.py
@@ -161,7 +161,8 @@
             code = outcome.code
             headers = _result_headers(code, request_id, outcome.retry_after_ms)
             body = outcome.to_dict(request_id, execution_id)
-            return json_response(http_status(code), body, headers)
+            status = http_status(code, is_idempotent=False, not_run=outcome.not_run)
+            return json_response(status, body, headers)
         except AlmondtideError as exc:
             code = exc.code
             # An earlier attempt with the same execution id may have run.
--- a/almondtide/adapters/http.py
+++ b/almondtide/adapters/http.py
@@ -139,7 +139,8 @@
         "not_run": exc.not_run,
         "retry_after_ms": exc.retry_after_ms,
     }
-    return json_response(http_status(exc.code), body, headers)
+    status = http_status(exc.code, is_idempotent=False, not_run=exc.not_run)
+    return json_response(status, body, headers)
 
 
 def _decode_headers(pairs):
--- a/almondtide/errors.py
+++ b/almondtide/errors.py
@@ -2,6 +2,8 @@
 
 import enum
 
+from .promises import may_state
+
 __all__ = [
     "DEFAULT_RETRY_AFTER_MS",
     "AlmondtideError",
@@ -112,9 +114,17 @@
 _DEFAULT_HTTP_STATUS = 502
 
 
-def http_status(code):
-    """Return the HTTP status of a response with ``code``."""
-    return _HTTP_STATUS.get(code, _DEFAULT_HTTP_STATUS)
+def http_status(code, is_idempotent=True, not_run=False):
+    """Return the HTTP status of a response with ``code``.
+
+    A request that may run once only, and that may have run, gets no status that
+    promises the opposite.
+
+    >>> [http_status(ResultCode.NOT_READY, False, flag) for flag in (True, False)]
+    [503, 502]
+    """
+    status = _HTTP_STATUS.get(code, _DEFAULT_HTTP_STATUS)
+    return status if may_state(status, is_idempotent, not_run) else _DEFAULT_HTTP_STATUS
 
 
 def exit_status(code):
