Look up the limits of callers when they are used

Cause: each connection copied the limits, the parser's when it was accepted and the others before it waited for the first byte. Of 47 cells (limit, raised or lowered, new, idle, part of a head, part of a body, waiting, handed over) 22 are wrong on: raised body limits and times on idle and half-read connections, idle connections closed by the old limit, lowered limits that do not hold on idle ones. New connections are right each time.

Change: policy/caller_limits.py decides without I/O: a request is bound by the most generous of the versions that held from its first bytes on, and a replaced version holds for half of config_apply_ms longer. Bounds are looked up at each use, waits ask again when they end, and connections that are idle beyond a lowered limit are closed by the housekeeping. The connection counts the bytes of a head itself, so one beyond the bound is refused also if it arrives at once. A request at the bound that is handed to a peer may have the fields that the entry adds. Before the first version nothing is refused as too large (503).

--- a/almondtide/entry/callers.py
+++ b/almondtide/entry/callers.py
@@ -18,7 +18,8 @@
 from ..platform.headers import decode_request
 from .answers import error_answer
 from .policy.admission import retry_after_s
-from .relay_marks import take_relay_mark
+from .policy.caller_limits import RequestBounds
+from .relay_marks import RELAY_HEAD_BYTES, has_relay_mark, take_relay_mark
 from .transit_time import round_trip_s
 
 __all__ = ["CallerConnection"]
@@ -42,16 +43,20 @@
     ``frontend`` is a ``Frontend``. The connection is also read while a request is
     answered: a caller that closes it no longer wants the answer, so the call is
     abandoned. ``call`` is the ``Call`` in progress or None, ``request_id`` the id of
-    the last request.
+    the last request. ``idle_since`` is when it began to wait for a request, None while
+    there is one.
     """
 
     __slots__ = (
+        "_bounds",
         "_conn",
         "_frontend",
+        "_idle_limit_s",
         "_incoming",
         "_reader",
         "_sock",
         "call",
+        "idle_since",
         "is_head_request",
         "is_idle",
         "request_id",
@@ -62,15 +67,19 @@
         self._sock = sock
         self._reader = EventReader(sock, MIN_REQUEST_PART_BYTES)
         self._frontend = frontend
-        self._conn = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=frontend.limits().max_header_bytes
-        )
+        # The limits may change with each request, so the parser has none of its own.
+        self._conn = h11.Connection(h11.SERVER, max_incomplete_event_size=sys.maxsize)
+        # The ``RequestBounds`` of the request that has begun to arrive, or None.
+        self._bounds = None
         # The ``Request`` of which the head has arrived, until it is answered.
         self._incoming = None
         self.call = None
         self.request_id = ""
         self.is_head_request = False
         self.is_idle = True
+        self.idle_since = time.monotonic()
+        # The limit by which it waits for a request, in s.
+        self._idle_limit_s = 0.0
         # Round-trip time to the caller, in s.
         self.rtt_s = 0.0
 
@@ -109,7 +118,7 @@
     def _address_refusal(self, answer):
         """Let a peer match a refusal to the request that it hands on."""
         incoming = self._incoming
-        if incoming is not None and incoming.relay_mark is not None and incoming.id:
+        if incoming is not None and incoming.is_handed_on and incoming.id:
             answer.is_not_run = True
             answer.address_to_peer(incoming.id)
 
@@ -136,7 +145,7 @@
         if answer is None:
             return False
         try:
-            if request.relay_mark is not None:
+            if request.is_handed_on:
                 answer.address_to_peer(request.id)
             wire = self._encode(answer, close=self._frontend.is_closing())
             # The body is not held twice while the caller reads.
@@ -162,35 +171,58 @@
             data = b""
         if data:
             # A pipelined request; the parser buffers it until the answer is sent.
+            self._begin_request()
             self._conn.receive_data(data)
         else:
             await self._frontend.abandon(self)
 
+    def _begin_request(self):
+        """Record that the first bytes of a request have arrived."""
+        if self._bounds is None:
+            now = time.monotonic()
+            self._bounds = RequestBounds(self._frontend.limits, now)
+        self.idle_since = None
+
+    def _limits(self):
+        """Return the ``CallerLimits`` for the request that arrives."""
+        return self._bounds.at(time.monotonic())
+
     async def _read_request(self):
-        limits = self._frontend.limits()
         memory = self._frontend.memory
         conn = self._conn
         reader = self._reader
         reader.start_message()
-        # When the first bytes of the request arrived, or None.
-        began_at = time.monotonic() if conn.trailing_data[0] else None
+        head_bytes = len(conn.trailing_data[0])
+        if head_bytes:
+            self._begin_request()
+        else:
+            self._bounds = None
+            self.idle_since = time.monotonic()
+        began_at = time.monotonic()
         request = None
         body = bytearray()
         while True:
             event = conn.next_event()
             if event is h11.NEED_DATA:
+                self._check_unparsed()
                 if conn.they_are_waiting_for_100_continue:
                     continue_response = h11.InformationalResponse(
                         status_code=100, headers=[]
                     )
                     await self._sock.sendall(conn.send(continue_response))
-                data = await self._receive(limits, began_at, request is None)
+                if self._bounds is None:
+                    data = await self._receive_first()
+                    began_at = time.monotonic()
+                else:
+                    data = await self._receive(began_at, request is None)
+                if data is None:
+                    return None
                 if not data and request is None and not conn.trailing_data[0]:
                     return None
+                self._begin_request()
                 conn.receive_data(data)
+                head_bytes += len(data)
                 await reader.note_received(len(data))
-                if began_at is None:
-                    began_at = time.monotonic()
                 continue
             await reader.note_event(event)
             if type(event) is h11.Request:
@@ -200,11 +232,13 @@
                 request.relay_mark = take_relay_mark(request)
                 self._incoming = request
                 self.is_head_request = event.method == b"HEAD"
+                head_bytes -= len(conn.trailing_data[0])
+                self._check_head(head_bytes, request.is_handed_on)
                 if memory.is_bounded:
-                    self._check_stated_size(event, limits)
+                    self._check_stated_size(event)
             elif type(event) is h11.Data:
-                if len(body) + len(event.data) > limits.max_body_bytes:
-                    raise _body_too_large(limits)
+                if len(body) + len(event.data) > self._limits().max_body_bytes:
+                    raise self._too_large(ResultCode.BODY_TOO_LARGE)
                 if not memory.hold_body(self, len(event.data)):
                     raise _no_body_room()
                 body += event.data
@@ -213,6 +247,9 @@
             else:
                 return None
         request.body = bytes(body)
+        self._bounds = None
+        if conn.trailing_data[0]:
+            self._begin_request()
         if not request.host or not request.id:
             raise _BadRequestError(
                 400, ResultCode.BAD_REQUEST, "a host and a request id are needed"
@@ -223,34 +260,76 @@
             )
         return request
 
-    async def _receive(self, limits, began_at, is_head):
+    async def _receive_first(self):
+        """Return the first bytes of a request, or None if none came in time.
+
+        The limit may change while the connection is idle.
+        """
+        while True:
+            now = time.monotonic()
+            self._idle_limit_s = self._frontend.limits.at(now).idle_timeout_s
+            remaining_s = self.idle_since + self._idle_limit_s - now
+            if remaining_s <= 0.0:
+                return None
+            async with curio.ignore_after(remaining_s):
+                return await self._reader.receive()
+
+    async def _receive(self, began_at, is_head):
         """Return the next bytes of a request whose first bytes came at ``began_at``.
 
         The head must be complete in its time, however often a part of it arrives. A
-        body may take longer, but not stop for so long.
+        body may take longer, but not stop for so long. The limit may change meanwhile.
         """
-        if began_at is None:
-            async with curio.timeout_after(limits.idle_timeout_s):
-                return await self._reader.receive()
-        timeout_s = limits.header_timeout_s
-        if is_head:
-            timeout_s = max(0.0, began_at + timeout_s - time.monotonic())
-        try:
-            async with curio.timeout_after(timeout_s):
+        since = began_at if is_head else time.monotonic()
+        while True:
+            remaining_s = since + self._limits().header_timeout_s - time.monotonic()
+            if remaining_s <= 0.0:
+                message = "the request did not arrive in time"
+                raise _BadRequestError(408, ResultCode.REQUEST_TIMEOUT, message)
+            async with curio.ignore_after(remaining_s):
                 return await self._reader.receive()
-        except curio.TaskTimeout:
-            raise _BadRequestError(
-                408, ResultCode.REQUEST_TIMEOUT, "the request did not arrive in time"
-            ) from None
 
-    def _check_stated_size(self, head, limits):
+    def _check_unparsed(self):
+        """Refuse a head, or fields within a body, that are too large and incomplete."""
+        if self._bounds is None:
+            return
+        unparsed = self._conn.trailing_data[0]
+        if len(unparsed) > self._limits().max_header_bytes:
+            self._check_head(len(unparsed), has_relay_mark(unparsed))
+
+    def _check_head(self, size, is_handed_on):
+        """Refuse a head of ``size`` bytes that is too large.
+
+        The peer that hands a request on adds fields to it, see ``relay_marks``.
+        """
+        added_bytes = RELAY_HEAD_BYTES if is_handed_on else 0
+        if size > self._limits().max_header_bytes + added_bytes:
+            raise self._too_large(ResultCode.HEADERS_TOO_LARGE)
+
+    def _check_stated_size(self, head):
         """Refuse a request before its body, if that is too large or does not fit."""
         stated_bytes = _stated_body_bytes(head)
-        if stated_bytes > limits.max_body_bytes:
-            raise _body_too_large(limits)
+        if stated_bytes > self._limits().max_body_bytes:
+            raise self._too_large(ResultCode.BODY_TOO_LARGE)
         if not self._frontend.memory.has_body_room(stated_bytes):
             raise _no_body_room()
 
+    def _too_large(self, code):
+        """Return the refusal of a request that is beyond a limit.
+
+        Without a configuration the limit is not known, so that the caller may be within
+        it and gets an answer after which it may come back.
+        """
+        limits = self._limits()
+        if not self._frontend.limits.has_version:
+            retry_s = retry_after_s(0.0, random.random())
+            return _BadRequestError(
+                503, ResultCode.NOT_READY, "no configuration yet", retry_s
+            )
+        if code is ResultCode.HEADERS_TOO_LARGE:
+            return _BadRequestError(431, code, f"over {limits.max_header_bytes} bytes")
+        return _BadRequestError(413, code, f"over {limits.max_body_bytes} bytes")
+
     def _encode(self, answer, close=False):
         """Return the bytes of an answer."""
         conn = self._conn
@@ -300,6 +379,19 @@
             # The caller has closed it meanwhile.
             pass
 
+    async def close_if_overdue(self, task, now):
+        """Close the connection if it has been idle for longer than the limit.
+
+        Return whether it still waits by a longer limit than the newest one.
+        """
+        if self.idle_since is None:
+            return False
+        limits = self._frontend.limits
+        if now >= self.idle_since + limits.at(now).idle_timeout_s:
+            await self.close_if_idle(task)
+            return False
+        return self._idle_limit_s > limits.newest.idle_timeout_s
+
     async def close_if_idle(self, task):
         """Close the connection, served by ``task``, unless a request has arrived.
 
@@ -329,12 +421,6 @@
     return 0
 
 
-def _body_too_large(limits):
-    return _BadRequestError(
-        413, ResultCode.BODY_TOO_LARGE, f"over {limits.max_body_bytes} bytes"
-    )
-
-
 def _no_body_room():
     retry_s = retry_after_s(BODY_RETRY_S, random.random())
     return _BadRequestError(
--- a/almondtide/entry/calls.py
+++ b/almondtide/entry/calls.py
@@ -174,7 +174,7 @@
         # Why it was not admitted, or an empty text.
         self.refusal_reason = ""
         # Whether a peer has handed it on, so that it is not handed on again.
-        self.is_relayed = request.relay_mark is not None
+        self.is_relayed = request.is_handed_on
         for branch in self.branches:
             branch.possible_run_count = request.relay_mark or 0
         # The exchange with the peer that runs it in place of this entry, or None.
--- a/almondtide/entry/connections.py
+++ b/almondtide/entry/connections.py
@@ -218,10 +218,11 @@
 
     async def _send(self, request, remaining_s):
         conn = self._conn
-        headers = forwarded_request_headers(
+        # The mark of a request that is handed on comes first, see ``relay_marks``.
+        headers = self.exchange.extra_headers()
+        headers += forwarded_request_headers(
             request, self.upstream.server.id, remaining_s
         )
-        headers += self.exchange.extra_headers()
         data = conn.send(
             h11.Request(method=request.method, target=request.target, headers=headers)
         )
@@ -484,7 +485,7 @@
         peer hands on may come again whatever its reply.
         """
         request = exchange.request
-        if reply.is_success and request.relay_mark is None:
+        if reply.is_success and not request.is_handed_on:
             return True
         now = self.now()
         until = now + exchange.remaining_s()
--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -344,6 +344,7 @@
                 self.dispatcher.log_limited_sends()
                 self.dispatcher.log_shedding()
             self.frontend.memory.sample()
+            await self.frontend.close_overdue_connections()
             await self.pool.close_expired()
             for upstream in self.table.remove_expired(now):
                 await self.pool.close_idle(upstream)
--- a/almondtide/entry/frontend.py
+++ b/almondtide/entry/frontend.py
@@ -1,6 +1,7 @@
 """Serves callers: finds the route, runs the call and logs the request."""
 
 import random
+import time
 
 import curio
 
@@ -13,6 +14,7 @@
 from .members import MemberState
 from .metrics import LatencyHistogram, MetricFamily
 from .policy.admission import not_ready_retry_s
+from .policy.caller_limits import LimitsInForce
 from .routing import RouteTable
 from .transit_time import estimate_transit_time
 
@@ -27,13 +29,15 @@
 class Frontend:
     """The side of one entry that faces callers: their connections and metrics.
 
-    ``memory`` is the ``CallerMemory`` of these connections, ``version_lag`` the
-    ``VersionLag`` that requests are reported to, or None.
+    ``memory`` is the ``CallerMemory`` of these connections, ``limits`` the
+    ``LimitsInForce`` for them on the steady clock, ``version_lag`` the ``VersionLag``
+    that requests are reported to, or None.
     """
 
     __slots__ = (
         "_connections",
         "_dispatcher",
+        "_has_lowered_idle_limit",
         "_latency_histograms",
         "_log",
         "_now",
@@ -41,6 +45,7 @@
         "_started_at",
         "_view",
         "answer_counts",
+        "limits",
         "memory",
         "routes",
         "running_requests",
@@ -56,6 +61,9 @@
         self._now = now
         self._log = log
         self._connections = {}
+        self.limits = LimitsInForce(CallerLimits())
+        # Whether connections may be idle by a longer limit than the newest one.
+        self._has_lowered_idle_limit = False
         self._latency_histograms = {}
         self.routes = None
         self.version_lag = None
@@ -65,7 +73,11 @@
 
     def apply_configuration(self):
         """Use the newest configuration for new requests."""
-        self.routes = RouteTable(self._replica.configuration, self.routes)
+        configuration = self._replica.configuration
+        self.routes = RouteTable(configuration, self.routes)
+        config_apply_s = self._dispatcher.settings.config_apply_s
+        if self.limits.apply(configuration.limits, time.monotonic(), config_apply_s):
+            self._has_lowered_idle_limit = True
 
     @property
     def version_in_force(self):
@@ -90,17 +102,27 @@
         for connection, task in list(self._connections.items()):
             await connection.close_if_idle(task)
 
+    async def close_overdue_connections(self):
+        """Close connections that are idle for longer than a limit that was lowered.
+
+        Others close by themselves.
+        """
+        if not self._has_lowered_idle_limit:
+            return
+        now = time.monotonic()
+        is_overlap = self.limits.at(now) != self.limits.newest
+        waits = [
+            await connection.close_if_overdue(task, now)
+            for connection, task in list(self._connections.items())
+        ]
+        self._has_lowered_idle_limit = is_overlap or any(waits)
+
     async def end_requests(self):
         """End all requests in progress now, each with a final answer."""
         for connection in list(self._connections):
             if connection.call is not None:
                 await self._dispatcher.finish_early(connection.call)
 
-    def limits(self):
-        """Return the ``CallerLimits`` in force."""
-        configuration = self._replica.configuration
-        return CallerLimits() if configuration is None else configuration.limits
-
     def is_closing(self):
         """Return whether connections close after the next response."""
         return self._view.local_member.state is MemberState.LEAVING
--- a/almondtide/entry/relay_marks.py
+++ b/almondtide/entry/relay_marks.py
@@ -7,7 +7,9 @@
 
 __all__ = [
     "RELAY_HEADER",
+    "RELAY_HEAD_BYTES",
     "RELAY_NOT_RUN_HEADER",
+    "has_relay_mark",
     "mark_not_run",
     "take_not_run_mark",
     "take_relay_mark",
@@ -20,6 +22,21 @@
 # Header of the answer: no server has run the request since the hand-over, or will.
 RELAY_NOT_RUN_HEADER = b"almondtide-relay-not-run"
 MAX_RELAY_MARK = 99
+# Most bytes that an entry adds to the head of a request when it hands it on: the mark,
+# the time left, the name of the peer and the length of the body.
+RELAY_HEAD_BYTES = 1024
+
+
+def has_relay_mark(head):
+    """Return whether the first bytes of a request have the mark of one handed on.
+
+    The mark is sent before the fields of the caller, so that it is known before the
+    head is complete.
+
+    >>> has_relay_mark(b"Almondtide-Relay: 0"), has_relay_mark(b"x: almondtide-relay")
+    (True, False)
+    """
+    return RELAY_HEADER + b":" in head.lower()
 
 
 def take_relay_mark(request):
--- a/almondtide/model/http_messages.py
+++ b/almondtide/model/http_messages.py
@@ -36,6 +36,11 @@
         self.has_invalid_deadline = False
         self.relay_mark = None
 
+    @property
+    def is_handed_on(self):
+        """Whether a peer has handed it on."""
+        return self.relay_mark is not None
+
     @property
     def path(self):
         """The target without its query string."""
--- a/almondtide/model/published.py
+++ b/almondtide/model/published.py
@@ -142,6 +142,12 @@
         self.header_timeout_s = header_timeout_s
         self.idle_timeout_s = idle_timeout_s
 
+    def most_generous(self, other):
+        """Return limits of which each is the greater one of two."""
+        pairs = zip(self._fields(), other._fields(), strict=True)
+        names = self.__slots__
+        return CallerLimits(**dict(zip(names, map(max, pairs), strict=True)))
+
 
 class Configuration(_Record):
     """One published configuration; ``version`` grows with each."""
--- a/tests/entry/test_callers.py
+++ b/tests/entry/test_callers.py
@@ -9,6 +9,7 @@
 from almondtide.entry.caller_memory import CallerMemory
 from almondtide.entry.callers import CallerConnection
 from almondtide.entry.memory_bounds import MemoryBounds
+from almondtide.entry.policy.caller_limits import LimitsInForce
 from almondtide.errors import ResultCode
 from almondtide.model.published import CallerLimits
 from tests.entry.support import memory_settings
@@ -23,7 +24,8 @@
     def __init__(self, delay_s=0.0, limits=None, is_leaving=False):
         self.delay_s = delay_s
         self.is_leaving = is_leaving
-        self._limits = limits or CallerLimits()
+        self.limits = LimitsInForce(CallerLimits())
+        self.limits.apply(limits or CallerLimits(), time.monotonic(), 0.0)
         self.requests = []
         self.abandoned = 0
         self.refusals = []
@@ -31,9 +33,6 @@
         bounds = MemoryBounds(memory_settings(None))
         self.memory = CallerMemory(bounds, time.monotonic, MemoryLog())
 
-    def limits(self):
-        return self._limits
-
     def is_closing(self):
         return self.is_leaving
 
