Use the objective of a route's newest version

Cause: Dispatcher.route_latency kept the objective of the version in which a route was first called. Queue bounds, depth at servers and hedges of later versions went by it for as long as the process lived.

Change: the objective is set at each look-up from the route of the call. What was learned from replies stays; without samples the estimates follow the objective.

--- a/almondtide/entry/dispatch.py
+++ b/almondtide/entry/dispatch.py
@@ -193,6 +193,7 @@
         latency = self._route_latencies.get(key)
         if latency is None:
             latency = self._route_latencies[key] = RouteLatency(route.objective_s)
+        latency.set_objective(route.objective_s)
         return latency
 
     def allowed_domains(self, route):
--- a/almondtide/entry/policy/route_latency.py
+++ b/almondtide/entry/policy/route_latency.py
@@ -31,6 +31,7 @@
     """
 
     __slots__ = (
+        "_has_estimates",
         "_samples_since_refresh",
         "_window",
         "expected_s",
@@ -39,11 +40,20 @@
     )
 
     def __init__(self, objective_s):
-        self.objective_s = objective_s
         self._window = LatencyWindow(WINDOW_SAMPLES)
         self._samples_since_refresh = 0
-        self.expected_s = objective_s * INITIAL_EXPECTED_FRACTION
-        self.hedge_delay_s = objective_s * INITIAL_HEDGE_DELAY_FRACTION
+        self._has_estimates = False
+        self.objective_s = None
+        self.set_objective(objective_s)
+
+    def set_objective(self, objective_s):
+        """Use the objective of the version that a call goes by, in seconds."""
+        if objective_s == self.objective_s:
+            return
+        self.objective_s = objective_s
+        if not self._has_estimates:
+            self.expected_s = objective_s * INITIAL_EXPECTED_FRACTION
+            self.hedge_delay_s = objective_s * INITIAL_HEDGE_DELAY_FRACTION
 
     @property
     def objective_ratio(self):
@@ -66,6 +76,7 @@
         ):
             return
         self._samples_since_refresh = 0
+        self._has_estimates = True
         self.expected_s = self._window.quantile(0.5)
         hedge_delay_s = min(
             self._window.quantile(HEDGE_QUANTILE),
--- a/tests/entry/policy/test_route_latency.py
+++ b/tests/entry/policy/test_route_latency.py
@@ -16,6 +16,24 @@
     return route_latency
 
 
+class ChangedObjectiveTest(testtools.TestCase):
+    """Guards against the objective of the version in which a route was first called."""
+
+    def test_a_route_without_samples(self):
+        latency = RouteLatency(0.15)
+        latency.set_objective(1.5)
+        fresh = RouteLatency(1.5)
+        for name in ("objective_s", "expected_s", "hedge_delay_s", "objective_ratio"):
+            self.assertEqual(getattr(fresh, name), getattr(latency, name), name)
+
+    def test_what_was_learned_stays(self):
+        latency = _make_route_latency([0.02] * 96)
+        before = latency.expected_s, latency.hedge_delay_s
+        latency.set_objective(0.04)
+        self.assertEqual(before, (latency.expected_s, latency.hedge_delay_s))
+        self.assertAlmostEqual(2.0, latency.objective_ratio)
+
+
 class RouteLatencyTest(testtools.TestCase):
     """Guards against hedges that are sent too late to help, or needlessly."""
 
--- a/tests/entry/test_dispatch.py
+++ b/tests/entry/test_dispatch.py
@@ -493,3 +493,14 @@
         self.assertTrue(
             all(branch.state is not BranchState.OPEN for branch in call.branches)
         )
+
+
+class ChangedRouteTest(testtools.TestCase):
+    """Guards against decisions by an earlier version of the configuration."""
+
+    def test_the_objective_is_that_of_the_route_of_the_call(self):
+        fleet = _Fleet(lambda exchange: None, services=("a",))
+        for objective_s in (0.1, 1.0, 0.1):
+            route = make_route(objective_s=objective_s)
+            latency = fleet.dispatcher.route_latency(route)
+            self.assertEqual(objective_s, latency.objective_s)
