Take the bounds of retry budgets from the settings in force

Cause: a service's RetryBudget kept ratio, slack and window of the settings with which it was made, so a reload (SIGHUP or a changed file) did not reach it.

Change: Dispatcher.retry_budget sets them at each look-up. With another window the extra sends so far count for a whole one from the last send on.

Result: ChangedSettingsTest and the reload test of the dispatcher, of which the latter fails before, pass with the tests of the policies.

--- a/almondtide/entry/dispatch.py
+++ b/almondtide/entry/dispatch.py
@@ -179,11 +179,11 @@
     def retry_budget(self, service):
         """Return the ``RetryBudget`` of a service."""
         budget = self._retry_budgets.get(service)
+        settings = self.settings
+        bounds = (settings.extra_ratio, settings.extra_slack, settings.extra_window_s)
         if budget is None:
-            settings = self.settings
-            budget = self._retry_budgets[service] = RetryBudget(
-                settings.extra_ratio, settings.extra_slack, settings.extra_window_s
-            )
+            budget = self._retry_budgets[service] = RetryBudget(*bounds)
+        budget.configure(*bounds)
         budget.share = self.budget_share
         return budget
 
--- a/almondtide/entry/policy/retry_budget.py
+++ b/almondtide/entry/policy/retry_budget.py
@@ -59,6 +59,26 @@
         # One bucket more than the window, which may start within a bucket.
         self._extras = [0] * (BUCKET_COUNT + 1)
 
+    def configure(self, ratio, slack, window_s):
+        """Use the bounds of changed settings.
+
+        With another window the extra sends so far count for a whole one from the last
+        send on, and the requests so far allow no more.
+        """
+        self.ratio = ratio
+        self.slack = slack
+        bucket_s = window_s / BUCKET_COUNT
+        if bucket_s == self._bucket_s:
+            return
+        if self._current is not None:
+            self._current = int(self._current * self._bucket_s / bucket_s)
+        extras = sum(self._extras)
+        self._extras = [0] * (BUCKET_COUNT + 1)
+        self._requests = [0] * BUCKET_COUNT
+        if self._current is not None:
+            self._extras[self._current % (BUCKET_COUNT + 1)] = extras
+        self._bucket_s = bucket_s
+
     def _advance(self, now):
         bucket = int(now / self._bucket_s)
         if self._current is None:
--- a/tests/entry/policy/test_retry_budget.py
+++ b/tests/entry/policy/test_retry_budget.py
@@ -90,3 +90,31 @@
             # Requests of the window and of the one before it count.
             counted = [at for at in requests if end - 2 * WINDOW_S < at <= end]
             self.assertTrue(len(window) <= RATIO * len(counted) + 10)
+
+
+class ChangedSettingsTest(testtools.TestCase):
+    """Guards against extra sends by bounds that the settings no longer have."""
+
+    def _spend_all(self, budget, now):
+        count = 0
+        while budget.try_spend(now):
+            count += 1
+        return count
+
+    def test_a_lower_slack_holds_at_once(self):
+        budget = RetryBudget(RATIO, SLACK, WINDOW_S)
+        self._spend_all(budget, 50.0)
+        budget.configure(RATIO, SLACK / 2, WINDOW_S)
+        self.assertEqual(0, self._spend_all(budget, 50.1))
+        self.assertEqual(
+            int(USABLE_FRACTION * SLACK / 2), self._spend_all(budget, 50.0 + 11.0)
+        )
+
+    def test_another_window_forgets_no_sends(self):
+        for window_s in (WINDOW_S / 2, 2 * WINDOW_S):
+            budget = RetryBudget(0.0, SLACK, WINDOW_S)
+            self._spend_all(budget, 50.0)
+            budget.configure(0.0, SLACK, window_s)
+            self.assertEqual(0, self._spend_all(budget, 50.0 + 0.9 * window_s))
+            spent = self._spend_all(budget, 50.0 + 1.2 * window_s)
+            self.assertEqual(int(USABLE_FRACTION * SLACK), spent)
--- a/tests/entry/test_dispatch.py
+++ b/tests/entry/test_dispatch.py
@@ -504,3 +504,11 @@
             route = make_route(objective_s=objective_s)
             latency = fleet.dispatcher.route_latency(route)
             self.assertEqual(objective_s, latency.objective_s)
+
+    def test_the_budget_is_that_of_the_settings_after_a_reload(self):
+        fleet = _Fleet(lambda exchange: None, services=("a",))
+        first = fleet.dispatcher.retry_budget("a").slack
+        bounds = {**settings_document()["bounds"], "budget_slack": first / 2}
+        document = orjson.dumps(settings_document(bounds=bounds))
+        fleet.dispatcher.settings = decode_settings(document)
+        self.assertEqual(first / 2, fleet.dispatcher.retry_budget("a").slack)
