Call the store at the address that the settings name now

Cause: both clients of the store kept the address of the settings with which the process started. After a reload with another address every call went to the old one until the process ended.

Change: a reload sets the address of both clients; a call opens a new connection if the kept one goes to another address.

--- a/almondtide/entry/daemon.py
+++ b/almondtide/entry/daemon.py
@@ -107,9 +107,11 @@
             now,
             log,
         )
+        watcher_store = StoreClient(settings.store_address, STORE_TIMEOUT_S)
+        self._store_clients = (self.store, watcher_store)
         self.watcher = ConfigurationWatcher(
             settings,
-            StoreClient(settings.store_address, STORE_TIMEOUT_S),
+            watcher_store,
             self.view,
             feed,
             self.gossip,
@@ -276,6 +278,8 @@
         WORK_BUDGET.set_core_share(settings.core_share)
         for part in self.settings_users:
             part.settings = settings
+        for client in self._store_clients:
+            client.address = settings.store_address
         if not self.feed.uses_evacuations:
             self.feed.evacuations.clear()
         self._configure_warmup()
--- a/almondtide/platform/store.py
+++ b/almondtide/platform/store.py
@@ -91,8 +91,9 @@
     """
 
     __slots__ = (
-        "_address",
         "_client",
+        "_client_address",
+        "address",
         "call_count",
         "era",
         "invalid_era",
@@ -101,8 +102,10 @@
     )
 
     def __init__(self, address, timeout_s):
-        self._address = address
+        # A call after a change of it goes to the new address.
+        self.address = address
         self._client = None
+        self._client_address = None
         self.timeout_s = timeout_s
         self.call_count = 0
         self.era = 0
@@ -213,9 +216,11 @@
 
     async def _exchange(self, path):
         client = self._client
-        if client is None or not client.is_usable or client.is_stale():
+        has_moved = self._client_address != self.address
+        if client is None or has_moved or not client.is_usable or client.is_stale():
             await self.close()
-            client = await HTTPClient.open(self._address, self.timeout_s)
+            self._client_address = self.address
+            client = await HTTPClient.open(self.address, self.timeout_s)
             self._client = client
         return await client.request("GET", path)
 
--- a/tests/entry/test_daemon.py
+++ b/tests/entry/test_daemon.py
@@ -6,6 +6,7 @@
 from almondtide.entry.daemon import EntryDaemon
 from almondtide.entry.members import Member, MemberState
 from almondtide.platform.settings import decode_settings
+from standins.store import StoreServer
 from tests.entry.support import make_server, settings_document
 from tests.support import MemoryLog, run
 
@@ -60,6 +61,35 @@
         self.assertEqual(expected, names)
 
 
+class MovedStoreTest(testtools.TestCase):
+    """Guards against calls of an address that the settings no longer name."""
+
+    def test_calls_after_a_reload_go_to_the_new_address(self):
+        async def scenario():
+            stores = StoreServer(), StoreServer()
+            documents = []
+            for number, store in enumerate(stores):
+                await store.start()
+                await store.put("op/config", b"%d" % number)
+                host, port = store.address
+                platform = {"address": f"{host}:{port}", "form": "read"}
+                documents.append(settings_document(platform=platform))
+            before, after = (
+                decode_settings(orjson.dumps(document)) for document in documents
+            )
+            daemon = EntryDaemon(before, MemoryLog(), None, lambda: after)
+            values = []
+            for _ in stores:
+                for client in (daemon.store, daemon.watcher._store):
+                    values.append((await client.get("op/config")).value)
+                daemon._reload("signal")
+            for closed in (daemon.store, daemon.watcher, *stores):
+                await closed.close()
+            return values
+
+        self.assertEqual([b"0", b"0", b"1", b"1"], run(scenario))
+
+
 class ConfigurationTest(testtools.TestCase):
     """Guards against a version that the replica has and nobody is served by."""
 
