Refuse responses that are none of HTTP/1

But 600 and 999 were passed on with the stamp, and HTTP/2.0, 0.9 and 9.9 counted as answers, at both readers of responses.

Cause: the parser takes any three digits from 200 on and any version, and nothing looked after it.

Change: check_response_head says what a response is; EventReader, from which both readers get their events, asks it.

--- a/almondtide/adapters/event_reader.py
+++ b/almondtide/adapters/event_reader.py
@@ -7,7 +7,7 @@
 import h11
 
 from ..errors import FramingError
-from ..framing import MAX_FIELDS, WORK_BUDGET, MessageWork
+from ..framing import MAX_FIELDS, WORK_BUDGET, MessageWork, check_response_head
 
 __all__ = ["EventReader"]
 
@@ -24,7 +24,8 @@
     """Reads messages from a socket, and gives other tasks a turn in between.
 
     ``min_part_bytes`` and ``max_excess_steps`` are those of ``MessageWork``. The
-    methods raise ``FramingError`` for a message beyond them or with too many fields.
+    methods raise ``FramingError`` for a message beyond them or with too many fields,
+    and for a response that is none of HTTP/1.
     """
 
     __slots__ = (
@@ -103,6 +104,8 @@
     """Return the bytes of the body in an event; raises ``FramingError``."""
     if type(event) is h11.Data:
         return len(event.data)
+    if type(event) is h11.Response:
+        check_response_head(event.status_code, event.http_version)
     fields = getattr(event, "headers", ())
     if len(fields) > MAX_FIELDS:
         raise FramingError(f"{len(fields)} fields in a head")
--- a/almondtide/errors.py
+++ b/almondtide/errors.py
@@ -173,7 +173,7 @@
 
 
 class FramingError(BadRequestError):
-    """A message came in so many small parts that reading it costs too much."""
+    """A message is none by HTTP, or costs too much to read in its small parts."""
 
 
 class RefusedError(AlmondtideError):
--- a/almondtide/framing.py
+++ b/almondtide/framing.py
@@ -19,8 +19,13 @@
     "WORK_BUDGET",
     "MessageWork",
     "WorkBudget",
+    "check_response_head",
 ]
 
+# Statuses of responses (RFC 9110, section 15). Informational ones come as other events.
+MIN_RESPONSE_STATUS = 200
+MAX_RESPONSE_STATUS = 599
+HTTP_MAJOR_VERSION = b"1."
 # Steps of a message that are not counted as excess: a number for each message, one for
 # so many bytes of its body, and so many a second.
 FREE_STEPS = 64
@@ -49,6 +54,25 @@
 BURST_STEPS = 2048.0
 
 
+def check_response_head(status, http_version):
+    """Raise ``FramingError`` unless these are of a response of HTTP/1.
+
+    Whoever takes other bytes for a response passes on what is no answer. The parser
+    takes any three digits and any version.
+
+    >>> check_response_head(599, b"1.1")
+    >>> check_response_head(600, b"1.1")
+    Traceback (most recent call last):
+    ...
+    almondtide.errors.FramingError: status 600 is none of HTTP
+    """
+    if not MIN_RESPONSE_STATUS <= status <= MAX_RESPONSE_STATUS:
+        raise FramingError(f"status {status} is none of HTTP")
+    if not http_version.startswith(HTTP_MAJOR_VERSION):
+        version = http_version.decode("latin-1")
+        raise FramingError(f"a response of HTTP/{version}")
+
+
 class WorkBudget:
     """Excess steps of all messages that a process reads, as a token bucket.
 
