Split the play of a changed limit into its steps

Reading the diff: the test's play was one function of 50 lines, and the look-up of limits had a second public method that only the first one used.

--- a/almondtide/entry/policy/caller_limits.py
+++ b/almondtide/entry/policy/caller_limits.py
@@ -31,7 +31,7 @@
         self.has_version = False
         # (when its overlap ends, limits), oldest first.
         self._replaced = []
-        # What ``at`` returns, and until when it does.
+        # What ``at`` has computed, and until when that holds.
         self._current = default
         self._current_until = math.inf
 
@@ -53,19 +53,14 @@
     def at(self, now):
         """Return the ``CallerLimits`` that hold for what begins at ``now``."""
         if now >= self._current_until:
-            self._current = self.since(now)
-            ends = [until for until, _ in self._replaced if until > now]
-            self._current_until = min(ends, default=math.inf)
+            self._current = self.newest
+            self._current_until = math.inf
+            for until, replaced in self._replaced:
+                if until > now:
+                    self._current = self._current.most_generous(replaced)
+                    self._current_until = min(self._current_until, until)
         return self._current
 
-    def since(self, began_at):
-        """Return the most generous limits that have held at any time since then."""
-        limits = self.newest
-        for until, replaced in self._replaced:
-            if until > began_at:
-                limits = limits.most_generous(replaced)
-        return limits
-
 
 class RequestBounds:
     """The limits that bind one request, of which a part has arrived.
--- a/tests/entry/test_limit_changes.py
+++ b/tests/entry/test_limit_changes.py
@@ -140,61 +140,81 @@
 MARK = b"almondtide-relay: 0\r\ndeadline-ms: 100\r\nexpect-instance: front-1\r\n"
 
 
-def _play(field, state, first, second, wait_s, has_version=True):
-    """Play one connection over a change of a limit from ``first`` to ``second``.
-
-    ``wait_s`` is the time from the change to a request that begins after it. Return
-    (what the caller got for the request, codes of refusals).
-    """
-    clock = VirtualClock()
-
-    def limits(value):
-        names = {"max_header_bytes": 4000, "max_body_bytes": 500}
-        return CallerLimits(**{**names, field: value})
-
-    async def scenario():
-        frontend = _Frontend(clock, limits(first), has_version)
-        caller = _Caller(clock, frontend)
-
-        def change():
-            frontend.limits.apply(limits(second), clock.monotonic(), APPLY_S)
-
-        head_bytes = HEAD_BYTES if field == "max_header_bytes" else 0
-        mark = MARK if state == "handed over" else b""
+class _Play:
+    """One connection over a change of a limit from ``first`` to ``second``."""
+
+    def __init__(self, field, state, first, second, has_version=True):
+        self.field = field
+        self.state = state
+        self.second = second
+        self.clock = VirtualClock()
+        self.frontend = _Frontend(self.clock, self._limits(first), has_version)
+        self.caller = _Caller(self.clock, self.frontend)
+
+    def _limits(self, value):
+        fields = {"max_header_bytes": 4000, "max_body_bytes": 500, self.field: value}
+        return CallerLimits(**fields)
+
+    def _change(self):
+        limits = self._limits(self.second)
+        self.frontend.limits.apply(limits, self.clock.monotonic(), APPLY_S)
+
+    def run(self, wait_s):
+        """Return (what the caller got for its request, codes of refusals).
+
+        ``wait_s`` is the time from the change to a request that begins after it.
+        """
+        module = types.SimpleNamespace(monotonic=self.clock.monotonic)
+        with mock.patch.object(callers, "time", module):
+            return run_in_virtual_time(self._run, wait_s, clock=self.clock)
+
+    async def _run(self, wait_s):
+        caller = self.caller
+        head_bytes = HEAD_BYTES if self.field == "max_header_bytes" else 0
+        mark = MARK if self.state == "handed over" else b""
         data = _request(BODY_BYTES, head_bytes, mark)
         head_end = data.index(b"\r\n\r\n") + 4
-        cut = head_end + PART_BYTES if state == "body" else PART_BYTES
-        stop_s = STOP_S if field == "header_timeout_s" else 0.1
-        idle_s = IDLE_S if field == "idle_timeout_s" else 0.0
-        if state in ("head", "body", "waiting"):
-            await caller.open()
-            if state == "waiting":
-                await caller.send(SLOW)
-            await caller.send(data[:cut])
-            change()
-            await curio.sleep(stop_s)
-        elif state == "new":
-            change()
-            await curio.sleep(wait_s)
-            await caller.open()
-            await curio.sleep(idle_s)
+        cut = head_end + PART_BYTES if self.state == "body" else PART_BYTES
+        stop_s = STOP_S if self.field == "header_timeout_s" else 0.1
+        if self.state in ("head", "body", "waiting"):
+            await self._change_halfway(data[:cut])
         else:
-            await caller.open()
-            await caller.send(SMALL)
-            await caller.read()
-            change()
-            await curio.sleep(max(wait_s, idle_s))
-        if state not in ("head", "body", "waiting"):
+            await self._change_before(wait_s)
             await caller.send(data[:cut])
-            await curio.sleep(stop_s)
+        await curio.sleep(stop_s)
         await caller.send(data[cut:])
-        await curio.sleep(CALL_S if state == "waiting" else 0.0)
+        is_waiting = self.state == "waiting"
+        await curio.sleep(CALL_S if is_waiting else 0.0)
         await curio.sleep(0.5)
-        return (await caller.read())[state == "waiting" :], frontend.codes
+        # The first answer is that to the call behind which the request waited.
+        return (await caller.read())[is_waiting:], self.frontend.codes
+
+    async def _change_halfway(self, part):
+        """Send a part of the request, behind another call or not, and change."""
+        await self.caller.open()
+        if self.state == "waiting":
+            await self.caller.send(SLOW)
+        await self.caller.send(part)
+        self._change()
+
+    async def _change_before(self, wait_s):
+        """Change the limit while there is no connection, or an idle one."""
+        idle_s = IDLE_S if self.field == "idle_timeout_s" else 0.0
+        if self.state == "new":
+            self._change()
+            await curio.sleep(wait_s)
+            await self.caller.open()
+            await curio.sleep(idle_s)
+            return
+        await self.caller.open()
+        await self.caller.send(SMALL)
+        await self.caller.read()
+        self._change()
+        await curio.sleep(max(wait_s, idle_s))
 
-    module = types.SimpleNamespace(monotonic=clock.monotonic)
-    with mock.patch.object(callers, "time", module):
-        return run_in_virtual_time(scenario, clock=clock)
+
+def _play(field, state, first, second, wait_s, has_version=True):
+    return _Play(field, state, first, second, has_version).run(wait_s)
 
 
 REFUSALS = {
