Test a false promise of a server that passes through an older build

The mark of a hand-over and the proof of "not run" meet where two builds run side by side: an older peer passes a server's 429 on without a mark, and an older entry passes on what this build answers.

Result: at real processes, beside the working tree, both directions: ten writes that ran get 502, each runs once.

--- a/tests/entry/test_two_builds.py
+++ b/tests/entry/test_two_builds.py
@@ -4,6 +4,7 @@
 the machines that are not replaced yet.
 """
 
+import functools
 import io
 import os
 import pathlib
@@ -17,6 +18,7 @@
 import curio
 import testtools
 
+from almondtide.adapters.http import HTTPResponse
 from almondtide.entry.crash_detector import CRASH_LIMIT
 from standins.entry_fleet import UNSAFE_SERVICE, EntryFleet, make_configuration
 from tests.support import run
@@ -267,21 +269,45 @@
 
         self.run_here(scenario, servers=CRASH_LIMIT + 3)
 
-    def test_hand_over_of_a_request(self):
+    async def cut_off_sender(self, fleet):
+        """Cut the sender's links, and wait until it hands requests to the receiver."""
+        await self.wait_for_membership(fleet)
+        (new,) = {0, 1} - set(fleet.builds)
+        await self.wait_for_log(fleet, new, "member_abilities", "abilities=relay")
+        await fleet.search(self.receiver, "first")
+        fleet.cut_links(self.sender, "hang")
+
+        async def is_handed_over():
+            # Replies to the receiver show the sender that servers serve.
+            await fleet.search(self.receiver, f"r-{time.monotonic()}")
+            await fleet.search(self.sender, f"h-{time.monotonic()}")
+            return "relays=front-1" in fleet.read_log(self.sender)
+
+        await self.wait_for("a request is handed over", is_handed_over)
+
+    def test_a_false_promise_of_a_server_through_a_peer(self):
+        # The older build passes the status on, and states no mark.
+        def fail(server, request):
+            id = request.headers["request-id"]
+            headers = {"server-stamp": f"{server.id}.{id}", "request-id": id}
+            return HTTPResponse(429, b"failed", headers)
+
         async def scenario(fleet):
-            await self.wait_for_membership(fleet)
-            (new,) = {0, 1} - set(fleet.builds)
-            await self.wait_for_log(fleet, new, "member_abilities", "abilities=relay")
-            await fleet.search(self.receiver, "first")
-            fleet.cut_links(self.sender, "hang")
+            await self.cut_off_sender(fleet)
+            servers = [s for s in fleet.servers.values() if s.service == UNSAFE_SERVICE]
+            for server in servers:
+                server.override_response = functools.partial(fail, server)
+            ids = [f"w-{number}" for number in range(10)]
+            statuses = [(await fleet.write(self.sender, id))[0] for id in ids]
+            self.assertEqual([502] * 10, statuses)
+            runs = [id for server in servers for id, _, _ in server.runs]
+            self.assertEqual(ids, sorted(runs))
 
-            async def is_handed_over():
-                # Replies to the receiver show the sender that servers serve.
-                await fleet.search(self.receiver, f"r-{time.monotonic()}")
-                await fleet.search(self.sender, f"h-{time.monotonic()}")
-                return "relays=front-1" in fleet.read_log(self.sender)
+        self.run_here(scenario)
 
-            await self.wait_for("a request is handed over", is_handed_over)
+    def test_hand_over_of_a_request(self):
+        async def scenario(fleet):
+            await self.cut_off_sender(fleet)
             statuses = [
                 (await fleet.search(self.sender, f"q-{number}"))[0]
                 for number in range(10)
